--- /dev/null
+++ b/src/standins/database/main.cpp
@@ -0,0 +1,7 @@
+#include <iostream>
+
+int main()
+{
+    std::cerr << "not implemented\n";
+    return 1;
+}
