Accept an empty append in the frame reader

Cause: memcpy got a null source for an empty append; UBSan stopped the arbitrary bytes test. Ruled out: a fault of the test, since an empty receive is a legal input. Conclusion: the existing test covers the case under the sanitizer.

--- a/src/libcrocusdealnet/pgframe.cpp
+++ b/src/libcrocusdealnet/pgframe.cpp
@@ -55,7 +55,9 @@
 
 void frame_reader::compact()
 {
-    if (m_begin == 0) {
+    if (m_begin == 0 || m_begin == m_end) {
+        m_end -= m_begin;
+        m_begin = 0;
         return;
     }
     std::memmove(m_buffer.data(), m_buffer.data() + m_begin, m_end - m_begin);
@@ -84,6 +86,9 @@
 
 void frame_reader::append(std::string_view bytes)
 {
+    if (bytes.empty()) {
+        return;
+    }
     std::memcpy(prepare(bytes.size()), bytes.data(), bytes.size());
     commit(bytes.size());
 }
