Add caller sessions and connections to targets

Cause: the daemon needs the path from a caller's message to a target and back before routing can be wired to it. Ruled out: forwarding through libpq results, because they would have to be encoded again and row data would be buffered whole. libpq opens and authenticates a connection, afterwards messages pass unchanged. Before: only the frame codec. Not yet linked into the daemon, and not measured. Conclusion: sessions depend on the service by hooks only, so that routing and limits can be added without changes to them.

--- /dev/null
+++ b/src/libcrocusdealnet/dispatch.cpp
@@ -0,0 +1,51 @@
+#include "dispatch.h"
+
+#include <utility>
+
+namespace crocusdeal
+{
+
+connection_lease::connection_lease(std::shared_ptr<target_connection> connection,
+                                   bool isPrimary,
+                                   return_handler handler)
+    : m_connection(std::move(connection))
+    , m_handler(std::move(handler))
+    , m_isPrimary(isPrimary)
+{
+}
+
+connection_lease::~connection_lease()
+{
+    giveBack(lease_outcome::Broken);
+}
+
+target_connection &connection_lease::connection()
+{
+    return *m_connection;
+}
+
+const std::shared_ptr<target_connection> &connection_lease::shared() const
+{
+    return m_connection;
+}
+
+bool connection_lease::isPrimary() const
+{
+    return m_isPrimary;
+}
+
+void connection_lease::giveBack(lease_outcome outcome)
+{
+    if (!m_connection) {
+        return;
+    }
+    if (outcome == lease_outcome::Broken) {
+        // Ends operations that are still pending, for example on a target that answers no more.
+        std::error_code ignored;
+        m_connection->socket().close(ignored);
+    }
+    const auto handler = std::exchange(m_handler, nullptr);
+    handler(std::exchange(m_connection, nullptr), outcome);
+}
+
+}
