Add the decision aggregates of database groups

Cause: the daemon needs sessions, group state, write confirmation, read index, promotion, repair and routing as decisions without I/O. Ruled out: dating reads by the primary's answer alone; a replaced primary answers, too. A majority of answers dates the term instead. Before: shared vocabulary types only. Conclusion: a first version to wire the daemon to.

--- /dev/null
+++ b/src/libcrocusdeal/followerrepair.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "controlaction.h"
+#include "databasegroup.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace crocusdeal
+{
+
+/** The form in which a database names the one it replicates from. */
+std::string upstreamName(const target_address &address);
+
+/**
+ * Tells databases that stand at a lower term, are fenced, or replicate from another database to follow the primary.
+ *
+ * Orders are given at the primary's term only, so a late one is refused once a newer term was granted.
+ */
+class follower_repair
+{
+public:
+    std::vector<order_target> update(const database_group &group, time_point now);
+
+private:
+    struct attempt {
+        time_point nextAt = never;
+        duration delay{};
+    };
+
+    bool needsRepair(const database_group &group, const target_view &primary, const target_view &target) const;
+
+    std::map<target_id, attempt> m_attempts;
+    std::uint64_t m_term = 0;
+};
+
+}
--- /dev/null
+++ b/src/libcrocusdeal/grouppolicy.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "clock.h"
+
+namespace crocusdeal
+{
+
+/**
+ * Times and protections of a group's decisions.
+ *
+ * The protections are on in every real use. The model tests turn single ones off to show that they are needed.
+ */
+struct group_policy {
+    duration probeInterval{250};
+    duration suspicionAfter{1000}; ///< Without an answer of the primary.
+    duration candidateStagger{500}; ///< Between the starts of two candidates for a promotion.
+    duration primaryRecheckAfter{100}; ///< An older answer of the primary releases no write.
+    duration waitRound{100}; ///< Time-out of one group_wait.
+    duration unheardLimit{1000}; ///< A target not heard from for longer gets no work.
+    duration fenceTimeout{500};
+    duration followTimeout{2000}; ///< For the chosen database of a planned change to catch up.
+    duration promoteTimeout{500};
+
+    bool fenceMajority = true; ///< Off: one granted fence is enough to promote.
+    bool compareEntryTerms = true; ///< Off: the log with the highest offset counts as the furthest.
+    bool checkReplicaTerm = true; ///< Off: replicas of any term confirm writes and newer terms are ignored.
+    bool readIndexFirst = true; ///< Off: a session of unknown history reads from any replica.
+    bool confirmCurrentTerm = true; ///< Off: the primary alone answers the read index and dates samples.
+};
+
+}
