Give shared enumerations one definition

Cause: the statement classes of router and classifier, the confirm modes and the log levels were each defined twice when the parts met. Ruled out: name spaces of their own, since they mean the same. Before: the merged tree did not compile. After: it compiles. Conclusion: the router names its own kinds route_class.

--- a/src/libcrocusdeal/router.cpp
+++ b/src/libcrocusdeal/router.cpp
@@ -49,7 +49,7 @@
     if (!usable(target, now)) {
         return false;
     }
-    const bool stale = request.kind == statement_class::StaleRead;
+    const bool stale = request.kind == route_class::StaleRead;
     if (stale && request.maxAge && now - target.includesUntil > *request.maxAge) {
         return false;
     }
@@ -80,12 +80,12 @@
         return {route_kind::Refuse, route_reason::DeadlineTooNear, {}, {}, never};
     }
     switch (request.kind) {
-    case statement_class::Write:
+    case route_class::Write:
         return toPrimary(route_reason::Write, request, view, now);
-    case statement_class::Pinned:
+    case route_class::Pinned:
         return toPrimary(route_reason::Pinned, request, view, now);
-    case statement_class::Read:
-    case statement_class::StaleRead:
+    case route_class::Read:
+    case route_class::StaleRead:
         break;
     }
     return decideRead(request, view, load, now);
@@ -144,7 +144,7 @@
     if (result.kind != route_kind::ToPrimary) {
         return result;
     }
-    const bool stale = request.kind == statement_class::StaleRead;
+    const bool stale = request.kind == route_class::StaleRead;
     const bool needsHistory = !request.token && !(stale && request.mayMissOwnWrites) && m_settings.readIndexFirst;
     if (needsHistory && view.currentUntil < request.startedAt) {
         return {route_kind::ReadIndexFirst, route_reason::UnknownHistory, {}, {}, request.startedAt};
@@ -161,7 +161,7 @@
                                         const load_table &load,
                                         time_point now) const
 {
-    if (!request.token || request.kind != statement_class::Read) {
+    if (!request.token || request.kind != route_class::Read) {
         return std::nullopt;
     }
     const auto limit = std::min(m_settings.replicaWaitLimit, request.deadline - now);
--- a/src/libcrocusdeal/router.h
+++ b/src/libcrocusdeal/router.h
@@ -11,14 +11,14 @@
 {
 
 /** What a statement needs of its target. */
-enum class statement_class {
+enum class route_class {
     Read, ///< May run on a replica that has the session's writes.
     StaleRead, ///< A read with a stated age.
     Write,
     Pinned, ///< Needs the session's own connection, on the primary.
 };
 
-inline constexpr auto statementClassNames = makeNameTable<statement_class>("read", "stale-read", "write", "pinned");
+inline constexpr auto routeClassNames = makeNameTable<route_class>("read", "stale-read", "write", "pinned");
 
 enum class route_kind {
     ToReplica,
@@ -82,7 +82,7 @@
 };
 
 struct route_request {
-    statement_class kind = statement_class::Read;
+    route_class kind = route_class::Read;
     std::optional<position> token; ///< Nothing while the session's history is unknown.
     time_point startedAt = never; ///< Of the session; counts while its history is unknown.
     std::optional<duration> maxAge; ///< For stale reads.
--- a/src/libcrocusdeal/serviceconfiguration.h
+++ b/src/libcrocusdeal/serviceconfiguration.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "clock.h"
+#include "confirmmode.h"
 #include "grouptypes.h"
 #include "identifiers.h"
-#include "nametable.h"
 #include "settingsproblem.h"
 
 #include <cstdint>
@@ -14,14 +14,6 @@
 namespace crocusdeal
 {
 
-/** Which databases must hold a write before it is acknowledged. */
-enum class confirm_mode {
-    Replica, ///< A majority of the group.
-    Primary, ///< The primary alone; the replication lag is lost at a failover.
-};
-
-inline constexpr auto confirmModeNames = makeNameTable<confirm_mode>("replica", "primary");
-
 /** What one database of the group stands, over all instances. */
 struct service_limits {
     int connections = 0;
--- a/src/libcrocusdeal/writeconfirmation.h
+++ b/src/libcrocusdeal/writeconfirmation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "confirmmode.h"
 #include "controlaction.h"
 #include "databasegroup.h"
 
@@ -9,14 +10,6 @@
 namespace crocusdeal
 {
 
-/** What a write needs before it is acknowledged; the key writes.confirm of the service file. */
-enum class confirm_mode {
-    Replica, ///< A majority of the group holds it.
-    Primary, ///< The primary committed it; a failover may lose it.
-};
-
-inline constexpr auto confirmModeNames = makeNameTable<confirm_mode>("replica", "primary");
-
 enum class confirm_result {
     Confirmed, ///< The write may be acknowledged.
     NewerTerm, ///< Outcome unknown: another primary may have taken over without the write.
--- a/src/libcrocusdealnet/callerlistener.cpp
+++ b/src/libcrocusdealnet/callerlistener.cpp
@@ -48,7 +48,7 @@
         }
         if (error) {
             static const part_log log("session");
-            log.write(log_level::Warning, "accept failed: " + error.message());
+            log.write(log_level::Warn, "accept failed: " + error.message());
             self->m_retryTimer.expires_after(acceptRetryDelay);
             self->m_retryTimer.async_wait([self](std::error_code waitError) {
                 if (!waitError) {
--- a/src/libcrocusdealnet/callersession.cpp
+++ b/src/libcrocusdealnet/callersession.cpp
@@ -1,7 +1,6 @@
 #include "callersession.h"
 
 #include "partlog.h"
-#include "settingreplies.h"
 #include "systemclock.h"
 
 #include <asio/bind_executor.hpp>
@@ -148,7 +147,7 @@
 {
     asio::dispatch(m_strand, [self = shared_from_this()] {
         if (self->m_phase != phase::Closed) {
-            sessionLog().write(log_level::Warning,
+            sessionLog().write(log_level::Warn,
                                std::to_string(self->m_ticket.pid) + " aborted with a request or transaction open");
             self->closeNow();
         }
--- a/src/libcrocusdealnet/callersession.h
+++ b/src/libcrocusdealnet/callersession.h
@@ -7,6 +7,7 @@
 #include "responserelay.h"
 #include "sessionregistry.h"
 #include "sessionstate.h"
+#include "settingreplies.h"
 #include "statementcache.h"
 #include "statementmap.h"
 
--- a/src/libcrocusdealnet/daemonsettings.h
+++ b/src/libcrocusdealnet/daemonsettings.h
@@ -2,7 +2,7 @@
 
 #include "hostport.h"
 #include "identifiers.h"
-#include "nametable.h"
+#include "loglevel.h"
 #include "settingsproblem.h"
 
 #include <optional>
@@ -13,10 +13,6 @@
 namespace crocusdeal
 {
 
-enum class log_level { Trace, Debug, Info, Warn, Error };
-
-inline constexpr auto logLevelNames = makeNameTable<log_level>("trace", "debug", "info", "warn", "error");
-
 /** Files in PEM form for callers' encrypted connections. */
 struct tls_settings {
     std::string certificate;
--- a/src/libcrocusdealnet/partlog.cpp
+++ b/src/libcrocusdealnet/partlog.cpp
@@ -25,12 +25,10 @@
         return log4cplus::DEBUG_LOG_LEVEL;
     case log_level::Info:
         return log4cplus::INFO_LOG_LEVEL;
-    case log_level::Warning:
+    case log_level::Warn:
         return log4cplus::WARN_LOG_LEVEL;
     case log_level::Error:
         return log4cplus::ERROR_LOG_LEVEL;
-    case log_level::Off:
-        break;
     }
     return log4cplus::OFF_LOG_LEVEL;
 }
--- a/src/libcrocusdealnet/partlog.h
+++ b/src/libcrocusdealnet/partlog.h
@@ -1,26 +1,14 @@
 #pragma once
 
-#include "nametable.h"
+#include "loglevel.h"
 
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 
 namespace crocusdeal
 {
 
-enum class log_level {
-    Trace,
-    Debug,
-    Info,
-    Warning,
-    Error,
-    Off,
-};
-
-inline constexpr auto logLevelNames = makeNameTable<log_level>("trace", "debug", "info", "warning", "error", "off");
-
 /** Writes the lines of one part of the program, each with the part's fixed prefix. */
 class part_log
 {
--- a/src/libcrocusdealnet/sessionregistry.cpp
+++ b/src/libcrocusdealnet/sessionregistry.cpp
@@ -57,8 +57,8 @@
     {
         const std::lock_guard lock(m_mutex);
         sessions.reserve(m_sessions.size());
-        for (const auto &[pid, entry] : m_sessions) {
-            if (auto session = entry.session.lock()) {
+        for (const auto &[pid, registered] : m_sessions) {
+            if (auto session = registered.session.lock()) {
                 sessions.push_back(std::move(session));
             }
         }
--- /dev/null
+++ b/src/libcrocusdealnet/targetgate.cpp
@@ -0,0 +1,284 @@
+#include "targetgate.h"
+
+#include "systemclock.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+namespace crocusdeal
+{
+
+shared_costs::shared_costs(const statement_costs_settings &settings)
+    : m_costs(settings)
+{
+}
+
+cost_estimate shared_costs::estimate(std::uint64_t fingerprint) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_costs.estimate(fingerprint);
+}
+
+cost_estimate shared_costs::estimateRunning(std::uint64_t fingerprint, duration ranFor) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_costs.estimateRunning(fingerprint, ranFor);
+}
+
+double shared_costs::record(std::uint64_t fingerprint, duration ran, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto baseline = m_costs.baseline(fingerprint);
+    m_costs.record(fingerprint, ran, now);
+    return baseline;
+}
+
+target_gate::target_gate(asio::io_context &io,
+                         std::shared_ptr<connection_pool> pool,
+                         std::shared_ptr<shared_costs> costs,
+                         concurrency_limit_settings capacity)
+    : m_pool(std::move(pool))
+    , m_costs(std::move(costs))
+    , m_limit(capacity)
+    , m_timer(io)
+{
+    m_queue.setLimit(m_limit.limit(), systemNow());
+}
+
+void target_gate::submit(const queue_entry &entry, handler done)
+{
+    queue_actions actions;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_handlers.emplace(entry.id, std::move(done));
+        actions = m_queue.submit(entry, systemNow());
+    }
+    apply(std::move(actions));
+}
+
+void target_gate::cancel(std::uint64_t id)
+{
+    queue_actions actions;
+    handler done;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto before = m_queue.waiting();
+        actions = m_queue.cancel(id, systemNow());
+        if (m_queue.waiting() < before) {
+            const auto found = m_handlers.find(id);
+            if (found != m_handlers.end()) {
+                done = std::move(found->second);
+                m_handlers.erase(found);
+            }
+        }
+    }
+    if (done) {
+        done({nullptr, "cancelled", connect_error::None});
+    }
+    apply(std::move(actions));
+}
+
+void target_gate::finish(std::uint64_t id, std::shared_ptr<target_connection> connection, bool reusable)
+{
+    // The connection goes back first, so that the next request finds it instead of opening another.
+    if (connection) {
+        m_pool->release(std::move(connection), reusable);
+    }
+    pause(id);
+}
+
+void target_gate::pause(std::uint64_t id)
+{
+    queue_actions actions;
+    {
+        const std::lock_guard lock(m_mutex);
+        actions = m_queue.finish(id, systemNow());
+    }
+    apply(std::move(actions));
+}
+
+void target_gate::resume(const queue_entry &entry)
+{
+    queue_actions actions;
+    {
+        const std::lock_guard lock(m_mutex);
+        actions = m_queue.submit(entry, systemNow());
+    }
+    // Follow-up statements start at once; their handler is not needed.
+    std::erase(actions.start, entry.id);
+    apply(std::move(actions));
+}
+
+void target_gate::ran(std::uint64_t fingerprint, duration time)
+{
+    const auto now = systemNow();
+    const auto baseline = m_costs->record(fingerprint, time, now);
+    queue_actions actions;
+    {
+        const std::lock_guard lock(m_mutex);
+        const int before = m_limit.limit();
+        m_limit.onFinished(time, baseline, static_cast<int>(m_queue.running()), now);
+        if (m_limit.limit() != before) {
+            actions = m_queue.setLimit(m_limit.limit(), now);
+        }
+    }
+    apply(std::move(actions));
+}
+
+void target_gate::apply(queue_actions actions)
+{
+    std::vector<std::pair<handler, refuse_reason>> refused;
+    if (!actions.refuse.empty()) {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &refusal : actions.refuse) {
+            const auto found = m_handlers.find(refusal.id);
+            if (found != m_handlers.end()) {
+                refused.emplace_back(std::move(found->second), refusal.reason);
+                m_handlers.erase(found);
+            }
+        }
+    }
+    if (actions.wakeAt) {
+        scheduleTick(*actions.wakeAt);
+    }
+    for (auto &[done, reason] : refused) {
+        done({nullptr, std::string(refuseReasonNames.name(reason)), connect_error::None});
+    }
+    for (const auto id : actions.start) {
+        startRequest(id);
+    }
+}
+
+void target_gate::startRequest(std::uint64_t id)
+{
+    handler done;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_handlers.find(id);
+        if (found == m_handlers.end()) {
+            return;
+        }
+        done = std::move(found->second);
+        m_handlers.erase(found);
+    }
+    m_pool->acquire([self = shared_from_this(), id, done = std::move(done)](
+                        std::shared_ptr<target_connection> connection, connect_error error, const std::string &reason) {
+        self->onConnection(id, done, std::move(connection), error, reason);
+    });
+}
+
+void target_gate::onConnection(std::uint64_t id,
+                               const handler &done,
+                               std::shared_ptr<target_connection> connection,
+                               connect_error error,
+                               const std::string &reason)
+{
+    if (connection) {
+        done({std::move(connection), {}, connect_error::None});
+        return;
+    }
+    if (error == connect_error::Full) {
+        const std::lock_guard lock(m_mutex);
+        m_limit.onRefused(systemNow());
+    }
+    pause(id);
+    done({nullptr, reason, error});
+}
+
+void target_gate::scheduleTick(time_point at)
+{
+    const auto now = systemNow();
+    const std::lock_guard lock(m_mutex);
+    if (m_tickAt > now && m_tickAt <= at) {
+        return;
+    }
+    m_tickAt = at;
+    m_timer.expires_after(std::chrono::milliseconds(std::max<std::int64_t>(1, (at - now).ms)));
+    m_timer.async_wait([weak = weak_from_this()](std::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self) {
+            return;
+        }
+        queue_actions actions;
+        {
+            const std::lock_guard tickLock(self->m_mutex);
+            self->m_tickAt = never;
+            actions = self->m_queue.tick(systemNow());
+        }
+        self->apply(std::move(actions));
+    });
+}
+
+void target_gate::setCapacity(concurrency_limit_settings capacity)
+{
+    queue_actions actions;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_limit.setCapacity(capacity);
+        actions = m_queue.setLimit(m_limit.limit(), systemNow());
+    }
+    apply(std::move(actions));
+}
+
+void target_gate::setLongPlaces(int places)
+{
+    queue_actions actions;
+    {
+        const std::lock_guard lock(m_mutex);
+        actions = m_queue.setLongPlaces(places, systemNow());
+    }
+    apply(std::move(actions));
+}
+
+int target_gate::longDemand() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_queue.longDemand();
+}
+
+target_load target_gate::load() const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto waiting = m_queue.waiting();
+    target_load load;
+    load.queuedAndRunning = static_cast<int>(waiting + m_queue.running());
+    load.expectedWait = m_queue.backlog() / std::max(1, m_limit.limit());
+    return load;
+}
+
+void target_gate::refuseAll(refuse_reason reason)
+{
+    queue_actions actions;
+    {
+        const std::lock_guard lock(m_mutex);
+        actions = m_queue.refuseAll(reason);
+    }
+    apply(std::move(actions));
+}
+
+connection_pool &target_gate::pool()
+{
+    return *m_pool;
+}
+
+std::size_t target_gate::waiting() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_queue.waiting();
+}
+
+std::size_t target_gate::running() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_queue.running();
+}
+
+int target_gate::limit() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_limit.limit();
+}
+
+}
--- /dev/null
+++ b/src/libcrocusdealnet/targetgate.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "admissionqueue.h"
+#include "concurrencylimit.h"
+#include "connectionpool.h"
+#include "router.h"
+#include "statementcosts.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+namespace crocusdeal
+{
+
+/** The running times of statement shapes on all targets. Thread-safe. */
+class shared_costs
+{
+public:
+    explicit shared_costs(const statement_costs_settings &settings);
+
+    cost_estimate estimate(std::uint64_t fingerprint) const;
+    cost_estimate estimateRunning(std::uint64_t fingerprint, duration ranFor) const;
+    /** Takes in a completed execution; returns the baseline known before. */
+    double record(std::uint64_t fingerprint, duration ran, time_point now);
+
+private:
+    mutable std::mutex m_mutex;
+    statement_costs m_costs;
+};
+
+/** The answer to one request for a connection: a connection, or why not. */
+struct gate_answer {
+    std::shared_ptr<target_connection> connection;
+    std::string refusal;
+    connect_error connectError = connect_error::None; ///< Set if the target could not be reached.
+};
+
+/**
+ * Admits the requests of this instance to one target: order, concurrency limit, long places and connections.
+ *
+ * Thread-safe. Handlers run without a lock held, on any thread, also before a call returns.
+ */
+class target_gate : public std::enable_shared_from_this<target_gate>
+{
+public:
+    using handler = std::function<void(gate_answer)>;
+
+    target_gate(asio::io_context &io,
+                std::shared_ptr<connection_pool> pool,
+                std::shared_ptr<shared_costs> costs,
+                concurrency_limit_settings capacity);
+
+    /** Asks for a place and a connection; @p entry needs an id that is unique at this gate. */
+    void submit(const queue_entry &entry, handler done);
+    void cancel(std::uint64_t id);
+    /** The request of @p id ended and gives its connection back. */
+    void finish(std::uint64_t id, std::shared_ptr<target_connection> connection, bool reusable);
+    /** A transaction keeps its connection, but no statement runs. */
+    void pause(std::uint64_t id);
+    /** The next statement of a paused transaction starts; it does not wait. */
+    void resume(const queue_entry &entry);
+    /** A statement of @p fingerprint completed. */
+    void ran(std::uint64_t fingerprint, duration time);
+
+    void setCapacity(concurrency_limit_settings capacity);
+    void setLongPlaces(int places);
+    int longDemand() const;
+    target_load load() const;
+    /** Refuses all waiting requests. */
+    void refuseAll(refuse_reason reason);
+    connection_pool &pool();
+    std::size_t waiting() const;
+    std::size_t running() const;
+    int limit() const;
+
+private:
+
+    void apply(queue_actions actions);
+    void startRequest(std::uint64_t id);
+    void onConnection(std::uint64_t id,
+                      const handler &done,
+                      std::shared_ptr<target_connection> connection,
+                      connect_error error,
+                      const std::string &reason);
+    void scheduleTick(time_point at);
+
+    std::shared_ptr<connection_pool> m_pool;
+    std::shared_ptr<shared_costs> m_costs;
+
+    mutable std::mutex m_mutex;
+    admission_queue m_queue;
+    concurrency_limit m_limit;
+    std::unordered_map<std::uint64_t, handler> m_handlers;
+    asio::steady_timer m_timer;
+    time_point m_tickAt = never;
+};
+
+}
