--- a/src/libcrocusdealnet/callersession.cpp
+++ b/src/libcrocusdealnet/callersession.cpp
@@ -270,6 +270,7 @@
     }
     if (m_lease) {
         setPhase(phase::Running);
+        m_lease->beginStatement(m_info.fingerprint);
         sendToTarget();
         return;
     }
@@ -570,7 +571,8 @@
 void caller_session::onAnswered()
 {
     m_watchTimer.cancel();
-    m_service->ran(m_lease->connection().target(), m_info.fingerprint, systemNow() - m_sentAt);
+    const bool keepsLease = m_pinned || m_relay.transactionStatus() != 'I';
+    m_lease->endStatement(m_info.fingerprint, systemNow() - m_sentAt, keepsLease);
     if (retryElsewhere()) {
         return;
     }
--- a/src/libcrocusdealnet/dispatch.cpp
+++ b/src/libcrocusdealnet/dispatch.cpp
@@ -9,7 +9,7 @@
                                    bool isPrimary,
                                    return_handler handler)
     : m_connection(std::move(connection))
-    , m_handler(std::move(handler))
+    , m_hooks(std::move(hooks))
     , m_isPrimary(isPrimary)
 {
 }
@@ -44,8 +44,26 @@
         std::error_code ignored;
         m_connection->socket().close(ignored);
     }
-    const auto handler = std::exchange(m_handler, nullptr);
-    handler(std::exchange(m_connection, nullptr), outcome);
+    if (!m_running) {
+        m_hooks.resume(0);
+    }
+    m_hooks.giveBack(std::exchange(m_connection, nullptr), outcome == lease_outcome::Reusable);
+}
+
+void connection_lease::beginStatement(std::uint64_t fingerprint)
+{
+    if (std::exchange(m_running, true)) {
+        return;
+    }
+    m_hooks.resume(fingerprint);
+}
+
+void connection_lease::endStatement(std::uint64_t fingerprint, duration ran, bool keeps)
+{
+    m_hooks.ran(fingerprint, ran);
+    if (keeps && std::exchange(m_running, false)) {
+        m_hooks.pause();
+    }
 }
 
 }
--- a/src/libcrocusdealnet/dispatch.h
+++ b/src/libcrocusdealnet/dispatch.h
@@ -29,6 +29,14 @@
     std::optional<target_id> avoid; ///< A target on which this request has just failed.
 };
 
+/** Tells the lender of a connection what its borrower does. */
+struct lease_hooks {
+    std::function<void(std::shared_ptr<target_connection>, bool reusable)> giveBack;
+    std::function<void()> pause; ///< No statement runs, the connection is kept.
+    std::function<void(std::uint64_t fingerprint)> resume;
+    std::function<void(std::uint64_t fingerprint, duration ran)> ran;
+};
+
 /** What happened on a lent connection. */
 enum class lease_outcome {
     Reusable, ///< Idle, outside of a transaction, and without session state.
@@ -39,9 +47,7 @@
 class connection_lease
 {
 public:
-    using return_handler = std::function<void(std::shared_ptr<target_connection>, lease_outcome)>;
-
-    connection_lease(std::shared_ptr<target_connection> connection, bool isPrimary, return_handler handler);
+    connection_lease(std::shared_ptr<target_connection> connection, bool isPrimary, lease_hooks hooks);
     ~connection_lease();
     connection_lease(const connection_lease &) = delete;
     connection_lease &operator=(const connection_lease &) = delete;
@@ -51,10 +57,16 @@
     bool isPrimary() const;
     void giveBack(lease_outcome outcome);
 
+    /** A statement of an open transaction starts. */
+    void beginStatement(std::uint64_t fingerprint);
+    /** A statement completed; with @p keeps the connection stays with the session. */
+    void endStatement(std::uint64_t fingerprint, duration ran, bool keeps);
+
 private:
     std::shared_ptr<target_connection> m_connection;
-    return_handler m_handler;
+    lease_hooks m_hooks;
     bool m_isPrimary;
+    bool m_running = true;
 };
 
 /** The answer to a dispatch_request: a lease or a refusal that is true ("not run"). */
@@ -85,8 +97,6 @@
     /** In-band state "<term> <role> <entry term>/<offset>" from an answer to something sent at @p askedAt. */
     std::function<void(const target_id &, std::string_view state, time_point askedAt)> observe;
     std::function<bool(const target_id &)> isTargetAlive;
-    /** A statement ended: for running times by fingerprint. */
-    std::function<void(const target_id &, std::uint64_t fingerprint, duration ran)> ran;
     /** Whether a read may be tried again now. */
     std::function<bool()> mayRetry;
     /** The staleness that the service's file allows for a statement on these tables. */
