Add a first database stand-in

Cause: tests of the proxy need a group of databases with terms, log positions, replication and faults, and no third-party server may run. Ruled out: SQLite's shared memory VFS, because a writer there blocks new readers; WAL with the VFS unix-excl keeps the WAL index in the process. Before: databasestandin printed "not implemented". Conclusion: a thin version for the other modules to start against.

--- a/src/libcrocusdealnet/pgframe.cpp
+++ b/src/libcrocusdealnet/pgframe.cpp
@@ -132,6 +132,11 @@
     return frame;
 }
 
+char frame_reader::frontType() const
+{
+    return m_startup || unread() == 0 ? '\0' : m_buffer[m_begin];
+}
+
 std::string_view frame_reader::takeRaw(std::size_t limit)
 {
     const auto count = std::min(limit, unread());
--- a/src/libcrocusdealnet/pgframe.h
+++ b/src/libcrocusdealnet/pgframe.h
@@ -50,6 +50,9 @@
     /** Total length of the message at the front, type and length included; 0 while unknown. */
     std::size_t frontLength() const;
 
+    /** Type of the message at the front; 0 while unknown and for start-up messages. */
+    char frontType() const;
+
     /** Takes up to @p limit unread bytes from the front without framing them. */
     std::string_view takeRaw(std::size_t limit);
 
--- a/src/standins/database/main.cpp
+++ b/src/standins/database/main.cpp
@@ -1,7 +1,123 @@
+#include "adminport.h"
+#include "follower.h"
+#include "server.h"
+#include "settings.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+
+#include <csignal>
 #include <iostream>
+#include <memory>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace po = boost::program_options;
+using namespace crocusdeal;
+
+namespace
+{
+
+struct command_line {
+    standin_options options;
+    runtime_settings settings;
+};
+
+void setNumber(po::variables_map &values, const char *name, std::atomic<std::int64_t> &setting)
+{
+    setting = values[name].as<std::int64_t>();
+}
+
+/** False if the program is to end at once. */
+bool readCommandLine(int argc, char **argv, command_line &result)
+{
+    auto &options = result.options;
+    std::string role;
+    po::options_description description("databasestandin: one database of a group, for tests");
+    auto add = description.add_options();
+    add("help", "show this text");
+    add("listen",
+        po::value(&options.listenAddress)->default_value("127.0.0.1:0"),
+        "host:port; port 0 takes a free one");
+    add("admin", po::value(&options.adminAddress), "host:port for line commands");
+    add("name", po::value(&options.name)->default_value("database"), "application_name towards the followed database");
+    add("role", po::value(&role), "primary, replica or fenced; the default is replica with --follow, else primary");
+    add("follow", po::value(&options.followAddress), "host:port of the database to follow");
+    add("term", po::value(&options.term)->default_value(1), "own term at the start");
+    add("threads", po::value(&options.threads)->default_value(4), "worker threads");
+    add("lag-ms", po::value<std::int64_t>()->default_value(0), "delay before a replica applies an entry");
+    add("connections", po::value<std::int64_t>()->default_value(100), "connection limit");
+    add("slots", po::value<std::int64_t>()->default_value(0), "statements that run at once; 0: no limit");
+    add("connect-ms", po::value<std::int64_t>()->default_value(0), "set-up time of a connection");
+    add("statement-us", po::value<std::int64_t>()->default_value(0), "minimum time a statement holds its slot");
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, description), values);
+    po::notify(values);
+    if (values.contains("help")) {
+        std::cout << description << '\n';
+        return false;
+    }
+    if (role.empty()) {
+        role = options.followAddress.empty() ? "primary" : "replica";
+    }
+    const auto known = targetRoleNames.value(role);
+    if (!known) {
+        throw po::error("unknown role: " + role);
+    }
+    options.role = *known;
+    setNumber(values, "lag-ms", result.settings.lagMs);
+    setNumber(values, "connections", result.settings.connections);
+    setNumber(values, "slots", result.settings.slots);
+    setNumber(values, "connect-ms", result.settings.connectMs);
+    setNumber(values, "statement-us", result.settings.statementUs);
+    return true;
+}
+
+void run(const command_line &line, runtime_settings &settings)
+{
+    asio::io_context context(line.options.threads);
+    server database(context, line.options, settings);
+    database.start();
+    std::optional<admin_port> admin;
+    if (!line.options.adminAddress.empty()) {
+        admin.emplace(database, line.options.adminAddress);
+    }
+    const auto replication = std::make_shared<follower>(database);
+    replication->start();
+    asio::signal_set signals(context, SIGINT, SIGTERM);
+    signals.async_wait([&context](asio::error_code, int) { context.stop(); });
+
+    // Scripts and tests that use port 0 read the ports here.
+    std::cout << "listening " << database.port() << ' ' << (admin ? admin->port() : 0) << std::endl;
+    std::vector<std::thread> threads;
+    for (int i = 1; i < line.options.threads; ++i) {
+        threads.emplace_back([&context] { context.run(); });
+    }
+    context.run();
+    for (auto &thread : threads) {
+        thread.join();
+    }
+}
+
+}
 
-int main()
+int main(int argc, char **argv)
 {
-    std::cerr << "not implemented\n";
-    return 1;
+    std::signal(SIGPIPE, SIG_IGN);
+    // Without statistics, SQLite's allocator takes no global lock.
+    sqlite3_config(SQLITE_CONFIG_MEMSTATUS, 0);
+    command_line line;
+    try {
+        if (!readCommandLine(argc, argv, line)) {
+            return 0;
+        }
+        removeAbandonedStores();
+        run(line, line.settings);
+    } catch (const std::exception &error) {
+        std::cerr << "databasestandin: " << error.what() << '\n';
+        return 1;
+    }
+    return 0;
 }
