Verify suspects before declaring them dead and compare tables by score

Cause: one member that missed a refutation declared a healthy member dead; a joining fleet agreed after 20 to 100 s. Ruled out: longer suspicion alone, which only delays detection.

--- a/src/libcrocusdeal/disseminationqueue.h
+++ b/src/libcrocusdeal/disseminationqueue.h
@@ -53,6 +53,10 @@
         return facts;
     }
 
+    bool contains(const std::string &key) const
+    {
+        return std::any_of(m_entries.begin(), m_entries.end(), [&key](const entry &e) { return e.key == key; });
+    }
     bool empty() const
     {
         return m_entries.empty();
--- a/src/libcrocusdeal/membership.cpp
+++ b/src/libcrocusdeal/membership.cpp
@@ -22,10 +22,18 @@
 constexpr int gossipRounds = 2;
 constexpr duration aloneHealingInterval = 1_s;
 constexpr duration tableRetryInterval = 1_s;
-/** Piggybacking usually spreads a change within 10 s; tables that differ for longer are compared in full. */
-constexpr duration divergenceBound = 20_s;
-/** A table of 3,000 members is about 0.3 MB, so pulls are spaced to stay within the traffic limit. */
-constexpr std::int64_t minPullSpacingMs = 60'000;
+/** Times log10 of the fleet: a change in flight makes about half of the digests differ, lasting divergence all of them.
+ */
+constexpr double divergencePerDecade = 8;
+/** A table of 3,000 members is about 0.3 MB; pulls are spaced so that they cost at most 5 KB/s at any size. */
+constexpr std::int64_t pullSpacingPerMemberMs = 20;
+constexpr std::int64_t minPullSpacingMs = 2'000;
+/** Enough for the members that one side of a short cut missed, without filling the queue after a long one. */
+constexpr int maxSpreadPerPull = 20;
+/** A suspect is probed this long before its suspicion ends, and once more when half of it is left. */
+constexpr duration verificationLead = 2_s;
+/** Bounds the cost of a failed data centre to about 2 KB/s while its members time out. */
+constexpr int verificationsPerTick = 2;
 constexpr duration unjudgedLifetime = 10_s;
 constexpr duration purgeInterval = 60_s;
 constexpr duration announcementSpacing = 1_s;
@@ -154,6 +162,7 @@
     if (m_table.suspects().empty()) {
         return;
     }
+    verifySuspects(now, actions);
     const auto timeout = suspicionTimeout();
     std::vector<instance_id> expired;
     for (const auto &[id, since] : m_table.suspects()) {
@@ -166,6 +175,30 @@
     }
 }
 
+/**
+ * Asks a suspect itself before it is declared dead. Its answer carries the refutation, which otherwise does not reach
+ * every member in time when datagrams are lost.
+ */
+void membership::verifySuspects(time_point now, membership_actions &actions)
+{
+    std::erase_if(m_verifications, [this](const auto &entry) { return !m_table.suspects().contains(entry.first); });
+    const auto timeout = suspicionTimeout();
+    int sent = 0;
+    for (const auto &[id, since] : m_table.suspects()) {
+        const auto left = timeout - (now - since);
+        if (left > verificationLead || sent == verificationsPerTick) {
+            continue;
+        }
+        int &verifications = m_verifications[id];
+        const bool due = verifications == 0 || (verifications == 1 && left <= verificationLead / 2);
+        if (due) {
+            ++verifications;
+            ++sent;
+            sendUnjudgedProbe(id, m_table.find(id)->info.description->controlAddress, now, actions);
+        }
+    }
+}
+
 void membership::expireRelays(time_point now, membership_actions &actions)
 {
     std::erase_if(m_relays, [&](const auto &entry) {
@@ -261,15 +294,22 @@
     actions.pulls.push_back({address});
 }
 
+duration membership::pullSpacing()
+{
+    const auto members = static_cast<std::int64_t>(m_table.records().size());
+    const auto spacing = std::max(minPullSpacingMs, pullSpacingPerMemberMs * members);
+    return {spacing + static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(spacing))};
+}
+
 void membership::pullIfDiverged(time_point now, membership_actions &actions)
 {
-    if (m_divergedSince == never || now - m_divergedSince < divergenceBound || now < m_nextPull) {
+    const auto bound = divergencePerDecade * std::log10(static_cast<double>(fleetSize()) + 1);
+    if (m_divergence < bound || now < m_nextPull) {
         return;
     }
     requestTable(now, m_divergedFrom, actions);
-    const auto jitter = static_cast<std::int64_t>(m_random() % minPullSpacingMs);
-    m_nextPull = now + duration{minPullSpacingMs + jitter};
-    m_divergedSince = never;
+    m_nextPull = now + pullSpacing();
+    m_divergence = 0;
 }
 
 membership_actions membership::receive(time_point now, const peer_datagram &datagram, const std::string &source)
@@ -280,7 +320,8 @@
         return actions;
     }
     m_table.heardFrom(now, datagram);
-    noteDigest(now, datagram, source);
+    noteDigest(datagram, source);
+    hearHeader(now, datagram, source, actions);
     for (const auto &fact : datagram.members) {
         merge(now, fact, actions);
     }
@@ -307,15 +348,31 @@
     return actions;
 }
 
-void membership::noteDigest(time_point now, const peer_datagram &datagram, const std::string &source)
+void membership::noteDigest(const peer_datagram &datagram, const std::string &source)
 {
+    constexpr int maxDivergence = 100;
     if (datagram.tableDigest == digest()) {
-        m_divergedSince = never;
+        m_divergence = std::max(0, m_divergence - 1);
         return;
     }
     m_divergedFrom = source;
-    if (m_divergedSince == never) {
-        m_divergedSince = now;
+    m_divergence = std::min(maxDivergence, m_divergence + 1);
+}
+
+/** A higher incarnation in the header refutes a suspicion even if the fact itself was lost on its way here. */
+void membership::hearHeader(time_point now,
+                            const peer_datagram &datagram,
+                            const std::string &source,
+                            membership_actions &actions)
+{
+    const auto *sender = m_table.find(datagram.from);
+    if (sender == nullptr || sender->info.state == member_state::Alive
+        || datagram.fromIncarnation <= sender->info.incarnation) {
+        return;
+    }
+    // From another address the sender may have another description, which only a fact can state.
+    if (source == sender->info.description->controlAddress) {
+        merge(now, {datagram.from, datagram.fromIncarnation, datagram.fromState, nullptr, 0}, actions);
     }
 }
 
@@ -403,6 +460,7 @@
 {
     membership_actions actions;
     m_needsTable = false;
+    spreadMissing(facts);
     for (const auto &fact : facts) {
         if (fact.about == m_settings.self.id) {
             hearAboutSelf(fact, actions);
@@ -418,6 +476,30 @@
     return actions;
 }
 
+/** Spreads what the peer's table lacks: the push half of an exchange of tables. */
+void membership::spreadMissing(const std::vector<member_fact> &facts)
+{
+    std::unordered_map<instance_id, std::uint32_t> stated;
+    for (const auto &fact : facts) {
+        stated.emplace(fact.about, fact.incarnation);
+    }
+    const auto lacks = [&stated](const instance_id &id, std::uint32_t incarnation) {
+        const auto found = stated.find(id);
+        return found == stated.end() || found->second < incarnation;
+    };
+    if (lacks(m_settings.self.id, m_incarnation)) {
+        m_queue.add(m_settings.self.id.str(), selfFact());
+    }
+    int count = 0;
+    for (const auto &[id, member] : m_table.records()) {
+        if (member.info.state == member_state::Alive && lacks(id, member.info.incarnation)
+            && count < maxSpreadPerPull) {
+            spread(id);
+            ++count;
+        }
+    }
+}
+
 membership_actions membership::setPlatformInstances(time_point now, const std::vector<listed_instance> &instances)
 {
     membership_actions actions;
@@ -461,6 +543,13 @@
     }
     const auto result = m_table.merge(now, fact);
     if (result != merge_result::Added && result != merge_result::Changed) {
+        const auto *known = m_table.find(fact.about);
+        const bool refuted = known != nullptr && known->info.state == member_state::Alive
+            && fact.state != member_state::Alive && fact.incarnation < known->info.incarnation;
+        // The sender missed the refutation; it is repeated, since its spread may have ended.
+        if (refuted && !m_queue.contains(fact.about.str())) {
+            spread(fact.about);
+        }
         return;
     }
     takeIntoOrder(result, fact);
@@ -528,6 +617,7 @@
     datagram.sequence = sequence;
     datagram.from = m_settings.self.id;
     datagram.fromIncarnation = m_incarnation;
+    datagram.fromState = m_selfState;
     datagram.to = to;
     datagram.configurationVersion = m_configurationVersion;
     datagram.tableDigest = digest();
--- a/src/libcrocusdeal/membership.h
+++ b/src/libcrocusdeal/membership.h
@@ -131,7 +131,14 @@
                     const peer_datagram &datagram,
                     const std::string &source,
                     membership_actions &actions);
-    void noteDigest(time_point now, const peer_datagram &datagram, const std::string &source);
+    void noteDigest(const peer_datagram &datagram, const std::string &source);
+    void hearHeader(time_point now,
+                    const peer_datagram &datagram,
+                    const std::string &source,
+                    membership_actions &actions);
+    void verifySuspects(time_point now, membership_actions &actions);
+    void spreadMissing(const std::vector<member_fact> &facts);
+    duration pullSpacing();
     bool mustTellSender(const peer_datagram &datagram) const;
 
     /** A datagram with the header filled in and facts piggybacked, @p first ahead of the queue. */
@@ -170,7 +177,8 @@
     time_point m_nextPurge = never;
     time_point m_nextPull = never; ///< Earliest time of the next full-table pull.
     time_point m_nextAnnouncement = never;
-    time_point m_divergedSince = never;
+    std::unordered_map<instance_id, int> m_verifications; ///< Probes sent to suspects whose time is nearly up.
+    int m_divergence = 0; ///< Rises with each datagram of another digest and falls with each of an equal one.
     std::string m_divergedFrom; ///< Address of the last member whose table differed.
     bool m_needsTable = true;
     int m_gossipRounds = 0;
--- a/src/libcrocusdeal/peerdatagram.h
+++ b/src/libcrocusdeal/peerdatagram.h
@@ -36,6 +36,7 @@
     std::uint32_t sequence = 0; ///< Chosen by the prober, repeated in the answer.
     instance_id from;
     std::uint32_t fromIncarnation = 0;
+    member_state fromState = member_state::Alive;
     instance_id to; ///< Empty if only the address is known.
     std::uint64_t configurationVersion = 0;
     std::uint32_t tableDigest = 0; ///< Digest of the sender's live members.
--- a/src/libcrocusdealnet/peercodec.cpp
+++ b/src/libcrocusdealnet/peercodec.cpp
@@ -184,6 +184,7 @@
     archive(datagram.sequence, datagram.fromIncarnation, datagram.configurationVersion, datagram.tableDigest);
     archive(datagram.health);
     flagField(archive, datagram.needsDescription);
+    enumField(archive, datagram.fromState, member_state::Dead);
     idField(archive, datagram.from);
     idField(archive, datagram.to);
     idField(archive, datagram.subject);
