--- a/src/libcrocusdealnet/dispatch.cpp
+++ b/src/libcrocusdealnet/dispatch.cpp
@@ -7,7 +7,7 @@
 
 connection_lease::connection_lease(std::shared_ptr<target_connection> connection,
                                    bool isPrimary,
-                                   return_handler handler)
+                                   lease_hooks hooks)
     : m_connection(std::move(connection))
     , m_hooks(std::move(hooks))
     , m_isPrimary(isPrimary)
