--- a/src/standins/platform/main.cpp
+++ b/src/standins/platform/main.cpp
@@ -45,7 +45,7 @@
     std::string listen;
     options::options_description description("platformstandin: stand-in for the hosting platform");
     description.add_options()("help", "show this text") //
-        ("listen", options::value(&listen)->required(), "HOST:PORT to listen on")(
+        ("listen", options::value(&listen)->required(), "HOST:PORT to listen on; port 0 for any free one")(
             "reads-per-second", options::value(&settings.readsPerSecond)->default_value(2000), "limit of reads")(
             "writes-per-second", options::value(&settings.writesPerSecond)->default_value(300), "limit of writes");
     try {
@@ -60,12 +60,14 @@
         std::cerr << "platformstandin: " << error.what() << '\n';
         return usageError;
     }
-    const auto address = crocusdeal::parseHostPort(listen);
+    // Port 0, which is no port to connect to, stands for any free one.
+    const bool anyPort = listen.size() > 2 && listen.compare(listen.size() - 2, 2, ":0") == 0;
+    const auto address = crocusdeal::parseHostPort(anyPort ? listen.substr(0, listen.size() - 1) + "1" : listen);
     if (!address) {
         std::cerr << "platformstandin: HOST:PORT expected, got " << listen << '\n';
         return usageError;
     }
     settings.host = address->host;
-    settings.port = address->port;
+    settings.port = anyPort ? 0 : address->port;
     return serve(settings);
 }
