Split membership into small classes

Cause: membership.cpp had 733 lines with several jobs. Table pulls, partition healing, relays and the verification of suspects are classes of their own now.

--- a/src/libcrocusdeal/controlnode.cpp
+++ b/src/libcrocusdeal/controlnode.cpp
@@ -116,14 +116,14 @@
     return take(m_membership.tableReceived(now, facts));
 }
 
-control_actions control_node::setPlatformInstances(time_point now, const std::vector<listed_instance> &instances)
+control_actions control_node::setPlatformInstances(const std::vector<listed_instance> &instances)
 {
-    return take(m_membership.setPlatformInstances(now, instances));
+    return take(m_membership.setPlatformInstances(instances));
 }
 
-control_actions control_node::leave(time_point now)
+control_actions control_node::leave()
 {
-    return take(m_membership.leave(now));
+    return take(m_membership.leave());
 }
 
 control_actions control_node::offerConfiguration(time_point now, std::uint64_t version, std::string text)
--- a/src/libcrocusdeal/controlnode.h
+++ b/src/libcrocusdeal/controlnode.h
@@ -37,8 +37,8 @@
     control_actions tick(time_point now);
     control_actions receive(time_point now, const peer_datagram &datagram, const std::string &source);
     control_actions tableReceived(time_point now, const std::vector<member_fact> &facts);
-    control_actions setPlatformInstances(time_point now, const std::vector<listed_instance> &instances);
-    control_actions leave(time_point now);
+    control_actions setPlatformInstances(const std::vector<listed_instance> &instances);
+    control_actions leave();
     control_actions offerConfiguration(time_point now, std::uint64_t version, std::string text);
     control_actions configurationPulled(time_point now,
                                         const instance_id &peer,
--- a/src/libcrocusdeal/membership.cpp
+++ b/src/libcrocusdeal/membership.cpp
@@ -20,20 +20,8 @@
 constexpr duration minSuspicion = 3_s;
 constexpr int gossipFanOut = 4;
 constexpr int gossipRounds = 2;
-constexpr duration aloneHealingInterval = 1_s;
-constexpr duration tableRetryInterval = 1_s;
-/** Times log10 of the fleet: a change in flight makes about half of the digests differ, lasting divergence all of them.
- */
-constexpr double divergencePerDecade = 8;
-/** A table of 3,000 members is about 0.3 MB; pulls are spaced so that they cost at most 5 KB/s at any size. */
-constexpr std::int64_t pullSpacingPerMemberMs = 20;
-constexpr std::int64_t minPullSpacingMs = 2'000;
 /** Enough for the members that one side of a short cut missed, without filling the queue after a long one. */
-constexpr int maxSpreadPerPull = 20;
-/** A suspect is probed this long before its suspicion ends, and once more when half of it is left. */
-constexpr duration verificationLead = 2_s;
-/** Bounds the cost of a failed data centre to about 2 KB/s while its members time out. */
-constexpr int verificationsPerTick = 2;
+constexpr std::size_t maxSpreadPerPull = 20;
 constexpr duration unjudgedLifetime = 10_s;
 constexpr duration purgeInterval = 60_s;
 constexpr duration announcementSpacing = 1_s;
@@ -45,6 +33,7 @@
     , m_selfDescription(std::make_shared<const member_description>(m_settings.self))
     , m_random(randomSeed)
     , m_order(m_settings.self.dataCentre)
+    , m_healing(m_settings.self, m_settings.seeds, m_settings.healingInterval)
 {
     m_queue.add(m_settings.self.id.str(), selfFact());
     m_sequence = static_cast<std::uint32_t>(m_random());
@@ -54,12 +43,10 @@
 {
     membership_actions actions;
     if (m_lastTick != never && now - m_lastTick > m_settings.pauseBound) {
-        resumeAfterPause(now, actions);
+        resumeAfterPause(now);
     }
     m_lastTick = now;
-    if (m_needsTable && now >= m_nextPull) {
-        requestTable(now, anyOtherAddress(), actions);
-    }
+    pullTables(now, actions);
     if (m_probe && !m_probe->answered && !m_probe->relayed && now >= m_probe->directDeadline) {
         requestIndirectProbes(actions);
     }
@@ -73,7 +60,6 @@
     expireSuspicions(now, actions);
     healPartitions(now, actions);
     sendGossip(actions);
-    pullIfDiverged(now, actions);
     if (now >= m_nextPurge) {
         m_nextPurge = now + purgeInterval;
         m_table.purge(now, m_settings.retention);
@@ -83,14 +69,13 @@
 }
 
 /** Silence during a pause says nothing of others, and the table may have missed whole dissemination periods. */
-void membership::resumeAfterPause(time_point now, membership_actions &actions)
+void membership::resumeAfterPause(time_point now)
 {
     m_probe.reset();
     m_relays.clear();
     m_table.restartSuspicions(now);
     m_health.paused();
-    m_nextPull = now;
-    requestTable(now, anyOtherAddress(), actions);
+    m_pulls.request(now);
 }
 
 void membership::startProbe(time_point now, membership_actions &actions)
@@ -162,8 +147,10 @@
     if (m_table.suspects().empty()) {
         return;
     }
-    verifySuspects(now, actions);
     const auto timeout = suspicionTimeout();
+    for (const auto &id : m_verifier.due(now, m_table.suspects(), timeout)) {
+        sendUnjudgedProbe(id, m_table.find(id)->info.description->controlAddress, now, actions);
+    }
     std::vector<instance_id> expired;
     for (const auto &[id, since] : m_table.suspects()) {
         if (now - since >= timeout) {
@@ -175,84 +162,20 @@
     }
 }
 
-/**
- * Asks a suspect itself before it is declared dead. Its answer carries the refutation, which otherwise does not reach
- * every member in time when datagrams are lost.
- */
-void membership::verifySuspects(time_point now, membership_actions &actions)
-{
-    std::erase_if(m_verifications, [this](const auto &entry) { return !m_table.suspects().contains(entry.first); });
-    const auto timeout = suspicionTimeout();
-    int sent = 0;
-    for (const auto &[id, since] : m_table.suspects()) {
-        const auto left = timeout - (now - since);
-        if (left > verificationLead || sent == verificationsPerTick) {
-            continue;
-        }
-        int &verifications = m_verifications[id];
-        const bool due = verifications == 0 || (verifications == 1 && left <= verificationLead / 2);
-        if (due) {
-            ++verifications;
-            ++sent;
-            sendUnjudgedProbe(id, m_table.find(id)->info.description->controlAddress, now, actions);
-        }
-    }
-}
-
 void membership::expireRelays(time_point now, membership_actions &actions)
 {
-    std::erase_if(m_relays, [&](const auto &entry) {
-        const relay &expired = entry.second;
-        if (now < expired.deadline) {
-            return false;
-        }
+    for (const auto &expired : m_relays.expired(now)) {
         auto nack = makeDatagram(datagram_kind::Nack, expired.sequence, expired.requester);
         nack.subject = expired.subject;
         actions.datagrams.push_back({expired.requesterAddress, std::move(nack)});
-        return true;
-    });
-}
-
-std::vector<std::pair<instance_id, std::string>> membership::healingCandidates() const
-{
-    std::vector<std::pair<instance_id, std::string>> candidates;
-    const auto isSilent = [this](const instance_id &id) {
-        const auto *member = m_table.find(id);
-        return member == nullptr || member->info.state == member_state::Dead;
-    };
-    for (const auto &listed : m_listed) {
-        if (!listed.leaving && listed.description.id != m_settings.self.id && isSilent(listed.description.id)) {
-            candidates.emplace_back(listed.description.id, listed.description.controlAddress);
-        }
     }
-    // The id behind a seed is known only if a member has that address.
-    for (const auto &seed : m_settings.seeds) {
-        const auto &records = m_table.records();
-        const auto live = std::any_of(records.begin(), records.end(), [&seed](const auto &entry) {
-            const auto &info = entry.second.info;
-            return info.isLive() && info.description->controlAddress == seed;
-        });
-        if (!live && seed != m_settings.self.controlAddress) {
-            candidates.emplace_back(instance_id(), seed);
-        }
-    }
-    return candidates;
 }
 
 void membership::healPartitions(time_point now, membership_actions &actions)
 {
-    if (now < m_nextHealing) {
-        return;
+    if (const auto silent = m_healing.next(now, m_table, m_random)) {
+        sendUnjudgedProbe(silent->id, silent->address, now, actions);
     }
-    const bool alone = m_table.liveCount() == 0;
-    const auto jitter = duration{static_cast<std::int64_t>(m_random() % 500)};
-    m_nextHealing = now + (alone ? aloneHealingInterval : m_settings.healingInterval) + jitter;
-    const auto candidates = healingCandidates();
-    if (candidates.empty()) {
-        return;
-    }
-    const auto &[id, address] = candidates[m_random() % candidates.size()];
-    sendUnjudgedProbe(id, address, now, actions);
 }
 
 void membership::sendUnjudgedProbe(const instance_id &to,
@@ -285,31 +208,19 @@
     }
 }
 
-void membership::requestTable(time_point now, const std::string &address, membership_actions &actions)
+void membership::pullTables(time_point now, membership_actions &actions)
 {
-    if (address.empty()) {
+    if (m_pulls.isRequestDue(now)) {
+        const auto address = anyOtherAddress();
+        if (!address.empty()) {
+            m_pulls.requested(now);
+            actions.pulls.push_back({address});
+        }
         return;
     }
-    m_nextPull = now + tableRetryInterval;
-    actions.pulls.push_back({address});
-}
-
-duration membership::pullSpacing()
-{
-    const auto members = static_cast<std::int64_t>(m_table.records().size());
-    const auto spacing = std::max(minPullSpacingMs, pullSpacingPerMemberMs * members);
-    return {spacing + static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(spacing))};
-}
-
-void membership::pullIfDiverged(time_point now, membership_actions &actions)
-{
-    const auto bound = divergencePerDecade * std::log10(static_cast<double>(fleetSize()) + 1);
-    if (m_divergence < bound || now < m_nextPull) {
-        return;
+    if (auto peer = m_pulls.divergedPeer(now, fleetSize(), m_table.records().size(), m_random)) {
+        actions.pulls.push_back({std::move(*peer)});
     }
-    requestTable(now, m_divergedFrom, actions);
-    m_nextPull = now + pullSpacing();
-    m_divergence = 0;
 }
 
 membership_actions membership::receive(time_point now, const peer_datagram &datagram, const std::string &source)
@@ -320,7 +231,7 @@
         return actions;
     }
     m_table.heardFrom(now, datagram);
-    noteDigest(datagram, source);
+    m_pulls.noteDigest(datagram.tableDigest == digest(), source);
     hearHeader(now, datagram, source, actions);
     for (const auto &fact : datagram.members) {
         merge(now, fact, actions);
@@ -348,17 +259,6 @@
     return actions;
 }
 
-void membership::noteDigest(const peer_datagram &datagram, const std::string &source)
-{
-    constexpr int maxDivergence = 100;
-    if (datagram.tableDigest == digest()) {
-        m_divergence = std::max(0, m_divergence - 1);
-        return;
-    }
-    m_divergedFrom = source;
-    m_divergence = std::min(maxDivergence, m_divergence + 1);
-}
-
 /** A higher incarnation in the header refutes a suspicion even if the fact itself was lost on its way here. */
 void membership::hearHeader(time_point now,
                             const peer_datagram &datagram,
@@ -417,14 +317,10 @@
         }
         return;
     }
-    if (const auto relayed = m_relays.find(datagram.sequence); relayed != m_relays.end()) {
-        if (datagram.from != relayed->second.subject) {
-            return;
-        }
-        auto ack = makeDatagram(datagram_kind::Ack, relayed->second.sequence, relayed->second.requester);
-        ack.subject = relayed->second.subject;
-        actions.datagrams.push_back({relayed->second.requesterAddress, std::move(ack)});
-        m_relays.erase(relayed);
+    if (const auto relayed = m_relays.answered(datagram.sequence, datagram.from)) {
+        auto ack = makeDatagram(datagram_kind::Ack, relayed->sequence, relayed->requester);
+        ack.subject = relayed->subject;
+        actions.datagrams.push_back({relayed->requesterAddress, std::move(ack)});
         return;
     }
     if (const auto unjudged = m_unjudged.find(datagram.sequence); unjudged != m_unjudged.end()) {
@@ -451,7 +347,7 @@
         return;
     }
     const auto sequence = ++m_sequence;
-    m_relays[sequence] = {datagram.from, source, datagram.sequence, datagram.subject, now + relayTimeout};
+    m_relays.start(sequence, {datagram.from, source, datagram.sequence, datagram.subject, now + relayTimeout});
     actions.datagrams.push_back(
         {datagram.subjectAddress, makeDatagram(datagram_kind::Probe, sequence, datagram.subject)});
 }
@@ -459,7 +355,7 @@
 membership_actions membership::tableReceived(time_point now, const std::vector<member_fact> &facts)
 {
     membership_actions actions;
-    m_needsTable = false;
+    m_pulls.received();
     spreadMissing(facts);
     for (const auto &fact : facts) {
         if (fact.about == m_settings.self.id) {
@@ -479,28 +375,15 @@
 /** Spreads what the peer's table lacks: the push half of an exchange of tables. */
 void membership::spreadMissing(const std::vector<member_fact> &facts)
 {
-    std::unordered_map<instance_id, std::uint32_t> stated;
-    for (const auto &fact : facts) {
-        stated.emplace(fact.about, fact.incarnation);
-    }
-    const auto lacks = [&stated](const instance_id &id, std::uint32_t incarnation) {
-        const auto found = stated.find(id);
-        return found == stated.end() || found->second < incarnation;
-    };
-    if (lacks(m_settings.self.id, m_incarnation)) {
+    const auto lacked = m_table.lackedBy(facts, m_settings.self.id, m_incarnation);
+    if (lacked.self) {
         m_queue.add(m_settings.self.id.str(), selfFact());
     }
-    int count = 0;
-    for (const auto &[id, member] : m_table.records()) {
-        if (member.info.state == member_state::Alive && lacks(id, member.info.incarnation)
-            && count < maxSpreadPerPull) {
-            spread(id);
-            ++count;
-        }
-    }
+    const auto count = std::min(lacked.members.size(), maxSpreadPerPull);
+    std::for_each_n(lacked.members.begin(), count, [this](const instance_id &id) { spread(id); });
 }
 
-membership_actions membership::setPlatformInstances(time_point now, const std::vector<listed_instance> &instances)
+membership_actions membership::setPlatformInstances(const std::vector<listed_instance> &instances)
 {
     membership_actions actions;
     std::unordered_map<instance_id, member_state> before;
@@ -513,7 +396,7 @@
             leaving.insert(listed.description.id);
         }
     }
-    m_listed = instances;
+    m_healing.setListed(instances);
     m_table.setListedLeaving(std::move(leaving));
     for (const auto &[id, state] : before) {
         if (m_table.effectiveState(*m_table.find(id)) != state) {
@@ -521,12 +404,12 @@
         }
     }
     if (m_table.liveCount() == 0) {
-        m_nextHealing = now;
+        m_healing.trySoon();
     }
     return actions;
 }
 
-membership_actions membership::leave(time_point /*now*/)
+membership_actions membership::leave()
 {
     membership_actions actions;
     ++m_incarnation;
@@ -622,7 +505,7 @@
     datagram.configurationVersion = m_configurationVersion;
     datagram.tableDigest = digest();
     datagram.health = static_cast<std::uint8_t>(m_health.score());
-    datagram.members = m_queue.take(maxFactsPerDatagram - (first ? 1 : 0), transmissions());
+    datagram.members = m_queue.take(maxFactsPerDatagram - (first ? 1 : 0), retransmitLimit(fleetSize()));
     if (first) {
         datagram.members.insert(datagram.members.begin(), *first);
     }
@@ -643,8 +526,8 @@
             return member->controlAddress;
         }
     }
-    const auto candidates = healingCandidates();
-    return candidates.empty() ? std::string() : candidates[m_random() % candidates.size()].second;
+    const auto candidates = m_healing.candidates(m_table);
+    return candidates.empty() ? std::string() : candidates[m_random() % candidates.size()].address;
 }
 
 membership_actions membership::query(time_point now, const instance_id &id)
@@ -656,11 +539,6 @@
     return actions;
 }
 
-void membership::setConfigurationVersion(std::uint64_t version)
-{
-    m_configurationVersion = version;
-}
-
 std::vector<member_fact> membership::table() const
 {
     std::vector<member_fact> facts;
@@ -692,16 +570,6 @@
             static_cast<std::uint8_t>(m_health.score())};
 }
 
-const member_table &membership::known() const
-{
-    return m_table;
-}
-
-int membership::healthScore() const
-{
-    return m_health.score();
-}
-
 std::size_t membership::fleetSize() const
 {
     return m_table.liveCount() + 1;
@@ -715,16 +583,6 @@
     return timeout * m_health.multiplier();
 }
 
-int membership::transmissions() const
-{
-    return retransmitLimit(fleetSize());
-}
-
-std::size_t membership::queuedFacts() const
-{
-    return m_queue.size();
-}
-
 std::uint32_t membership::digest() const
 {
     const auto own = m_selfState == member_state::Alive ? member_table::digestOf(m_settings.self.id, m_incarnation)
--- a/src/libcrocusdeal/membership.h
+++ b/src/libcrocusdeal/membership.h
@@ -5,8 +5,12 @@
 #include "localhealth.h"
 #include "memberinfo.h"
 #include "membertable.h"
+#include "partitionhealing.h"
 #include "peerdatagram.h"
 #include "probeorder.h"
+#include "proberelays.h"
+#include "suspicionverifier.h"
+#include "tablepulls.h"
 
 #include <optional>
 #include <random>
@@ -64,12 +68,15 @@
     /** Merges a table pulled over TCP. */
     membership_actions tableReceived(time_point now, const std::vector<member_fact> &facts);
     /** Takes over the platform's list; entries are hints to probe, and leaving ones count as leaving. */
-    membership_actions setPlatformInstances(time_point now, const std::vector<listed_instance> &instances);
+    membership_actions setPlatformInstances(const std::vector<listed_instance> &instances);
     /** Announces that this instance is shutting down. */
-    membership_actions leave(time_point now);
+    membership_actions leave();
     /** Sends what is new to a few random members at the next two ticks instead of waiting for probes. */
     void spreadSoon();
-    void setConfigurationVersion(std::uint64_t version);
+    void setConfigurationVersion(std::uint64_t version)
+    {
+        m_configurationVersion = version;
+    }
     /** Probes @p id for its facts now; silence is not counted against it. */
     membership_actions query(time_point now, const instance_id &id);
 
@@ -78,12 +85,21 @@
     /** All members including this instance, with the platform's list applied. */
     std::vector<member_info> members() const;
     member_info self() const;
-    const member_table &known() const;
-    int healthScore() const;
+    const member_table &known() const
+    {
+        return m_table;
+    }
+    int healthScore() const
+    {
+        return m_health.score();
+    }
     /** Live members including this instance. */
     std::size_t fleetSize() const;
     duration suspicionTimeout() const;
-    std::size_t queuedFacts() const;
+    std::size_t queuedFacts() const
+    {
+        return m_queue.size();
+    }
     std::uint32_t digest() const;
 
 private:
@@ -97,15 +113,8 @@
         bool relayed = false;
         bool answered = false;
     };
-    struct relay {
-        instance_id requester;
-        std::string requesterAddress;
-        std::uint32_t sequence = 0;
-        instance_id subject;
-        time_point deadline;
-    };
 
-    void resumeAfterPause(time_point now, membership_actions &actions);
+    void resumeAfterPause(time_point now);
     void startProbe(time_point now, membership_actions &actions);
     void requestIndirectProbes(membership_actions &actions);
     void finishProbe(time_point now, membership_actions &actions);
@@ -113,8 +122,7 @@
     void expireRelays(time_point now, membership_actions &actions);
     void healPartitions(time_point now, membership_actions &actions);
     void sendGossip(membership_actions &actions);
-    void pullIfDiverged(time_point now, membership_actions &actions);
-    void requestTable(time_point now, const std::string &address, membership_actions &actions);
+    void pullTables(time_point now, membership_actions &actions);
 
     void merge(time_point now, const member_fact &fact, membership_actions &actions);
     void takeIntoOrder(merge_result result, const member_fact &fact);
@@ -131,14 +139,11 @@
                     const peer_datagram &datagram,
                     const std::string &source,
                     membership_actions &actions);
-    void noteDigest(const peer_datagram &datagram, const std::string &source);
     void hearHeader(time_point now,
                     const peer_datagram &datagram,
                     const std::string &source,
                     membership_actions &actions);
-    void verifySuspects(time_point now, membership_actions &actions);
     void spreadMissing(const std::vector<member_fact> &facts);
-    duration pullSpacing();
     bool mustTellSender(const peer_datagram &datagram) const;
 
     /** A datagram with the header filled in and facts piggybacked, @p first ahead of the queue. */
@@ -151,9 +156,7 @@
                            time_point now,
                            membership_actions &actions);
     member_fact selfFact() const;
-    std::vector<std::pair<instance_id, std::string>> healingCandidates() const;
     std::string anyOtherAddress();
-    int transmissions() const;
 
     membership_settings m_settings;
     std::shared_ptr<const member_description> m_selfDescription;
@@ -165,22 +168,18 @@
     std::uint32_t m_incarnation = 0;
     member_state m_selfState = member_state::Alive;
     std::uint64_t m_configurationVersion = 0;
-    std::vector<listed_instance> m_listed;
+    partition_healing m_healing;
+    table_pulls m_pulls;
+    suspicion_verifier m_verifier;
+    probe_relays m_relays;
 
     std::uint32_t m_sequence = 0;
     std::optional<probe> m_probe;
     std::unordered_map<std::uint32_t, time_point> m_unjudged; ///< Sequences of probes that prove nothing by silence.
-    std::unordered_map<std::uint32_t, relay> m_relays;
     time_point m_lastTick = never;
     time_point m_nextProbe = never;
-    time_point m_nextHealing = never;
     time_point m_nextPurge = never;
-    time_point m_nextPull = never; ///< Earliest time of the next full-table pull.
     time_point m_nextAnnouncement = never;
-    std::unordered_map<instance_id, int> m_verifications; ///< Probes sent to suspects whose time is nearly up.
-    int m_divergence = 0; ///< Rises with each datagram of another digest and falls with each of an equal one.
-    std::string m_divergedFrom; ///< Address of the last member whose table differed.
-    bool m_needsTable = true;
     int m_gossipRounds = 0;
 };
 
--- a/src/libcrocusdeal/membertable.cpp
+++ b/src/libcrocusdeal/membertable.cpp
@@ -145,6 +145,28 @@
     }
 }
 
+member_table::lacked_members member_table::lackedBy(const std::vector<member_fact> &facts,
+                                                    const instance_id &self,
+                                                    std::uint32_t selfIncarnation) const
+{
+    std::unordered_map<instance_id, std::uint32_t> stated;
+    for (const auto &fact : facts) {
+        stated.emplace(fact.about, fact.incarnation);
+    }
+    const auto lacks = [&stated](const instance_id &id, std::uint32_t incarnation) {
+        const auto found = stated.find(id);
+        return found == stated.end() || found->second < incarnation;
+    };
+    lacked_members lacked;
+    lacked.self = lacks(self, selfIncarnation);
+    for (const auto &[id, member] : m_records) {
+        if (member.info.state == member_state::Alive && lacks(id, member.info.incarnation)) {
+            lacked.members.push_back(id);
+        }
+    }
+    return lacked;
+}
+
 const member_table::record *member_table::find(const instance_id &id) const
 {
     const auto found = m_records.find(id);
--- a/src/libcrocusdeal/membertable.h
+++ b/src/libcrocusdeal/membertable.h
@@ -48,6 +48,16 @@
     /** Counts all suspicions from @p now, because nothing could be heard during a pause. */
     void restartSuspicions(time_point now);
 
+    struct lacked_members {
+        bool self = false;
+        std::vector<instance_id> members;
+    };
+
+    /** The live members, and whether @p self, that @p facts lack or hold at a lower incarnation. */
+    lacked_members lackedBy(const std::vector<member_fact> &facts,
+                            const instance_id &self,
+                            std::uint32_t selfIncarnation) const;
+
     const record *find(const instance_id &id) const;
     /** The state with the platform's list applied. */
     member_state effectiveState(const record &member) const;
--- a/src/libcrocusdealnet/controlplane.cpp
+++ b/src/libcrocusdealnet/controlplane.cpp
@@ -367,7 +367,7 @@
 
 void control_plane::implementation::leave()
 {
-    post([](implementation &self) { self.decide([&](control_node &node) { return node.leave(self.now()); }); });
+    post([](implementation &self) { self.decide([&](control_node &node) { return node.leave(); }); });
 }
 
 void control_plane::implementation::request(const instance_id &instance,
@@ -448,7 +448,7 @@
 void control_plane::setPlatformInstances(std::vector<listed_instance> instances)
 {
     m_implementation->post([instances = std::move(instances)](implementation &self) {
-        self.decide([&](control_node &node) { return node.setPlatformInstances(self.now(), instances); });
+        self.decide([&](control_node &node) { return node.setPlatformInstances(instances); });
     });
 }
 
--- a/src/standins/capacity/virtualfleet.cpp
+++ b/src/standins/capacity/virtualfleet.cpp
@@ -322,7 +322,7 @@
 
 void virtual_fleet::leave(std::size_t index)
 {
-    perform(index, m_instances[index].node->leave(localTime(index)));
+    perform(index, m_instances[index].node->leave());
 }
 
 std::vector<listed_instance> virtual_fleet::listOfAll() const
@@ -338,7 +338,7 @@
 {
     for (std::size_t i = 0; i < size(); ++i) {
         if (m_instances[i].up) {
-            perform(i, m_instances[i].node->setPlatformInstances(localTime(i), instances));
+            perform(i, m_instances[i].node->setPlatformInstances(instances));
         }
     }
 }
