--- a/src/libcrocusdealnet/instance.h
+++ b/src/libcrocusdealnet/instance.h
@@ -20,8 +20,6 @@
 
 class platform_client;
 class object_watcher;
-class admin_server;
-class metric_registry;
 
 /**
  * One instance of the proxy: everything that runs in the daemon.
@@ -45,7 +43,6 @@
     std::optional<std::string> loadTls();
     void startControlPlane();
     void startPlatform();
-    void startAdmin();
     void scheduleTick();
     void tick();
     void watchPlatform();
@@ -62,8 +59,6 @@
 
     group_map groups() const;
     bool isReady() const;
-    std::string statusJson() const;
-    std::string metricsText() const;
     void closeSessions(std::function<void()> done, time_point limit);
     void stopAll();
 
@@ -72,7 +67,6 @@
     session_registry m_registry;
     statement_cache m_statements;
     asio::thread_pool m_blocking{1};
-    std::unique_ptr<metric_registry> m_metrics;
     session_environment m_sessions;
     startup_environment m_startup;
     group_environment m_groupEnvironment;
@@ -82,7 +76,6 @@
     std::shared_ptr<control_plane> m_control;
     std::unique_ptr<platform_client> m_platform;
     std::unique_ptr<object_watcher> m_watcher;
-    std::unique_ptr<admin_server> m_admin;
     std::shared_ptr<caller_listener> m_listener;
 
     mutable std::mutex m_mutex;
