Add the group monitor over libpq control connections

Cause: the aggregates need one control connection per target, probes, waits and orders, and the daemon a thread-safe interface. Ruled out: taking a query of the same millisecond as the session's start for the read index; it may have been sent before the start (the test without a majority failed on this at first). Before: no driver. After: 8 passed, 0 failed, three runs of build/tests/test_libcrocusdealnet group_monitor against an in-process fake group. Conclusion: the daemon can be wired to groupmonitor.h.

--- a/src/libcrocusdeal/promotion.cpp
+++ b/src/libcrocusdeal/promotion.cpp
@@ -40,6 +40,20 @@
     return m_term;
 }
 
+std::vector<target_id> promotion::grantedBy() const
+{
+    std::vector<target_id> targets;
+    for (const auto &[target, at] : m_granted) {
+        targets.push_back(target);
+    }
+    return targets;
+}
+
+position promotion::neededPosition() const
+{
+    return m_needed;
+}
+
 promotion_actions promotion::start(std::uint64_t highestTerm, time_point now)
 {
     return beginTerm(highestTerm + 1, now);
@@ -71,13 +85,10 @@
 promotion_actions promotion::end(promotion_outcome outcome)
 {
     m_step = promotion_step::Ended;
-    promotion_ended ended{outcome, m_term, {}, {}, m_needed};
+    promotion_ended ended{outcome, m_term, {}, grantedBy(), m_needed};
     if (outcome == promotion_outcome::Promoted) {
         ended.primary = m_chosen;
     }
-    for (const auto &[target, at] : m_granted) {
-        ended.grantedBy.push_back(target);
-    }
     return {ended};
 }
 
--- a/src/libcrocusdeal/promotion.h
+++ b/src/libcrocusdeal/promotion.h
@@ -96,6 +96,12 @@
     promotion_step step() const;
     std::uint64_t term() const;
 
+    /** The databases that granted the fence of the current term. */
+    std::vector<target_id> grantedBy() const;
+
+    /** The furthest position of those when one was chosen; the new primary has it. */
+    position neededPosition() const;
+
 private:
     promotion_actions beginTerm(std::uint64_t term, time_point now);
     promotion_actions restart(time_point now);
--- a/src/libcrocusdeal/readindex.cpp
+++ b/src/libcrocusdeal/readindex.cpp
@@ -21,7 +21,8 @@
 }
 
 // An old primary that is cut off together with this instance answers, too, and does not know the writes of its
-// successor. Therefore its answer alone is not enough.
+// successor. Therefore its answer alone is not enough. Times are whole milliseconds, so a query of the same millisecond
+// as the start may have been sent before it.
 read_index_step read_index::update(const database_group &group, time_point now)
 {
     read_index_step step;
@@ -31,7 +32,7 @@
     auto newestStart = never;
     for (auto entry = m_waiters.begin(); entry != m_waiters.end();) {
         const auto &[id, session] = *entry;
-        if (primary != nullptr && validFrom >= session.startedAt) {
+        if (primary != nullptr && validFrom > session.startedAt) {
             step.results.push_back({id, primary->status->at});
         } else if (now >= session.deadline) {
             step.results.push_back({id, std::nullopt});
@@ -47,8 +48,8 @@
     }
     for (const auto &target : group.targets()) {
         const auto *known = group.find(target.id);
-        if (known == nullptr || known->askedAt < newestStart) {
-            step.asks.push_back({target.id, newestStart});
+        if (known == nullptr || known->askedAt <= newestStart) {
+            step.asks.push_back({target.id, newestStart + duration{1}});
         }
     }
     return step;
--- a/src/libcrocusdeal/router.cpp
+++ b/src/libcrocusdeal/router.cpp
@@ -41,7 +41,7 @@
     if (request.token) {
         return target.status->at >= *request.token;
     }
-    return !m_settings.readIndexFirst || target.includesUntil >= request.startedAt;
+    return !m_settings.readIndexFirst || target.includesUntil > request.startedAt;
 }
 
 bool router::mayServe(const target_view &target, const route_request &request, time_point now) const
@@ -146,7 +146,7 @@
     }
     const bool stale = request.kind == statement_class::StaleRead;
     const bool needsHistory = !request.token && !(stale && request.mayMissOwnWrites) && m_settings.readIndexFirst;
-    if (needsHistory && view.currentUntil < request.startedAt) {
+    if (needsHistory && view.currentUntil <= request.startedAt) {
         return {route_kind::ReadIndexFirst, route_reason::UnknownHistory, {}, {}, request.startedAt};
     }
     if (stale && request.maxAge && now - view.currentUntil > *request.maxAge) {
--- a/src/libcrocusdeal/writeconfirmation.cpp
+++ b/src/libcrocusdeal/writeconfirmation.cpp
@@ -35,6 +35,11 @@
 {
 }
 
+void write_confirmation::setMode(confirm_mode mode)
+{
+    m_mode = mode;
+}
+
 void write_confirmation::add(waiter_id id, position at, time_point deadline)
 {
     m_waiters[id] = {at, deadline};
--- a/src/libcrocusdeal/writeconfirmation.h
+++ b/src/libcrocusdeal/writeconfirmation.h
@@ -42,6 +42,8 @@
 public:
     explicit write_confirmation(confirm_mode mode = confirm_mode::Replica);
 
+    void setMode(confirm_mode mode);
+
     /** The write at @p at, whose commit the primary of its term answered. */
     void add(waiter_id id, position at, time_point deadline);
     bool empty() const;
--- /dev/null
+++ b/src/libcrocusdealnet/groupmonitor.cpp
@@ -0,0 +1,573 @@
+#include "groupmonitor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusdeal
+{
+
+namespace
+{
+
+// With waiters the deadlines of confirmations count, otherwise the probes.
+constexpr duration busyTick{10};
+constexpr duration idleTick{50};
+
+// A candidate looks for itself before it suspects the primary, so that it knows at once whether it reaches a majority.
+constexpr duration ownProbesAfter{500};
+
+constexpr duration factLimit{2000};
+
+// A snapshot is renewed at most so often by ordinary answers.
+constexpr duration publishInterval{2};
+
+std::string joined(const std::vector<target_id> &targets)
+{
+    std::string text;
+    for (const auto &target : targets) {
+        text += ' ' + target.str();
+    }
+    return text;
+}
+
+}
+
+group_monitor::group_monitor(asio::io_context &context, group_monitor_settings settings, group_monitor_hooks hooks)
+    : m_strand(asio::make_strand(context))
+    , m_timer(m_strand)
+    , m_settings(std::move(settings))
+    , m_hooks(std::move(hooks))
+    , m_group(m_settings.group, m_settings.targets, m_settings.policy)
+    , m_waiters(m_settings.confirm,
+                {[this](const ask_status &ask) {
+                     if (auto *entry = control(ask.target)) {
+                         entry->wantStatus(ask.notBefore);
+                     }
+                 },
+                 [this](const ask_wait &ask) {
+                     if (auto *entry = control(ask.target)) {
+                         entry->wantWait(ask.at);
+                     }
+                 }})
+    , m_view(m_group.view(m_hooks.now()))
+{
+}
+
+void group_monitor::start()
+{
+    asio::post(m_strand, [self = shared_from_this()] {
+        if (std::exchange(self->m_running, true)) {
+            return;
+        }
+        self->rebuildControls();
+        self->tick();
+    });
+}
+
+void group_monitor::stop()
+{
+    asio::post(m_strand, [self = shared_from_this()] {
+        self->m_running = false;
+        self->m_timer.cancel();
+        for (auto &[id, entry] : self->m_controls) {
+            entry->close();
+        }
+        self->m_controls.clear();
+        self->m_promotion.reset();
+        for (const auto &done : self->m_waiters.abandon()) {
+            done();
+        }
+        for (auto &change : std::exchange(self->m_planned, {})) {
+            change.done({});
+        }
+        if (const auto done = std::exchange(self->m_promoteCallback, nullptr)) {
+            done({});
+        }
+    });
+}
+
+void group_monitor::updateTargets(std::vector<target_address> targets)
+{
+    asio::post(m_strand, [self = shared_from_this(), targets = std::move(targets)]() mutable {
+        if (targets == self->m_group.targets()) {
+            return;
+        }
+        self->m_group.setTargets(std::move(targets));
+        if (self->m_running) {
+            self->rebuildControls();
+            self->publish(self->m_hooks.now(), true);
+        }
+    });
+}
+
+void group_monitor::setDrained(std::set<target_id> drained)
+{
+    asio::post(m_strand, [self = shared_from_this(), drained = std::move(drained)]() mutable {
+        if (drained != self->m_group.drained()) {
+            self->m_group.setDrained(std::move(drained));
+            self->publish(self->m_hooks.now(), true);
+        }
+    });
+}
+
+void group_monitor::setConfirmMode(confirm_mode mode)
+{
+    asio::post(m_strand, [self = shared_from_this(), mode] { self->m_waiters.setMode(mode); });
+}
+
+group_view_ptr group_monitor::view() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_view;
+}
+
+void group_monitor::observe(const target_id &target, const target_status &status, time_point askedAt)
+{
+    asio::post(m_strand, [self = shared_from_this(), target, status, askedAt] {
+        self->take(target, status, askedAt, observation_source::Own);
+    });
+}
+
+void group_monitor::observePeer(const target_id &target, const target_status &status, time_point notBefore)
+{
+    asio::post(m_strand, [self = shared_from_this(), target, status, notBefore] {
+        self->take(target, status, notBefore, observation_source::Peer);
+    });
+}
+
+std::vector<group_fact> group_monitor::facts() const
+{
+    const auto now = m_hooks.now();
+    const std::lock_guard lock(m_mutex);
+    std::vector<group_fact> result;
+    for (const auto &[target, fact] : m_ownFacts) {
+        if (now - fact.second <= factLimit) {
+            result.push_back({target, fact.first, now - fact.second});
+        }
+    }
+    return result;
+}
+
+void group_monitor::confirmWrite(position at, time_point deadline, confirm_callback done)
+{
+    asio::post(m_strand, [self = shared_from_this(), at, deadline, done = std::move(done)]() mutable {
+        if (!self->m_running) {
+            done(confirm_result::DeadlinePassed);
+            return;
+        }
+        self->m_waiters.addWrite(at, deadline, std::move(done));
+        self->step();
+    });
+}
+
+void group_monitor::readIndex(time_point startedAt, time_point deadline, index_callback done)
+{
+    asio::post(m_strand, [self = shared_from_this(), startedAt, deadline, done = std::move(done)]() mutable {
+        if (!self->m_running) {
+            done(std::nullopt);
+            return;
+        }
+        self->m_waiters.addIndex(startedAt, deadline, std::move(done));
+        self->step();
+    });
+}
+
+void group_monitor::awaitReplica(const target_id &target, position at, time_point deadline, wait_callback done)
+{
+    asio::post(m_strand, [self = shared_from_this(), target, at, deadline, done = std::move(done)]() mutable {
+        if (!self->m_running) {
+            done(false);
+            return;
+        }
+        self->m_waiters.addReplicaWait(target, at, deadline, std::move(done));
+        self->step();
+    });
+}
+
+void group_monitor::promote(std::optional<target_id> target, promote_callback done)
+{
+    asio::post(m_strand, [self = shared_from_this(), target = std::move(target), done = std::move(done)]() mutable {
+        if (!self->m_running) {
+            done({});
+            return;
+        }
+        const auto now = self->m_hooks.now();
+        for (auto &[id, entry] : self->m_controls) {
+            entry->wantStatus(now);
+        }
+        self->m_planned.push_back({std::move(target), now + self->m_settings.policy.unheardLimit, std::move(done)});
+        self->step();
+    });
+}
+
+void group_monitor::scheduleTick()
+{
+    const bool busy = m_promotion || !m_planned.empty() || !m_waiters.empty();
+    m_timer.expires_after(std::chrono::milliseconds((busy ? busyTick : idleTick).ms));
+    m_timer.async_wait([weak = weak_from_this()](const asio::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self && self->m_running) {
+            self->tick();
+        }
+    });
+}
+
+void group_monitor::tick()
+{
+    const auto now = m_hooks.now();
+    m_group.tick(now);
+    probe(now);
+    for (auto &[id, entry] : m_controls) {
+        entry->tick();
+    }
+    if (m_promotion) {
+        run(m_promotion->tick(now));
+    }
+    step();
+    publish(now, false);
+    scheduleTick();
+}
+
+void group_monitor::probe(time_point now)
+{
+    const auto primary = m_group.primary();
+    const auto *known = primary ? m_group.find(*primary) : nullptr;
+    const bool quiet = known == nullptr || now - known->askedAt > ownProbesAfter;
+    const bool standby = quiet && m_hooks.candidateRank() >= 0;
+    for (auto &[id, entry] : m_controls) {
+        auto &next = m_nextProbe[id];
+        if (now < next || !(standby || m_hooks.isProber(id))) {
+            continue;
+        }
+        next = now + m_settings.policy.probeInterval;
+        m_group.noteProbe(id, now);
+        entry->wantStatus(now);
+    }
+}
+
+// Weighs everything anew. Statements may be sent from here, but their answers come later, so it does not nest.
+void group_monitor::step()
+{
+    if (!m_running || std::exchange(m_inStep, true)) {
+        return;
+    }
+    const auto now = m_hooks.now();
+    stepWaiters(now);
+    stepPlanned(now);
+    stepDrain(now);
+    stepCandidate(now);
+    stepRepair(now);
+    m_inStep = false;
+}
+
+// The sessions released here route by the snapshot; it is to show the replicas that confirmed their writes.
+void group_monitor::stepWaiters(time_point now)
+{
+    const auto due = m_waiters.update(m_group, now);
+    if (due.empty()) {
+        return;
+    }
+    renewView(now);
+    for (const auto &done : due) {
+        done();
+    }
+}
+
+// Of several instances, the first candidate repairs; the others would only repeat its orders.
+void group_monitor::stepRepair(time_point now)
+{
+    if (m_promotion || m_hooks.candidateRank() != 0) {
+        return;
+    }
+    for (const auto &order : m_repair.update(m_group, now)) {
+        log(group_log_level::Info, order.target.str() + " is fenced, behind or on another upstream");
+        perform(order);
+    }
+}
+
+void group_monitor::stepPlanned(time_point now)
+{
+    if (m_planned.empty() || m_promotion) {
+        return;
+    }
+    const bool reachable = m_group.reachesMajority(now);
+    if (!reachable && now < m_planned.front().deadline) {
+        return;
+    }
+    const auto change = std::move(m_planned.front());
+    m_planned.erase(m_planned.begin());
+    const auto current = m_group.primary();
+    const bool known = !change.target || control(*change.target) != nullptr;
+    if (!reachable || !known) {
+        change.done({});
+    } else if (change.target && current == change.target) {
+        change.done({promotion_outcome::Promoted, m_group.highestTerm(), *current});
+    } else {
+        startPromotion(change.target, "planned change", change.done);
+    }
+}
+
+void group_monitor::stepCandidate(time_point now)
+{
+    const bool suspected = m_group.primarySuspected(now);
+    if (suspected != std::exchange(m_suspected, suspected)) {
+        const auto primary = m_group.primary();
+        log(group_log_level::Info,
+            suspected ? "suspects " + (primary ? "the primary " + primary->str() : std::string("there is no primary"))
+                      : "no longer suspects the primary");
+        publish(now, true);
+    }
+    const int rank = m_hooks.candidateRank();
+    if (!suspected || rank < 0 || m_promotion || !m_group.reachesMajority(now)) {
+        return;
+    }
+    const auto startAt = std::max(m_group.suspectedSince(), m_retryAt) + m_settings.policy.candidateStagger * rank;
+    if (now >= startAt) {
+        const auto primary = m_group.primary();
+        startPromotion(std::nullopt,
+                       primary ? "the primary " + primary->str() + " does not answer" : "there is no primary",
+                       nullptr);
+    }
+}
+
+void group_monitor::stepDrain(time_point now)
+{
+    const auto primary = m_group.primary();
+    if (!primary || !m_group.drained().contains(*primary)) {
+        m_drainSeenAt = never;
+        return;
+    }
+    if (m_drainSeenAt == never) {
+        m_drainSeenAt = now;
+    }
+    const int rank = m_hooks.candidateRank();
+    const auto startAt = std::max(m_drainSeenAt, m_retryAt) + m_settings.policy.candidateStagger * rank;
+    const bool hasOther = std::any_of(m_group.targets().begin(), m_group.targets().end(), [&](const auto &target) {
+        const auto *known = m_group.find(target.id);
+        return known != nullptr && !known->leaving && now - known->heardAt <= m_settings.policy.unheardLimit;
+    });
+    if (rank >= 0 && now >= startAt && hasOther && !m_promotion && m_group.reachesMajority(now)) {
+        startPromotion(std::nullopt, "the primary " + primary->str() + " is drained", nullptr);
+    }
+}
+
+void group_monitor::take(const target_id &target,
+                         const target_status &status,
+                         time_point askedAt,
+                         observation_source source)
+{
+    if (!m_running) {
+        return;
+    }
+    const auto now = m_hooks.now();
+    const bool changed = m_group.observe(target, status, askedAt, now, source);
+    if (source == observation_source::Own) {
+        const std::lock_guard lock(m_mutex);
+        auto &fact = m_ownFacts[target];
+        if (askedAt >= fact.second || status.term > fact.first.term) {
+            fact = {status, askedAt};
+        }
+    }
+    if (m_promotion) {
+        run(m_promotion->observed(target, status, now));
+    }
+    publish(now, changed);
+    step();
+}
+
+void group_monitor::publish(time_point now, bool changed)
+{
+    if (!changed && now - m_renewedAt < publishInterval) {
+        return;
+    }
+    const auto fresh = renewView(now);
+    if (changed) {
+        m_hooks.onViewChanged(fresh);
+    }
+}
+
+group_view_ptr group_monitor::renewView(time_point now)
+{
+    auto fresh = m_group.view(now);
+    m_renewedAt = now;
+    const std::lock_guard lock(m_mutex);
+    m_view = fresh;
+    return fresh;
+}
+
+void group_monitor::rebuildControls()
+{
+    const auto old = std::exchange(m_controls, {});
+    for (const auto &target : m_group.targets()) {
+        const auto known = old.find(target.id);
+        const bool same = known != old.end() && known->second->address() == target;
+        m_controls[target.id] = same ? known->second : makeControl(target);
+    }
+    for (const auto &[id, entry] : old) {
+        if (control(id) != entry.get()) {
+            entry->close();
+        }
+    }
+}
+
+std::shared_ptr<target_control> group_monitor::makeControl(const target_address &target)
+{
+    const auto weak = weak_from_this();
+    target_control::hooks hooks;
+    hooks.now = m_hooks.now;
+    hooks.onStatus = [weak](const target_id &id, const target_status &status, time_point askedAt) {
+        if (const auto self = weak.lock()) {
+            self->m_failing[id] = false;
+            self->take(id, status, askedAt, observation_source::Own);
+        }
+    };
+    hooks.onOrder = [weak](const order_answer &answer, const std::string &error) {
+        if (const auto self = weak.lock()) {
+            self->onOrder(answer, error);
+        }
+    };
+    hooks.onFailure = [weak](const target_id &id, const control_result &result) {
+        if (const auto self = weak.lock()) {
+            self->onFailure(id, result);
+        }
+    };
+    control_connection_settings settings;
+    settings.user = m_settings.user;
+    settings.database = m_settings.database;
+    settings.applicationName = "crocusdeal-control-" + m_settings.self.str();
+    return std::make_shared<target_control>(
+        m_strand, target, std::move(settings), m_settings.policy.waitRound, std::move(hooks));
+}
+
+target_control *group_monitor::control(const target_id &target)
+{
+    const auto found = m_controls.find(target);
+    return found == m_controls.end() ? nullptr : found->second.get();
+}
+
+std::string group_monitor::upstreamOf(const target_id &target) const
+{
+    for (const auto &address : m_group.targets()) {
+        if (address.id == target) {
+            return upstreamName(address);
+        }
+    }
+    return {};
+}
+
+void group_monitor::startPromotion(std::optional<target_id> planned,
+                                   const std::string &why,
+                                   const promote_callback &done)
+{
+    std::vector<target_id> members;
+    for (const auto &target : m_group.targets()) {
+        members.push_back(target.id);
+    }
+    const auto term = m_group.highestTerm() + 1;
+    log(group_log_level::Info,
+        "term " + std::to_string(term) + ": fence all" + (planned ? " for " + planned->str() : "") + ": " + why);
+    m_promoteCallback = done;
+    m_promotion.emplace(std::move(members), m_group.drained(), std::move(planned), m_settings.policy);
+    for (auto &[id, entry] : m_controls) {
+        entry->setPromoting(true);
+    }
+    run(m_promotion->start(m_group.highestTerm(), m_hooks.now()));
+}
+
+void group_monitor::run(const promotion_actions &actions)
+{
+    for (const auto &action : actions) {
+        std::visit([this](const auto &entry) { perform(entry); }, action);
+    }
+}
+
+void group_monitor::logOrder(const order_target &order) const
+{
+    auto line = "term " + std::to_string(order.term) + ": ";
+    switch (order.order) {
+    case control_order::Fence:
+        line += "fence " + order.target.str();
+        break;
+    case control_order::Follow:
+        line += order.target.str() + " follows " + order.upstream.str();
+        break;
+    case control_order::Promote:
+        line += "promote " + order.target.str() + " at " + toString(m_promotion->neededPosition()) + ", granted by"
+            + joined(m_promotion->grantedBy());
+        break;
+    }
+    log(order.order == control_order::Fence ? group_log_level::Debug : group_log_level::Info, line);
+}
+
+void group_monitor::perform(const order_target &order)
+{
+    auto *entry = control(order.target);
+    if (entry == nullptr) {
+        return;
+    }
+    logOrder(order);
+    const auto timeout =
+        order.order == control_order::Promote ? m_settings.policy.promoteTimeout : m_settings.policy.fenceTimeout;
+    entry->give(order, order.order == control_order::Follow ? upstreamOf(order.upstream) : std::string(), timeout);
+}
+
+void group_monitor::perform(const poll_target &poll)
+{
+    if (auto *entry = control(poll.target)) {
+        entry->wantStatus(m_hooks.now());
+    }
+}
+
+void group_monitor::perform(const promotion_ended &ended)
+{
+    const auto now = m_hooks.now();
+    const auto granted = joined(ended.grantedBy);
+    const bool promoted = ended.outcome == promotion_outcome::Promoted;
+    log(promoted ? group_log_level::Info : group_log_level::Warning,
+        "term " + std::to_string(ended.term) + ": "
+            + (promoted ? "promoted " + ended.primary.str() + " at " + toString(ended.at)
+                        : "promoted none, " + std::string(promotionOutcomeNames.name(ended.outcome)))
+            + (granted.empty() ? ", granted by none" : ", granted by" + granted));
+    for (auto &[id, entry] : m_controls) {
+        entry->setPromoting(false);
+    }
+    m_promotion.reset();
+    m_retryAt = promoted ? never : now + m_settings.policy.suspicionAfter;
+    if (promoted) {
+        m_hooks.onHint(ended.term, ended.primary);
+    }
+    if (const auto done = std::exchange(m_promoteCallback, nullptr)) {
+        done({ended.outcome, ended.term, ended.primary});
+    }
+}
+
+void group_monitor::onOrder(const order_answer &answer, const std::string &error)
+{
+    if (!m_running) {
+        return;
+    }
+    const auto name = std::string(controlOrderNames.name(answer.order));
+    const auto outcome = answer.lost ? "is lost, " + error : std::string(answer.granted ? "granted" : "refused");
+    log(group_log_level::Debug,
+        name + " of term " + std::to_string(answer.term) + " at " + answer.target.str() + ' ' + outcome);
+    if (m_promotion) {
+        run(m_promotion->answered(answer, m_hooks.now()));
+    }
+    step();
+}
+
+void group_monitor::onFailure(const target_id &target, const control_result &result)
+{
+    if (!std::exchange(m_failing[target], true)) {
+        log(group_log_level::Info,
+            "no status of " + target.str() + ": " + std::string(controlErrorNames.name(result.error))
+                + (result.message.empty() ? "" : ", " + result.message));
+    }
+}
+
+void group_monitor::log(group_log_level level, const std::string &line) const
+{
+    m_hooks.log(level, "group: " + m_settings.group.str() + ' ' + line);
+}
+
+}
--- /dev/null
+++ b/src/libcrocusdealnet/groupmonitor.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include "databasegroup.h"
+#include "followerrepair.h"
+#include "groupwaiters.h"
+#include "promotion.h"
+#include "targetcontrol.h"
+
+#include <mutex>
+
+namespace crocusdeal
+{
+
+enum class group_log_level {
+    Debug,
+    Info,
+    Warning,
+};
+
+struct group_monitor_settings {
+    group_id group;
+    std::vector<target_address> targets; ///< Hosts are IP numbers.
+    instance_id self;
+    std::string user;
+    std::string database; ///< Of the control connections; empty for libpq's default.
+    confirm_mode confirm = confirm_mode::Replica;
+    group_policy policy;
+};
+
+/** Called on the monitor's strand, hence on any worker; they must not block. */
+struct group_monitor_hooks {
+    std::function<time_point()> now;
+    std::function<void(group_log_level, const std::string &)> log;
+    std::function<void(group_view_ptr)> onViewChanged; ///< The term, a role, the primary or its suspicion changed.
+    std::function<int()> candidateRank; ///< In the order of promotion, from 0; negative: not a candidate.
+    std::function<bool(const target_id &)> isProber;
+    std::function<void(std::uint64_t term, const target_id &primary)> onHint;
+};
+
+/** What this instance itself heard from a target, for other instances. */
+struct group_fact {
+    target_id target;
+    target_status status;
+    duration age{}; ///< Upper bound.
+};
+
+struct promotion_result {
+    promotion_outcome outcome = promotion_outcome::NoMajority;
+    std::uint64_t term = 0;
+    target_id primary; ///< May differ from the one asked for; empty unless promoted.
+};
+
+/**
+ * Watches and controls one database group. All public functions may be called from any thread.
+ *
+ * Callbacks come on any worker, each exactly once; after stop() with the outcome of a passed deadline.
+ */
+class group_monitor : public std::enable_shared_from_this<group_monitor>
+{
+public:
+    using confirm_callback = group_waiters::confirm_callback;
+    using index_callback = group_waiters::index_callback;
+    using wait_callback = group_waiters::wait_callback;
+    using promote_callback = std::function<void(const promotion_result &)>;
+
+    group_monitor(asio::io_context &context, group_monitor_settings settings, group_monitor_hooks hooks);
+
+    void start();
+    void stop();
+    void updateTargets(std::vector<target_address> targets);
+    void setDrained(std::set<target_id> drained);
+    void setConfirmMode(confirm_mode mode);
+
+    /** The newest snapshot; never null. */
+    group_view_ptr view() const;
+
+    /** A state that @p target reported in band on a request sent at @p askedAt. Counts as an own observation. */
+    void observe(const target_id &target, const target_status &status, time_point askedAt);
+
+    /** A status that another instance reported; the target had it at some time from @p notBefore on. */
+    void observePeer(const target_id &target, const target_status &status, time_point notBefore);
+
+    /** Own observations of the last 2 s. */
+    std::vector<group_fact> facts() const;
+
+    /**
+     * Confirms the committed write at @p at. The primary's in-band state with it is to be passed to observe() before.
+     */
+    void confirmWrite(position at, time_point deadline, confirm_callback done);
+
+    /** A position that includes every write acknowledged before @p startedAt; nothing if the deadline passed. */
+    void readIndex(time_point startedAt, time_point deadline, index_callback done);
+
+    /** Waits until the replica @p target reached @p at. */
+    void awaitReplica(const target_id &target, position at, time_point deadline, wait_callback done);
+
+    /** A planned change to @p target, or to the furthest database that is not drained. */
+    void promote(std::optional<target_id> target, promote_callback done);
+
+private:
+    struct planned_change {
+        std::optional<target_id> target;
+        time_point deadline;
+        promote_callback done;
+    };
+
+    void tick();
+    void scheduleTick();
+    void step();
+    void probe(time_point now);
+    void stepWaiters(time_point now);
+    void stepRepair(time_point now);
+    void stepPlanned(time_point now);
+    void stepCandidate(time_point now);
+    void stepDrain(time_point now);
+
+    void take(const target_id &target, const target_status &status, time_point askedAt, observation_source source);
+    void publish(time_point now, bool changed);
+    group_view_ptr renewView(time_point now);
+    void rebuildControls();
+    std::shared_ptr<target_control> makeControl(const target_address &target);
+    target_control *control(const target_id &target);
+    std::string upstreamOf(const target_id &target) const;
+
+    void startPromotion(std::optional<target_id> planned, const std::string &why, const promote_callback &done);
+    void run(const promotion_actions &actions);
+    void perform(const order_target &order);
+    void perform(const poll_target &poll);
+    void perform(const promotion_ended &ended);
+    void logOrder(const order_target &order) const;
+    void onOrder(const order_answer &answer, const std::string &error);
+    void onFailure(const target_id &target, const control_result &result);
+    void log(group_log_level level, const std::string &line) const;
+
+    control_connection::strand m_strand;
+    asio::steady_timer m_timer;
+    group_monitor_settings m_settings;
+    group_monitor_hooks m_hooks;
+
+    database_group m_group;
+    group_waiters m_waiters;
+    follower_repair m_repair;
+    std::optional<promotion> m_promotion;
+    std::map<target_id, std::shared_ptr<target_control>> m_controls;
+    std::map<target_id, time_point> m_nextProbe;
+    std::map<target_id, bool> m_failing;
+
+    std::vector<planned_change> m_planned;
+    promote_callback m_promoteCallback;
+    time_point m_retryAt = never;
+    time_point m_renewedAt = never;
+    time_point m_drainSeenAt = never;
+    bool m_running = false;
+    bool m_inStep = false;
+    bool m_suspected = false;
+
+    mutable std::mutex m_mutex; ///< Guards the two below.
+    group_view_ptr m_view;
+    std::map<target_id, std::pair<target_status, time_point>> m_ownFacts;
+};
+
+}
--- /dev/null
+++ b/tests/libcrocusdealnet/groupmonitortest.cpp
@@ -0,0 +1,258 @@
+#include "groupmonitor.h"
+#include "fakedatabase.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <future>
+#include <iostream>
+#include <thread>
+
+using namespace crocusdeal;
+using namespace crocusdeal::literals;
+
+namespace
+{
+
+time_point steadyNow()
+{
+    const auto since = std::chrono::steady_clock::now().time_since_epoch();
+    return {std::chrono::duration_cast<std::chrono::milliseconds>(since).count()};
+}
+
+/** Polls every 5 ms; false if @p condition does not hold within @p limit. */
+bool eventually(const std::function<bool()> &condition, duration limit)
+{
+    const auto end = steadyNow() + limit;
+    while (!condition()) {
+        if (steadyNow() >= end) {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return true;
+}
+
+}
+
+class group_monitor_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(group_monitor_test);
+    CPPUNIT_TEST(confirmsWritesThatReplicasHold);
+    CPPUNIT_TEST(leavesUnheldWritesUnconfirmed);
+    CPPUNIT_TEST(replacesACrashedPrimary);
+    CPPUNIT_TEST(answersNoReadIndexWithoutMajority);
+    CPPUNIT_TEST(changesThePrimaryAsPlanned);
+    CPPUNIT_TEST(movesADrainedPrimary);
+    CPPUNIT_TEST(repairsADatabaseThatComesBack);
+    CPPUNIT_TEST(takesPeersAnswersIntoAccount);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_context = std::make_unique<asio::io_context>();
+        m_work.emplace(m_context->get_executor());
+        m_databases = std::make_shared<fake_group>(*m_context, 3);
+        m_databases->start();
+        for (auto &worker : m_workers) {
+            worker = std::thread([this] { m_context->run(); });
+        }
+        m_rank = 0;
+        m_prober = true;
+        m_hints.clear();
+    }
+
+    void tearDown() override
+    {
+        if (m_monitor) {
+            m_monitor->stop();
+        }
+        m_databases->stop();
+        m_work.reset();
+        for (auto &worker : m_workers) {
+            worker.join();
+        }
+        m_monitor.reset();
+        m_databases.reset();
+        m_context.reset();
+    }
+
+    /** Guards against acknowledging late, and against more than one control connection to a target. */
+    void confirmsWritesThatReplicasHold()
+    {
+        startMonitor();
+        for (int i = 0; i < 20; ++i) {
+            CPPUNIT_ASSERT_EQUAL(confirm_result::Confirmed, writeAndConfirm(1000_ms));
+        }
+        const auto view = m_monitor->view();
+        CPPUNIT_ASSERT(view->find(target_id("b"))->status->at == (position{1, 20})
+                       || view->find(target_id("c"))->status->at == (position{1, 20}));
+        for (int i = 0; i < 3; ++i) {
+            CPPUNIT_ASSERT_EQUAL(1, m_databases->openConnections(i));
+            CPPUNIT_ASSERT_EQUAL(std::string("crocusdeal-control-self"), m_databases->applicationNames(i).at(0));
+        }
+    }
+
+    /** Guards against acknowledging a write that a failover would lose. */
+    void leavesUnheldWritesUnconfirmed()
+    {
+        startMonitor();
+        m_databases->setCopying(1, false);
+        m_databases->setCopying(2, false);
+        CPPUNIT_ASSERT_EQUAL(confirm_result::DeadlinePassed, writeAndConfirm(300_ms));
+    }
+
+    /** Guards against a group without a primary, and a failover gap above 3 s. */
+    void replacesACrashedPrimary()
+    {
+        startMonitor();
+        CPPUNIT_ASSERT_EQUAL(confirm_result::Confirmed, writeAndConfirm(1000_ms));
+        const auto crashedAt = steadyNow();
+        m_databases->crash(0);
+        CPPUNIT_ASSERT(eventually([this] { return primaryName() != "a" && !primaryName().empty(); }, 3_s));
+        std::cout << " failover gap " << (steadyNow() - crashedAt).ms << " ms" << std::flush;
+        const int index = primaryName() == "b" ? 1 : 2;
+        CPPUNIT_ASSERT(m_databases->status(index).role == target_role::Primary);
+        CPPUNIT_ASSERT(m_databases->status(index).at == (position{1, 1}));
+        const auto other = 3 - index;
+        CPPUNIT_ASSERT(eventually(
+            [&] { return m_databases->status(other).following == upstreamName(m_databases->targets().at(index)); },
+            1_s));
+        CPPUNIT_ASSERT(eventually([this] { return !hints().empty(); }, 1_s));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), hints().front());
+    }
+
+    /** Guards against routing by the position of a primary that was cut off and may have been replaced. */
+    void answersNoReadIndexWithoutMajority()
+    {
+        startMonitor();
+        CPPUNIT_ASSERT(readIndex(500_ms).has_value());
+        m_rank = -1;
+        m_databases->crash(1);
+        m_databases->crash(2);
+        CPPUNIT_ASSERT(!readIndex(500_ms).has_value());
+    }
+
+    /** Guards against losing writes to a planned change whose chosen database lags. */
+    void changesThePrimaryAsPlanned()
+    {
+        startMonitor();
+        m_databases->setCopying(2, false);
+        CPPUNIT_ASSERT_EQUAL(confirm_result::Confirmed, writeAndConfirm(1000_ms));
+        m_databases->setCopying(2, true);
+        std::promise<promotion_result> done;
+        m_monitor->promote(target_id("c"), [&done](const promotion_result &result) { done.set_value(result); });
+        const auto result = done.get_future().get();
+        CPPUNIT_ASSERT_EQUAL(promotion_outcome::Promoted, result.outcome);
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), result.primary.str());
+        CPPUNIT_ASSERT(m_databases->status(2).at == (position{1, 1}));
+        CPPUNIT_ASSERT(eventually([this] { return m_databases->status(0).role == target_role::Replica; }, 1_s));
+    }
+
+    /** Guards against a drained database that stays primary. */
+    void movesADrainedPrimary()
+    {
+        startMonitor();
+        m_monitor->setDrained({target_id("a"), target_id("b")});
+        CPPUNIT_ASSERT(eventually([this] { return primaryName() == "c"; }, 2_s));
+    }
+
+    /** Guards against a former primary that stays apart from the group. */
+    void repairsADatabaseThatComesBack()
+    {
+        startMonitor();
+        m_databases->crash(0);
+        CPPUNIT_ASSERT(eventually([this] { return primaryName() == "b" || primaryName() == "c"; }, 3_s));
+        m_databases->restart(0);
+        CPPUNIT_ASSERT(eventually([this] { return m_databases->status(0).role == target_role::Replica; }, 4_s));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), m_databases->status(0).term);
+    }
+
+    /** Guards against replacing a primary that only this instance does not reach. */
+    void takesPeersAnswersIntoAccount()
+    {
+        startMonitor();
+        const auto status = m_databases->status(0);
+        m_databases->crash(0);
+        const auto end = steadyNow() + 1500_ms;
+        while (steadyNow() < end) {
+            m_monitor->observePeer(target_id("a"), status, steadyNow() - 20_ms);
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), primaryName());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_monitor->view()->highestTerm);
+    }
+
+private:
+    void startMonitor()
+    {
+        group_monitor_settings settings;
+        settings.group = group_id("orders");
+        settings.targets = m_databases->targets();
+        settings.self = instance_id("self");
+        settings.user = "crocusdeal";
+        settings.database = "orders";
+        group_monitor_hooks hooks;
+        hooks.now = &steadyNow;
+        hooks.log = [](group_log_level level, const std::string &line) {
+            if (std::getenv("CROCUSDEAL_TEST_LOG") != nullptr) {
+                std::cerr << steadyNow().ms << ' ' << static_cast<int>(level) << ' ' << line << '\n';
+            }
+        };
+        hooks.onViewChanged = [](const group_view_ptr &) {};
+        hooks.candidateRank = [this] { return m_rank.load(); };
+        hooks.isProber = [this](const target_id &) { return m_prober.load(); };
+        hooks.onHint = [this](std::uint64_t term, const target_id &) {
+            const std::lock_guard lock(m_mutex);
+            m_hints.push_back(term);
+        };
+        m_monitor = std::make_shared<group_monitor>(*m_context, std::move(settings), std::move(hooks));
+        m_monitor->start();
+        CPPUNIT_ASSERT(eventually([this] { return primaryName() == "a"; }, 2_s));
+    }
+
+    std::string primaryName() const
+    {
+        return m_monitor->view()->primary.value_or(target_id()).str();
+    }
+
+    std::vector<std::uint64_t> hints()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_hints;
+    }
+
+    confirm_result writeAndConfirm(duration limit)
+    {
+        const auto askedAt = steadyNow();
+        const auto at = m_databases->write(0);
+        CPPUNIT_ASSERT(at.has_value());
+        m_monitor->observe(target_id("a"), m_databases->status(0), askedAt);
+        std::promise<confirm_result> done;
+        m_monitor->confirmWrite(*at, steadyNow() + limit, [&done](confirm_result result) { done.set_value(result); });
+        return done.get_future().get();
+    }
+
+    std::optional<position> readIndex(duration limit)
+    {
+        std::promise<std::optional<position>> done;
+        const auto now = steadyNow();
+        m_monitor->readIndex(now, now + limit, [&done](std::optional<position> at) { done.set_value(at); });
+        return done.get_future().get();
+    }
+
+    std::unique_ptr<asio::io_context> m_context;
+    std::optional<asio::executor_work_guard<asio::io_context::executor_type>> m_work;
+    std::array<std::thread, 2> m_workers;
+    std::shared_ptr<fake_group> m_databases;
+    std::shared_ptr<group_monitor> m_monitor;
+    std::atomic<int> m_rank = 0;
+    std::atomic<bool> m_prober = true;
+    std::mutex m_mutex;
+    std::vector<std::uint64_t> m_hints;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(group_monitor_test);
