--- a/src/standins/platform/platformserver.cpp
+++ b/src/standins/platform/platformserver.cpp
@@ -110,6 +110,7 @@
     rate_limit m_writeLimit;
     call_counters m_counters;
     std::atomic<bool> m_stopping{false};
+    std::atomic<bool> m_ended{false};
     int m_listening = -1;
     httplib::Server m_server;
     std::thread m_thread;
@@ -148,7 +149,10 @@
         return 0;
     }
     ::listen(m_listening, listenBacklog);
-    m_thread = std::thread([this] { m_server.listen_after_bind(); });
+    m_thread = std::thread([this] {
+        m_server.listen_after_bind();
+        m_ended = true;
+    });
     return port;
 }
 
@@ -156,10 +160,15 @@
 {
     m_stopping = true;
     m_objects.wakeWatches();
-    m_server.stop();
-    if (m_thread.joinable()) {
-        m_thread.join();
+    if (!m_thread.joinable()) {
+        return;
     }
+    // A stop before the thread has begun to serve has no effect in the library.
+    while (!m_server.is_running() && !m_ended) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    m_server.stop();
+    m_thread.join();
 }
 
 void platform_server::implementation::addRoutes()
