Test the database stand-in with processes

Cause: replication, fencing and the fault switches had no tests. Ruled out: tests that link the stand-in, because crashes and port limits need real processes. Before: 1 of 24 failed: concurrent first connections met "database is locked" when each switched the file to WAL; a refused connection was counted for a moment. After: the store switches once and keeps one handle open; 24 passed, 0 failed in four runs of build/tests/test_process.

--- a/src/standins/database/clientconnection.cpp
+++ b/src/standins/database/clientconnection.cpp
@@ -59,7 +59,7 @@
         m_server.remove(m_pid);
     }
     if (m_counted) {
-        m_server.data().connectionClosed();
+        m_server.data().closeConnection();
     }
 }
 
@@ -310,11 +310,11 @@
 void client_connection::openSession()
 {
     auto &settings = m_server.settings();
-    m_counted = true;
-    if (m_server.data().connectionOpened() > settings.connections) {
+    if (!m_server.data().openConnection()) {
         reject("53300", "sorry, too many clients already");
         return;
     }
+    m_counted = true;
     m_waiting = true;
     m_timer.expires_after(std::chrono::milliseconds(settings.connectMs));
     m_timer.async_wait([self = shared_from_this()](asio::error_code error) {
--- a/src/standins/database/database.cpp
+++ b/src/standins/database/database.cpp
@@ -332,19 +332,18 @@
     }
 }
 
-int database::connectionOpened()
+bool database::openConnection()
 {
-    return ++m_connections;
+    if (++m_connections > m_settings.connections) {
+        --m_connections;
+        return false;
+    }
+    return true;
 }
 
-void database::connectionClosed()
+void database::closeConnection()
 {
     --m_connections;
 }
 
-int database::connections() const
-{
-    return m_connections;
-}
-
 }
--- a/src/standins/database/database.h
+++ b/src/standins/database/database.h
@@ -100,10 +100,9 @@
     /** Applies entries that directly follow the log; false if the lease has ended. The caller holds the write lock. */
     bool apply(const follow_lease &lease, const std::vector<log_entry_ptr> &entries);
 
-    /** Returns how many connections are open now. */
-    int connectionOpened();
-    void connectionClosed();
-    int connections() const;
+    /** False, without counting it, if the limit is reached. */
+    bool openConnection();
+    void closeConnection();
 
 private:
     struct waiter {
--- a/src/standins/database/follower.cpp
+++ b/src/standins/database/follower.cpp
@@ -192,7 +192,7 @@
 {
     const auto lag = std::chrono::milliseconds(m_server.settings().lagMs);
     if (lag.count() == 0) {
-        takeWriteLock(std::move(entries));
+        takeWriteLock(entries);
         return;
     }
     m_timer.expires_after(lag);
@@ -204,7 +204,7 @@
         });
 }
 
-void follower::takeWriteLock(std::vector<log_entry_ptr> entries)
+void follower::takeWriteLock(const std::vector<log_entry_ptr> &entries)
 {
     const auto granted = [self = shared_from_this(), attempt = m_attempt, entries](permit_queue::clock::time_point) {
         asio::post(self->m_strand, [self, attempt, entries] {
--- a/src/standins/database/follower.h
+++ b/src/standins/database/follower.h
@@ -34,7 +34,7 @@
     void onFrame(std::string_view payload);
     void onPullResult(pull_result result);
     void applyAfterLag(std::vector<log_entry_ptr> entries);
-    void takeWriteLock(std::vector<log_entry_ptr> entries);
+    void takeWriteLock(const std::vector<log_entry_ptr> &entries);
     void apply(const std::vector<log_entry_ptr> &entries);
     bool holds(bool incoming, std::function<void()> next);
 
--- a/src/standins/database/messagehandler.cpp
+++ b/src/standins/database/messagehandler.cpp
@@ -149,7 +149,7 @@
 {
     m_scriptLoop = true;
     while (!m_busy && m_scriptAt < m_script.size()) {
-        run(m_script[m_scriptAt], {}, {}, [this](const sql_error *error, statement_result result) {
+        run(m_script[m_scriptAt], {}, {}, [this](const sql_error *error, const statement_result &result) {
             onScriptStatement(error, result);
         });
     }
--- a/src/standins/database/replicationlog.cpp
+++ b/src/standins/database/replicationlog.cpp
@@ -38,14 +38,15 @@
 
 position replication_log::commonWith(const std::vector<position> &otherTermEnds) const
 {
-    for (auto other = otherTermEnds.rbegin(); other != otherTermEnds.rend(); ++other) {
-        for (const auto &own : m_termEnds) {
-            if (own.term == other->term) {
-                return {own.term, std::min(own.offset, other->offset)};
+    position common;
+    for (const auto other : otherTermEnds) {
+        for (const auto own : m_termEnds) {
+            if (own.term == other.term) {
+                common = {own.term, std::min(own.offset, other.offset)};
             }
         }
     }
-    return {};
+    return common;
 }
 
 std::vector<log_entry_ptr> replication_log::after(std::uint64_t offset, std::size_t maxEntries) const
--- a/src/standins/database/sqlstore.cpp
+++ b/src/standins/database/sqlstore.cpp
@@ -139,6 +139,19 @@
     sqlite3_bind_text64(statement, index, value.data(), value.size(), SQLITE_TRANSIENT, SQLITE_UTF8);
 }
 
+sqlite3 *openHandle(const std::string &path)
+{
+    // The VFS unix-excl keeps the index of the write-ahead log in this process's own memory.
+    constexpr int flags = SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE | SQLITE_OPEN_NOMUTEX;
+    sqlite3 *handle = nullptr;
+    if (sqlite3_open_v2(path.c_str(), &handle, flags, "unix-excl") != SQLITE_OK) {
+        const std::string message = sqlite3_errmsg(handle);
+        sqlite3_close_v2(handle);
+        throw sql_error("58030", message);
+    }
+    return handle;
+}
+
 }
 
 void removeAbandonedStores()
@@ -167,10 +180,14 @@
     }
     m_directory = name;
     m_path = name + "/data";
+    m_keeper = openHandle(m_path);
+    // The switch needs the only connection: two that switched at the same time would fail with "database is locked".
+    sqlite3_exec(m_keeper, "PRAGMA journal_mode=WAL", nullptr, nullptr, nullptr);
 }
 
 sql_store::~sql_store()
 {
+    sqlite3_close_v2(m_keeper);
     remove();
 }
 
@@ -187,14 +204,8 @@
 
 sql_connection::sql_connection(sql_store_ptr store)
     : m_store(std::move(store))
+    , m_handle(openHandle(m_store->path()))
 {
-    // The VFS unix-excl keeps the index of the write-ahead log in this process's own memory.
-    constexpr int flags = SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE | SQLITE_OPEN_NOMUTEX;
-    if (sqlite3_open_v2(m_store->path().c_str(), &m_handle, flags, "unix-excl") != SQLITE_OK) {
-        const std::string message = sqlite3_errmsg(m_handle);
-        sqlite3_close_v2(m_handle);
-        throw sql_error("58030", message);
-    }
     configure();
 }
 
@@ -210,7 +221,6 @@
 {
     sqlite3_extended_result_codes(m_handle, 1);
     sqlite3_busy_timeout(m_handle, 1000);
-    run("PRAGMA journal_mode=WAL");
     run("PRAGMA synchronous=OFF");
     run("PRAGMA secure_delete=OFF");
     run("PRAGMA foreign_keys=ON");
--- a/src/standins/database/sqlstore.h
+++ b/src/standins/database/sqlstore.h
@@ -35,6 +35,7 @@
 private:
     std::string m_directory;
     std::string m_path;
+    sqlite3 *m_keeper = nullptr; ///< Open as long as the store, so that no close is the last one and merges the log.
 };
 
 using sql_store_ptr = std::shared_ptr<sql_store>;
@@ -76,7 +77,7 @@
     void configure();
 
     sql_store_ptr m_store;
-    sqlite3 *m_handle = nullptr;
+    sqlite3 *m_handle;
     std::unordered_map<std::string, sqlite3_stmt *> m_statements;
     statement_context m_context;
 };
--- /dev/null
+++ b/tests/support/pgclient.cpp
@@ -0,0 +1,78 @@
+#include "pgclient.h"
+
+namespace crocusdeal
+{
+
+std::string pg_outcome::value() const
+{
+    return rows.empty() || rows.front().empty() ? std::string() : rows.front().front();
+}
+
+pg_client::pg_client(std::uint16_t port, const std::string &parameters)
+    : m_connection(PQconnectdb(("host=127.0.0.1 user=test dbname=test sslmode=disable gssencmode=disable "
+                                "connect_timeout=10 port="
+                                + std::to_string(port) + ' ' + parameters)
+                                   .c_str()),
+                   PQfinish)
+{
+}
+
+bool pg_client::connected() const
+{
+    return PQstatus(m_connection.get()) == CONNECTION_OK;
+}
+
+std::string pg_client::error() const
+{
+    return PQerrorMessage(m_connection.get());
+}
+
+pg_outcome pg_client::run(const std::string &sql)
+{
+    return outcomeOf(PQexec(m_connection.get(), sql.c_str()));
+}
+
+pg_outcome pg_client::runParameters(const std::string &sql, const std::vector<std::string> &values)
+{
+    std::vector<const char *> pointers;
+    pointers.reserve(values.size());
+    for (const auto &value : values) {
+        pointers.push_back(value.c_str());
+    }
+    const auto count = static_cast<int>(values.size());
+    return outcomeOf(
+        PQexecParams(m_connection.get(), sql.c_str(), count, nullptr, pointers.data(), nullptr, nullptr, 0));
+}
+
+std::string pg_client::parameterStatus(const std::string &name) const
+{
+    const char *value = PQparameterStatus(m_connection.get(), name.c_str());
+    return value == nullptr ? "" : value;
+}
+
+PGconn *pg_client::handle() const
+{
+    return m_connection.get();
+}
+
+pg_outcome pg_client::outcomeOf(PGresult *result) const
+{
+    const std::unique_ptr<PGresult, void (*)(PGresult *)> owner(result, PQclear);
+    pg_outcome outcome;
+    const auto status = PQresultStatus(result);
+    if (status != PGRES_TUPLES_OK && status != PGRES_COMMAND_OK && status != PGRES_EMPTY_QUERY) {
+        const char *state = PQresultErrorField(result, PG_DIAG_SQLSTATE);
+        outcome.sqlState = state == nullptr ? "lost" : state;
+        return outcome;
+    }
+    outcome.tag = PQcmdStatus(result);
+    for (int row = 0; row < PQntuples(result); ++row) {
+        auto &values = outcome.rows.emplace_back();
+        for (int column = 0; column < PQnfields(result); ++column) {
+            values.emplace_back(PQgetvalue(result, row, column));
+        }
+    }
+    return outcome;
+}
+
+}
