Keep the stand-in's term and log across restarts

Cause: a database remembers its term and its log; a stand-in restarted after a crash came back empty at the term of its command line. Ruled out: keeping the SQLite file, because the log is needed anyway to serve and to drop tails, and replaying it rebuilds the file. Before: no way to restart a member of a group. Conclusion: records survive the process, not the machine (no fsync).

--- a/src/standins/database/database.cpp
+++ b/src/standins/database/database.cpp
@@ -28,6 +28,24 @@
     , m_slots(slotLimit(settings.slots))
     , m_writeLock(1)
 {
+    if (!options.dataFile.empty()) {
+        load(options.dataFile);
+    }
+}
+
+void database::load(const std::string &path)
+{
+    m_file.emplace(path);
+    auto stored = m_file->load();
+    if (stored.term == 0) {
+        m_file->writeState(m_term, m_role, m_following);
+        return;
+    }
+    m_term = stored.term;
+    m_role = stored.role;
+    m_following = stored.following;
+    m_log = std::move(stored.log);
+    m_store = buildStore(m_log.after(0, m_log.last().offset));
 }
 
 target_status database::status() const
@@ -87,6 +105,9 @@
             m_term = term;
             m_role = role;
             m_following = following;
+            if (m_file) {
+                m_file->writeState(term, role, following);
+            }
             ++m_epoch;
             m_stateVersion.fetch_add(1, std::memory_order_release);
             due = takeDueLocked();
@@ -116,10 +137,18 @@
             throw sql_error("25006",
                             "commit refused: the database is no longer primary at term " + std::to_string(term));
         }
-        connection.run("COMMIT");
+        try {
+            connection.run("COMMIT");
+        } catch (const sql_error &) {
+            connection.run("ROLLBACK");
+            throw;
+        }
         if (!entry.statements.empty()) {
             entry.at = {m_term, m_log.last().offset + 1};
             m_log.append(std::make_shared<const log_entry>(std::move(entry)));
+            if (m_file) {
+                m_file->writeEntries(m_log.after(m_log.last().offset - 1, 1));
+            }
             m_stateVersion.fetch_add(1, std::memory_order_release);
             due = takeDueLocked();
         }
@@ -237,7 +266,7 @@
     return m_log.last();
 }
 
-sql_store_ptr database::buildStore(const std::vector<log_entry_ptr> &entries) const
+sql_store_ptr database::buildStore(const std::vector<log_entry_ptr> &entries)
 {
     auto store = std::make_shared<sql_store>();
     sql_connection connection(store);
@@ -267,6 +296,9 @@
             return false;
         }
         m_log.truncate(last.offset);
+        if (m_file) {
+            m_file->writeDrop(last.offset);
+        }
         m_store.swap(store);
         m_applier.reset();
         m_storeGeneration.fetch_add(1, std::memory_order_release);
@@ -302,6 +334,9 @@
         for (const auto &entry : entries) {
             m_log.append(entry);
         }
+        if (m_file) {
+            m_file->writeEntries(entries);
+        }
         m_stateVersion.fetch_add(1, std::memory_order_release);
         due = takeDueLocked();
     }
--- a/src/standins/database/database.h
+++ b/src/standins/database/database.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "datafile.h"
 #include "grouptypes.h"
 #include "permitqueue.h"
 #include "replicationlog.h"
@@ -117,7 +118,8 @@
     /** Callbacks to run without the lock after a change of state. */
     std::vector<std::function<void()>> takeDueLocked();
     static void runAll(const std::vector<std::function<void()>> &callbacks);
-    sql_store_ptr buildStore(const std::vector<log_entry_ptr> &entries) const;
+    void load(const std::string &path);
+    static sql_store_ptr buildStore(const std::vector<log_entry_ptr> &entries);
 
     runtime_settings &m_settings;
     mutable std::mutex m_mutex;
@@ -126,6 +128,7 @@
     std::string m_following;
     std::uint64_t m_epoch = 1;
     replication_log m_log;
+    std::optional<data_file> m_file;
     sql_store_ptr m_store;
     std::vector<waiter> m_waiters;
     std::function<void()> m_writerAbort;
--- a/src/standins/database/main.cpp
+++ b/src/standins/database/main.cpp
@@ -46,6 +46,7 @@
     add("role", po::value(&role), "primary, replica or fenced; the default is replica with --follow, else primary");
     add("follow", po::value(&options.followAddress), "host:port of the database to follow");
     add("term", po::value(&options.term)->default_value(1), "own term at the start");
+    add("data", po::value(&options.dataFile), "file that keeps term, role and log; what it holds takes precedence");
     add("threads", po::value(&options.threads)->default_value(4), "worker threads");
     add("lag-ms", po::value<std::int64_t>()->default_value(0), "delay before a replica applies an entry");
     add("connections", po::value<std::int64_t>()->default_value(100), "connection limit");
--- a/src/standins/database/sqlsession.cpp
+++ b/src/standins/database/sqlsession.cpp
@@ -81,6 +81,11 @@
     writer.end();
 }
 
+std::string commandName(const std::string &tag)
+{
+    return tag == "INSERT 0" ? "INSERT" : tag;
+}
+
 bool countsChanges(const std::string &tag)
 {
     return tag == "INSERT 0" || tag == "UPDATE" || tag == "DELETE";
@@ -157,7 +162,7 @@
         }
         requireUsable();
         if (statement->kind == statement_kind::Write && !m_database.writableTerm()) {
-            throw sql_error("25006", "cannot execute " + statement->tag + " in a read-only transaction");
+            throw sql_error("25006", "cannot execute " + commandName(statement->tag) + " in a read-only transaction");
         }
         acquireSlot();
     } catch (const sql_error &error) {
@@ -399,7 +404,7 @@
         });
     };
     if (!term || !m_database.beginWrite(*term, abort)) {
-        throw sql_error("25006", "cannot execute " + m_statement->tag + ": the database is not primary");
+        throw sql_error("25006", "cannot execute " + commandName(m_statement->tag) + ": the database is not primary");
     }
     m_writeTerm = *term;
     if (m_block == block_state::None) {
--- a/tests/process/databasegrouptest.cpp
+++ b/tests/process/databasegrouptest.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <filesystem>
 #include <thread>
 
 using namespace crocusdeal;
@@ -66,6 +67,7 @@
     CPPUNIT_TEST(laggingReplicaShowsOldData);
     CPPUNIT_TEST(groupWaitEndsWithPositionTermOrTimeout);
     CPPUNIT_TEST(cutHoldsReplicationUntilHealed);
+    CPPUNIT_TEST(remembersTermAndLogAfterACrash);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -252,6 +254,25 @@
         primary.admin("heal");
         waitUntilPositionIs(replica, "1/3");
     }
+
+    /** Guards against a restarted database that grants a term again or lost what it had acknowledged. */
+    void remembersTermAndLogAfterACrash()
+    {
+        const auto file = std::filesystem::temp_directory_path() / ("standin-test-" + std::to_string(freePort()));
+        {
+            const database_process database({"--data", file});
+            database.ask(createTable);
+            database.ask("INSERT INTO t VALUES (1, 'kept')");
+            database.ask("SELECT * FROM group_fence(5)");
+            database.admin("crash");
+        }
+        const database_process restarted({"--data", file});
+        std::filesystem::remove(file);
+        CPPUNIT_ASSERT_EQUAL(std::string("fenced"), roleOf(restarted));
+        CPPUNIT_ASSERT_EQUAL(std::string("1/2"), positionOf(restarted));
+        CPPUNIT_ASSERT_EQUAL(std::string("kept"), restarted.ask("SELECT v FROM t"));
+        CPPUNIT_ASSERT_EQUAL(std::string("f"), restarted.ask("SELECT * FROM group_fence(5)"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(database_group_test);
--- a/tests/process/databasestandintest.cpp
+++ b/tests/process/databasestandintest.cpp
@@ -1,8 +1,14 @@
 #include "databasegroup.h"
+#include "pgframe.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <thread>
@@ -36,6 +42,7 @@
     CPPUNIT_TEST(openTransactionIsInvisibleToOthers);
     CPPUNIT_TEST(preparedStatementsTakeParameters);
     CPPUNIT_TEST(pipelineSkipsToSyncAfterAnError);
+    CPPUNIT_TEST(rowLimitSuspendsThePortal);
     CPPUNIT_TEST(slotsBoundTheRate);
     CPPUNIT_TEST(writeLockDoesNotBlockItsOwnerWithOneSlot);
     CPPUNIT_TEST(cancelEndsSleepingAndQueuedStatements);
@@ -184,6 +191,33 @@
         CPPUNIT_ASSERT_EQUAL(std::string("3"), client.run("SELECT id FROM t").value());
     }
 
+    /** Guards against rows that are lost or repeated between two Executes of one portal. */
+    void rowLimitSuspendsThePortal()
+    {
+        const database_process database;
+        frame_writer request;
+        request.begin('\0').int32(196608).string("user").string("test").byte(0).end();
+        request.begin('P').string("").string("VALUES (1), (2), (3)").int16(0).end();
+        request.begin('B').string("p").string("").int16(0).int16(0).int16(0).end();
+        request.begin('E').string("p").int32(2).end();
+        request.begin('E').string("p").int32(2).end();
+        request.begin('S').end();
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect({asio::ip::make_address("127.0.0.1"), database.port()});
+        asio::write(socket, asio::buffer(request.str()));
+
+        frame_reader reader(1 << 20);
+        std::string types;
+        while (std::count(types.begin(), types.end(), 'Z') < 2) {
+            reader.commit(socket.read_some(asio::buffer(reader.prepare(1024), 1024)));
+            while (const auto frame = reader.next()) {
+                types.push_back(frame->type);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("12DDsDCZ"), types.substr(types.find('Z') + 1));
+    }
+
     /** Guards against a capacity that differs from slots and service time. */
     void slotsBoundTheRate()
     {
