--- a/src/libcrocusdeal/configurationspread.cpp
+++ b/src/libcrocusdeal/configurationspread.cpp
@@ -131,9 +131,8 @@
     if (m_pulling == peer) {
         m_pulling.reset();
     }
-    const auto found = m_claims.find(peer);
     const auto retryAfter = [&](duration delay) {
-        if (found != m_claims.end()) {
+        if (const auto found = m_claims.find(peer); found != m_claims.end()) {
             found->second.retryAt = now + delay;
         }
     };
@@ -143,15 +142,13 @@
     } else if (reply->busy) {
         retryAfter(duration{busyRetryMs} + jitter(busyRetryMs));
     } else if (reply->version <= m_history.version()) {
-        retryAfter(retryAfterDisproof);
-        if (found != m_claims.end()) {
-            found->second.disproved = true;
-        }
+        disprove(now, peer);
     } else {
         auto text = textOf(*reply);
         m_counters.fullTexts += reply->baseVersion == 0 ? 1 : 0;
         if (text && textHash(*text) == reply->hash) {
             accept(now, reply->version, std::move(*text), actions);
+            disprove(now, peer);
         } else {
             ++m_counters.badReplies;
             retryAfter(retryAfterFailure);
@@ -162,6 +159,16 @@
     return actions;
 }
 
+/** A peer's version only moves forward, so a claim above the version that it answered with was false. */
+void configuration_spread::disprove(time_point now, const instance_id &peer)
+{
+    const auto found = m_claims.find(peer);
+    if (found != m_claims.end()) {
+        found->second.disproved = true;
+        found->second.retryAt = now + retryAfterDisproof;
+    }
+}
+
 void configuration_spread::memberGone(const instance_id &peer)
 {
     m_claims.erase(peer);
--- a/src/libcrocusdeal/configurationspread.h
+++ b/src/libcrocusdeal/configurationspread.h
@@ -90,6 +90,7 @@
     };
 
     void accept(time_point now, std::uint64_t version, std::string text, configuration_actions &actions);
+    void disprove(time_point now, const instance_id &peer);
     void pullNext(time_point now, configuration_actions &actions);
     void startPull(time_point now, const instance_id &peer, claim &from, configuration_actions &actions);
     std::optional<std::string> textOf(const configuration_reply &reply) const;
--- a/src/libcrocusdeal/controlnode.cpp
+++ b/src/libcrocusdeal/controlnode.cpp
@@ -155,6 +155,13 @@
     m_facts.keepOnly(names);
 }
 
+void control_node::observe(time_point now, const std::vector<database_fact> &facts)
+{
+    for (const auto &fact : facts) {
+        m_facts.observe(now, fact);
+    }
+}
+
 void control_node::refreshWanted()
 {
     if (!std::exchange(m_interestChanged, false)) {
--- a/src/standins/capacity/virtualfleet.cpp
+++ b/src/standins/capacity/virtualfleet.cpp
@@ -80,6 +80,11 @@
     return m_time + m_instances[index].clockOffset;
 }
 
+time_point virtual_fleet::toFleetTime(std::size_t index, time_point local) const
+{
+    return local - m_instances[index].clockOffset;
+}
+
 void virtual_fleet::schedule(duration in, std::function<void()> action)
 {
     m_events.push({m_time + in, m_order++, std::move(action)});
--- a/src/standins/capacity/virtualfleet.h
+++ b/src/standins/capacity/virtualfleet.h
@@ -57,6 +57,10 @@
         return m_time;
     }
 
+    /** The time on the clock of an instance, and the reverse. */
+    time_point localTime(std::size_t index) const;
+    time_point toFleetTime(std::size_t index, time_point local) const;
+
     std::size_t size() const
     {
         return m_instances.size();
@@ -136,7 +140,6 @@
     void pullConfiguration(std::size_t from, const pull_configuration &pull);
     void readPlatform(std::size_t index);
     bool canReach(std::size_t from, std::size_t to) const;
-    time_point localTime(std::size_t index) const;
     duration delay();
     duration exchangeDelay();
     bool chance(double probability);
