--- a/tests/process/databasegroup.cpp
+++ b/tests/support/databasegroup.cpp
@@ -12,10 +12,11 @@
 namespace crocusdeal
 {
 
-database_process::database_process(std::vector<std::string> arguments)
+database_process::database_process(std::vector<std::string> arguments, const std::string &errorFile)
 {
     arguments.insert(arguments.end(), {"--admin", "127.0.0.1:0"});
-    m_process = std::make_unique<child_process>(CROCUSDEAL_BINARY_DIR "/src/standins/databasestandin", arguments);
+    m_process =
+        std::make_unique<child_process>(CROCUSDEAL_BINARY_DIR "/src/standins/databasestandin", arguments, errorFile);
     const auto line = m_process->readLine(std::chrono::seconds(20));
     if (!line) {
         throw std::runtime_error("databasestandin did not start");
--- a/tests/process/databasegroup.h
+++ b/tests/support/databasegroup.h
@@ -15,7 +15,7 @@
 class database_process
 {
 public:
-    explicit database_process(std::vector<std::string> arguments = {});
+    explicit database_process(std::vector<std::string> arguments = {}, const std::string &errorFile = "");
 
     std::uint16_t port() const;
     std::string address() const;
--- a/tests/support/pgclient.cpp
+++ b/tests/support/pgclient.cpp
@@ -1,5 +1,7 @@
 #include "pgclient.h"
 
+#include <poll.h>
+
 namespace crocusdeal
 {
 
@@ -32,6 +34,34 @@
     return outcomeOf(PQexec(m_connection.get(), sql.c_str()));
 }
 
+pg_outcome pg_client::runWithin(const std::string &sql, std::chrono::milliseconds timeout)
+{
+    using clock = std::chrono::steady_clock;
+    const auto deadline = clock::now() + timeout;
+    auto *handle = m_connection.get();
+    pg_outcome outcome;
+    outcome.sqlState = "lost";
+    if (PQsendQuery(handle, sql.c_str()) == 0) {
+        return outcome;
+    }
+    for (;;) {
+        while (PQisBusy(handle) != 0) {
+            const auto rest = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - clock::now()).count();
+            pollfd ready{PQsocket(handle), POLLIN, 0};
+            if (rest <= 0 || poll(&ready, 1, static_cast<int>(rest)) == 0) {
+                outcome.sqlState = "timeout";
+                return outcome;
+            }
+            PQconsumeInput(handle);
+        }
+        auto *result = PQgetResult(handle);
+        if (result == nullptr) {
+            return outcome;
+        }
+        outcome = outcomeOf(result);
+    }
+}
+
 pg_outcome pg_client::runParameters(const std::string &sql, const std::vector<std::string> &values)
 {
     std::vector<const char *> pointers;
--- a/tests/support/pgclient.h
+++ b/tests/support/pgclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <libpq-fe.h>
 #include <memory>
@@ -29,6 +30,8 @@
     std::string error() const;
     /** SQLSTATE "lost" stands for a connection that ended without an answer. */
     pg_outcome run(const std::string &sql);
+    /** SQLSTATE "timeout" stands for no answer in time; the connection cannot be used any more then. */
+    pg_outcome runWithin(const std::string &sql, std::chrono::milliseconds timeout);
     pg_outcome runParameters(const std::string &sql, const std::vector<std::string> &values);
     std::string parameterStatus(const std::string &name) const;
     PGconn *handle() const;
--- a/tests/support/processrunner.cpp
+++ b/tests/support/processrunner.cpp
@@ -28,7 +28,9 @@
 
 }
 
-child_process::child_process(const std::string &program, const std::vector<std::string> &arguments)
+child_process::child_process(const std::string &program,
+                             const std::vector<std::string> &arguments,
+                             const std::string &errorFile)
 {
     int ends[2] = {-1, -1};
     if (pipe2(ends, O_CLOEXEC) != 0) {
@@ -37,6 +39,11 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    if (!errorFile.empty()) {
+        constexpr mode_t mode = 0644;
+        posix_spawn_file_actions_addopen(
+            &actions, STDERR_FILENO, errorFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, mode);
+    }
     std::vector<char *> argv{const_cast<char *>(program.c_str())};
     for (const auto &argument : arguments) {
         argv.push_back(const_cast<char *>(argument.c_str()));
--- a/tests/support/processrunner.h
+++ b/tests/support/processrunner.h
@@ -14,8 +14,13 @@
 class child_process
 {
 public:
-    /** Throws std::system_error. Standard output goes to readLine(), standard error to that of the test. */
-    child_process(const std::string &program, const std::vector<std::string> &arguments);
+    /**
+     * Throws std::system_error. Standard output goes to readLine(), standard error is appended to @p errorFile; without
+     * one it goes to that of the test.
+     */
+    child_process(const std::string &program,
+                  const std::vector<std::string> &arguments,
+                  const std::string &errorFile = "");
     ~child_process();
     child_process(const child_process &) = delete;
     child_process &operator=(const child_process &) = delete;
