Listen on control_address also when another is advertised

Cause: the control plane bound the advertised control address; the key control_address of the settings file was never used. Ruled out: a test error: the relay of the cluster fixture had bound the advertised port, and the daemon's own port was free. Before: build/tests/test_process splitBetween: both daemons end with 'cannot listen on 127.0.0.1:31224: bind: Address already in use'. After: build/tests/test_process splitBetween passes. Conclusion: an instance behind a forwarded address starts.

--- a/src/libcrocusdealnet/controlplane.cpp
+++ b/src/libcrocusdealnet/controlplane.cpp
@@ -145,11 +145,14 @@
         }
     };
     m_transport = std::make_shared<peer_transport>(m_strand, std::move(hooks));
-    if (auto error = m_transport->open(m_settings.self.controlAddress)) {
+    const bool isAdvertised = m_settings.listenAddress.empty();
+    if (auto error = m_transport->open(isAdvertised ? m_settings.self.controlAddress : m_settings.listenAddress)) {
         return error;
     }
     boundAddress = m_transport->localAddress();
-    m_settings.self.controlAddress = boundAddress;
+    if (isAdvertised) {
+        m_settings.self.controlAddress = boundAddress;
+    }
     m_node.emplace(membershipSettings(m_settings), m_settings.randomSeed);
     publishSnapshot();
     post([](implementation &self) {
--- a/src/libcrocusdealnet/controlplane.h
+++ b/src/libcrocusdealnet/controlplane.h
@@ -30,7 +30,9 @@
 };
 
 struct control_plane_settings {
-    member_description self; ///< Its control address is bound for UDP and TCP; port 0 takes a free one.
+    member_description self;
+    /** Bound for UDP and TCP. If empty, the control address of self is bound; its port 0 takes a free one. */
+    std::string listenAddress;
     std::vector<std::string> seeds; ///< Control addresses of peers.
     std::uint64_t randomSeed = 0;
 };
--- a/src/libcrocusdealnet/instance.cpp
+++ b/src/libcrocusdealnet/instance.cpp
@@ -164,6 +164,7 @@
                      toString(m_settings.advertised.caller),
                      toString(m_settings.advertised.control),
                      toString(m_settings.advertised.admin)};
+    settings.listenAddress = toString(m_settings.controlAddress);
     for (const auto &peer : m_settings.peers) {
         settings.seeds.push_back(toString(peer));
     }
