Test partitions and pauses with real processes

Cause: no test showed what callers are told when the primary is cut off or paused, or when an instance is paused in the middle of writes. Ruled out: dropping datagrams inside the daemon; relays in front of the control addresses cut instances off from each other instead. Before: nothing.

--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -125,12 +125,7 @@
     startPlatform();
     startDatabases();
     CPPUNIT_ASSERT_EQUAL(200, publish(0, configuration(m_options.confirm)));
-    m_instances.resize(static_cast<std::size_t>(m_options.instances));
-    for (auto &entry : m_instances) {
-        entry.callerPort = listeningPort();
-        entry.controlPort = listeningPort();
-        entry.adminPort = listeningPort();
-    }
+    choosePorts();
     for (std::size_t i = 0; i < m_instances.size(); ++i) {
         writeSettings(i);
         startInstance(i);
@@ -155,6 +150,21 @@
     std::filesystem::remove_all(m_directory, ignored);
 }
 
+void cluster::choosePorts()
+{
+    m_instances.resize(static_cast<std::size_t>(m_options.instances));
+    for (auto &entry : m_instances) {
+        entry.callerPort = listeningPort();
+        entry.controlPort = listeningPort();
+        entry.advertisedPort = entry.controlPort;
+        entry.adminPort = listeningPort();
+        if (m_options.relays) {
+            entry.advertisedPort = listeningPort();
+            entry.relay = std::make_unique<control_relay>(entry.advertisedPort, entry.controlPort);
+        }
+    }
+}
+
 void cluster::startPlatform()
 {
     m_platform = std::make_unique<child_process>(CROCUSDEAL_BINARY_DIR "/src/standins/platformstandin",
@@ -215,7 +225,7 @@
     auto peers = nlohmann::json::array();
     for (std::size_t i = 0; i < m_instances.size(); ++i) {
         if (i != index) {
-            peers.push_back(loopback(m_instances[i].controlPort));
+            peers.push_back(loopback(m_instances[i].advertisedPort));
         }
     }
     nlohmann::json settings{{"instance", instanceName(index)},
@@ -223,6 +233,10 @@
                             {"caller_address", loopback(entry.callerPort)},
                             {"control_address", loopback(entry.controlPort)},
                             {"admin_address", loopback(entry.adminPort)},
+                            {"advertised",
+                             {{"caller_address", loopback(entry.callerPort)},
+                              {"control_address", loopback(entry.advertisedPort)},
+                              {"admin_address", loopback(entry.adminPort)}}},
                             {"platform_address", m_platformAddress},
                             {"peers", std::move(peers)},
                             {"workers", 2},
@@ -343,8 +357,20 @@
     }
 }
 
+void cluster::cutInstances() const
+{
+    for (const auto &entry : m_instances) {
+        entry.relay->setCut(true);
+    }
+}
+
 void cluster::healAll() const
 {
+    for (const auto &entry : m_instances) {
+        if (entry.relay) {
+            entry.relay->setCut(false);
+        }
+    }
     for (const auto &each : m_databases) {
         each->admin("heal");
     }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "controlrelay.h"
 #include "databasegroup.h"
 #include "pgclient.h"
 #include "processrunner.h"
@@ -26,6 +27,7 @@
     std::string confirm = "replica";
     std::string reads = "{}"; ///< Value of "reads" in the service file.
     bool tls = false;
+    bool relays = false; ///< The instances talk through relays, which cutInstances() cuts.
 };
 
 /**
@@ -65,6 +67,8 @@
     void cutDatabase(std::size_t index, const std::vector<std::size_t> &others) const;
     /** Cuts all connections between a database and an instance, in both directions. */
     void cutInstance(std::size_t database, std::size_t instance) const;
+    /** Cuts all instances off from each other; needs relays. */
+    void cutInstances() const;
     void healAll() const;
 
     /** The published object with the given values; "services" is its only service with @p drained targets. */
@@ -81,12 +85,15 @@
     struct instance_entry {
         std::uint16_t callerPort = 0;
         std::uint16_t controlPort = 0;
+        std::uint16_t advertisedPort = 0; ///< The control port, or that of the relay in front of it.
         std::uint16_t adminPort = 0;
+        std::unique_ptr<control_relay> relay;
         std::unique_ptr<child_process> process;
     };
 
     void startPlatform();
     void startDatabases();
+    void choosePorts();
     void makeCertificate() const;
     void writeSettings(std::size_t index) const;
     std::string settingsFile(std::size_t index) const;
--- a/tests/support/writeload.cpp
+++ b/tests/support/writeload.cpp
@@ -1,6 +1,7 @@
 #include "writeload.h"
 
 #include <algorithm>
+#include <iostream>
 #include <iterator>
 #include <map>
 #include <sstream>
@@ -116,13 +117,22 @@
                               std::chrono::milliseconds timeout,
                               const std::vector<std::size_t> &instances) const
 {
-    return waitFor(timeout, [&] {
+    const auto isWanted = [&](const load_record &record) {
+        return record.sent >= from && std::find(instances.begin(), instances.end(), record.instance) != instances.end();
+    };
+    const bool written = waitFor(timeout, [&] {
         const std::lock_guard lock(m_mutex);
         return std::any_of(m_records.rbegin(), m_records.rend(), [&](const load_record &record) {
-            return record.isAcknowledged() && record.sent >= from
-                && std::find(instances.begin(), instances.end(), record.instance) != instances.end();
+            return record.isAcknowledged() && isWanted(record);
         });
     });
+    if (!written) {
+        std::vector<load_record> told;
+        const auto all = records();
+        std::copy_if(all.begin(), all.end(), std::back_inserter(told), isWanted);
+        std::cout << "\nno write acknowledged, instead: " << summary(told) << std::endl;
+    }
+    return written;
 }
 
 read_load::read_load(const cluster &target, const std::vector<std::size_t> &instances)
--- a/tests/support/writeload.h
+++ b/tests/support/writeload.h
@@ -52,7 +52,7 @@
     void stop();
     /** In the order of the answers. */
     std::vector<load_record> records() const;
-    /** True once a write that was sent after @p from is acknowledged through one of the instances. */
+    /** True once a write that was sent after @p from is acknowledged through one of the instances; prints why not. */
     bool waitForWrite(load_clock::time_point from,
                       std::chrono::milliseconds timeout,
                       const std::vector<std::size_t> &instances) const;
