Serve status, metrics, explain and promote; log lines stay single lines

Cause: operators could not see what an instance knows, and an in-band state without its upstream overwrote the one that group_status() gave. Ruled out: dropping in-band states, since they save probes. Before: /status was missing; fleet_connections showed 0 after each answer. Conclusion: the monitor gets complete states only.

--- a/src/libcrocusdealnet/callersession.cpp
+++ b/src/libcrocusdealnet/callersession.cpp
@@ -248,6 +248,7 @@
 void caller_session::handleBatch()
 {
     m_requestStart = systemNow();
+    m_preciseStart = std::chrono::steady_clock::now();
     m_anythingWritten = false;
     m_cancelled = false;
     m_avoid.reset();
@@ -653,7 +654,9 @@
     }
     writeReadyForQuery(writer, m_failedTransaction ? 'E' : m_transaction);
     m_out += writer.take();
-    m_environment.onAnswered(m_info.cls, systemNow() - m_requestStart);
+    m_environment.onAnswered(
+        m_info.cls,
+        std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - m_preciseStart));
     flush([this] { endRequest(); });
 }
 
--- a/src/libcrocusdealnet/callersession.h
+++ b/src/libcrocusdealnet/callersession.h
@@ -16,6 +16,7 @@
 #include <asio/strand.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -30,7 +31,8 @@
     session_registry &registry;
     statement_cache &statements;
     std::function<void(std::function<void()>)> runBlocking; ///< Runs a call that may block on a thread of its own.
-    std::function<void(statement_class, duration)> onAnswered; ///< For metrics; from the message to the answer.
+    /** For metrics: the time from the message to the answer. */
+    std::function<void(statement_class, std::chrono::microseconds)> onAnswered;
 };
 
 /** What a caller asked for at start-up. */
@@ -138,6 +140,7 @@
     batch_info m_info;
     statement_map m_statements;
     time_point m_requestStart;
+    std::chrono::steady_clock::time_point m_preciseStart;
     time_point m_deadline;
     time_point m_sentAt;
     std::uint64_t m_dispatchTicket = 0;
--- a/src/libcrocusdealnet/dispatch.cpp
+++ b/src/libcrocusdealnet/dispatch.cpp
@@ -5,9 +5,7 @@
 namespace crocusdeal
 {
 
-connection_lease::connection_lease(std::shared_ptr<target_connection> connection,
-                                   bool isPrimary,
-                                   lease_hooks hooks)
+connection_lease::connection_lease(std::shared_ptr<target_connection> connection, bool isPrimary, lease_hooks hooks)
     : m_connection(std::move(connection))
     , m_hooks(std::move(hooks))
     , m_isPrimary(isPrimary)
--- a/src/libcrocusdealnet/dispatch.h
+++ b/src/libcrocusdealnet/dispatch.h
@@ -4,6 +4,7 @@
 #include "identifiers.h"
 #include "pgframe.h"
 #include "position.h"
+#include "router.h"
 #include "statementclassifier.h"
 #include "targetconnection.h"
 
@@ -103,6 +104,8 @@
     std::function<std::optional<duration>(const statement_info &)> allowedStaleness;
     /** How long a request may wait for its start. */
     std::function<duration()> queueDeadline;
+    /** Where a request would go now; nothing is sent. */
+    std::function<route(const dispatch_request &)> explain;
     group_id group;
 };
 
--- a/src/libcrocusdealnet/groupruntime.cpp
+++ b/src/libcrocusdealnet/groupruntime.cpp
@@ -268,6 +268,7 @@
         self->m_usedAt.store(systemNow().ms, std::memory_order_relaxed);
         return router->dispatch(request, std::move(done));
     };
+    hooks->explain = [router](const dispatch_request &request) { return router->explain(request); };
     hooks->cancel = [router](std::uint64_t ticket) { router->cancel(ticket); };
     hooks->confirmWrite = [self](position at, const std::function<void(confirm_outcome)> &done) {
         self->m_monitor->confirmWrite(at, systemNow() + confirmTimeout, [done](confirm_result result) {
@@ -279,7 +280,8 @@
     };
     hooks->isTargetAlive = [self](const target_id &target) { return self->isAlive(target); };
     hooks->mayRetry = makeRetryBudget();
-    hooks->allowedStaleness = [reads = configuration.reads](const statement_info &statement) -> std::optional<duration> {
+    hooks->allowedStaleness = [reads =
+                                   configuration.reads](const statement_info &statement) -> std::optional<duration> {
         if (!reads.staleTables.empty() && statement.tablesComplete && !statement.tables.empty()) {
             duration least{std::numeric_limits<std::int64_t>::max()};
             for (const auto &table : statement.tables) {
@@ -301,7 +303,16 @@
         targetLog().write(log_level::Warn, target.str() + " reported a malformed group_state");
         return;
     }
-    m_monitor->observe(target, *status, askedAt);
+    // The in-band state lacks these; an empty upstream would look like a replica that follows nobody.
+    const auto view = m_monitor->view();
+    const auto *known = view->find(target);
+    auto complete = *status;
+    if (known != nullptr && known->status) {
+        complete.connections = known->status->connections;
+        complete.maxConnections = known->status->maxConnections;
+        complete.following = known->status->following;
+    }
+    m_monitor->observe(target, complete, askedAt);
 }
 
 bool group_runtime::isAlive(const target_id &target) const
--- a/src/libcrocusdealnet/instance.cpp
+++ b/src/libcrocusdealnet/instance.cpp
@@ -1,5 +1,6 @@
 #include "instance.h"
 
+#include "adminserver.h"
 #include "configurationjson.h"
 #include "objectwatcher.h"
 #include "partlog.h"
@@ -10,7 +11,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <chrono>
+#include <future>
 #include <random>
 #include <utility>
 
@@ -20,9 +23,11 @@
 namespace
 {
 
+constexpr std::size_t statementClassCount = static_cast<std::size_t>(statement_class::Invalid) + 1;
 constexpr duration refreshPeriod{5000};
 constexpr duration platformTimeout{5000};
 constexpr duration shutdownLimit{30000};
+constexpr duration promoteLimit{15000};
 constexpr std::chrono::milliseconds tickPeriod{500};
 constexpr std::chrono::milliseconds shutdownPoll{20};
 
@@ -96,13 +101,28 @@
     , m_statements(randomSeed())
     , m_sessions{io, m_registry, m_statements, nullptr, nullptr}
     , m_startup{m_sessions, nullptr, nullptr, nullptr}
-    , m_groupEnvironment{
-          io, m_settings.instance, m_settings.dataCentre, m_settings.user, nullptr, nullptr, nullptr, nullptr, nullptr}
+    , m_groupEnvironment{io,
+                         m_settings.instance,
+                         m_settings.dataCentre,
+                         m_settings.user,
+                         nullptr,
+                         nullptr,
+                         nullptr,
+                         nullptr,
+                         nullptr}
     , m_timer(io)
     , m_shutdownTimer(io)
 {
     m_sessions.runBlocking = [this](const std::function<void()> &task) { asio::post(m_blocking, task); };
-    m_sessions.onAnswered = [](statement_class, duration) {};
+    std::array<latency_histogram *, statementClassCount> histograms{};
+    for (std::size_t i = 0; i < histograms.size(); ++i) {
+        const std::string name(statementClassNames.name(static_cast<statement_class>(i)));
+        histograms[i] =
+            &m_metrics.latency("crocusdeal_request_seconds", "Time from a request to its answer", {{"class", name}});
+    }
+    m_sessions.onAnswered = [histograms](statement_class cls, std::chrono::microseconds time) {
+        histograms[static_cast<std::size_t>(cls)]->record(time);
+    };
     m_startup.findService = [this](const std::string &database, pg_error &refusal) {
         return findService(database, refusal);
     };
@@ -134,7 +154,7 @@
         return "cannot listen on " + toString(m_settings.callerAddress) + ": " + error.what();
     }
     tick();
-    return std::nullopt;
+    return startAdmin();
 }
 
 std::optional<std::string> instance::loadTls()
@@ -178,7 +198,9 @@
     };
     hooks.localFacts = [this] { return localFacts(); };
     hooks.onFact = [this](const database_fact &fact, time_point notBefore) { onFact(fact, notBefore); };
-    hooks.onRequest = [](const instance_id &, std::string, const std::function<void(std::string)> &reply) { reply({}); };
+    hooks.onRequest = [](const instance_id &, std::string, const std::function<void(std::string)> &reply) {
+        reply({});
+    };
     hooks.onPlatformNeeded = [this] { refreshInstances(); };
     m_control = control_plane::create(m_io, std::move(settings), std::move(hooks));
 
@@ -203,6 +225,115 @@
     m_platform = std::make_unique<platform_client>(std::move(options));
 }
 
+std::optional<std::string> instance::startAdmin()
+{
+    admin_hooks hooks;
+    hooks.ready = [this] { return isReady(); };
+    hooks.status = [this] { return toJson(report(), systemNow()); };
+    hooks.metrics = [this] {
+        updateGauges(m_metrics, report(), systemNow());
+        return m_metrics.render();
+    };
+    hooks.explain = [this](const explain_request &request) { return explain(request); };
+    hooks.promote = [this](const std::string &group, const std::optional<std::string> &target) {
+        return promote(group, target);
+    };
+    hooks.setLogLevel = [](const std::string &level) {
+        const auto value = logLevelNames.value(level);
+        if (value) {
+            setLogLevel(*value);
+        }
+        return value.has_value();
+    };
+    m_admin = std::make_unique<admin_server>(std::move(hooks));
+    if (!m_admin->start(m_settings.adminAddress.host, m_settings.adminAddress.port)) {
+        return "cannot listen on " + toString(m_settings.adminAddress);
+    }
+    return std::nullopt;
+}
+
+instance_report instance::report() const
+{
+    instance_report report;
+    report.instance = m_settings.instance;
+    report.dataCentre = m_settings.dataCentre;
+    report.ready = isReady();
+    report.sessions = m_registry.size();
+    report.members = m_control->members();
+    report.control = m_control->health();
+    for (const auto &[id, group] : groups()) {
+        report.groups.emplace(id, group->report());
+    }
+    const std::lock_guard lock(m_mutex);
+    report.configurationVersion = m_configurationVersion;
+    report.draining = m_draining;
+    return report;
+}
+
+admin_answer instance::promote(const std::string &group, const std::optional<std::string> &target) const
+{
+    constexpr int notFound = 404;
+    constexpr int conflict = 409;
+    const auto known = groups();
+    const auto found = known.find(group_id(group));
+    if (found == known.end()) {
+        return {notFound, nlohmann::json{{"error", "group \"" + group + "\" does not exist"}}.dump()};
+    }
+    const auto answer = std::make_shared<std::promise<promotion_result>>();
+    auto result = answer->get_future();
+    found->second->monitor().promote(target ? std::optional(target_id(*target)) : std::nullopt,
+                                     [answer](const promotion_result &ended) { answer->set_value(ended); });
+    if (result.wait_for(std::chrono::milliseconds(promoteLimit.ms)) != std::future_status::ready) {
+        return {conflict, nlohmann::json{{"error", "the promotion did not end in time; see the status"}}.dump()};
+    }
+    const auto ended = result.get();
+    const bool promoted = ended.outcome == promotion_outcome::Promoted;
+    nlohmann::json body{{"outcome", std::string(promotionOutcomeNames.name(ended.outcome))}, {"term", ended.term}};
+    body["primary"] = ended.primary.str();
+    return {promoted ? 200 : conflict, body.dump()};
+}
+
+admin_answer instance::explain(const explain_request &request) const
+{
+    constexpr int notFound = 404;
+    constexpr int badRequest = 400;
+    pg_error refusal;
+    const auto service = findService(request.service, refusal);
+    if (!service) {
+        return {notFound, nlohmann::json{{"error", refusal.message}}.dump()};
+    }
+    const auto info = classifyStatement(request.statement);
+    std::optional<position> token;
+    if (!request.session.empty()) {
+        const auto parsed = parseSessionToken(request.session);
+        if (!parsed) {
+            return {badRequest, nlohmann::json{{"error", "the session must be a token, group:term/offset"}}.dump()};
+        }
+        const auto found = parsed->find(service->group);
+        if (found != parsed->end()) {
+            token = found->second;
+        }
+    }
+    dispatch_request question;
+    question.cls = info.cls;
+    question.fingerprint = info.fingerprint;
+    question.token = token;
+    question.historyKnown = token.has_value();
+    question.sessionStart = systemNow();
+    question.maxStaleness = service->allowedStaleness(info);
+    if (question.maxStaleness && question.maxStaleness->ms == 0) {
+        question.maxStaleness.reset();
+    }
+    question.deadline = systemNow() + service->queueDeadline();
+    const auto decision = service->explain(question);
+    nlohmann::json body{{"class", std::string(statementClassNames.name(info.cls))},
+                        {"decision", std::string(routeKindNames.name(decision.kind))},
+                        {"reason", std::string(routeReasonNames.name(decision.reason))},
+                        {"target", decision.target.str()},
+                        {"tables", info.tables}};
+    return {200, body.dump()};
+}
+
 void instance::scheduleTick()
 {
     m_timer.expires_after(tickPeriod);
@@ -284,8 +415,8 @@
     }
     apply(*parsed.value);
     configLog().write(log_level::Info,
-                      "version " + std::to_string(version) + " in force, " + std::to_string(parsed.value->services.size())
-                          + " services");
+                      "version " + std::to_string(version) + " in force, "
+                          + std::to_string(parsed.value->services.size()) + " services");
 }
 
 void instance::apply(const fleet_configuration &configuration)
@@ -442,6 +573,7 @@
 
 void instance::stopAll()
 {
+    m_admin->stop();
     m_listener->stop();
     m_timer.cancel();
     m_watcher.reset();
--- a/src/libcrocusdealnet/instance.h
+++ b/src/libcrocusdealnet/instance.h
@@ -4,6 +4,8 @@
 #include "controlplane.h"
 #include "daemonsettings.h"
 #include "groupruntime.h"
+#include "instancestatus.h"
+#include "metrics.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -20,6 +22,9 @@
 
 class platform_client;
 class object_watcher;
+class admin_server;
+struct admin_answer;
+struct explain_request;
 
 /**
  * One instance of the proxy: everything that runs in the daemon.
@@ -43,6 +48,7 @@
     std::optional<std::string> loadTls();
     void startControlPlane();
     void startPlatform();
+    std::optional<std::string> startAdmin();
     void scheduleTick();
     void tick();
     void watchPlatform();
@@ -59,6 +65,9 @@
 
     group_map groups() const;
     bool isReady() const;
+    instance_report report() const;
+    admin_answer explain(const explain_request &request) const;
+    admin_answer promote(const std::string &group, const std::optional<std::string> &target) const;
     void closeSessions(std::function<void()> done, time_point limit);
     void stopAll();
 
@@ -67,6 +76,7 @@
     session_registry m_registry;
     statement_cache m_statements;
     asio::thread_pool m_blocking{1};
+    mutable metric_registry m_metrics;
     session_environment m_sessions;
     startup_environment m_startup;
     group_environment m_groupEnvironment;
@@ -77,6 +87,7 @@
     std::unique_ptr<platform_client> m_platform;
     std::unique_ptr<object_watcher> m_watcher;
     std::shared_ptr<caller_listener> m_listener;
+    std::unique_ptr<admin_server> m_admin;
 
     mutable std::mutex m_mutex;
     group_map m_groups;
--- a/src/libcrocusdealnet/partlog.cpp
+++ b/src/libcrocusdealnet/partlog.cpp
@@ -63,7 +63,8 @@
     text.reserve(m_state->prefix.size() + line.size());
     text.append(m_state->prefix).append(line);
     // Messages of libpq and of callers may hold line breaks, which would look like lines of their own.
-    std::replace_if(text.begin(), text.end(), [](char c) { return c == '\n' || c == '\r' || c == '\t'; }, ' ');
+    std::replace_if(
+        text.begin(), text.end(), [](char c) { return c == '\n' || c == '\r' || c == '\t'; }, ' ');
     m_state->logger.forcedLog(toLog4cplus(level), text);
 }
 
--- a/src/libcrocusdealnet/servicerouter.cpp
+++ b/src/libcrocusdealnet/servicerouter.cpp
@@ -92,16 +92,24 @@
     return work->ticket;
 }
 
-route service_router::decide(const job &work, const group_view &view, const gate_map &gates, time_point now) const
+route service_router::explain(const dispatch_request &request) const
+{
+    return decide(request, *m_monitor->view(), *m_gates->get(), systemNow());
+}
+
+route service_router::decide(const dispatch_request &wanted,
+                             const group_view &view,
+                             const gate_map &gates,
+                             time_point now) const
 {
     route_request request;
-    request.kind = routeClass(work.request);
-    request.token = work.request.token;
-    request.startedAt = work.request.sessionStart;
-    request.maxAge = work.request.maxStaleness;
-    request.deadline = work.request.deadline;
+    request.kind = routeClass(wanted);
+    request.token = wanted.token;
+    request.startedAt = wanted.sessionStart;
+    request.maxAge = wanted.maxStaleness;
+    request.deadline = wanted.deadline;
     load_table load;
-    if (isRead(work.request)) {
+    if (isRead(wanted)) {
         for (const auto &[target, gate] : gates) {
             load.emplace(target, gate->load());
         }
@@ -118,7 +126,7 @@
     }
     const auto view = m_monitor->view();
     const auto gates = m_gates->get();
-    const auto decision = decide(*work, *view, *gates, now);
+    const auto decision = decide(work->request, *view, *gates, now);
     switch (decision.kind) {
     case route_kind::ToReplica:
     case route_kind::ToPrimary:
@@ -258,16 +266,17 @@
 
 void service_router::askReadIndex(const job_ptr &work, const route &decision)
 {
-    m_monitor->readIndex(decision.indexFrom, work->request.deadline, [self = shared_from_this(), work](std::optional<position> at) {
-        if (!at) {
-            self->refuse(work, "the primary's position could not be confirmed before the deadline");
-            return;
-        }
-        work->request.token = *at;
-        work->request.historyKnown = true;
-        work->readIndex = at;
-        self->step(work);
-    });
+    m_monitor->readIndex(
+        decision.indexFrom, work->request.deadline, [self = shared_from_this(), work](std::optional<position> at) {
+            if (!at) {
+                self->refuse(work, "the primary's position could not be confirmed before the deadline");
+                return;
+            }
+            work->request.token = *at;
+            work->request.historyKnown = true;
+            work->readIndex = at;
+            self->step(work);
+        });
 }
 
 void service_router::hold(const job_ptr &work)
--- a/src/libcrocusdealnet/servicerouter.h
+++ b/src/libcrocusdealnet/servicerouter.h
@@ -56,6 +56,8 @@
 
     std::uint64_t dispatch(const dispatch_request &request, service_hooks::dispatch_handler done);
     void cancel(std::uint64_t ticket);
+    /** Where @p request would go now; nothing is sent. */
+    route explain(const dispatch_request &request) const;
     void onViewChanged();
     /** Refuses what waits; nothing is taken afterwards. */
     void stop();
@@ -75,7 +77,7 @@
     using job_ptr = std::shared_ptr<job>;
 
     void step(const job_ptr &work);
-    route decide(const job &work, const group_view &view, const gate_map &gates, time_point now) const;
+    route decide(const dispatch_request &wanted, const group_view &view, const gate_map &gates, time_point now) const;
     void submit(const job_ptr &work, const route &decision);
     void onGateAnswer(const job_ptr &work, const target_id &target, bool toPrimary, gate_answer answer);
     void askReadIndex(const job_ptr &work, const route &decision);
--- a/src/libcrocusdealnet/targetgate.h
+++ b/src/libcrocusdealnet/targetgate.h
@@ -81,7 +81,6 @@
     int limit() const;
 
 private:
-
     void apply(queue_actions actions);
     void startRequest(std::uint64_t id);
     void onConnection(std::uint64_t id,
