--- a/src/libcrocusdeal/databasegroup.cpp
+++ b/src/libcrocusdeal/databasegroup.cpp
@@ -10,9 +10,6 @@
 namespace
 {
 
-// A tick is due every 50 ms at most; a gap of this length means that the instance was paused.
-constexpr duration pauseGap{500};
-
 // Probes without an answer before the primary is suspected; with one each 250 ms, the last falls near 1 s.
 constexpr int probesForSuspicion = 3;
 
@@ -161,7 +158,7 @@
 
 void database_group::tick(time_point now)
 {
-    if (now - m_lastTick > pauseGap) {
+    if (now - m_lastTick > m_policy.pauseGap) {
         m_watchingSince = now;
         for (auto &[id, entry] : m_members) {
             entry.unansweredProbes = 0;
--- a/src/libcrocusdeal/followerrepair.cpp
+++ b/src/libcrocusdeal/followerrepair.cpp
@@ -9,7 +9,6 @@
 {
 
 // A database that names its upstream in another way than the configuration would be told again without end.
-constexpr duration firstDelay{1000};
 constexpr duration longestDelay{30000};
 
 }
@@ -55,7 +54,7 @@
         auto &entry = m_attempts[target.id];
         if (entry.nextAt == never) {
             // The promoter itself gives the first order; repair is for what it missed.
-            entry = {now + firstDelay, firstDelay};
+            entry = {now + group.policy().repairDelay, group.policy().repairDelay};
         } else if (now >= entry.nextAt) {
             orders.push_back({control_order::Follow, target.id, m_term, *id});
             entry.delay = std::min(entry.delay * 2, longestDelay);
--- a/src/libcrocusdeal/grouppolicy.h
+++ b/src/libcrocusdeal/grouppolicy.h
@@ -20,11 +20,12 @@
     duration fenceTimeout{500};
     duration followTimeout{2000}; ///< For the chosen database of a planned change to catch up.
     duration promoteTimeout{500};
+    duration repairDelay{1000}; ///< Before a database that does not follow is told to; doubles with each attempt.
+    duration pauseGap{500}; ///< A longer gap between ticks means that this instance was paused.
 
     bool fenceMajority = true; ///< Off: one granted fence is enough to promote.
     bool compareEntryTerms = true; ///< Off: the log with the highest offset counts as the furthest.
     bool checkReplicaTerm = true; ///< Off: replicas of any term confirm writes and newer terms are ignored.
-    bool readIndexFirst = true; ///< Off: a session of unknown history reads from any replica.
     bool confirmCurrentTerm = true; ///< Off: the primary alone answers the read index and dates samples.
 };
 
