--- a/tests/process/platformprocesstest.cpp
+++ b/tests/process/platformprocesstest.cpp
@@ -1,20 +1,13 @@
-#include "hostport.h"
+#include "platformprocess.h"
 #include "objectwatcher.h"
 #include "platformclient.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
-#include <httplib.h>
 
-#include <spawn.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
-#include <array>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
-#include <csignal>
 #include <future>
 #include <mutex>
 #include <thread>
@@ -25,80 +18,6 @@
 namespace
 {
 
-/** A platformstandin on a free loopback port; ended with this object. */
-class platform_process
-{
-public:
-    explicit platform_process(std::vector<std::string> options = {})
-    {
-        std::array<int, 2> output{};
-        CPPUNIT_ASSERT_EQUAL(0, ::pipe(output.data()));
-        posix_spawn_file_actions_t actions;
-        posix_spawn_file_actions_init(&actions);
-        posix_spawn_file_actions_adddup2(&actions, output[1], STDOUT_FILENO);
-        posix_spawn_file_actions_addclose(&actions, output[0]);
-        std::string program = std::string(CROCUSDEAL_BINARY_DIR) + "/src/standins/platformstandin";
-        options.insert(options.begin(), {program, "--listen", "127.0.0.1:0"});
-        std::vector<char *> arguments;
-        arguments.reserve(options.size() + 1);
-        for (auto &option : options) {
-            arguments.push_back(option.data());
-        }
-        arguments.push_back(nullptr);
-        const int error = ::posix_spawn(&m_process, program.c_str(), &actions, nullptr, arguments.data(), environ);
-        posix_spawn_file_actions_destroy(&actions);
-        ::close(output[1]);
-        CPPUNIT_ASSERT_EQUAL(0, error);
-        m_address = readAddress(output[0]);
-        ::close(output[0]);
-    }
-
-    ~platform_process()
-    {
-        ::kill(m_process, SIGTERM);
-        ::waitpid(m_process, nullptr, 0);
-    }
-
-    platform_process(const platform_process &) = delete;
-    platform_process &operator=(const platform_process &) = delete;
-
-    const host_port &address() const
-    {
-        return m_address;
-    }
-
-    void setFaults(const std::string &json) const
-    {
-        httplib::Client client(m_address.host, m_address.port);
-        const auto result = client.Put("/admin/faults", json, "application/json");
-        CPPUNIT_ASSERT(result && result->status == 200);
-    }
-
-    std::string counters() const
-    {
-        httplib::Client client(m_address.host, m_address.port);
-        const auto result = client.Get("/admin/counters");
-        CPPUNIT_ASSERT(result);
-        return result->body;
-    }
-
-private:
-    static host_port readAddress(int output)
-    {
-        const std::string prefix = "listening on ";
-        std::string line;
-        char next = 0;
-        while (::read(output, &next, 1) == 1 && next != '\n') {
-            line += next;
-        }
-        CPPUNIT_ASSERT_MESSAGE(line, line.rfind(prefix, 0) == 0);
-        return parseHostPort(line.substr(prefix.size())).value();
-    }
-
-    pid_t m_process = 0;
-    host_port m_address;
-};
-
 platform_client_options clientOf(const platform_process &platform, int watchThreads = 2)
 {
     return {platform.address(), "i1", 2, watchThreads};
