--- a/tests/libcrocusdeal/modelclient.cpp
+++ b/tests/libcrocusdeal/modelclient.cpp
@@ -18,7 +18,7 @@
 struct client::operation {
     instance *through = nullptr;
     session_state session{time_point{}};
-    statement_class kind = statement_class::Read;
+    route_class kind = route_class::Read;
     std::optional<duration> maxAge;
     time_point deadline;
     int value = 0;
@@ -46,10 +46,10 @@
         }
         current->deadline = now + duration{200};
         const auto pick = m_world.random(0, 99);
-        current->kind = pick < 45 ? statement_class::Write
-            : pick < 75           ? statement_class::Read
-                                  : statement_class::StaleRead;
-        if (current->kind == statement_class::StaleRead) {
+        current->kind = pick < 45 ? route_class::Write
+            : pick < 75           ? route_class::Read
+                                  : route_class::StaleRead;
+        if (current->kind == route_class::StaleRead) {
             current->maxAge = duration{m_world.random(20, 200)};
         }
         route(current);
@@ -101,7 +101,7 @@
     case route_kind::ToReplica:
         break;
     }
-    if (current->kind == statement_class::Write) {
+    if (current->kind == route_class::Write) {
         write(current, targetIndex(chosen.target));
     } else {
         read(current, targetIndex(chosen.target));
