--- a/src/standins/loadtool/main.cpp
+++ b/src/standins/loadtool/main.cpp
@@ -30,9 +30,9 @@
 load_report runLoad(const load_options &options)
 {
     const auto runId = newRunId();
-    std::vector<std::unique_ptr<load_worker>> workers;
+    std::vector<std::unique_ptr<load_worker>> workers(static_cast<std::size_t>(options.threads));
     for (int i = 0; i < options.threads; ++i) {
-        workers.push_back(std::make_unique<load_worker>(options, i, runId));
+        workers[static_cast<std::size_t>(i)] = std::make_unique<load_worker>(options, i, runId);
     }
     createCounters(options, runId, workers);
     const auto start = load_worker::clock::now() + connectTime;
