--- a/src/standins/database/database.cpp
+++ b/src/standins/database/database.cpp
@@ -66,6 +66,16 @@
     return status;
 }
 
+std::uint64_t database::statements() const
+{
+    return m_statements;
+}
+
+void database::countStatement()
+{
+    ++m_statements;
+}
+
 std::uint64_t database::stateVersion() const
 {
     return m_stateVersion.load(std::memory_order_acquire);
--- a/src/standins/database/database.h
+++ b/src/standins/database/database.h
@@ -45,6 +45,9 @@
     database(const standin_options &options, runtime_settings &settings);
 
     target_status status() const;
+    /** Statements of callers that were executed so far; those of group control are not counted. */
+    std::uint64_t statements() const;
+    void countStatement();
     /** Changes with every change of status apart from the connections. */
     std::uint64_t stateVersion() const;
     /** Value of the parameter status group_state. */
@@ -141,6 +144,7 @@
     std::atomic<std::uint64_t> m_stateVersion = 1;
     std::atomic<std::uint64_t> m_storeGeneration = 1;
     std::atomic<int> m_connections = 0;
+    std::atomic<std::uint64_t> m_statements = 0;
 };
 
 }
--- a/src/standins/database/server.cpp
+++ b/src/standins/database/server.cpp
@@ -156,6 +156,8 @@
         const auto status = m_database.status();
         return "ok " + m_database.stateText() + ' ' + std::to_string(status.connections) + ' '
             + std::to_string(status.maxConnections) + ' ' + status.following;
+    } else if (verb == "statements") {
+        return "ok " + std::to_string(m_database.statements());
     } else {
         throw std::invalid_argument("unknown command: " + verb);
     }
--- a/src/standins/database/sqlsession.cpp
+++ b/src/standins/database/sqlsession.cpp
@@ -425,6 +425,7 @@
 
 void sql_session::execute()
 {
+    m_database.countStatement();
     try {
         auto &sql = connection();
         if (m_snapshot && m_block == block_state::Explicit && !sql.inTransaction()) {
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -124,7 +124,7 @@
     }
     startPlatform();
     startDatabases();
-    CPPUNIT_ASSERT_EQUAL(200, publish(0, configuration(m_options.confirm)));
+    CPPUNIT_ASSERT_EQUAL(200, publish(0, configuration()));
     choosePorts();
     for (std::size_t i = 0; i < m_instances.size(); ++i) {
         writeSettings(i);
@@ -376,21 +376,32 @@
     }
 }
 
-std::string cluster::configuration(const std::string &confirm, const std::vector<std::string> &drained) const
+std::string cluster::configuration(const std::vector<std::string> &services,
+                                   const std::vector<std::string> &drained) const
 {
     auto targets = nlohmann::json::array();
     for (std::size_t i = 0; i < databaseCount; ++i) {
         targets.push_back(
             {{"id", databaseName(i)}, {"address", database(i).address()}, {"data_centre", dataCentre(i)}});
     }
-    const nlohmann::json service{{"service", serviceName},
-                                 {"group", serviceName},
-                                 {"targets", std::move(targets)},
-                                 {"limits", {{"connections", m_options.connections}, {"slots", m_options.slots}}},
-                                 {"writes", {{"confirm", confirm}}},
-                                 {"reads", nlohmann::json::parse(m_options.reads)},
-                                 {"drained", drained}};
-    return nlohmann::json{{"services", {service}}}.dump();
+    auto all = nlohmann::json::array();
+    for (const auto &service : services) {
+        all.push_back({{"service", service},
+                       {"group", serviceName},
+                       {"targets", targets},
+                       {"limits", {{"connections", m_options.connections}, {"slots", m_options.slots}}},
+                       {"writes", {{"confirm", m_options.confirm}}},
+                       {"reads", nlohmann::json::parse(m_options.reads)},
+                       {"drained", drained}});
+    }
+    return nlohmann::json{{"services", std::move(all)}}.dump();
+}
+
+std::uint64_t cluster::publishedVersion() const
+{
+    httplib::Client client("http://" + m_platformAddress);
+    const auto answer = client.Get("/v1/objects/config/services");
+    return answer && answer->status == 200 ? nlohmann::json::parse(answer->body).value("version", std::uint64_t{0}) : 0;
 }
 
 int cluster::publish(std::uint64_t ifVersion, const std::string &value) const
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -71,10 +71,13 @@
     void cutInstances() const;
     void healAll() const;
 
-    /** The published object with the given values; "services" is its only service with @p drained targets. */
-    std::string configuration(const std::string &confirm, const std::vector<std::string> &drained = {}) const;
+    /** The published object: services of the same group, of which "orders" comes first, and the drained targets. */
+    std::string configuration(const std::vector<std::string> &services = {"orders"},
+                              const std::vector<std::string> &drained = {}) const;
     /** A conditional update of config/services; the HTTP status, 0 if the answer was lost. */
     int publish(std::uint64_t ifVersion, const std::string &value) const;
+    /** Version of config/services at the platform; 0 if it does not answer. */
+    std::uint64_t publishedVersion() const;
     void setPlatformFaults(const std::string &json) const;
     /** Versions of the configuration that the instance logged as in force, in order and over all of its starts. */
     std::vector<std::uint64_t> versionsInForce(std::size_t instance) const;
--- a/tests/support/pgclient.cpp
+++ b/tests/support/pgclient.cpp
@@ -2,6 +2,8 @@
 
 #include <poll.h>
 
+#include <string_view>
+
 namespace crocusdeal
 {
 
@@ -10,13 +12,29 @@
     return rows.empty() || rows.front().empty() ? std::string() : rows.front().front();
 }
 
+namespace
+{
+
+void recordNotice(void *fatalNotice, const PGresult *notice)
+{
+    const char *severity = PQresultErrorField(notice, PG_DIAG_SEVERITY);
+    const char *state = PQresultErrorField(notice, PG_DIAG_SQLSTATE);
+    if (severity != nullptr && state != nullptr && std::string_view(severity) == "FATAL") {
+        *static_cast<std::string *>(fatalNotice) = state;
+    }
+}
+
+}
+
 pg_client::pg_client(std::uint16_t port, const std::string &parameters)
-    : m_connection(PQconnectdb(("host=127.0.0.1 user=test dbname=test sslmode=disable gssencmode=disable "
+    : m_fatalNotice(std::make_unique<std::string>())
+    , m_connection(PQconnectdb(("host=127.0.0.1 user=test dbname=test sslmode=disable gssencmode=disable "
                                 "connect_timeout=10 port="
                                 + std::to_string(port) + ' ' + parameters)
                                    .c_str()),
                    PQfinish)
 {
+    PQsetNoticeReceiver(m_connection.get(), recordNotice, m_fatalNotice.get());
 }
 
 bool pg_client::connected() const
@@ -31,7 +49,8 @@
 
 pg_outcome pg_client::run(const std::string &sql)
 {
-    return outcomeOf(PQexec(m_connection.get(), sql.c_str()));
+    constexpr std::chrono::minutes veryLong{10};
+    return runWithin(sql, veryLong);
 }
 
 pg_outcome pg_client::runWithin(const std::string &sql, std::chrono::milliseconds timeout)
@@ -41,7 +60,9 @@
     auto *handle = m_connection.get();
     pg_outcome outcome;
     outcome.sqlState = "lost";
+    bool hasReason = false;
     if (PQsendQuery(handle, sql.c_str()) == 0) {
+        outcome.sqlState = m_fatalNotice->empty() ? "lost" : *m_fatalNotice;
         return outcome;
     }
     for (;;) {
@@ -58,7 +79,12 @@
         if (result == nullptr) {
             return outcome;
         }
-        outcome = outcomeOf(result);
+        // The reason that a FATAL error gave counts, not the end of the connection after it.
+        auto next = outcomeOf(result);
+        if (!hasReason || next.sqlState != "lost") {
+            outcome = std::move(next);
+        }
+        hasReason = !outcome.sqlState.empty();
     }
 }
 
@@ -92,7 +118,7 @@
     const auto status = PQresultStatus(result);
     if (status != PGRES_TUPLES_OK && status != PGRES_COMMAND_OK && status != PGRES_EMPTY_QUERY) {
         const char *state = PQresultErrorField(result, PG_DIAG_SQLSTATE);
-        outcome.sqlState = state == nullptr ? "lost" : state;
+        outcome.sqlState = state != nullptr ? state : m_fatalNotice->empty() ? "lost" : *m_fatalNotice;
         return outcome;
     }
     outcome.tag = PQcmdStatus(result);
--- a/tests/support/pgclient.h
+++ b/tests/support/pgclient.h
@@ -28,7 +28,10 @@
 
     bool connected() const;
     std::string error() const;
-    /** SQLSTATE "lost" stands for a connection that ended without an answer. */
+    /**
+     * SQLSTATE "lost" stands for a connection that ended without an answer. If a FATAL error came while no statement
+     * ran, which libpq passes on as a notice, the next statement has its SQLSTATE.
+     */
     pg_outcome run(const std::string &sql);
     /** SQLSTATE "timeout" stands for no answer in time; the connection cannot be used any more then. */
     pg_outcome runWithin(const std::string &sql, std::chrono::milliseconds timeout);
@@ -38,6 +41,7 @@
     pg_outcome outcomeOf(PGresult *result) const;
 
 private:
+    std::unique_ptr<std::string> m_fatalNotice;
     std::unique_ptr<PGconn, void (*)(PGconn *)> m_connection;
 };
 
