Close a target connection after a cancellation was sent for it

Cause: the cancellation goes to the database on a thread of its own. When the statement ended meanwhile, its connection went back to the pool, and the cancellation hit the statement of the session that took it next. Ruled out: a late cancellation of the session's own next statement, which the protocol allows; the test lets it meet a statement that may be cancelled. Conclusion: a cancelled statement costs a connection, and no other session.

--- a/src/libcrocusdealnet/callersession.cpp
+++ b/src/libcrocusdealnet/callersession.cpp
@@ -127,12 +127,18 @@
             self->m_cancelled = true;
             self->m_service->cancel(self->m_dispatchTicket);
         } else if (self->m_phase == phase::Running && self->m_lease) {
-            auto connection = self->m_lease->shared();
-            self->m_environment.runBlocking([connection] { connection->cancelStatement(); });
+            self->cancelAtTarget();
         }
     });
 }
 
+void caller_session::cancelAtTarget()
+{
+    m_cancelSent = true;
+    auto connection = m_lease->shared();
+    m_environment.runBlocking([connection] { connection->cancelStatement(); });
+}
+
 void caller_session::drain()
 {
     asio::dispatch(m_strand, [self = shared_from_this()] {
@@ -199,8 +205,7 @@
     case phase::Running:
         // A read nobody waits for only takes a slot; a write that was sent is left to end on its own.
         if (m_info.cls == statement_class::Read) {
-            auto connection = m_lease->shared();
-            m_environment.runBlocking([connection] { connection->cancelStatement(); });
+            cancelAtTarget();
         }
         return;
     case phase::Confirming:
@@ -613,7 +618,9 @@
 void caller_session::returnLease(lease_outcome outcome)
 {
     if (m_lease) {
-        m_lease->giveBack(outcome);
+        // The cancellation may reach the database after the statement has ended and would hit the next user's
+        // statement.
+        m_lease->giveBack(std::exchange(m_cancelSent, false) ? lease_outcome::Broken : outcome);
         m_lease.reset();
     }
 }
--- a/src/libcrocusdealnet/callersession.h
+++ b/src/libcrocusdealnet/callersession.h
@@ -104,6 +104,8 @@
     bool retryElsewhere();
     void onTargetLost();
     void watchTarget();
+    /** Sends a cancellation for the running statement; the target connection is closed afterwards. */
+    void cancelAtTarget();
     void returnLease(lease_outcome outcome);
 
     void confirm(position at);
@@ -146,6 +148,7 @@
     std::uint64_t m_dispatchTicket = 0;
     std::optional<target_id> m_avoid;
     bool m_cancelled = false;
+    bool m_cancelSent = false; ///< To the database, on the present lease.
     bool m_anythingWritten = false; ///< Part of the answer has left for the caller.
     bool m_awaitingSync = false; ///< A Flush was answered; the Sync of its batch is still to come.
 
