Keep running when a caller vanishes while its answer ends

Cause: onCallerGone() used the lease of a running read, but the lease is returned before the end of the answer has been written to the caller. Conclusion: a caller cannot end an instance by closing its socket.

--- a/src/libcrocusdealnet/callersession.cpp
+++ b/src/libcrocusdealnet/callersession.cpp
@@ -203,8 +203,9 @@
         m_service->cancel(m_dispatchTicket);
         return;
     case phase::Running:
-        // A read nobody waits for only takes a slot; a write that was sent is left to end on its own.
-        if (m_info.cls == statement_class::Read) {
+        // A read nobody waits for only takes a slot; a write that was sent is left to end on its own. There is no lease
+        // any more while the end of an answer is on its way to the caller.
+        if (m_info.cls == statement_class::Read && m_lease) {
             cancelAtTarget();
         }
         return;
