Give up a target that only peers still reach

Cause: a session waits for an answer as long as the target counts as alive, and an answer that a peer had from the target counted. Behind a partition a statement sent on a cut connection waited for ever. Ruled out: the promotion, which had happened after 1 s, and the router: no further statement was sent on these sessions. Conclusion: only answers to this instance count; a waiting statement keeps the instance's own probes going, so a long statement is not given up.

--- a/src/libcrocusdeal/databasegroup.cpp
+++ b/src/libcrocusdeal/databasegroup.cpp
@@ -80,7 +80,7 @@
         m_termSeenAt = heardAt;
     }
     if (source == observation_source::Own) {
-        entry->ownHeardAt = std::max(entry->ownHeardAt, heardAt);
+        entry->view.ownHeardAt = std::max(entry->view.ownHeardAt, heardAt);
     }
     entry->unansweredProbes = 0;
     learnReplayRate(*entry, status, heardAt);
@@ -259,7 +259,7 @@
 bool database_group::reachesMajority(time_point now) const
 {
     const auto reached = std::count_if(m_members.begin(), m_members.end(), [&](const auto &entry) {
-        return now - entry.second.ownHeardAt <= m_policy.unheardLimit;
+        return now - entry.second.view.ownHeardAt <= m_policy.unheardLimit;
     });
     return static_cast<std::size_t>(reached) >= majority();
 }
--- a/src/libcrocusdeal/databasegroup.h
+++ b/src/libcrocusdeal/databasegroup.h
@@ -74,7 +74,6 @@
 private:
     struct member {
         target_view view;
-        time_point ownHeardAt = never;
         time_point probedAt = never;
         int unansweredProbes = 0;
     };
--- a/src/libcrocusdeal/groupview.h
+++ b/src/libcrocusdeal/groupview.h
@@ -15,10 +15,11 @@
     target_address address;
     std::optional<target_status> status;
     time_point askedAt = never; ///< When the newest answered query was sent.
-    time_point heardAt = never;
+    time_point heardAt = never; ///< By this instance or by a peer.
     bool leaving = false; ///< Drained: gets no new work.
     time_point includesUntil = never; ///< Its data includes every write acknowledged before this time.
     double replayRate = 0; ///< Observed log entries a millisecond; 0 while unknown.
+    time_point ownHeardAt = never; ///< By this instance.
 };
 
 /** An immutable snapshot of a group for routing. */
--- a/src/libcrocusdealnet/groupruntime.cpp
+++ b/src/libcrocusdealnet/groupruntime.cpp
@@ -16,7 +16,7 @@
 {
 
 constexpr duration confirmTimeout{5000};
-/** A target that answered neither this instance nor a peer for longer counts as gone; its connections are given up. */
+/** A target that did not answer this instance for longer counts as gone; its connections are given up. */
 constexpr duration aliveLimit{3000};
 /** An instance probes the targets of a group that it used within this time, besides the probers by order. */
 constexpr duration usedLimit{10000};
@@ -80,6 +80,7 @@
     , m_id(group.group)
     , m_costs(std::make_shared<shared_costs>(statement_costs_settings{}))
     , m_usedAt(systemNow().ms)
+    , m_usedSince(systemNow().ms)
 {
     m_monitor = makeMonitor(group, confirm);
 }
@@ -265,7 +266,7 @@
     hooks->group = m_id;
     const auto self = shared_from_this();
     hooks->dispatch = [self, router](const dispatch_request &request, service_hooks::dispatch_handler done) {
-        self->m_usedAt.store(systemNow().ms, std::memory_order_relaxed);
+        self->noteUse();
         return router->dispatch(request, std::move(done));
     };
     hooks->explain = [router](const dispatch_request &request) { return router->explain(request); };
@@ -315,11 +316,26 @@
     m_monitor->observe(target, complete, askedAt);
 }
 
-bool group_runtime::isAlive(const target_id &target) const
+void group_runtime::noteUse()
 {
+    const auto now = systemNow().ms;
+    if (now - m_usedAt.exchange(now, std::memory_order_relaxed) >= usedLimit.ms) {
+        m_usedSince.store(now, std::memory_order_relaxed);
+    }
+}
+
+// What peers hear does not count: a partition may leave the target to them and its connections here without an answer.
+// This instance probes the target itself while the group is in use, and a statement that waits is a use.
+bool group_runtime::isAlive(const target_id &target)
+{
+    noteUse();
     const auto view = m_monitor->view();
     const auto *known = view->find(target);
-    return known != nullptr && (known->heardAt == never || systemNow() - known->heardAt < aliveLimit);
+    if (known == nullptr) {
+        return false;
+    }
+    const time_point usedSince{m_usedSince.load(std::memory_order_relaxed)};
+    return systemNow() - std::max(known->ownHeardAt, usedSince) < aliveLimit;
 }
 
 void group_runtime::onViewChanged(const group_view_ptr &view)
--- a/src/libcrocusdealnet/groupruntime.h
+++ b/src/libcrocusdealnet/groupruntime.h
@@ -87,7 +87,9 @@
                                                    const std::shared_ptr<service_router> &router);
     std::function<bool()> makeRetryBudget();
     void observe(const target_id &target, std::string_view state, time_point askedAt);
-    bool isAlive(const target_id &target) const;
+    void noteUse();
+    /** Called for a target with an unanswered statement. */
+    bool isAlive(const target_id &target);
     void onViewChanged(const group_view_ptr &view);
 
     group_environment &m_environment;
@@ -96,6 +98,7 @@
     std::shared_ptr<gate_table> m_gates = std::make_shared<gate_table>();
     std::shared_ptr<shared_costs> m_costs;
     std::atomic<std::int64_t> m_usedAt;
+    std::atomic<std::int64_t> m_usedSince; ///< Without a pause above the limit.
     std::atomic<bool> m_suspected{false};
 
     mutable std::mutex m_mutex;
--- a/tests/process/partitiontest.cpp
+++ b/tests/process/partitiontest.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST_SUITE(partition_test);
     CPPUNIT_TEST(splitBetweenTwoSides);
     CPPUNIT_TEST(primaryCutOffFromReplicasAndOneInstance);
+    CPPUNIT_TEST(statementOnACutConnectionIsAnswered);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -125,6 +126,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, acknowledgedAfterNewerTerm(records).size());
         requireSameRows(cluster, 0, newPrimary);
     }
+
+    /**
+     * Guards against a session that waits for ever for a target that only other instances still reach: the caller of
+     * instance 1 gets an answer, and then an own write that is acknowledged.
+     */
+    void statementOnACutConnectionIsAnswered()
+    {
+        const cluster cluster;
+        auto caller = cluster.connect(1);
+        caller.run(write_load::createTable);
+        CPPUNIT_ASSERT_EQUAL(std::string(), caller.run("INSERT INTO w VALUES (1, 1)").sqlState);
+        cluster.cutInstance(0, 1);
+        const auto state = caller.runWithin("INSERT INTO w VALUES (2, 1)", maxFailoverGap).sqlState;
+        CPPUNIT_ASSERT_MESSAGE(state, state.empty() || state == "08007" || state == "57P03");
+        CPPUNIT_ASSERT(waitFor(maxFailoverGap,
+                               [&] { return caller.runWithin("INSERT INTO w VALUES (3, 1)", 20s).sqlState.empty(); }));
+        cluster.healAll();
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), caller.runWithin("SELECT count(*) FROM w WHERE id = 3", 20s).value());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(partition_test);
