Follow the naming rules in the process tests

Cause: clang-tidy refused member names and a size computed as int. Ruled out: changes of what is tested.

--- a/tests/process/callerbasicstest.cpp
+++ b/tests/process/callerbasicstest.cpp
@@ -237,7 +237,7 @@
         CPPUNIT_ASSERT(!replication.connected());
         CPPUNIT_ASSERT_MESSAGE(replication.error(), replication.error().find("FATAL") != std::string::npos);
         // The limit is 16 MB a message.
-        constexpr std::size_t tooMuch = 17 * 1024 * 1024;
+        constexpr std::size_t tooMuch = 17'000'000;
         auto big = cluster.connect(0);
         const auto refused = big.runWithin("SELECT '" + std::string(tooMuch, 'x') + "'", answerLimit);
         CPPUNIT_ASSERT(refused.sqlState == "08P01" || refused.sqlState == "lost");
--- a/tests/process/transactionmixtest.cpp
+++ b/tests/process/transactionmixtest.cpp
@@ -35,31 +35,45 @@
 class mix_log
 {
 public:
-    void committed(const std::string &tag)
+    void addCommitted(const std::string &tag)
     {
         const std::lock_guard lock(m_mutex);
         m_committed.insert(tag);
     }
 
-    void unknown(const std::string &tag)
+    void addUnknown(const std::string &tag)
     {
         const std::lock_guard lock(m_mutex);
         m_unknown.insert(tag);
     }
 
-    void wrong(const std::string &what)
+    void addWrong(const std::string &what)
     {
         const std::lock_guard lock(m_mutex);
         m_wrong = m_wrong.empty() ? what : m_wrong;
     }
 
-    /** For the main thread after the callers have ended. */
-    std::set<std::string> m_committed;
-    std::set<std::string> m_unknown;
-    std::string m_wrong;
+    // For the main thread after the callers have ended.
+    const std::set<std::string> &committed() const
+    {
+        return m_committed;
+    }
+
+    const std::set<std::string> &unknown() const
+    {
+        return m_unknown;
+    }
+
+    const std::string &wrong() const
+    {
+        return m_wrong;
+    }
 
 private:
     std::mutex m_mutex;
+    std::set<std::string> m_committed;
+    std::set<std::string> m_unknown;
+    std::string m_wrong;
 };
 
 /** One caller that runs transactions with tags of its own until stopped. */
@@ -132,7 +146,7 @@
         const auto &state = outcome.sqlState;
         if (!state.empty() && state != "57P03" && state != "53300" && state != "08007" && state != "40001"
             && state != "25P02") {
-            m_log.wrong(sql + " told " + state + ": " + m_client.error());
+            m_log.addWrong(sql + " told " + state + ": " + m_client.error());
         }
         return outcome;
     }
@@ -142,7 +156,7 @@
         const auto tag = nextTag();
         const auto outcome = ask("SELECT '" + tag + "'");
         if (outcome.sqlState.empty() && outcome.value() != tag) {
-            m_log.wrong("asked for " + tag + ", got " + outcome.value());
+            m_log.addWrong("asked for " + tag + ", got " + outcome.value());
         }
     }
 
@@ -156,7 +170,7 @@
         const bool second = first && ask("INSERT INTO mix VALUES ('" + tag + "', 2)").sqlState.empty();
         const auto rows = second ? ask("SELECT count(*) FROM mix WHERE tag = '" + tag + "'") : pg_outcome();
         if (second && rows.sqlState.empty() && rows.value() != "2") {
-            m_log.wrong("own transaction shows " + rows.value() + " rows of " + tag);
+            m_log.addWrong("own transaction shows " + rows.value() + " rows of " + tag);
         }
         return second;
     }
@@ -167,9 +181,9 @@
         const bool whole = insertPair(tag);
         const auto end = ask(commits && whole ? "COMMIT" : "ROLLBACK");
         if (commits && whole && end.sqlState.empty() && end.tag == "COMMIT") {
-            m_log.committed(tag);
+            m_log.addCommitted(tag);
         } else if (commits && whole && end.sqlState == "08007") {
-            m_log.unknown(tag);
+            m_log.addUnknown(tag);
         }
     }
 
@@ -206,7 +220,7 @@
             if (outcome.sqlState == "57014") {
                 ++m_cancelled;
             } else if (outcome.sqlState.empty() && outcome.value() != tag) {
-                m_log.wrong("asked for " + tag + ", got " + outcome.value());
+                m_log.addWrong("asked for " + tag + ", got " + outcome.value());
             }
         }
         // The protocol allows that a late cancellation hits the next statement of the same session, but of no other.
@@ -244,6 +258,7 @@
         std::atomic<bool> stopped = false;
         std::atomic<int> cancelled = 0;
         std::vector<std::thread> threads;
+        threads.reserve(callers);
         for (int number = 0; number < callers; ++number) {
             threads.emplace_back([&, number] {
                 mixing_caller caller(cluster, log, number);
@@ -260,23 +275,23 @@
             const auto ended = cluster.instance(instance).wait(0ms);
             CPPUNIT_ASSERT_MESSAGE("ended with " + std::to_string(ended.value_or(0)), !ended.has_value());
         }
-        CPPUNIT_ASSERT_EQUAL(std::string(), log.m_wrong);
+        CPPUNIT_ASSERT_EQUAL(std::string(), log.wrong());
         const auto rows =
             pg_client(cluster.database(0).port()).run("SELECT tag, count(*), sum(part) FROM mix GROUP BY tag");
         std::set<std::string> found;
         for (const auto &row : rows.rows) {
-            const bool expected = log.m_committed.contains(row.at(0)) || log.m_unknown.contains(row.at(0));
+            const bool expected = log.committed().contains(row.at(0)) || log.unknown().contains(row.at(0));
             CPPUNIT_ASSERT_MESSAGE("not committed: " + row.at(0), expected);
             CPPUNIT_ASSERT_EQUAL(row.at(0) + " 2 3", row.at(0) + ' ' + row.at(1) + ' ' + row.at(2));
             found.insert(row.at(0));
         }
-        for (const auto &tag : log.m_committed) {
+        for (const auto &tag : log.committed()) {
             CPPUNIT_ASSERT_MESSAGE("committed and missing: " + tag, found.contains(tag));
         }
         std::cout << "\n"
-                  << log.m_committed.size() << " committed, " << log.m_unknown.size() << " unknown, " << cancelled
+                  << log.committed().size() << " committed, " << log.unknown().size() << " unknown, " << cancelled
                   << " cancelled" << std::endl;
-        CPPUNIT_ASSERT(log.m_committed.size() > 10);
+        CPPUNIT_ASSERT(log.committed().size() > 10);
         CPPUNIT_ASSERT(cancelled > 0);
     }
 
