Share connections and long places between instances

Ruled out: opening and letting the target refuse, which costs it a process start each time and starves whoever comes late. Before: shares were limit / live instances - 1, not changed before the others had closed theirs; waits in the pool had no deadline. After: limit_coordinator carries the messages of permit and connection ledgers between instances; every instance gets its base after 2 s, more by demand, and its own base after 3 s without an owner; waits end at the request's deadline. test_libcrocusdealnet limit_coordinator: 4 passed. Conclusion: the count of the target itself tells when a share is free.

--- a/src/libcrocusdealnet/groupmonitor.cpp
+++ b/src/libcrocusdealnet/groupmonitor.cpp
@@ -232,9 +232,26 @@
     }
     step();
     publish(now, false);
+    countControls();
     scheduleTick();
 }
 
+void group_monitor::countControls()
+{
+    std::map<target_id, int> counts;
+    for (const auto &[id, entry] : m_controls) {
+        counts.emplace(id, entry->openConnections());
+    }
+    const std::lock_guard lock(m_mutex);
+    m_controlCounts.swap(counts);
+}
+
+std::map<target_id, int> group_monitor::controlConnections() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_controlCounts;
+}
+
 void group_monitor::probe(time_point now)
 {
     const auto primary = m_group.primary();
@@ -447,6 +464,9 @@
         if (const auto self = weak.lock()) {
             self->m_failing[id] = false;
             self->take(id, status, askedAt, observation_source::Own);
+            if (self->m_hooks.onControlStatus) {
+                self->m_hooks.onControlStatus(id, status, askedAt);
+            }
         }
     };
     hooks.onOrder = [weak](const order_answer &answer, const std::string &error) {
--- a/src/libcrocusdealnet/groupmonitor.h
+++ b/src/libcrocusdealnet/groupmonitor.h
@@ -38,6 +38,8 @@
     std::function<int()> candidateRank;
     std::function<bool(const target_id &)> isProber;
     std::function<void(std::uint64_t term, const target_id &primary)> onHint;
+    /** A target answered group_status(); may be empty. */
+    std::function<void(const target_id &, const target_status &, time_point askedAt)> onControlStatus;
 };
 
 /** What this instance itself heard from a target, for other instances. */
@@ -86,6 +88,9 @@
     /** A status that another instance reported; the target had it at some time from @p notBefore on. */
     void observePeer(const target_id &target, const target_status &status, time_point notBefore);
 
+    /** Control connections that are open, as of the last tick. */
+    std::map<target_id, int> controlConnections() const;
+
     /** Own observations of the last 2 s. */
     std::vector<group_fact> facts() const;
 
@@ -112,6 +117,7 @@
 
     void tick();
     void scheduleTick();
+    void countControls();
     void step();
     void probe(time_point now);
     bool wantsProbe(const target_id &target, time_point now, bool standby) const;
@@ -166,6 +172,7 @@
     mutable std::mutex m_mutex; ///< Guards the two below.
     group_view_ptr m_view;
     std::map<target_id, std::pair<target_status, time_point>> m_ownFacts;
+    std::map<target_id, int> m_controlCounts;
 };
 
 }
--- a/src/libcrocusdealnet/groupruntime.cpp
+++ b/src/libcrocusdealnet/groupruntime.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <limits>
 #include <set>
 #include <utility>
@@ -21,8 +22,8 @@
 /** An instance probes the targets of a group that it used within this time, besides the probers by order. */
 constexpr duration usedLimit{10000};
 constexpr duration idleConnectionLimit{60000};
-/** Each instance keeps this many connections to a target for the monitor, which counts outside of the pool. */
-constexpr int controlConnections = 1;
+/** Demand falls by this share each 100 ms, so that a pause between requests gives no connection away. */
+constexpr double demandDecay = 0.98;
 
 const part_log &groupLog()
 {
@@ -49,11 +50,11 @@
     return log_level::Warn;
 }
 
-int shareOf(const service_limits &limits, int liveInstances)
-{
-    return std::max(1, limits.connections / std::max(1, liveInstances) - controlConnections);
 }
 
+target_id fleetTargetId(const group_id &group, const target_id &target)
+{
+    return target_id(group.str() + '/' + target.str());
 }
 
 std::optional<target_status> parseGroupState(std::string_view text)
@@ -107,6 +108,9 @@
         return used || m_environment.isProber(m_id, target);
     };
     hooks.onHint = [this](std::uint64_t term, const target_id &primary) { m_environment.onHint(m_id, term, primary); };
+    hooks.onControlStatus = [this](const target_id &target, const target_status &status, time_point askedAt) {
+        m_environment.limits->onTargetStatus(fleetTargetId(m_id, target), status.connections, askedAt);
+    };
     return std::make_shared<group_monitor>(m_environment.io, std::move(settings), std::move(hooks));
 }
 
@@ -144,16 +148,7 @@
             gates.emplace(address.id, found->second);
             continue;
         }
-        target_connection_settings settings;
-        settings.address = address;
-        settings.database = group.group.str();
-        settings.user = m_environment.user;
-        settings.applicationName = "crocusdeal-" + m_environment.self.str();
-        auto pool = std::make_shared<connection_pool>(
-            m_environment.io, settings, 1, [](const std::string &line) { targetLog().write(log_level::Warn, line); });
-        gates.emplace(address.id,
-                      std::make_shared<target_gate>(
-                          m_environment.io, std::move(pool), m_costs, concurrency_limit_settings{limits.slots, 1}));
+        gates.emplace(address.id, makeGate(address, limits));
     }
     gate_map retired;
     for (const auto &[target, gate] : *before) {
@@ -165,6 +160,64 @@
     return retired;
 }
 
+connection_pool_hooks group_runtime::makePoolHooks(const target_id &key) const
+{
+    const auto limits = m_environment.limits;
+    connection_pool_hooks hooks;
+    hooks.beginOpening = [limits, key] { return limits->beginOpening(key); };
+    hooks.onEstablished = [limits, key] { limits->onEstablished(key); };
+    hooks.onOpenFailed = [limits, key](bool refused) { limits->onOpenFailed(key, refused); };
+    hooks.onClosed = [limits, key] { limits->onClosed(key); };
+    hooks.log = [](const std::string &line) { targetLog().write(log_level::Warn, line); };
+    return hooks;
+}
+
+std::shared_ptr<target_gate> group_runtime::makeGate(const target_address &address, const service_limits &limits)
+{
+    target_connection_settings settings;
+    settings.address = address;
+    settings.database = m_id.str();
+    settings.user = m_environment.user;
+    settings.applicationName = "crocusdeal-" + m_environment.self.str();
+    const auto key = fleetTargetId(m_id, address.id);
+    auto pool = std::make_shared<connection_pool>(m_environment.io, std::move(settings), makePoolHooks(key));
+    auto gate = std::make_shared<target_gate>(
+        m_environment.io, std::move(pool), m_costs, concurrency_limit_settings{limits.slots, 1});
+    gate->setOnLongFinished([coordinator = m_environment.limits, key] { coordinator->onLongFinished(key); });
+    return gate;
+}
+
+void group_runtime::updateDemand()
+{
+    const auto controls = m_monitor->controlConnections();
+    const auto gates = m_gates->get();
+    for (const auto &[target, gate] : *gates) {
+        gate->reclassify();
+        gate->pool().expireWaits(systemNow());
+        const auto counts = gate->pool().counts();
+        const double used = counts.open - counts.idle + counts.waiting;
+        auto &demand = m_demand[target];
+        demand = std::max(used, demand * demandDecay);
+        const auto key = fleetTargetId(m_id, target);
+        m_environment.limits->setDemand(key, static_cast<int>(std::ceil(demand)), gate->longDemand());
+        const auto control = controls.find(target);
+        m_environment.limits->setControlConnections(key, control == controls.end() ? 0 : control->second);
+    }
+}
+
+void group_runtime::onLimitsChanged(const target_id &target)
+{
+    const auto gates = m_gates->get();
+    const auto found = gates->find(target);
+    if (found == gates->end()) {
+        return;
+    }
+    const auto key = fleetTargetId(m_id, target);
+    found->second->setLongPlaces(m_environment.limits->longPlaces(key));
+    found->second->pool().setExcess(m_environment.limits->excess(key));
+    found->second->pool().openMore();
+}
+
 /** Starts waiting requests, so no lock may be held. */
 void group_runtime::applyCapacity()
 {
@@ -177,9 +230,7 @@
     }
     const auto gates = m_gates->get();
     for (const auto &[target, gate] : *gates) {
-        gate->pool().setShare(shareOf(limits, instances));
         gate->setCapacity({limits.slots, instances});
-        gate->setLongPlaces(std::max(1, limits.slots - 1));
     }
 }
 
@@ -216,7 +267,7 @@
     }
     for (const auto &[target, gate] : retired) {
         gate->refuseAll(refuse_reason::ShuttingDown);
-        gate->pool().setShare(0);
+        gate->pool().setExcess(gate->pool().counts().open);
     }
     applyCapacity();
     for (const auto &entry : removed) {
@@ -374,7 +425,8 @@
         entry.view = target;
         if (const auto found = gates->find(target.address.id); found != gates->end()) {
             entry.connections = found->second->pool().counts();
-            entry.share = found->second->pool().share();
+            entry.share = m_environment.limits->allowance(fleetTargetId(m_id, target.address.id));
+            entry.longPlaces = m_environment.limits->longPlaces(fleetTargetId(m_id, target.address.id));
             entry.waiting = found->second->waiting();
             entry.running = found->second->running();
             entry.limit = found->second->limit();
--- a/src/libcrocusdealnet/groupruntime.h
+++ b/src/libcrocusdealnet/groupruntime.h
@@ -2,6 +2,7 @@
 
 #include "connectionpool.h"
 #include "groupmonitor.h"
+#include "limitcoordinator.h"
 #include "serviceconfiguration.h"
 #include "servicerouter.h"
 
@@ -29,13 +30,15 @@
     std::function<void(const group_id &, const target_id &, const target_status &)> onOwnFact; ///< A change, at once.
     std::function<void(const group_id &, std::uint64_t term, const target_id &primary)> onHint;
     std::function<void(const group_id &)> onSuspected; ///< Peers may know more of the primary.
+    std::shared_ptr<limit_coordinator> limits;
 };
 
 /** One target as this instance sees it, for status reports. */
 struct target_report {
     target_view view;
     connection_pool_counts connections;
-    int share = 0;
+    int share = 0; ///< Connections that this instance may have open.
+    int longPlaces = 0; ///< Long statements that it may run.
     std::size_t waiting = 0;
     std::size_t running = 0;
     int limit = 0;
@@ -71,6 +74,10 @@
     group_report report() const;
     /** Closes connections that were not used for a while. */
     void closeIdleConnections();
+    /** States the demand for connections and permits; to be called each 100 ms. */
+    void updateDemand();
+    /** The allowance or the long places of a target changed. */
+    void onLimitsChanged(const target_id &target);
 
 private:
     struct service_entry {
@@ -82,6 +89,8 @@
     std::shared_ptr<group_monitor> makeMonitor(const group_configuration &group, confirm_mode confirm);
     gate_map updateGates(const group_configuration &group, const service_limits &limits);
     void applyCapacity();
+    std::shared_ptr<target_gate> makeGate(const target_address &address, const service_limits &limits);
+    connection_pool_hooks makePoolHooks(const target_id &key) const;
     service_entry makeService(const service_configuration &configuration);
     std::shared_ptr<const service_hooks> makeHooks(const service_configuration &configuration,
                                                    const std::shared_ptr<service_router> &router);
@@ -97,6 +106,7 @@
     std::shared_ptr<shared_costs> m_costs;
     std::atomic<std::int64_t> m_usedAt;
     std::atomic<bool> m_suspected{false};
+    std::map<target_id, double> m_demand; ///< Only used by updateDemand().
 
     mutable std::mutex m_mutex;
     std::map<service_id, service_entry> m_services;
@@ -104,6 +114,9 @@
     int m_liveInstances = 1;
 };
 
+/** The name of a target among those of all groups. */
+target_id fleetTargetId(const group_id &group, const target_id &target);
+
 /** Reads the in-band state "<term> <role> <entry term>/<offset>"; nothing if it is malformed. */
 std::optional<target_status> parseGroupState(std::string_view text);
 
--- a/src/libcrocusdealnet/instance.cpp
+++ b/src/libcrocusdealnet/instance.cpp
@@ -15,6 +15,7 @@
 #include <chrono>
 #include <future>
 #include <random>
+#include <set>
 #include <utility>
 
 namespace crocusdeal
@@ -28,6 +29,8 @@
 constexpr duration platformTimeout{5000};
 constexpr duration shutdownLimit{30000};
 constexpr duration promoteLimit{15000};
+constexpr duration limitTimeout{500};
+constexpr std::chrono::milliseconds limitPeriod{100};
 constexpr std::chrono::milliseconds tickPeriod{500};
 constexpr std::chrono::milliseconds shutdownPoll{20};
 
@@ -43,6 +46,12 @@
     return log;
 }
 
+const part_log &limitLog()
+{
+    static const part_log log("queue");
+    return log;
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -109,8 +118,10 @@
                          nullptr,
                          nullptr,
                          nullptr,
+                         nullptr,
                          nullptr}
     , m_timer(io)
+    , m_limitTimer(io)
     , m_shutdownTimer(io)
 {
     m_sessions.runBlocking = [this](const std::function<void()> &task) { asio::post(m_blocking, task); };
@@ -143,6 +154,7 @@
         return problem;
     }
     startControlPlane();
+    startLimits();
     if (auto problem = m_control->start()) {
         return problem;
     }
@@ -154,6 +166,7 @@
         return "cannot listen on " + toString(m_settings.callerAddress) + ": " + error.what();
     }
     tick();
+    tickLimits();
     return startAdmin();
 }
 
@@ -198,9 +211,10 @@
     };
     hooks.localFacts = [this] { return localFacts(); };
     hooks.onFact = [this](const database_fact &fact, time_point notBefore) { onFact(fact, notBefore); };
-    hooks.onRequest = [](const instance_id &, std::string, const std::function<void(std::string)> &reply) {
-        reply({});
-    };
+    hooks.onRequest =
+        [this](const instance_id &from, const std::string &bytes, const std::function<void(std::string)> &reply) {
+            reply(m_groupEnvironment.limits->onMessages(from, bytes));
+        };
     hooks.onPlatformNeeded = [this] { refreshInstances(); };
     m_control = control_plane::create(m_io, std::move(settings), std::move(hooks));
 
@@ -217,6 +231,61 @@
     m_groupEnvironment.onSuspected = [this](const group_id &group) { m_control->queryGroup(group); };
 }
 
+void instance::startLimits()
+{
+    limit_coordinator::hooks hooks;
+    hooks.now = systemNow;
+    hooks.send =
+        [this](const instance_id &to, std::string bytes, std::function<void(std::optional<std::string>)> done) {
+            m_control->request(to, std::move(bytes), limitTimeout, std::move(done));
+        };
+    hooks.log = [](const std::string &line) { limitLog().write(log_level::Info, line); };
+    hooks.onChanged = [this](const target_id &key) {
+        const auto slash = key.str().find('/');
+        const auto known = groups();
+        const auto found = known.find(group_id(key.str().substr(0, slash)));
+        if (found != known.end()) {
+            found->second->onLimitsChanged(target_id(key.str().substr(slash + 1)));
+        }
+    };
+    // Wall clock time rises across restarts of the instance, which keeps nothing else.
+    const auto started = std::chrono::system_clock::now().time_since_epoch();
+    m_groupEnvironment.limits = std::make_shared<limit_coordinator>(
+        m_settings.instance,
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(started).count()),
+        std::move(hooks));
+}
+
+void instance::tickLimits()
+{
+    m_groupEnvironment.limits->setMembers(m_control->members());
+    for (const auto &[id, group] : groups()) {
+        group->updateDemand();
+    }
+    m_groupEnvironment.limits->tick();
+    m_limitTimer.expires_after(limitPeriod);
+    m_limitTimer.async_wait([weak = weak_from_this()](std::error_code error) {
+        if (const auto self = weak.lock(); self && !error) {
+            self->tickLimits();
+        }
+    });
+}
+
+void instance::setLimitTargets(const fleet_configuration &configuration)
+{
+    std::vector<target_limits> limits;
+    for (const auto &group : configuration.groups()) {
+        const auto *service = configuration.find(group.services.front());
+        for (const auto &target : group.targets) {
+            limits.push_back({fleetTargetId(group.group, target.id),
+                              target.dataCentre,
+                              service->limits.connections,
+                              service->limits.slots});
+        }
+    }
+    m_groupEnvironment.limits->setTargets(limits);
+}
+
 void instance::startPlatform()
 {
     platform_client_options options;
@@ -385,6 +454,11 @@
 {
     m_platform->instances(platformTimeout, [this](const platform_result<std::vector<instance_entry>> &result) {
         if (result.value) {
+            std::set<instance_id> listed;
+            for (const auto &entry : *result.value) {
+                listed.insert(entry.id);
+            }
+            m_groupEnvironment.limits->setListed(std::move(listed));
             m_control->setPlatformInstances(toListed(*result.value));
         }
     });
@@ -463,6 +537,7 @@
             runtime->stop();
         }
     }
+    setLimitTargets(configuration);
     m_control->setGroups(std::move(targets), std::move(wanted));
 }
 
@@ -576,6 +651,7 @@
     m_admin->stop();
     m_listener->stop();
     m_timer.cancel();
+    m_limitTimer.cancel();
     m_watcher.reset();
     for (const auto &[id, group] : groups()) {
         group->stop();
--- a/src/libcrocusdealnet/instance.h
+++ b/src/libcrocusdealnet/instance.h
@@ -50,6 +50,9 @@
     void startPlatform();
     std::optional<std::string> startAdmin();
     void scheduleTick();
+    void startLimits();
+    void tickLimits();
+    void setLimitTargets(const fleet_configuration &configuration);
     void tick();
     void watchPlatform();
     void refreshInstances();
@@ -81,6 +84,7 @@
     startup_environment m_startup;
     group_environment m_groupEnvironment;
     asio::steady_timer m_timer;
+    asio::steady_timer m_limitTimer;
     asio::steady_timer m_shutdownTimer;
 
     std::shared_ptr<control_plane> m_control;
--- a/src/libcrocusdealnet/instancestatus.cpp
+++ b/src/libcrocusdealnet/instancestatus.cpp
@@ -27,6 +27,7 @@
                {"running", report.running},
                {"queued", report.waiting},
                {"limit", report.limit},
+               {"long_places", report.longPlaces},
                {"connections",
                 {{"open", report.connections.open},
                  {"idle", report.connections.idle},
--- a/src/libcrocusdealnet/servicerouter.cpp
+++ b/src/libcrocusdealnet/servicerouter.cpp
@@ -199,9 +199,10 @@
     }
     const bool toPrimary = decision.kind == route_kind::ToPrimary;
     countRead(*work, !toPrimary);
-    destination->submit(entry, [self = shared_from_this(), work, target, toPrimary](gate_answer answer) {
-        self->onGateAnswer(work, target, toPrimary, std::move(answer));
-    });
+    destination->submit(
+        entry, work->request.fingerprint, [self = shared_from_this(), work, target, toPrimary](gate_answer answer) {
+            self->onGateAnswer(work, target, toPrimary, std::move(answer));
+        });
 }
 
 void service_router::countRead(job &work, bool onReplica)
@@ -235,7 +236,7 @@
         auto entry = followUp;
         entry.expected = costs->estimate(fingerprint).expected;
         entry.deadline = systemNow() + entry.expected * 10;
-        origin->resume(entry);
+        origin->resume(entry, fingerprint);
     };
     hooks.ran = [origin](std::uint64_t fingerprint, duration ran) { origin->ran(fingerprint, ran); };
     return std::make_unique<connection_lease>(std::move(connection), isPrimary, std::move(hooks));
--- a/src/libcrocusdealnet/targetcontrol.cpp
+++ b/src/libcrocusdealnet/targetcontrol.cpp
@@ -52,6 +52,11 @@
     return m_address;
 }
 
+int target_control::openConnections() const
+{
+    return (m_first && m_first->isOpen() ? 1 : 0) + (m_second && m_second->isOpen() ? 1 : 0);
+}
+
 void target_control::wantStatus(time_point notBefore)
 {
     if (m_queryStartedAt >= notBefore) {
--- a/src/libcrocusdealnet/targetcontrol.h
+++ b/src/libcrocusdealnet/targetcontrol.h
@@ -31,6 +31,8 @@
                    hooks callbacks);
 
     const target_address &address() const;
+    /** Connections to the target that are open. */
+    int openConnections() const;
 
     /** Wants a status by a query sent at or after @p notBefore. */
     void wantStatus(time_point notBefore);
--- a/src/libcrocusdealnet/targetgate.cpp
+++ b/src/libcrocusdealnet/targetgate.cpp
@@ -47,11 +47,12 @@
     m_queue.setLimit(m_limit.limit(), systemNow());
 }
 
-void target_gate::submit(const queue_entry &entry, handler done)
+void target_gate::submit(const queue_entry &entry, std::uint64_t fingerprint, handler done)
 {
     queue_actions actions;
     {
         const std::lock_guard lock(m_mutex);
+        noteRunning(entry, fingerprint);
         m_handlers.emplace(entry.id, std::move(done));
         actions = m_queue.submit(entry, systemNow());
     }
@@ -72,6 +73,7 @@
                 done = std::move(found->second);
                 m_handlers.erase(found);
             }
+            m_submitted.erase(id);
         }
     }
     if (done) {
@@ -92,18 +94,62 @@
 void target_gate::pause(std::uint64_t id)
 {
     queue_actions actions;
+    std::function<void()> onLongFinished;
     {
         const std::lock_guard lock(m_mutex);
+        const auto found = m_submitted.find(id);
+        if (found != m_submitted.end()) {
+            if (found->second.isLong) {
+                onLongFinished = m_onLongFinished;
+            }
+            m_submitted.erase(found);
+        }
         actions = m_queue.finish(id, systemNow());
     }
+    if (onLongFinished) {
+        onLongFinished();
+    }
     apply(std::move(actions));
 }
 
-void target_gate::resume(const queue_entry &entry)
+void target_gate::noteRunning(const queue_entry &entry, std::uint64_t fingerprint)
+{
+    m_submitted[entry.id] = {fingerprint, never, entry.deadline, entry.cls == work_class::Long, false};
+}
+
+void target_gate::setOnLongFinished(std::function<void()> hook)
+{
+    const std::lock_guard lock(m_mutex);
+    m_onLongFinished = std::move(hook);
+}
+
+void target_gate::reclassify()
+{
+    const auto now = systemNow();
+    queue_actions all;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (auto &[id, statement] : m_submitted) {
+            const bool candidate = statement.since != never && !statement.isLong && !statement.isReclassified;
+            if (!candidate || !m_costs->estimateRunning(statement.fingerprint, now - statement.since).isLong) {
+                continue;
+            }
+            statement.isReclassified = true;
+            const auto actions = m_queue.reclassify(id, now);
+            all.start.insert(all.start.end(), actions.start.begin(), actions.start.end());
+            all.refuse.insert(all.refuse.end(), actions.refuse.begin(), actions.refuse.end());
+        }
+    }
+    apply(std::move(all));
+}
+
+void target_gate::resume(const queue_entry &entry, std::uint64_t fingerprint)
 {
     queue_actions actions;
     {
         const std::lock_guard lock(m_mutex);
+        noteRunning(entry, fingerprint);
+        m_submitted[entry.id].since = systemNow();
         actions = m_queue.submit(entry, systemNow());
     }
     // Follow-up statements start at once; their handler is not needed.
@@ -138,6 +184,7 @@
                 refused.emplace_back(std::move(found->second), refusal.reason);
                 m_handlers.erase(found);
             }
+            m_submitted.erase(refusal.id);
         }
     }
     if (actions.wakeAt) {
@@ -154,6 +201,7 @@
 void target_gate::startRequest(std::uint64_t id)
 {
     handler done;
+    time_point deadline;
     {
         const std::lock_guard lock(m_mutex);
         const auto found = m_handlers.find(id);
@@ -162,11 +210,13 @@
         }
         done = std::move(found->second);
         m_handlers.erase(found);
+        deadline = m_submitted[id].deadline;
     }
-    m_pool->acquire([self = shared_from_this(), id, done = std::move(done)](
+    m_pool->acquire(deadline,
+                    [self = shared_from_this(), id, done = std::move(done)](
                         std::shared_ptr<target_connection> connection, connect_error error, const std::string &reason) {
-        self->onConnection(id, done, std::move(connection), error, reason);
-    });
+                        self->onConnection(id, done, std::move(connection), error, reason);
+                    });
 }
 
 void target_gate::onConnection(std::uint64_t id,
@@ -176,6 +226,13 @@
                                const std::string &reason)
 {
     if (connection) {
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto found = m_submitted.find(id);
+            if (found != m_submitted.end()) {
+                found->second.since = systemNow();
+            }
+        }
         done({std::move(connection), {}, connect_error::None});
         return;
     }
--- a/src/libcrocusdealnet/targetgate.h
+++ b/src/libcrocusdealnet/targetgate.h
@@ -58,14 +58,14 @@
                 concurrency_limit_settings capacity);
 
     /** Asks for a place and a connection; @p entry needs an id that is unique at this gate. */
-    void submit(const queue_entry &entry, handler done);
+    void submit(const queue_entry &entry, std::uint64_t fingerprint, handler done);
     void cancel(std::uint64_t id);
     /** The request of @p id ended and gives its connection back. */
     void finish(std::uint64_t id, std::shared_ptr<target_connection> connection, bool reusable);
     /** A transaction keeps its connection, but no statement runs. */
     void pause(std::uint64_t id);
     /** The next statement of a paused transaction starts; it does not wait. */
-    void resume(const queue_entry &entry);
+    void resume(const queue_entry &entry, std::uint64_t fingerprint);
     /** A statement of @p fingerprint completed. */
     void ran(std::uint64_t fingerprint, duration time);
 
@@ -73,6 +73,10 @@
     void setLongPlaces(int places);
     int longDemand() const;
     target_load load() const;
+    /** Counts statements that run longer than expected as long; to be called each 100 ms. */
+    void reclassify();
+    /** Called after a long statement that ran under a permit has ended. */
+    void setOnLongFinished(std::function<void()> hook);
     /** Refuses all waiting requests. */
     void refuseAll(refuse_reason reason);
     connection_pool &pool();
@@ -81,7 +85,16 @@
     int limit() const;
 
 private:
+    struct running_statement {
+        std::uint64_t fingerprint = 0;
+        time_point since;
+        time_point deadline;
+        bool isLong = false; ///< Admitted as long, under a permit.
+        bool isReclassified = false;
+    };
+
     void apply(queue_actions actions);
+    void noteRunning(const queue_entry &entry, std::uint64_t fingerprint);
     void startRequest(std::uint64_t id);
     void onConnection(std::uint64_t id,
                       const handler &done,
@@ -97,6 +110,8 @@
     admission_queue m_queue;
     concurrency_limit m_limit;
     std::unordered_map<std::uint64_t, handler> m_handlers;
+    std::unordered_map<std::uint64_t, running_statement> m_submitted;
+    std::function<void()> m_onLongFinished = [] {};
     asio::steady_timer m_timer;
     time_point m_tickAt = never;
 };
--- a/tests/libcrocusdeal/routertest.cpp
+++ b/tests/libcrocusdeal/routertest.cpp
@@ -26,7 +26,7 @@
         m_view.targets = {target("p", "one", target_role::Primary, 50),
                           target("near", "one", target_role::Replica, 50),
                           target("far", "two", target_role::Replica, 50)};
-        m_request = {statement_class::Read, position{2, 40}, m_now - 1000_ms, std::nullopt, false, m_now + 2000_ms};
+        m_request = {route_class::Read, position{2, 40}, m_now - 1000_ms, std::nullopt, false, m_now + 2000_ms};
         m_load.clear();
     }
 
@@ -77,19 +77,19 @@
         m_request.token.reset();
         m_request.startedAt = m_now;
         CPPUNIT_ASSERT(expect(route_kind::ReadIndexFirst, "").indexFrom == m_now);
-        m_request.kind = statement_class::StaleRead;
+        m_request.kind = route_class::StaleRead;
         m_request.maxAge = 500_ms;
         expect(route_kind::ReadIndexFirst, "");
         m_request.mayMissOwnWrites = true;
         expect(route_kind::ToReplica, "near");
-        m_request = {statement_class::Read, std::nullopt, m_now - 300_ms, std::nullopt, false, m_now + 2000_ms};
+        m_request = {route_class::Read, std::nullopt, m_now - 300_ms, std::nullopt, false, m_now + 2000_ms};
         expect(route_kind::ToReplica, "near");
     }
 
     /** Guards against data older than stated, also from a primary that may have been replaced. */
     void keepsStaleReadsWithinTheirAge()
     {
-        m_request.kind = statement_class::StaleRead;
+        m_request.kind = route_class::StaleRead;
         m_request.maxAge = 150_ms;
         m_view.targets[1].includesUntil = m_now - 151_ms;
         m_view.targets[2].includesUntil = m_now - 150_ms;
@@ -103,7 +103,7 @@
     /** Guards against statements for a primary that is replaced, suspected or unknown. */
     void parksWhatNoValidPrimaryCanServe()
     {
-        m_request.kind = statement_class::Write;
+        m_request.kind = route_class::Write;
         m_request.token = position{3, 1};
         CPPUNIT_ASSERT_EQUAL(route_reason::NewerTermElsewhere, expect(route_kind::Park, "").reason);
         m_request.token = position{2, 1};
--- /dev/null
+++ b/tests/libcrocusdealnet/limitcoordinatortest.cpp
@@ -0,0 +1,169 @@
+#include "limitcoordinator.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+using namespace crocusdeal;
+
+namespace
+{
+
+constexpr duration tickPeriod{100};
+const target_id theTarget("g/t");
+
+/** Coordinators that reach each other at once; time is moved by hand. */
+struct coordinator_fleet {
+    explicit coordinator_fleet(const std::vector<std::string> &names)
+    {
+        auto infos = std::make_shared<std::vector<member_info>>();
+        for (const auto &name : names) {
+            member_info info;
+            auto description = std::make_shared<member_description>();
+            description->id = instance_id(name);
+            description->dataCentre = data_centre_id("dc");
+            info.description = std::move(description);
+            infos->push_back(std::move(info));
+        }
+        members = std::move(infos);
+        for (const auto &name : names) {
+            add(name);
+        }
+    }
+
+    void add(const std::string &name)
+    {
+        limit_coordinator::hooks hooks;
+        hooks.now = [this] { return now; };
+        hooks.send = [this, name](const instance_id &to,
+                                  const std::string &bytes,
+                                  const std::function<void(std::optional<std::string>)> &done) {
+            const auto found = nodes.find(to.str());
+            if (found == nodes.end() || silent.contains(to.str()) || silent.contains(name)) {
+                done(std::nullopt);
+                return;
+            }
+            done(found->second->onMessages(instance_id(name), bytes));
+        };
+        hooks.log = [](const std::string &) {};
+        hooks.onChanged = [](const target_id &) {};
+        auto node = std::make_shared<limit_coordinator>(instance_id(name), 1000 + nodes.size(), std::move(hooks));
+        node->setTargets({{theTarget, data_centre_id("dc"), 15, 2}});
+        node->setMembers(members);
+        nodes.emplace(name, std::move(node));
+    }
+
+    /** Moves time on; the target counts what the instances have open and their control connections. */
+    void run(duration time)
+    {
+        for (const auto until = now + time; now < until; now = now + tickPeriod) {
+            int connections = 0;
+            for (const auto &[name, count] : open) {
+                connections += count;
+            }
+            for (auto &[name, node] : nodes) {
+                if (silent.contains(name)) {
+                    continue;
+                }
+                node->setDemand(theTarget, demand[name], 0);
+                node->onTargetStatus(theTarget, connections, now);
+                node->tick();
+            }
+        }
+    }
+
+    int openAll(const std::string &name)
+    {
+        int opened = 0;
+        while (nodes.at(name)->beginOpening(theTarget)) {
+            nodes.at(name)->onEstablished(theTarget);
+            ++open[name];
+            ++opened;
+        }
+        return opened;
+    }
+
+    time_point now{100000};
+    std::shared_ptr<const std::vector<member_info>> members;
+    std::map<std::string, std::shared_ptr<limit_coordinator>> nodes;
+    std::map<std::string, int> open;
+    std::map<std::string, int> demand;
+    std::set<std::string> silent;
+};
+
+}
+
+class limit_coordinator_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(limit_coordinator_test);
+    CPPUNIT_TEST(everyInstanceGetsItsBase);
+    CPPUNIT_TEST(lendsByDemandWithinTheLimit);
+    CPPUNIT_TEST(servesWithoutAnOwner);
+    CPPUNIT_TEST(messagesSurviveTheCodec);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against an owner that lends to others but not to itself. */
+    void everyInstanceGetsItsBase()
+    {
+        coordinator_fleet fleet({"a", "b", "c"});
+        fleet.run(duration{5000});
+        for (const auto &[name, node] : fleet.nodes) {
+            CPPUNIT_ASSERT_MESSAGE(name, node->allowance(theTarget) >= 2);
+        }
+    }
+
+    /** Guards against more open connections than the target allows when demand moves between instances. */
+    void lendsByDemandWithinTheLimit()
+    {
+        coordinator_fleet fleet({"a", "b", "c"});
+        fleet.demand["b"] = 20;
+        fleet.run(duration{5000});
+        int all = 0;
+        for (const auto &[name, node] : fleet.nodes) {
+            all += fleet.openAll(name);
+        }
+        constexpr int limitWithoutControl = 15 - 3 - 1;
+        CPPUNIT_ASSERT(all <= limitWithoutControl);
+        CPPUNIT_ASSERT(fleet.open["b"] > fleet.open["a"]);
+    }
+
+    /** Guards against an instance that never serves because the owner cannot be reached. */
+    void servesWithoutAnOwner()
+    {
+        coordinator_fleet fleet({"a", "b", "c"});
+        for (const auto &name : {"a", "b", "c"}) {
+            fleet.silent = {"a", "b", "c"};
+            fleet.silent.erase(name);
+            fleet.run(duration{4000});
+            CPPUNIT_ASSERT_MESSAGE(name, fleet.openAll(name) >= 1);
+        }
+    }
+
+    /** Guards against fields that are lost between instances, and against crashes on malformed input. */
+    void messagesSurviveTheCodec()
+    {
+        limit_messages messages;
+        share_grant grant;
+        grant.target = theTarget;
+        grant.holder = instance_id("b");
+        grant.number = 7;
+        grant.allowance = 5;
+        messages.shareGrants.push_back(grant);
+        permit_request request;
+        request.held = {{3, 4}};
+        messages.permitRequests.push_back(request);
+        const auto bytes = encodeLimitMessages(messages);
+        const auto decoded = decodeLimitMessages(bytes);
+        CPPUNIT_ASSERT(decoded);
+        CPPUNIT_ASSERT_EQUAL(5, decoded->shareGrants.at(0).allowance);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), decoded->shareGrants.at(0).holder.str());
+        CPPUNIT_ASSERT((decoded->permitRequests.at(0).held.at(0) == permit_id{3, 4}));
+        for (std::size_t size = 0; size < bytes.size(); ++size) {
+            CPPUNIT_ASSERT(!decodeLimitMessages(std::string_view(bytes).substr(0, size)));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(limit_coordinator_test);
