Guard the loans of silent holders by a directed test

Cause: the random histories met a lent-out loan of a paused holder only once in some hundred runs. Command: test_libcrocusdeal connection_budget.

--- a/tests/libcrocusdeal/connectionbudgettest.cpp
+++ b/tests/libcrocusdeal/connectionbudgettest.cpp
@@ -43,7 +43,9 @@
         : m_random(seed)
         , m_partitioned(partitioned)
     {
-        m_eventsOf = 1000 * m_random.between(1, 10);
+        m_eventsOf = 1000 * m_random.between(1, 20);
+        m_longestPause = m_random.between(1, 3) * m_random.between(100, 4000);
+        m_wantPercent = m_random.between(5, 60);
         m_settings.limit = m_random.between(5, 45);
         m_settings.expectedInstances = m_random.between(2, 6);
         m_nodes.resize(m_settings.expectedInstances);
@@ -144,11 +146,11 @@
             ++each.incarnation;
             start(each);
         } else if (event <= 20) {
-            each.pausedUntil = m_now + duration{m_random.between(100, 12000)};
+            each.pausedUntil = m_now + duration{m_random.between(100, m_longestPause)};
         } else if ((event <= 24 || !m_nodes[m_owner].alive) && !m_partitioned && each.alive) {
             m_owner = static_cast<int>(&each - m_nodes.data());
         }
-        if (m_random.chance(5)) {
+        if (m_random.chance(m_wantPercent)) {
             each.wanted = m_fixedWant > 0 ? m_fixedWant : m_random.between(0, m_settings.limit);
         }
     }
@@ -293,6 +295,8 @@
     std::vector<node> m_nodes;
     int m_owner = 0;
     int m_fixedWant = 0;
+    int m_longestPause = 0;
+    int m_wantPercent = 5;
     int m_eventsOf = 1000; ///< Faults are rarer the higher it is.
     std::uint64_t m_ledgers = 0;
     time_point m_now{0};
@@ -312,6 +316,7 @@
     CPPUNIT_TEST(keepsTheBaseWithoutTheOwner);
     CPPUNIT_TEST(backsOffWhenTheTargetRefuses);
     CPPUNIT_TEST(ignoresLateGrants);
+    CPPUNIT_TEST(takesBackTheLoanOfASilentHolder);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -429,6 +434,57 @@
         answer("a", 6, last, 3);
         CPPUNIT_ASSERT_EQUAL(4, share.allowance());
     }
+
+    /** Guards against lending a loan twice: to the others while its holder is paused, and again to the holder when it
+     * resumes with attempts that the target has not counted. */
+    void takesBackTheLoanOfASilentHolder()
+    {
+        connection_budget budget(target, instance_id("o"), 1, {}, {10, 2, 0_ms}, {0});
+        connection_share a(target, instance_id("a"), 1);
+        connection_share b(target, instance_id("b"), 1);
+        const auto exchange = [&](connection_share &share, time_point now) {
+            if (const auto report = share.poll(now)) {
+                if (const auto grant = budget.onReport(*report, now)) {
+                    share.onGrant(*grant);
+                }
+            }
+        };
+        const auto run = [&](std::int64_t from, std::int64_t to, bool withA) {
+            for (std::int64_t ms = from; ms <= to; ms += 100) {
+                budget.onTargetStatus(0, {ms}, {ms});
+                budget.poll({ms});
+                exchange(b, {ms});
+                if (withA) {
+                    exchange(a, {ms});
+                }
+                // What a may still go on with, and what b may open.
+                const int ofA = withA ? std::max(a.open() - a.attemptsToAbandon({ms}), a.allowance()) : 3;
+                CPPUNIT_ASSERT(!withA || a.open() == 0 || ofA + b.allowance() <= 10);
+            }
+        };
+        a.setOwner(instance_id("o"));
+        b.setOwner(instance_id("o"));
+        a.setWanted(7);
+        run(0, 1000, true);
+        CPPUNIT_ASSERT_EQUAL(7, a.allowance());
+        for (int i = 0; i < 7; ++i) {
+            a.onOpening();
+        }
+        CPPUNIT_ASSERT_EQUAL(0, a.attemptsToAbandon({1000}));
+        b.setWanted(10);
+        run(1100, 9000, false);
+        CPPUNIT_ASSERT_EQUAL(7, b.allowance());
+        CPPUNIT_ASSERT_EQUAL(4, a.attemptsToAbandon({9000}));
+        for (int i = 0; i < 4; ++i) {
+            a.onOpenFailed(false, {9000});
+        }
+        CPPUNIT_ASSERT(!a.mayOpen({9000}));
+        a.onGrant(budget.onReport(*a.poll({9000}), {9000}).value());
+        CPPUNIT_ASSERT(a.allowance() <= 3);
+        run(9100, 11000, true);
+        CPPUNIT_ASSERT_EQUAL(10, a.allowance() + b.allowance());
+        CPPUNIT_ASSERT_EQUAL(5, a.allowance());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(connection_budget_test);
