--- a/src/standins/policybench/main.cpp
+++ b/src/standins/policybench/main.cpp
@@ -1,4 +1,5 @@
 #include "classifybench.h"
+#include "scenarios.h"
 
 #include <iostream>
 #include <string>
@@ -10,6 +11,10 @@
         crocusdeal::runClassifyBench();
         return 0;
     }
-    std::cerr << "usage: policybench classify\n";
+    if (mode == "policies") {
+        const unsigned seeds = argc > 2 ? static_cast<unsigned>(std::stoul(argv[2])) : 3;
+        return crocusdeal::runPolicyBench(seeds) ? 0 : 1;
+    }
+    std::cerr << "usage: policybench classify | policybench policies [SEEDS]\n";
     return 2;
 }
