Detect overload for each service of a queue

Cause: a service within its share was served newest first because another one overloaded the queue. Ruled out: leaving overload by the least wait alone, which is always small when the newest come first.

--- a/src/libcrocusdeal/admissionqueue.cpp
+++ b/src/libcrocusdeal/admissionqueue.cpp
@@ -55,7 +55,7 @@
 void admission_queue::add(const queue_entry &entry, time_point now)
 {
     auto &service = m_services[entry.service];
-    if (service.waiting == 0) {
+    if (service.waiting.empty()) {
         service.tag = std::max(service.tag, m_virtualTime); // Idle time earns no credit.
     }
     auto &lastTag = service.lastTags[entry.caller];
@@ -73,7 +73,7 @@
     auto &to = service.lanes[isLong ? 1 : 0];
     to.byTag.emplace(finishTag, number);
     to.byFreshness.emplace(sizeClass, -static_cast<std::int64_t>(number));
-    ++service.waiting;
+    service.waiting.insert(number);
     m_backlogMs += entry.expected.ms;
     m_longWaiting += isLong ? 1 : 0;
 }
@@ -90,7 +90,7 @@
     auto &from = service.lanes[isLong ? 1 : 0];
     from.byTag.erase({removed.finishTag, number});
     from.byFreshness.erase({removed.sizeClass, -static_cast<std::int64_t>(number)});
-    --service.waiting;
+    service.waiting.erase(number);
     m_backlogMs -= removed.entry.expected.ms;
     m_longWaiting -= isLong ? 1 : 0;
     return removed;
@@ -109,11 +109,11 @@
 bool admission_queue::makeRoom(const service_id &newcomer, queue_actions &actions)
 {
     const auto most = std::max_element(m_services.begin(), m_services.end(), [](const auto &a, const auto &b) {
-        return a.second.waiting < b.second.waiting;
+        return a.second.waiting.size() < b.second.waiting.size();
     });
     const auto own = m_services.find(newcomer);
-    const auto ownWaiting = own == m_services.end() ? 0 : own->second.waiting;
-    if (most == m_services.end() || most->second.waiting <= ownWaiting + 1) {
+    const auto ownWaiting = own == m_services.end() ? 0 : own->second.waiting.size();
+    if (most == m_services.end() || most->second.waiting.size() <= ownWaiting + 1) {
         return false;
     }
     auto &lanes = most->second.lanes;
@@ -190,7 +190,9 @@
 queue_actions admission_queue::settle(time_point now, queue_actions actions)
 {
     refuseLate(now, actions);
-    updateOverload(now);
+    for (auto &[id, service] : m_services) {
+        updateOverload(service, now);
+    }
     dispatch(now, actions);
     if (!m_byLatestStart.empty()) {
         actions.wakeAt = m_byLatestStart.begin()->first + duration{1};
@@ -207,23 +209,29 @@
     }
 }
 
-void admission_queue::updateOverload(time_point now)
+bool admission_queue::isOverloaded() const
+{
+    return std::any_of(m_services.begin(), m_services.end(), [](const auto &entry) { return entry.second.overloaded; });
+}
+
+void admission_queue::updateOverload(service_state &service, time_point now) const
 {
-    if (m_waiting.empty()) {
-        m_overloaded = false;
-        m_leastWait = 0;
-        m_intervalStart = now;
+    if (service.waiting.empty()) {
+        service.overloaded = false;
+        service.leastWait = 0;
+        service.intervalStart = now;
         return;
     }
-    if (now - m_intervalStart < overloadInterval) {
+    if (now - service.intervalStart < overloadInterval) {
         return;
     }
-    const auto &oldest = m_waiting.begin()->second;
+    const auto &oldest = m_waiting.at(*service.waiting.begin());
     const auto oldestWait = waitShare(oldest.arrival, oldest.entry.deadline, now);
     // Without a start in the interval the oldest entry tells the wait.
-    m_overloaded = m_overloaded ? oldestWait > overloadOver : std::min(m_leastWait, oldestWait) > overloadAbove;
-    m_leastWait = 2;
-    m_intervalStart = now;
+    const auto wait = std::min(service.leastWait, oldestWait);
+    service.overloaded = service.overloaded ? oldestWait > overloadOver : wait > overloadAbove;
+    service.leastWait = 2;
+    service.intervalStart = now;
 }
 
 bool admission_queue::mayStart(work_class cls) const
@@ -235,9 +243,9 @@
     return running < m_limit && m_longRunning < m_longPlaces && m_longRunning < std::max(1, m_limit - 1);
 }
 
-admission_queue::sequence admission_queue::headOf(const lane &from) const
+admission_queue::sequence admission_queue::headOf(const service_state &service, const lane &from)
 {
-    return m_overloaded ? static_cast<sequence>(-from.byFreshness.begin()->second) : from.byTag.begin()->second;
+    return service.overloaded ? static_cast<sequence>(-from.byFreshness.begin()->second) : from.byTag.begin()->second;
 }
 
 std::optional<admission_queue::sequence> admission_queue::headOf(const service_state &service) const
@@ -248,10 +256,10 @@
     const bool startLong = !longs.byTag.empty() && mayStart(work_class::Long);
     if (startShort && startLong) {
         const bool shortFirst = shorts.byTag.begin()->first <= longs.byTag.begin()->first;
-        return headOf(shortFirst ? shorts : longs);
+        return headOf(service, shortFirst ? shorts : longs);
     }
     if (startShort || startLong) {
-        return headOf(startShort ? shorts : longs);
+        return headOf(service, startShort ? shorts : longs);
     }
     return std::nullopt;
 }
@@ -261,7 +269,7 @@
     std::optional<sequence> best;
     double bestTag = 0;
     for (const auto &[id, service] : m_services) {
-        if (service.waiting == 0 || (best && service.tag >= bestTag)) {
+        if (service.waiting.empty() || (best && service.tag >= bestTag)) {
             continue;
         }
         if (const auto head = headOf(service)) {
@@ -285,7 +293,7 @@
     auto &service = m_services[started.entry.service];
     m_virtualTime = std::max(m_virtualTime, service.tag);
     service.virtualTime = std::max(service.virtualTime, started.finishTag);
-    m_leastWait = std::min(m_leastWait, waitShare(started.arrival, started.entry.deadline, now));
+    service.leastWait = std::min(service.leastWait, waitShare(started.arrival, started.entry.deadline, now));
     forgetIdleCallers(service);
     startRunning(started.entry, now, actions);
 }
@@ -301,7 +309,7 @@
 /** A caller whose last tag lies in the past is treated like an unknown one. */
 void admission_queue::forgetIdleCallers(service_state &service)
 {
-    if (service.lastTags.size() < service.waiting * 2 + idleCallers) {
+    if (service.lastTags.size() < service.waiting.size() * 2 + idleCallers) {
         return;
     }
     std::erase_if(service.lastTags, [&](const auto &known) { return known.second <= service.virtualTime; });
--- a/src/libcrocusdeal/admissionqueue.h
+++ b/src/libcrocusdeal/admissionqueue.h
@@ -75,7 +75,7 @@
  *
  * In overload the newest entries of a size come first, because old ones are about to miss their deadline anyway
  * (adaptive LIFO, Maurer, "Fail at Scale", 2015). Overload is detected as in CoDel (Nichols and Jacobson 2012) by the
- * least wait within an interval.
+ * least wait within an interval, for each service: a service within its share keeps its order.
  *
  * One place beyond those that long work may take is kept for short work. Follow-up statements of open transactions
  * start at once, even above the limit: the running statements may wait for locks that their transactions hold.
@@ -131,16 +131,15 @@
         return m_longRunning;
     }
 
-    /** Whether the newest entries come first. */
-    bool isOverloaded() const
-    {
-        return m_overloaded;
-    }
+    /** Whether the newest entries of any service come first. */
+    bool isOverloaded() const;
 
     /** Expected time until all that waits has started. */
     duration backlog() const;
 
 private:
+    using sequence = std::uint64_t;
+
     struct waiting_entry {
         queue_entry entry;
         time_point arrival;
@@ -168,23 +167,24 @@
         double tag = 0; ///< Work received by the service, in ms.
         double virtualTime = 0; ///< Finish tag of the entry started last.
         std::unordered_map<std::uint64_t, double> lastTags; ///< By caller.
-        std::size_t waiting = 0;
+        std::set<sequence> waiting; ///< In the order of arrival.
+        bool overloaded = false;
+        time_point intervalStart = never;
+        double leastWait = 0; ///< In this interval, as a share of the time until the deadline.
     };
 
-    using sequence = std::uint64_t;
-
     void add(const queue_entry &entry, time_point now);
     waiting_entry remove(sequence number);
     void refuse(sequence number, refuse_reason reason, queue_actions &actions);
     bool makeRoom(const service_id &newcomer, queue_actions &actions);
     void refuseLate(time_point now, queue_actions &actions);
-    void updateOverload(time_point now);
+    void updateOverload(service_state &service, time_point now) const;
     void dispatch(time_point now, queue_actions &actions);
     void start(sequence number, time_point now, queue_actions &actions);
     void startRunning(const queue_entry &entry, time_point now, queue_actions &actions);
     queue_actions settle(time_point now, queue_actions actions = {});
     bool mayStart(work_class cls) const;
-    sequence headOf(const lane &from) const;
+    static sequence headOf(const service_state &service, const lane &from);
     std::optional<sequence> headOf(const service_state &service) const;
     std::optional<sequence> next() const;
     static void forgetIdleCallers(service_state &service);
@@ -202,9 +202,6 @@
     int m_longPlaces = 0;
     int m_longWaiting = 0;
     int m_longRunning = 0;
-    bool m_overloaded = false;
-    time_point m_intervalStart = never;
-    double m_leastWait = 2; ///< Least wait in this interval, as a share of the time until the deadline.
 };
 
 }
