Let a service catch up on its unused share

Cause: a service with bursts waited behind a greedy one at half of each place, although it used less than its share over a second.

--- a/src/libcrocusdeal/admissionqueue.cpp
+++ b/src/libcrocusdeal/admissionqueue.cpp
@@ -15,6 +15,8 @@
 // Overload begins when no entry was started within half of its time, and ends when none waits for more than an eighth.
 constexpr double overloadAbove = 0.5;
 constexpr double overloadOver = 0.125;
+// Work that a service may catch up on after it was idle: its bursts go first as long as it stays within its share.
+constexpr double idleCreditMs = 400;
 // Callers without waiting work are forgotten when this many more are known than entries wait.
 constexpr std::size_t idleCallers = 1024;
 
@@ -56,7 +58,7 @@
 {
     auto &service = m_services[entry.service];
     if (service.waiting.empty()) {
-        service.tag = std::max(service.tag, m_virtualTime); // Idle time earns no credit.
+        service.tag = std::max(service.tag, m_virtualTime - idleCreditMs);
     }
     auto &lastTag = service.lastTags[entry.caller];
     const auto startTag = std::max(service.virtualTime, lastTag);
