Keep the limit at the instance's share unless the target is slow

Cause: under constant load each instance's limit fell to one at another time, and the first to fall stayed behind the others; one place for each instance also makes its requests wait for each other.

--- a/src/libcrocusdeal/concurrencylimit.cpp
+++ b/src/libcrocusdeal/concurrencylimit.cpp
@@ -20,10 +20,26 @@
 
 concurrency_limit::concurrency_limit(concurrency_limit_settings settings)
     : m_settings(settings)
+    , m_limit(share())
 {
-    const int instances = std::max(1, settings.instances);
-    const int share = settings.slots ? (*settings.slots + instances - 1) / instances : defaultStart - 1;
-    m_limit = std::min(std::max(1, share) + 1, upperBound());
+}
+
+int concurrency_limit::share() const
+{
+    if (!m_settings.slots) {
+        return defaultStart;
+    }
+    const int instances = std::max(1, m_settings.instances);
+    return std::min(std::max(1, (*m_settings.slots + instances - 1) / instances) + 1, upperBound());
+}
+
+double concurrency_limit::ratioAtShare() const
+{
+    if (!m_settings.slots) {
+        return 1;
+    }
+    return std::max(1.0,
+                    static_cast<double>(share() * std::max(1, m_settings.instances)) / std::max(1, *m_settings.slots));
 }
 
 int concurrency_limit::upperBound() const
@@ -50,11 +66,15 @@
     const auto quartile = m_ratios.begin() + windowSize / 4;
     std::nth_element(m_ratios.begin(), quartile, m_ratios.end());
     const bool reached = m_limitReached;
+    // Up to its share an instance gives way only to more than the shares of all instances explain. Or the instances
+    // that happened to lower their limits first would stay behind the others.
+    const double increase = m_limit < share() ? std::max(increaseBelow, ratioAtShare()) : increaseBelow;
+    const double decreaseRatio = m_limit > share() ? decreaseAbove : decreaseAbove * ratioAtShare();
     m_count = 0;
     m_limitReached = false;
-    if (*quartile > decreaseAbove) {
+    if (*quartile > decreaseRatio) {
         decrease(now);
-    } else if (*quartile < increaseBelow && reached) {
+    } else if (*quartile < increase && reached) {
         m_limit = std::min(m_limit + 1, upperBound());
     }
 }
--- a/src/libcrocusdeal/concurrencylimit.h
+++ b/src/libcrocusdeal/concurrencylimit.h
@@ -21,7 +21,8 @@
  * The signal is the ratio of observed running times to the shape's baseline, as in TCP Vegas (Brakmo and Peterson 1995)
  * and the gradient limits of Netflix's concurrency-limits (2018): a ratio near 1 means that no statement waits in the
  * target, a ratio of 2 that it waits as long as it runs. The limit rises by one and falls by a quarter (AIMD, Chiu and
- * Jain 1989). It starts at the instance's share of the slots and one more, which covers the time on the wire.
+ * Jain 1989). It starts at the instance's share of the slots and one more, which covers the time on the wire; below
+ * that, it falls only if the target is slower than the shares of all instances explain.
  */
 class concurrency_limit
 {
@@ -50,6 +51,8 @@
     static constexpr std::size_t windowSize = 16;
 
     int upperBound() const;
+    int share() const;
+    double ratioAtShare() const;
     void decide(time_point now);
     void decrease(time_point now);
 
