Work out connection shares only when something has changed

Cause: each report walked over the limit times the holders, and counted all accounts again for each holder. Ruled out: rebalancing at intervals only, which delays a loan. A change of the base share alone is now passed on. The statement cache is tested with four threads.

--- a/src/libcrocusdeal/connectionbudget.cpp
+++ b/src/libcrocusdeal/connectionbudget.cpp
@@ -10,6 +10,7 @@
 
 constexpr int basePercent = 60;
 constexpr duration resendInterval{100};
+constexpr duration rebalanceInterval{1000};
 // Longer than any wait of a healthy process; shorter than it takes others to see a failure and take over.
 constexpr duration pauseBound{1000};
 // The lease counts on the holder's clock from before its report arrived here; the margin covers clock drift.
@@ -110,9 +111,13 @@
         return std::nullopt;
     }
     m_unreported.erase(report.holder);
+    const auto before = std::pair(holder.wanted, holder.accounted);
     update(holder, report, now);
     finishCensus(now);
-    rebalance(now);
+    m_changed = m_changed || holder.number == 0 || before != std::pair(holder.wanted, holder.accounted);
+    if (m_changed) {
+        rebalance(now);
+    }
     holder.sentAt = now;
     return grantFor(key, holder);
 }
@@ -142,6 +147,7 @@
     auto &replaced = m_replaced[release.holder];
     replaced = std::max(replaced, release.incarnation);
     m_unreported.erase(release.holder);
+    m_changed = true;
 }
 
 void connection_budget::onGone(const instance_id &instance, std::uint64_t incarnation, time_point now)
@@ -225,7 +231,10 @@
     if (checkStale(now)) {
         return grants;
     }
-    rebalance(now);
+    // Holders fall silent without an event.
+    if (m_changed || now - m_rebalancedAt >= rebalanceInterval) {
+        rebalance(now);
+    }
     for (auto &[key, holder] : m_holders) {
         const bool unseen = holder.seen != holder.number || (m_census.open && holder.round != m_census.round);
         if (unseen && now - holder.sentAt >= resendInterval) {
@@ -239,6 +248,7 @@
 void connection_budget::setSettings(connection_budget_settings settings)
 {
     m_settings = settings;
+    m_changed = true;
 }
 
 void connection_budget::setAllowance(holder_state &holder, int allowance)
@@ -254,31 +264,36 @@
     holder.sentAt = never;
 }
 
-/** Raises one connection at a time where the allowance is lowest, so that all get an equal level or what they want. */
-std::map<connection_budget::holder_key, int> connection_budget::fairAllowances(time_point now) const
+/** Gives each live holder what it wants or an equal level, whichever is less. */
+std::vector<connection_budget::fair_share> connection_budget::fairAllowances(time_point now)
 {
     int rest = m_settings.limit;
     for (const auto &gone : m_gone) {
         rest -= gone.accounted;
     }
-    std::map<holder_key, int> fair;
-    for (const auto &[key, holder] : m_holders) {
+    std::vector<fair_share> fair;
+    for (auto &[key, holder] : m_holders) {
         if (isSilent(holder, now)) {
             rest -= holder.accounted;
         } else {
-            fair[key] = 0;
+            fair.push_back({&holder, std::max(base(), holder.wanted), 0});
         }
     }
-    const auto demand = [&](const holder_key &key) { return std::max(base(), m_holders.at(key).wanted); };
-    for (bool raised = true; raised && rest > 0;) {
-        raised = false;
-        const auto lowest = std::min_element(fair.begin(), fair.end(), [&](const auto &a, const auto &b) {
-            return std::pair(a.second >= demand(a.first), a.second) < std::pair(b.second >= demand(b.first), b.second);
-        });
-        if (lowest != fair.end() && lowest->second < demand(lowest->first)) {
-            ++lowest->second;
-            --rest;
-            raised = true;
+    std::sort(fair.begin(), fair.end(), [](const auto &a, const auto &b) { return a.demand < b.demand; });
+    rest = std::max(0, rest);
+    auto remaining = static_cast<int>(fair.size());
+    for (auto &share : fair) {
+        share.level = std::min(share.demand, rest / remaining);
+        rest -= share.level;
+        --remaining;
+    }
+    // What cannot be divided stays where it is, so that connections do not move with every change of demand.
+    for (const bool keep : {true, false}) {
+        for (auto &share : fair) {
+            if (rest > 0 && share.level < share.demand && (!keep || share.holder->allowance > share.level)) {
+                ++share.level;
+                --rest;
+            }
         }
     }
     return fair;
@@ -289,11 +304,13 @@
     if (isRebuilding(now)) {
         return;
     }
+    m_changed = false;
+    m_rebalancedAt = now;
     const auto fair = fairAllowances(now);
     int free = m_settings.limit - accounted();
     bool unmet = false;
-    for (const auto &[key, level] : fair) {
-        auto &holder = m_holders.at(key);
+    for (const auto &[holderOf, demand, level] : fair) {
+        auto &holder = *holderOf;
         if (level > holder.allowance) {
             // With more accounted than the limit, also what a holder is accounted for must not be allowed again: a
             // holder that returns after its loan was lent to others is accounted for the old loan until it has seen its
@@ -304,12 +321,13 @@
             unmet = unmet || possible < level;
         }
     }
-    for (const auto &[key, level] : fair) {
-        auto &holder = m_holders.at(key);
-        if (holder.number == 0) {
+    const bool takeBack = unmet || accounted() > m_settings.limit;
+    for (const auto &[holderOf, demand, level] : fair) {
+        auto &holder = *holderOf;
+        if (holder.number == 0 || holder.base != std::min(base(), holder.allowance)) {
             setAllowance(holder, holder.allowance); // Confirms what an earlier owner granted.
         }
-        if ((unmet || accounted() > m_settings.limit) && level < holder.allowance) {
+        if (takeBack && level < holder.allowance) {
             setAllowance(holder, level);
         }
     }
--- a/src/libcrocusdeal/connectionbudget.h
+++ b/src/libcrocusdeal/connectionbudget.h
@@ -106,6 +106,12 @@
         int wanted = 0;
     };
 
+    struct fair_share {
+        holder_state *holder = nullptr;
+        int demand = 0;
+        int level = 0;
+    };
+
     /** Connections that nobody can report any more. */
     struct gone_state {
         int accounted = 0;
@@ -130,7 +136,7 @@
     void finishCensus(time_point now);
     void applyCensus(int unexplained, time_point now);
     void rebalance(time_point now);
-    std::map<holder_key, int> fairAllowances(time_point now) const;
+    std::vector<fair_share> fairAllowances(time_point now);
     void setAllowance(holder_state &holder, int allowance);
 
     target_id m_target;
@@ -143,6 +149,8 @@
     std::map<instance_id, std::uint64_t> m_replaced; ///< Highest incarnation that is gone.
     std::vector<gone_state> m_gone;
     census m_census;
+    bool m_changed = true; ///< Since the allowances were last worked out.
+    time_point m_rebalancedAt = never;
     time_point m_activeAt;
     bool m_stale = false;
 };
--- a/tests/libcrocusdeal/statementclassifiertest.cpp
+++ b/tests/libcrocusdeal/statementclassifiertest.cpp
@@ -4,7 +4,9 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -48,6 +50,7 @@
     CPPUNIT_TEST(survivesHostileTexts);
     CPPUNIT_TEST(boundsTheCache);
     CPPUNIT_TEST(parsesEachTextOnce);
+    CPPUNIT_TEST(servesManyThreads);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -224,6 +227,29 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), cache.counts().hits);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), cache.counts().misses);
     }
+
+    /** Guards against data races between worker threads, which ThreadSanitizer reports, and against parser state that
+     * threads share. */
+    void servesManyThreads()
+    {
+        statement_cache cache(1, {64, 1048576});
+        std::vector<std::thread> threads;
+        std::atomic<int> wrong = 0;
+        threads.reserve(4);
+        for (int t = 0; t < 4; ++t) {
+            threads.emplace_back([&cache, &wrong] {
+                for (int i = 0; i < 500; ++i) {
+                    const auto number = std::to_string(i % 100);
+                    wrong += cache.classify("select " + number)->cls == cls::Read ? 0 : 1;
+                    wrong += cache.classify("insert into t values (" + number + ")")->cls == cls::Write ? 0 : 1;
+                }
+            });
+        }
+        for (auto &thread : threads) {
+            thread.join();
+        }
+        CPPUNIT_ASSERT_EQUAL(0, wrong.load());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(statement_classifier_test);
