Show in the policy bench when refusals come

Cause: a refusal helps the caller only if it comes early. Ruled out: counting refusals only; their number is the rest of the answers. Before: not measured.

--- a/src/standins/policybench/scenarios.cpp
+++ b/src/standins/policybench/scenarios.cpp
@@ -41,6 +41,7 @@
     std::vector<double> inTime;
     std::vector<double> p99;
     std::vector<double> p50;
+    std::vector<double> refused; ///< p50 of the time until a refusal.
 };
 
 double mean(const std::vector<double> &values)
@@ -65,6 +66,7 @@
         result.goodput.push_back(work / (what.where.slots * (what.endMs - what.measureFromMs)));
         result.inTime.push_back(outcomes[index].inTimeShare());
         result.p99.push_back(outcomes[index].quantile(0.99));
+        result.refused.push_back(outcomes[index].refusedQuantile(0.5));
         result.p50.push_back(outcomes[index].quantile(0.5));
     }
     return result;
@@ -72,14 +74,15 @@
 
 void print(const deployment &where, const char *how, const char *what, const figures &f)
 {
-    std::printf("%-10s %-14s %-26s %8.1f%% %8.1f%% %9.1f %9.1f\n",
+    std::printf("%-10s %-14s %-26s %8.1f%% %8.1f%% %9.1f %9.1f %10.1f\n",
                 where.name.c_str(),
                 how,
                 what,
                 100 * mean(f.goodput),
                 100 * mean(f.inTime),
                 mean(f.p50),
-                mean(f.p99));
+                mean(f.p99),
+                mean(f.refused));
 }
 
 scenario overload(const deployment &where)
@@ -176,14 +179,15 @@
 
 bool runPolicyBench(unsigned seeds)
 {
-    std::printf("%-10s %-14s %-26s %9s %9s %9s %9s\n",
+    std::printf("%-10s %-14s %-26s %9s %9s %9s %9s %10s\n",
                 "deployment",
                 "policy",
                 "scenario",
                 "goodput",
                 "in time",
                 "p50 ms",
-                "p99 ms");
+                "p99 ms",
+                "refused ms");
     bool met = true;
     for (const auto &where : deployments) {
         met &= runDeployment(where, seeds);
--- a/src/standins/policybench/simulation.cpp
+++ b/src/standins/policybench/simulation.cpp
@@ -57,6 +57,15 @@
     double wakeAtMs = -1;
 };
 
+double quantileOf(std::vector<double> values, double q)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(q * static_cast<double>(values.size() - 1))];
+}
+
 class simulation
 {
 public:
@@ -204,7 +213,10 @@
         auto &instance = *m_instances[index];
         for (const auto &refusal : actions.refuse) {
             auto &request = m_requests.at(refusal.id);
-            m_outcomes[request.load].refused += request.measured ? 1 : 0;
+            if (request.measured) {
+                ++m_outcomes[request.load].refused;
+                m_outcomes[request.load].refusedAfterMs.push_back(m_nowMs - request.arrivalMs);
+            }
             m_requests.erase(refusal.id);
         }
         for (const auto id : actions.start) {
@@ -346,12 +358,12 @@
 
 double outcome::quantile(double q) const
 {
-    if (latenciesMs.empty()) {
-        return 0;
-    }
-    auto sorted = latenciesMs;
-    std::sort(sorted.begin(), sorted.end());
-    return sorted[static_cast<std::size_t>(q * static_cast<double>(sorted.size() - 1))];
+    return quantileOf(latenciesMs, q);
+}
+
+double outcome::refusedQuantile(double q) const
+{
+    return quantileOf(refusedAfterMs, q);
 }
 
 double outcome::inTimeShare() const
--- a/src/standins/policybench/simulation.h
+++ b/src/standins/policybench/simulation.h
@@ -58,7 +58,11 @@
     double workInTimeMs = 0; ///< Slot time of the answers that came in time and within the measured span.
     std::vector<double> latenciesMs; ///< Of all that were answered.
 
+    std::vector<double> refusedAfterMs; ///< Time until the refusal.
+
+    /** Of the latencies. */
     double quantile(double q) const;
+    double refusedQuantile(double q) const;
     double inTimeShare() const;
 };
 
