Take states without an upstream from in-band answers and peers

Cause: in-band states and peers' facts have term, role and position only; taken as full answers they would erase the upstream and cause a repair order a second. Ruled out: asking for a full status after each such state, one more statement. Before: observe() and observePeer() took a whole target_status. Conclusion: repairs compare upstreams of full answers of the same term only.

--- a/src/libcrocusdeal/databasegroup.cpp
+++ b/src/libcrocusdeal/databasegroup.cpp
@@ -71,26 +71,54 @@
     if (entry == nullptr) {
         return false;
     }
+    const bool changed = take(*entry, status, askedAt, heardAt, source);
+    entry->view.upstreamTerm = std::max(entry->view.upstreamTerm, status.term);
+    return changed;
+}
+
+bool database_group::observe(const target_id &target,
+                             const target_state &state,
+                             time_point askedAt,
+                             time_point heardAt,
+                             observation_source source)
+{
+    auto *entry = findMember(target);
+    if (entry == nullptr) {
+        return false;
+    }
+    auto status = entry->view.status.value_or(target_status());
+    status.term = state.term;
+    status.role = state.role;
+    status.at = state.at;
+    return take(*entry, status, askedAt, heardAt, source);
+}
+
+bool database_group::take(member &entry,
+                          const target_status &status,
+                          time_point askedAt,
+                          time_point heardAt,
+                          observation_source source)
+{
     const auto oldTerm = m_highestTerm;
     const auto oldPrimary = primary();
-    const int oldRole = entry->view.status ? roleRank(entry->view.status->role) : -1;
+    const int oldRole = entry.view.status ? roleRank(entry.view.status->role) : -1;
 
     if (status.term > m_highestTerm) {
         raiseTerm(status.term);
         m_termSeenAt = heardAt;
     }
     if (source == observation_source::Own) {
-        entry->ownHeardAt = std::max(entry->ownHeardAt, heardAt);
+        entry.ownHeardAt = std::max(entry.ownHeardAt, heardAt);
     }
-    entry->unansweredProbes = 0;
-    learnReplayRate(*entry, status, heardAt);
-    mergeStatus(*entry, status, askedAt);
-    entry->view.askedAt = std::max(entry->view.askedAt, askedAt);
-    entry->view.heardAt = std::max(entry->view.heardAt, heardAt);
+    entry.unansweredProbes = 0;
+    learnReplayRate(entry, status, heardAt);
+    mergeStatus(entry, status, askedAt);
+    entry.view.askedAt = std::max(entry.view.askedAt, askedAt);
+    entry.view.heardAt = std::max(entry.view.heardAt, heardAt);
     if (status.role == target_role::Primary && status.term == m_highestTerm) {
         m_samples.add(askedAt, status.at);
     }
-    return oldTerm != m_highestTerm || oldPrimary != primary() || oldRole != roleRank(entry->view.status->role);
+    return oldTerm != m_highestTerm || oldPrimary != primary() || oldRole != roleRank(entry.view.status->role);
 }
 
 void database_group::raiseTerm(std::uint64_t term)
--- a/src/libcrocusdeal/databasegroup.h
+++ b/src/libcrocusdeal/databasegroup.h
@@ -3,6 +3,7 @@
 #include "agesamples.h"
 #include "grouppolicy.h"
 #include "groupview.h"
+#include "targetstate.h"
 
 #include <cstddef>
 #include <map>
@@ -38,6 +39,13 @@
                  time_point heardAt,
                  observation_source source);
 
+    /** Same for a state without upstream and connections, of which the last known ones are kept. */
+    bool observe(const target_id &target,
+                 const target_state &state,
+                 time_point askedAt,
+                 time_point heardAt,
+                 observation_source source);
+
     /** This instance sent the primary or, without one, any member a status query. */
     void noteProbe(const target_id &target, time_point now);
 
@@ -72,6 +80,13 @@
     group_view_ptr view(time_point now) const;
 
 private:
+    struct member;
+    bool take(member &entry,
+              const target_status &status,
+              time_point askedAt,
+              time_point heardAt,
+              observation_source source);
+
     struct member {
         target_view view;
         time_point ownHeardAt = never;
--- a/src/libcrocusdeal/followerrepair.cpp
+++ b/src/libcrocusdeal/followerrepair.cpp
@@ -30,7 +30,8 @@
         return true;
     }
     return status.role == target_role::Fenced
-        || (status.role == target_role::Replica && status.following != upstreamName(primary.address));
+        || (status.role == target_role::Replica && target.upstreamTerm == status.term
+            && status.following != upstreamName(primary.address));
 }
 
 std::vector<order_target> follower_repair::update(const database_group &group, time_point now)
--- a/src/libcrocusdeal/groupview.h
+++ b/src/libcrocusdeal/groupview.h
@@ -18,6 +18,7 @@
     time_point heardAt = never;
     bool leaving = false; ///< Drained: gets no new work.
     time_point includesUntil = never; ///< Its data includes every write acknowledged before this time.
+    std::uint64_t upstreamTerm = 0; ///< The term at which status->following was reported.
     double replayRate = 0; ///< Observed log entries a millisecond; 0 while unknown.
 };
 
--- a/src/libcrocusdealnet/groupmonitor.cpp
+++ b/src/libcrocusdealnet/groupmonitor.cpp
@@ -128,17 +128,17 @@
     return m_view;
 }
 
-void group_monitor::observe(const target_id &target, const target_status &status, time_point askedAt)
+void group_monitor::observe(const target_id &target, const target_state &state, time_point askedAt)
 {
-    asio::post(m_strand, [self = shared_from_this(), target, status, askedAt] {
-        self->take(target, status, askedAt, observation_source::Own);
+    asio::post(m_strand, [self = shared_from_this(), target, state, askedAt] {
+        self->takeState(target, state, askedAt, observation_source::Own);
     });
 }
 
-void group_monitor::observePeer(const target_id &target, const target_status &status, time_point notBefore)
+void group_monitor::observePeer(const target_id &target, const target_state &state, time_point notBefore)
 {
-    asio::post(m_strand, [self = shared_from_this(), target, status, notBefore] {
-        self->take(target, status, notBefore, observation_source::Peer);
+    asio::post(m_strand, [self = shared_from_this(), target, state, notBefore] {
+        self->takeState(target, state, notBefore, observation_source::Peer);
     });
 }
 
@@ -377,28 +377,55 @@
     }
 }
 
-void group_monitor::take(const target_id &target,
-                         const target_status &status,
-                         time_point askedAt,
-                         observation_source source)
+void group_monitor::takeState(const target_id &target,
+                              const target_state &state,
+                              time_point askedAt,
+                              observation_source source)
 {
     if (!m_running) {
         return;
     }
     const auto now = m_hooks.now();
-    const auto *known = m_group.find(target);
-    const bool heardAgain = known == nullptr || now - known->heardAt > m_settings.policy.unheardLimit;
-    const bool changed = m_group.observe(target, status, askedAt, now, source) || heardAgain;
+    const bool heardAgain = isUnheard(target, now);
+    const bool changed = m_group.observe(target, state, askedAt, now, source);
     if (source == observation_source::Own) {
-        const std::lock_guard lock(m_mutex);
-        auto &fact = m_ownFacts[target];
-        if (askedAt >= fact.second || status.term > fact.first.term) {
-            fact = {status, askedAt};
-        }
+        recordFact(target, state, askedAt);
     }
+    afterObservation(now, changed || heardAgain);
+}
+
+void group_monitor::takeStatus(const target_id &target, const target_status &status, time_point askedAt)
+{
+    if (!m_running) {
+        return;
+    }
+    const auto now = m_hooks.now();
+    const bool heardAgain = isUnheard(target, now);
+    const bool changed = m_group.observe(target, status, askedAt, now, observation_source::Own);
+    recordFact(target, {status.term, status.role, status.at}, askedAt);
     if (m_promotion) {
         run(m_promotion->observed(target, status, now));
     }
+    afterObservation(now, changed || heardAgain);
+}
+
+bool group_monitor::isUnheard(const target_id &target, time_point now) const
+{
+    const auto *known = m_group.find(target);
+    return known == nullptr || now - known->heardAt > m_settings.policy.unheardLimit;
+}
+
+void group_monitor::recordFact(const target_id &target, const target_state &state, time_point askedAt)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &fact = m_ownFacts[target];
+    if (askedAt >= fact.second || state.term > fact.first.term) {
+        fact = {state, askedAt};
+    }
+}
+
+void group_monitor::afterObservation(time_point now, bool changed)
+{
     publish(now, changed);
     step();
 }
@@ -446,7 +473,7 @@
     hooks.onStatus = [weak](const target_id &id, const target_status &status, time_point askedAt) {
         if (const auto self = weak.lock()) {
             self->m_failing[id] = false;
-            self->take(id, status, askedAt, observation_source::Own);
+            self->takeStatus(id, status, askedAt);
         }
     };
     hooks.onOrder = [weak](const order_answer &answer, const std::string &error) {
--- a/src/libcrocusdealnet/groupmonitor.h
+++ b/src/libcrocusdealnet/groupmonitor.h
@@ -43,7 +43,7 @@
 /** What this instance itself heard from a target, for other instances. */
 struct group_fact {
     target_id target;
-    target_status status;
+    target_state state;
     duration age{}; ///< Upper bound.
 };
 
@@ -81,10 +81,10 @@
     group_view_ptr view();
 
     /** A state that @p target reported in band on a request sent at @p askedAt. Counts as an own observation. */
-    void observe(const target_id &target, const target_status &status, time_point askedAt);
+    void observe(const target_id &target, const target_state &state, time_point askedAt);
 
-    /** A status that another instance reported; the target had it at some time from @p notBefore on. */
-    void observePeer(const target_id &target, const target_status &status, time_point notBefore);
+    /** A state that another instance reported; the target had it at some time from @p notBefore on. */
+    void observePeer(const target_id &target, const target_state &state, time_point notBefore);
 
     /** Own observations of the last 2 s. */
     std::vector<group_fact> facts() const;
@@ -122,7 +122,11 @@
     void stepCandidate(time_point now);
     void stepDrain(time_point now);
 
-    void take(const target_id &target, const target_status &status, time_point askedAt, observation_source source);
+    void takeState(const target_id &target, const target_state &state, time_point askedAt, observation_source source);
+    void takeStatus(const target_id &target, const target_status &status, time_point askedAt);
+    bool isUnheard(const target_id &target, time_point now) const;
+    void recordFact(const target_id &target, const target_state &state, time_point askedAt);
+    void afterObservation(time_point now, bool changed);
     void publish(time_point now, bool changed);
     group_view_ptr renewView(time_point now);
     void rebuildControls();
@@ -165,7 +169,7 @@
     std::atomic<std::int64_t> m_usedAt = never.ms; ///< When a statement was routed last.
     mutable std::mutex m_mutex; ///< Guards the two below.
     group_view_ptr m_view;
-    std::map<target_id, std::pair<target_status, time_point>> m_ownFacts;
+    std::map<target_id, std::pair<target_state, time_point>> m_ownFacts;
 };
 
 }
--- a/tests/libcrocusdeal/databasegrouptest.cpp
+++ b/tests/libcrocusdeal/databasegrouptest.cpp
@@ -1,4 +1,5 @@
 #include "databasegroup.h"
+#include "followerrepair.h"
 #include "promotion.h"
 #include "writeconfirmation.h"
 
@@ -16,6 +17,8 @@
     CPPUNIT_TEST(datesDataByConfirmedSamples);
     CPPUNIT_TEST(keepsSamplesBounded);
     CPPUNIT_TEST(ignoresOvertakenAnswers);
+    CPPUNIT_TEST(readsInBandStatesStrictly);
+    CPPUNIT_TEST(repairsByTheUpstreamOfFullAnswersOnly);
     CPPUNIT_TEST(asksThePrimaryAgainBeforeARelease);
     CPPUNIT_TEST(failsWritesOfAnOldTerm);
     CPPUNIT_TEST(promotesOneDatabasePerTerm);
@@ -99,6 +102,34 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), m_group->highestTerm());
     }
 
+    /** Guards against a state of another form that is half read. */
+    void readsInBandStatesStrictly()
+    {
+        CPPUNIT_ASSERT(parseTargetState("4 fenced 3/1200")
+                       == (target_state{4, target_role::Fenced, position{3, 1200}}));
+        for (const char *text : {"", "4", "4 fenced", "4 fenced ", "4 Fenced 3/1", "x fenced 3/1", "4 fenced 3/1 "}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !parseTargetState(text));
+        }
+    }
+
+    /** Guards against orders to a database that follows the primary, given because a report left its upstream out. */
+    void repairsByTheUpstreamOfFullAnswersOnly()
+    {
+        follower_repair repair;
+        m_group->observe(target_id("a"),
+                         target_state{2, target_role::Primary, {2, 11}},
+                         time_point{50},
+                         time_point{55},
+                         observation_source::Own);
+        const target_state follows{2, target_role::Replica, {2, 11}};
+        m_group->observe(target_id("b"), follows, time_point{50}, time_point{55}, observation_source::Peer);
+        repair.update(*m_group, time_point{60});
+        heard("c", target_role::Replica, {1, 8}, 500);
+        const auto orders = repair.update(*m_group, time_point{1060});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), orders.front().target.str());
+    }
+
     /** Guards against an acknowledgement on a primary that has not answered since. */
     void asksThePrimaryAgainBeforeARelease()
     {
--- a/tests/libcrocusdeal/modelclient.cpp
+++ b/tests/libcrocusdeal/modelclient.cpp
@@ -125,7 +125,7 @@
                 return;
             }
             const auto at = answer->status.at;
-            current->through->observe(target, *answer, askedAt);
+            current->through->observeInBand(target, *answer, askedAt);
             current->through->confirm(at, [this, current, at](bool confirmed) {
                 if (confirmed) {
                     m_world.acknowledged(current->value, at.term);
@@ -153,7 +153,7 @@
                 finish();
                 return;
             }
-            current->through->observe(target, *answer, askedAt);
+            current->through->observeInBand(target, *answer, askedAt);
             auto &result = m_world.result();
             ++(current->maxAge ? result.staleReads : result.reads);
             const auto missing = std::any_of(m_written.begin(), m_written.end(), [answer](int value) {
--- a/tests/libcrocusdeal/modelinstance.cpp
+++ b/tests/libcrocusdeal/modelinstance.cpp
@@ -102,7 +102,7 @@
 
 void instance::observe(std::size_t target, const reply &answer, time_point askedAt)
 {
-    m_facts[targetName(target)] = {answer.status, askedAt};
+    m_facts[targetName(target)] = {{answer.status.term, answer.status.role, answer.status.at}, askedAt};
     m_group.observe(targetName(target), answer.status, askedAt, clock(), observation_source::Own);
     if (m_promotion) {
         run(m_promotion->observed(targetName(target), answer.status, clock()));
@@ -110,18 +110,26 @@
     step();
 }
 
-std::map<target_id, std::pair<target_status, duration>> instance::facts() const
+void instance::observeInBand(std::size_t target, const reply &answer, time_point askedAt)
 {
-    std::map<target_id, std::pair<target_status, duration>> result;
+    const target_state state{answer.status.term, answer.status.role, answer.status.at};
+    m_facts[targetName(target)] = {state, askedAt};
+    m_group.observe(targetName(target), state, askedAt, clock(), observation_source::Own);
+    step();
+}
+
+std::map<target_id, std::pair<target_state, duration>> instance::facts() const
+{
+    std::map<target_id, std::pair<target_state, duration>> result;
     for (const auto &[target, fact] : m_facts) {
         result[target] = {fact.first, clock() - fact.second};
     }
     return result;
 }
 
-void instance::observePeer(const target_id &target, const target_status &status, time_point notBefore)
+void instance::observePeer(const target_id &target, const target_state &state, time_point notBefore)
 {
-    m_group.observe(target, status, notBefore, clock(), observation_source::Peer);
+    m_group.observe(target, state, notBefore, clock(), observation_source::Peer);
     step();
 }
 
--- a/tests/libcrocusdeal/modelworld.h
+++ b/tests/libcrocusdeal/modelworld.h
@@ -181,8 +181,9 @@
     void startPromotion(std::optional<target_id> planned, std::set<target_id> leaving);
 
     void observe(std::size_t target, const reply &answer, time_point askedAt);
-    std::map<target_id, std::pair<target_status, duration>> facts() const;
-    void observePeer(const target_id &target, const target_status &status, time_point notBefore);
+    void observeInBand(std::size_t target, const reply &answer, time_point askedAt);
+    std::map<target_id, std::pair<target_state, duration>> facts() const;
+    void observePeer(const target_id &target, const target_state &state, time_point notBefore);
     group_view_ptr view() const;
     void confirm(position at, std::function<void(bool)> done);
     void readIndex(time_point startedAt, std::function<void(std::optional<position>)> done);
@@ -206,7 +207,7 @@
     time_point m_retryAt = never;
     std::map<target_id, time_point> m_nextProbe;
     std::map<target_id, time_point> m_asked;
-    std::map<target_id, std::pair<target_status, time_point>> m_facts;
+    std::map<target_id, std::pair<target_state, time_point>> m_facts;
     waiter_id m_nextWaiter = 1;
     std::map<waiter_id, std::function<void(bool)>> m_writes;
     std::map<waiter_id, std::function<void(std::optional<position>)>> m_indexes;
--- a/tests/libcrocusdealnet/groupmonitortest.cpp
+++ b/tests/libcrocusdealnet/groupmonitortest.cpp
@@ -177,10 +177,11 @@
     {
         startMonitor();
         const auto status = m_databases->status(0);
+        const target_state state{status.term, status.role, status.at};
         m_databases->crash(0);
         const auto end = steadyNow() + 1500_ms;
         while (steadyNow() < end) {
-            m_monitor->observePeer(target_id("a"), status, steadyNow() - 20_ms);
+            m_monitor->observePeer(target_id("a"), state, steadyNow() - 20_ms);
             std::this_thread::sleep_for(std::chrono::milliseconds(100));
         }
         CPPUNIT_ASSERT_EQUAL(std::string("a"), primaryName());
@@ -243,7 +244,7 @@
         const auto askedAt = steadyNow();
         const auto at = m_databases->write(0);
         CPPUNIT_ASSERT(at.has_value());
-        m_monitor->observe(target_id("a"), m_databases->status(0), askedAt);
+        m_monitor->observe(target_id("a"), {1, target_role::Primary, *at}, askedAt);
         std::promise<confirm_result> done;
         m_monitor->confirmWrite(*at, steadyNow() + limit, [&done](confirm_result result) { done.set_value(result); });
         return done.get_future().get();
