Let messages of the model arrive within the millisecond

Cause: with at least 1 ms each way no two steps shared a millisecond. Conclusion: the model also orders steps within one millisecond.

--- a/tests/libcrocusdeal/modelclient.cpp
+++ b/tests/libcrocusdeal/modelclient.cpp
@@ -31,7 +31,7 @@
 
 void client::next()
 {
-    m_world.after(m_world.random(1, 15), [this] {
+    m_world.after(m_world.random(0, 12), [this] {
         auto current = std::make_shared<operation>();
         current->through = &m_world.randomInstance();
         if (current->through->pausedUntil() > m_world.now()) {
--- a/tests/libcrocusdeal/modelworld.cpp
+++ b/tests/libcrocusdeal/modelworld.cpp
@@ -216,7 +216,7 @@
 
 std::int64_t world::delay()
 {
-    return m_faulty && chance(4) ? random(20, 200) : random(1, 4);
+    return m_faulty && chance(4) ? random(20, 200) : random(0, 4);
 }
 
 bool world::isLost()
