Give peers time to report a primary; let every candidate repair

Cause: an instance that starts without a way to the primary would replace it after 1 s; only the first candidate repaired, whether it reached the database or not. Ruled out: waiting longer in every case, which would lengthen the failover gap. Before: 1 s without a known primary; repair by rank 0. Conclusion: the gap of a known primary stays at 1 s.

--- a/src/libcrocusdeal/databasegroup.cpp
+++ b/src/libcrocusdeal/databasegroup.cpp
@@ -13,6 +13,9 @@
 // Probes without an answer before the primary is suspected; with one each 250 ms, the last falls near 1 s.
 constexpr int probesForSuspicion = 3;
 
+// Peers exchange what they heard about once a second.
+constexpr int unknownPrimaryFactor = 3;
+
 // Weight of the newest replay rate in the average.
 constexpr double rateWeight = 0.25;
 
@@ -267,9 +270,24 @@
     return std::max(sign, m_watchingSince);
 }
 
+// A replica that follows another database shows that there is or was a primary. An instance that never heard of it may
+// have started just now without a way to it; peers are given the time to report.
+duration database_group::patience() const
+{
+    if (primary()) {
+        return m_policy.suspicionAfter;
+    }
+    const bool follows = std::any_of(m_members.begin(), m_members.end(), [this](const auto &entry) {
+        const auto &status = entry.second.view.status;
+        return status && status->term == m_highestTerm && status->role == target_role::Replica
+            && !status->following.empty();
+    });
+    return follows ? m_policy.suspicionAfter * unknownPrimaryFactor : m_policy.suspicionAfter;
+}
+
 time_point database_group::suspectedSince() const
 {
-    return lastSignOfPrimary() + m_policy.suspicionAfter;
+    return lastSignOfPrimary() + patience();
 }
 
 bool database_group::primarySuspected(time_point now) const
--- a/src/libcrocusdeal/databasegroup.h
+++ b/src/libcrocusdeal/databasegroup.h
@@ -99,6 +99,7 @@
     void mergeStatus(member &entry, const target_status &status, time_point askedAt);
     void learnReplayRate(member &entry, const target_status &status, time_point heardAt);
     time_point lastSignOfPrimary() const;
+    duration patience() const;
 
     group_id m_group;
     group_policy m_policy;
--- a/src/libcrocusdeal/followerrepair.cpp
+++ b/src/libcrocusdeal/followerrepair.cpp
@@ -34,7 +34,7 @@
             && status.following != upstreamName(primary.address));
 }
 
-std::vector<order_target> follower_repair::update(const database_group &group, time_point now)
+std::vector<order_target> follower_repair::update(const database_group &group, time_point now, int rank)
 {
     std::vector<order_target> orders;
     const auto id = group.primary();
@@ -55,7 +55,7 @@
         auto &entry = m_attempts[target.id];
         if (entry.nextAt == never) {
             // The promoter itself gives the first order; repair is for what it missed.
-            entry = {now + group.policy().repairDelay, group.policy().repairDelay};
+            entry = {now + group.policy().repairDelay * (rank + 1), group.policy().repairDelay};
         } else if (now >= entry.nextAt) {
             orders.push_back({control_order::Follow, target.id, m_term, *id});
             entry.delay = std::min(entry.delay * 2, longestDelay);
--- a/src/libcrocusdeal/followerrepair.h
+++ b/src/libcrocusdeal/followerrepair.h
@@ -21,7 +21,8 @@
 class follower_repair
 {
 public:
-    std::vector<order_target> update(const database_group &group, time_point now);
+    /** @p rank is this instance's among those that repair; a later one waits longer for the earlier ones to act. */
+    std::vector<order_target> update(const database_group &group, time_point now, int rank = 0);
 
 private:
     struct attempt {
--- a/src/libcrocusdealnet/groupmonitor.cpp
+++ b/src/libcrocusdealnet/groupmonitor.cpp
@@ -301,13 +301,13 @@
     }
 }
 
-// Of several instances, the first candidate repairs; the others would only repeat its orders.
+// Every candidate repairs, since the first one may not reach the database. Repeated orders have no further effect.
 void group_monitor::stepRepair(time_point now)
 {
-    if (m_promotion || m_rank != 0) {
+    if (m_promotion || m_rank < 0) {
         return;
     }
-    for (const auto &order : m_repair.update(m_group, now)) {
+    for (const auto &order : m_repair.update(m_group, now, m_rank)) {
         log(group_log_level::Info, order.target.str() + " is fenced, behind or on another upstream");
         perform(order);
     }
--- a/tests/libcrocusdeal/databasegrouptest.cpp
+++ b/tests/libcrocusdeal/databasegrouptest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST_SUITE(database_group_test);
     CPPUNIT_TEST(suspectsASilentPrimaryOnly);
     CPPUNIT_TEST(doesNotSuspectAfterItsOwnPause);
+    CPPUNIT_TEST(givesPeersTimeToReportAPrimary);
     CPPUNIT_TEST(datesDataByConfirmedSamples);
     CPPUNIT_TEST(keepsSamplesBounded);
     CPPUNIT_TEST(ignoresOvertakenAnswers);
@@ -63,6 +64,18 @@
         CPPUNIT_ASSERT(!m_group->reachesMajority(time_point{60001}));
     }
 
+    /** Guards against replacing a primary that an instance that has just started does not reach. */
+    void givesPeersTimeToReportAPrimary()
+    {
+        m_group.emplace(group_id("g"), std::vector<target_address>{address("a"), address("b"), address("c")});
+        m_group->tick(time_point{0});
+        heard("b", target_role::Replica, {1, 10}, 0);
+        heard("c", target_role::Replica, {1, 10}, 0);
+        tickUntil(2950);
+        CPPUNIT_ASSERT(!m_group->primarySuspected(time_point{2999}));
+        CPPUNIT_ASSERT(m_group->primarySuspected(time_point{3005}));
+    }
+
     /** Guards against dating a replica by a primary that may have been replaced. */
     void datesDataByConfirmedSamples()
     {
