Move the promotion's orders and log lines out of the group monitor

Ruled out: splitting the class over two files. Conclusion: no change of behaviour; repairs now have one log line each.

--- a/src/libcrocusdealnet/groupmonitor.cpp
+++ b/src/libcrocusdealnet/groupmonitor.cpp
@@ -24,15 +24,6 @@
 // A snapshot is renewed at most so often by ordinary answers.
 constexpr duration publishInterval{2};
 
-std::string joined(const std::vector<target_id> &targets)
-{
-    std::string text;
-    for (const auto &target : targets) {
-        text += ' ' + target.str();
-    }
-    return text;
-}
-
 }
 
 group_monitor::group_monitor(asio::io_context &context, group_monitor_settings settings, group_monitor_hooks hooks)
@@ -52,6 +43,19 @@
                          entry->wantWait(ask.at);
                      }
                  }})
+    , m_promotion({[this](const order_target &order) { give(order); },
+                   [this](const target_id &target) {
+                       if (auto *entry = control(target)) {
+                           entry->wantStatus(m_hooks.now());
+                       }
+                   },
+                   [this](bool promoting) {
+                       for (auto &[id, entry] : m_controls) {
+                           entry->setPromoting(promoting);
+                       }
+                   },
+                   [this](group_log_level level, const std::string &line) { log(level, line); },
+                   [this](std::uint64_t term, const target_id &primary) { m_hooks.onHint(term, primary); }})
     , m_view(m_group.view(m_hooks.now()))
 {
 }
@@ -76,16 +80,13 @@
             entry->close();
         }
         self->m_controls.clear();
-        self->m_promotion.reset();
+        self->m_promotion.abandon();
         for (const auto &done : self->m_waiters.abandon()) {
             done();
         }
         for (auto &change : std::exchange(self->m_planned, {})) {
             change.done({});
         }
-        if (const auto done = std::exchange(self->m_promoteCallback, nullptr)) {
-            done({});
-        }
     });
 }
 
@@ -209,7 +210,7 @@
 
 void group_monitor::scheduleTick()
 {
-    const bool busy = m_promotion || !m_planned.empty() || !m_waiters.empty();
+    const bool busy = m_promotion.isRunning() || !m_planned.empty() || !m_waiters.empty();
     m_timer.expires_after(std::chrono::milliseconds((busy ? busyTick : idleTick).ms));
     m_timer.async_wait([weak = weak_from_this()](const asio::error_code &error) {
         const auto self = weak.lock();
@@ -228,9 +229,7 @@
     for (auto &[id, entry] : m_controls) {
         entry->tick();
     }
-    if (m_promotion) {
-        run(m_promotion->tick(now));
-    }
+    m_promotion.tick(now);
     step();
     stepDrain(now);
     stepCandidate(now);
@@ -304,18 +303,20 @@
 // Every candidate repairs, since the first one may not reach the database. Repeated orders have no further effect.
 void group_monitor::stepRepair(time_point now)
 {
-    if (m_promotion || m_rank < 0) {
+    if (m_promotion.isRunning() || m_rank < 0) {
         return;
     }
     for (const auto &order : m_repair.update(m_group, now, m_rank)) {
-        log(group_log_level::Info, order.target.str() + " is fenced, behind or on another upstream");
-        perform(order);
+        log(group_log_level::Info,
+            "term " + std::to_string(order.term) + ": " + order.target.str() + " follows " + order.upstream.str()
+                + ", since it is fenced, behind or on another upstream");
+        give(order);
     }
 }
 
 void group_monitor::stepPlanned(time_point now)
 {
-    if (m_planned.empty() || m_promotion) {
+    if (m_planned.empty() || m_promotion.isRunning()) {
         return;
     }
     const bool reachable = m_group.reachesMajority(now);
@@ -331,7 +332,7 @@
     } else if (change.target && current == change.target) {
         change.done({promotion_outcome::Promoted, m_group.highestTerm(), *current});
     } else {
-        startPromotion(change.target, "planned change", change.done);
+        m_promotion.start(m_group, change.target, "planned change", change.done, now);
     }
 }
 
@@ -345,15 +346,18 @@
                       : "no longer suspects the primary");
         publish(now, true);
     }
-    if (!suspected || m_rank < 0 || m_promotion || !m_group.reachesMajority(now)) {
+    if (!suspected || m_rank < 0 || m_promotion.isRunning() || !m_group.reachesMajority(now)) {
         return;
     }
-    const auto startAt = std::max(m_group.suspectedSince(), m_retryAt) + m_settings.policy.candidateStagger * m_rank;
+    const auto startAt =
+        std::max(m_group.suspectedSince(), m_promotion.retryAt()) + m_settings.policy.candidateStagger * m_rank;
     if (now >= startAt) {
         const auto primary = m_group.primary();
-        startPromotion(std::nullopt,
-                       primary ? "the primary " + primary->str() + " does not answer" : "there is no primary",
-                       nullptr);
+        m_promotion.start(m_group,
+                          std::nullopt,
+                          primary ? "the primary " + primary->str() + " does not answer" : "there is no primary",
+                          nullptr,
+                          now);
     }
 }
 
@@ -367,13 +371,13 @@
     if (m_drainSeenAt == never) {
         m_drainSeenAt = now;
     }
-    const auto startAt = std::max(m_drainSeenAt, m_retryAt) + m_settings.policy.candidateStagger * m_rank;
+    const auto startAt = std::max(m_drainSeenAt, m_promotion.retryAt()) + m_settings.policy.candidateStagger * m_rank;
     const bool hasOther = std::any_of(m_group.targets().begin(), m_group.targets().end(), [&](const auto &target) {
         const auto *known = m_group.find(target.id);
         return known != nullptr && !known->leaving && now - known->heardAt <= m_settings.policy.unheardLimit;
     });
-    if (m_rank >= 0 && now >= startAt && hasOther && !m_promotion && m_group.reachesMajority(now)) {
-        startPromotion(std::nullopt, "the primary " + primary->str() + " is drained", nullptr);
+    if (m_rank >= 0 && now >= startAt && hasOther && !m_promotion.isRunning() && m_group.reachesMajority(now)) {
+        m_promotion.start(m_group, std::nullopt, "the primary " + primary->str() + " is drained", nullptr, now);
     }
 }
 
@@ -403,9 +407,7 @@
     const bool heardAgain = isUnheard(target, now);
     const bool changed = m_group.observe(target, status, askedAt, now, observation_source::Own);
     recordFact(target, {status.term, status.role, status.at}, askedAt);
-    if (m_promotion) {
-        run(m_promotion->observed(target, status, now));
-    }
+    m_promotion.observed(target, status, now);
     afterObservation(now, changed || heardAgain);
 }
 
@@ -510,92 +512,17 @@
     return {};
 }
 
-void group_monitor::startPromotion(std::optional<target_id> planned,
-                                   const std::string &why,
-                                   const promote_callback &done)
-{
-    std::vector<target_id> members;
-    for (const auto &target : m_group.targets()) {
-        members.push_back(target.id);
-    }
-    const auto term = m_group.highestTerm() + 1;
-    log(group_log_level::Info,
-        "term " + std::to_string(term) + ": fence all" + (planned ? " for " + planned->str() : "") + ": " + why);
-    m_promoteCallback = done;
-    m_promotion.emplace(std::move(members), m_group.drained(), std::move(planned), m_settings.policy);
-    for (auto &[id, entry] : m_controls) {
-        entry->setPromoting(true);
-    }
-    run(m_promotion->start(m_group.highestTerm(), m_hooks.now()));
-}
-
-void group_monitor::run(const promotion_actions &actions)
-{
-    for (const auto &action : actions) {
-        std::visit([this](const auto &entry) { perform(entry); }, action);
-    }
-}
-
-void group_monitor::logOrder(const order_target &order) const
-{
-    auto line = "term " + std::to_string(order.term) + ": ";
-    switch (order.order) {
-    case control_order::Fence:
-        line += "fence " + order.target.str();
-        break;
-    case control_order::Follow:
-        line += order.target.str() + " follows " + order.upstream.str();
-        break;
-    case control_order::Promote:
-        line += "promote " + order.target.str() + " at " + toString(m_promotion->neededPosition()) + ", granted by"
-            + joined(m_promotion->grantedBy());
-        break;
-    }
-    log(order.order == control_order::Fence ? group_log_level::Debug : group_log_level::Info, line);
-}
-
-void group_monitor::perform(const order_target &order)
+void group_monitor::give(const order_target &order)
 {
     auto *entry = control(order.target);
     if (entry == nullptr) {
         return;
     }
-    logOrder(order);
     const auto timeout =
         order.order == control_order::Promote ? m_settings.policy.promoteTimeout : m_settings.policy.fenceTimeout;
     entry->give(order, order.order == control_order::Follow ? upstreamOf(order.upstream) : std::string(), timeout);
 }
 
-void group_monitor::perform(const poll_target &poll)
-{
-    if (auto *entry = control(poll.target)) {
-        entry->wantStatus(m_hooks.now());
-    }
-}
-
-void group_monitor::perform(const promotion_ended &ended)
-{
-    const auto now = m_hooks.now();
-    const auto granted = joined(ended.grantedBy);
-    const bool promoted = ended.outcome == promotion_outcome::Promoted;
-    log(promoted ? group_log_level::Info : group_log_level::Warning,
-        "term " + std::to_string(ended.term) + ": "
-            + (promoted ? "promoted " + ended.primary.str() + " at " + toString(ended.at)
-                        : "promoted none, " + std::string(promotionOutcomeNames.name(ended.outcome)))
-            + (granted.empty() ? ", granted by none" : ", granted by" + granted));
-    for (auto &[id, entry] : m_controls) {
-        entry->setPromoting(false);
-    }
-    m_promotion.reset();
-    m_retryAt = promoted ? never : now + m_settings.policy.suspicionAfter;
-    if (promoted) {
-        m_hooks.onHint(ended.term, ended.primary);
-    }
-    if (const auto done = std::exchange(m_promoteCallback, nullptr)) {
-        done({ended.outcome, ended.term, ended.primary});
-    }
-}
-
 void group_monitor::onOrder(const order_answer &answer, const std::string &error)
 {
     if (!m_running) {
@@ -605,9 +532,7 @@
     const auto outcome = answer.lost ? "is lost, " + error : std::string(answer.granted ? "granted" : "refused");
     log(group_log_level::Debug,
         name + " of term " + std::to_string(answer.term) + " at " + answer.target.str() + ' ' + outcome);
-    if (m_promotion) {
-        run(m_promotion->answered(answer, m_hooks.now()));
-    }
+    m_promotion.answered(answer, m_hooks.now());
     step();
 }
 
--- a/src/libcrocusdealnet/groupmonitor.h
+++ b/src/libcrocusdealnet/groupmonitor.h
@@ -3,7 +3,7 @@
 #include "databasegroup.h"
 #include "followerrepair.h"
 #include "groupwaiters.h"
-#include "promotion.h"
+#include "promotionrunner.h"
 #include "targetcontrol.h"
 
 #include <atomic>
@@ -12,12 +12,6 @@
 namespace crocusdeal
 {
 
-enum class group_log_level {
-    Debug,
-    Info,
-    Warning,
-};
-
 struct group_monitor_settings {
     group_id group;
     std::vector<target_address> targets; ///< Hosts are IP numbers.
@@ -48,12 +42,6 @@
     duration age{}; ///< Upper bound.
 };
 
-struct promotion_result {
-    promotion_outcome outcome = promotion_outcome::NoMajority;
-    std::uint64_t term = 0;
-    target_id primary; ///< May differ from the one asked for; empty unless promoted.
-};
-
 /**
  * Watches and controls one database group. All public functions may be called from any thread.
  *
@@ -65,7 +53,7 @@
     using confirm_callback = group_waiters::confirm_callback;
     using index_callback = group_waiters::index_callback;
     using wait_callback = group_waiters::wait_callback;
-    using promote_callback = std::function<void(const promotion_result &)>;
+    using promote_callback = promotion_runner::callback;
 
     group_monitor(asio::io_context &context, group_monitor_settings settings, group_monitor_hooks hooks);
 
@@ -81,7 +69,10 @@
      */
     group_view_ptr view();
 
-    /** A state that @p target reported in band on a request sent at @p askedAt. Counts as an own observation. */
+    /**
+     * A state that @p target reported in band with the answer to a request sent at @p askedAt. Counts as an own
+     * observation. A state remembered from an earlier answer must not be passed again with a later time.
+     */
     void observe(const target_id &target, const target_state &state, time_point askedAt);
 
     /** A state that another instance reported; the target had it at some time from @p notBefore on. */
@@ -135,12 +126,7 @@
     target_control *control(const target_id &target);
     std::string upstreamOf(const target_id &target) const;
 
-    void startPromotion(std::optional<target_id> planned, const std::string &why, const promote_callback &done);
-    void run(const promotion_actions &actions);
-    void perform(const order_target &order);
-    void perform(const poll_target &poll);
-    void perform(const promotion_ended &ended);
-    void logOrder(const order_target &order) const;
+    void give(const order_target &order);
     void onOrder(const order_answer &answer, const std::string &error);
     void onFailure(const target_id &target, const control_result &result);
     void log(group_log_level level, const std::string &line) const;
@@ -153,14 +139,12 @@
     database_group m_group;
     group_waiters m_waiters;
     follower_repair m_repair;
-    std::optional<promotion> m_promotion;
+    promotion_runner m_promotion;
     std::map<target_id, std::shared_ptr<target_control>> m_controls;
     std::map<target_id, time_point> m_nextProbe;
     std::map<target_id, bool> m_failing;
 
     std::vector<planned_change> m_planned;
-    promote_callback m_promoteCallback;
-    time_point m_retryAt = never;
     time_point m_renewedAt = never;
     time_point m_drainSeenAt = never;
     int m_rank = -1; ///< As of the last tick.
