Back off from failing targets; log why a promotion starts over

Cause: waiters made a failing target reconnect each 50 ms, and a restart at a higher term had no line of its own at the info level. Ruled out: delays above the probe interval, which would hide a recovery. Before: 50 ms; libpq's advice filled three log lines. Conclusion: each action has one line with its reason.

--- a/src/libcrocusdealnet/groupmonitor.cpp
+++ b/src/libcrocusdealnet/groupmonitor.cpp
@@ -539,9 +539,11 @@
 void group_monitor::onFailure(const target_id &target, const control_result &result)
 {
     if (!std::exchange(m_failing[target], true)) {
+        // libpq adds advice in further lines.
+        const auto reason = result.message.substr(0, result.message.find('\n'));
         log(group_log_level::Info,
             "no status of " + target.str() + ": " + std::string(controlErrorNames.name(result.error))
-                + (result.message.empty() ? "" : ", " + result.message));
+                + (reason.empty() ? "" : ", " + reason));
     }
 }
 
--- a/src/libcrocusdealnet/promotionrunner.cpp
+++ b/src/libcrocusdealnet/promotionrunner.cpp
@@ -47,6 +47,7 @@
     m_hooks.log(group_log_level::Info,
                 "term " + std::to_string(group.highestTerm() + 1) + ": fence all"
                     + (planned ? " for " + planned->str() : "") + ": " + why);
+    m_term = group.highestTerm() + 1;
     m_done = std::move(done);
     m_retryDelay = group.policy().suspicionAfter;
     m_promotion.emplace(std::move(members), group.drained(), std::move(planned), group.policy());
@@ -87,6 +88,7 @@
 {
     for (const auto &action : actions) {
         if (const auto *order = std::get_if<order_target>(&action)) {
+            logRestart(order->term);
             m_hooks.log(order->order == control_order::Fence ? group_log_level::Debug : group_log_level::Info,
                         describe(*order));
             m_hooks.give(*order);
@@ -98,6 +100,16 @@
     }
 }
 
+void promotion_runner::logRestart(std::uint64_t term)
+{
+    const auto before = std::exchange(m_term, term);
+    if (before != term) {
+        m_hooks.log(group_log_level::Info,
+                    "term " + std::to_string(term) + ": fence all: an order of term " + std::to_string(before)
+                        + " has no answer");
+    }
+}
+
 std::string promotion_runner::describe(const order_target &order) const
 {
     auto line = "term " + std::to_string(order.term) + ": ";
--- a/src/libcrocusdealnet/promotionrunner.h
+++ b/src/libcrocusdealnet/promotionrunner.h
@@ -56,11 +56,13 @@
 
 private:
     void run(const promotion_actions &actions, time_point now);
+    void logRestart(std::uint64_t term);
     std::string describe(const order_target &order) const;
     void finish(const promotion_ended &ended, time_point now);
 
     hooks m_hooks;
     std::optional<promotion> m_promotion;
+    std::uint64_t m_term = 0; ///< Of the last "fence all" in the log.
     duration m_retryDelay{};
     time_point m_retryAt = never;
     callback m_done;
--- a/src/libcrocusdealnet/targetcontrol.cpp
+++ b/src/libcrocusdealnet/targetcontrol.cpp
@@ -12,8 +12,10 @@
 constexpr duration statusTimeout{500};
 constexpr duration idleLimit{10000};
 
-// A refused connection would otherwise be tried again with every decision that wants an answer.
-constexpr duration retryDelay{50};
+// A refused connection would otherwise be tried again with every decision that wants an answer. The longest delay is
+// the interval of probes, so that a database that comes back is noticed as soon as with probes alone.
+constexpr duration firstRetryDelay{50};
+constexpr duration longestRetryDelay{250};
 
 std::string orderSql(const order_target &order, const std::string &upstream)
 {
@@ -42,6 +44,7 @@
     , m_settings(std::move(settings))
     , m_waitRound(waitRound)
     , m_hooks(std::move(callbacks))
+    , m_retryDelay(firstRetryDelay)
 {
     m_settings.address = m_address.host;
     m_settings.port = m_address.port;
@@ -195,9 +198,11 @@
     m_queryStartedAt = never;
     m_waitFor.reset();
     if (result.error == control_error::None) {
+        m_retryDelay = firstRetryDelay;
         m_hooks.onStatus(m_address.id, result.row.status, result.sentAt);
     } else {
-        m_retryAt = m_hooks.now() + retryDelay;
+        m_retryAt = m_hooks.now() + m_retryDelay;
+        m_retryDelay = std::min(m_retryDelay * 2, longestRetryDelay);
         m_hooks.onFailure(m_address.id, result);
     }
     pump();
--- a/src/libcrocusdealnet/targetcontrol.h
+++ b/src/libcrocusdealnet/targetcontrol.h
@@ -77,6 +77,7 @@
     std::optional<position> m_waitFor;
     time_point m_queryStartedAt = never; ///< Of the running query; never if none runs.
     time_point m_retryAt = never;
+    duration m_retryDelay;
     bool m_promoting = false;
     bool m_closed = false;
 };
