--- a/src/libcrocusdealnet/groupmonitor.h
+++ b/src/libcrocusdealnet/groupmonitor.h
@@ -3,7 +3,7 @@
 #include "databasegroup.h"
 #include "followerrepair.h"
 #include "groupwaiters.h"
-#include "promotion.h"
+#include "promotionrunner.h"
 #include "targetcontrol.h"
 
 #include <atomic>
@@ -12,12 +12,6 @@
 namespace crocusdeal
 {
 
-enum class group_log_level {
-    Debug,
-    Info,
-    Warning,
-};
-
 struct group_monitor_settings {
     group_id group;
     std::vector<target_address> targets; ///< Hosts are IP numbers.
@@ -34,7 +28,8 @@
     std::function<void(group_log_level, const std::string &)> log;
     /** The term, a role, the primary or its suspicion changed, or a target is heard again after more than 1 s. */
     std::function<void(group_view_ptr)> onViewChanged;
-    /** In the order of promotion, from 0; negative: not a candidate. A few candidates suffice, since each probes. */
+    /** Asked each tick. In the order of promotion, from 0; negative: not a candidate. A few candidates suffice, since
+     * each probes. */
     std::function<int()> candidateRank;
     std::function<bool(const target_id &)> isProber;
     std::function<void(std::uint64_t term, const target_id &primary)> onHint;
@@ -45,16 +40,10 @@
 /** What this instance itself heard from a target, for other instances. */
 struct group_fact {
     target_id target;
-    target_status status;
+    target_state state;
     duration age{}; ///< Upper bound.
 };
 
-struct promotion_result {
-    promotion_outcome outcome = promotion_outcome::NoMajority;
-    std::uint64_t term = 0;
-    target_id primary; ///< May differ from the one asked for; empty unless promoted.
-};
-
 /**
  * Watches and controls one database group. All public functions may be called from any thread.
  *
@@ -66,7 +55,7 @@
     using confirm_callback = group_waiters::confirm_callback;
     using index_callback = group_waiters::index_callback;
     using wait_callback = group_waiters::wait_callback;
-    using promote_callback = std::function<void(const promotion_result &)>;
+    using promote_callback = promotion_runner::callback;
 
     group_monitor(asio::io_context &context, group_monitor_settings settings, group_monitor_hooks hooks);
 
@@ -82,11 +71,14 @@
      */
     group_view_ptr view();
 
-    /** A state that @p target reported in band on a request sent at @p askedAt. Counts as an own observation. */
-    void observe(const target_id &target, const target_status &status, time_point askedAt);
+    /**
+     * A state that @p target reported in band with the answer to a request sent at @p askedAt. Counts as an own
+     * observation. A state remembered from an earlier answer must not be passed again with a later time.
+     */
+    void observe(const target_id &target, const target_state &state, time_point askedAt);
 
-    /** A status that another instance reported; the target had it at some time from @p notBefore on. */
-    void observePeer(const target_id &target, const target_status &status, time_point notBefore);
+    /** A state that another instance reported; the target had it at some time from @p notBefore on. */
+    void observePeer(const target_id &target, const target_state &state, time_point notBefore);
 
     /** Control connections that are open, as of the last tick. */
     std::map<target_id, int> controlConnections() const;
@@ -128,7 +120,11 @@
     void stepCandidate(time_point now);
     void stepDrain(time_point now);
 
-    void take(const target_id &target, const target_status &status, time_point askedAt, observation_source source);
+    void takeState(const target_id &target, const target_state &state, time_point askedAt, observation_source source);
+    void takeStatus(const target_id &target, const target_status &status, time_point askedAt);
+    bool isUnheard(const target_id &target, time_point now) const;
+    void recordFact(const target_id &target, const target_state &state, time_point askedAt);
+    void afterObservation(time_point now, bool changed);
     void publish(time_point now, bool changed);
     group_view_ptr renewView(time_point now);
     void rebuildControls();
@@ -136,12 +132,7 @@
     target_control *control(const target_id &target);
     std::string upstreamOf(const target_id &target) const;
 
-    void startPromotion(std::optional<target_id> planned, const std::string &why, const promote_callback &done);
-    void run(const promotion_actions &actions);
-    void perform(const order_target &order);
-    void perform(const poll_target &poll);
-    void perform(const promotion_ended &ended);
-    void logOrder(const order_target &order) const;
+    void give(const order_target &order);
     void onOrder(const order_answer &answer, const std::string &error);
     void onFailure(const target_id &target, const control_result &result);
     void log(group_log_level level, const std::string &line) const;
@@ -154,16 +145,15 @@
     database_group m_group;
     group_waiters m_waiters;
     follower_repair m_repair;
-    std::optional<promotion> m_promotion;
+    promotion_runner m_promotion;
     std::map<target_id, std::shared_ptr<target_control>> m_controls;
     std::map<target_id, time_point> m_nextProbe;
     std::map<target_id, bool> m_failing;
 
     std::vector<planned_change> m_planned;
-    promote_callback m_promoteCallback;
-    time_point m_retryAt = never;
     time_point m_renewedAt = never;
     time_point m_drainSeenAt = never;
+    int m_rank = -1; ///< As of the last tick.
     bool m_running = false;
     bool m_inStep = false;
     bool m_suspected = false;
@@ -171,7 +161,7 @@
     std::atomic<std::int64_t> m_usedAt = never.ms; ///< When a statement was routed last.
     mutable std::mutex m_mutex; ///< Guards the two below.
     group_view_ptr m_view;
-    std::map<target_id, std::pair<target_status, time_point>> m_ownFacts;
+    std::map<target_id, std::pair<target_state, time_point>> m_ownFacts;
     std::map<target_id, int> m_controlCounts;
 };
 
