Make the HTTP programs clean under ThreadSanitizer

Cause: ThreadSanitizer reported memcmp on a static set of cpp-httplib, whose guard it does not see in the library; the stand-in stated its address before its 512 threads ran, which took above 2 s under load. Ruled out: called_from_lib suppression, since it hides the library's mutex operations and then reports wrong unlocks; a race suppression, since it would cover handlers that run below the library's frames. Conclusion: the library's statics are initialised before its threads in TSan builds, and the stand-in prints its address once it serves.

--- a/src/libcrocusdealnet/platformexchange.cpp
+++ b/src/libcrocusdealnet/platformexchange.cpp
@@ -1,5 +1,7 @@
 #include "platformexchange.h"
 
+#include "httpwarmup.h"
+
 #include <httplib.h>
 
 #include <algorithm>
@@ -72,6 +74,7 @@
         : m_address(std::move(address))
         , m_caller(std::move(caller))
     {
+        warmUpHttpLibrary();
     }
 
     platform_result<http_answer> call(const http_call &call, duration limit);
--- a/src/standins/platform/platformserver.cpp
+++ b/src/standins/platform/platformserver.cpp
@@ -1,6 +1,7 @@
 #include "platformserver.h"
 
 #include "faultboard.h"
+#include "httpwarmup.h"
 #include "instanceregistry.h"
 #include "objectstore.h"
 #include "ratelimit.h"
@@ -10,6 +11,7 @@
 
 #include <atomic>
 #include <charconv>
+#include <future>
 #include <thread>
 
 namespace platform_standin
@@ -111,6 +113,7 @@
     call_counters m_counters;
     std::atomic<bool> m_stopping{false};
     std::atomic<bool> m_ended{false};
+    std::promise<void> m_serving;
     int m_listening = -1;
     httplib::Server m_server;
     std::thread m_thread;
@@ -121,7 +124,12 @@
     , m_readLimit(m_options.readsPerSecond)
     , m_writeLimit(m_options.writesPerSecond)
 {
-    m_server.new_task_queue = [] { return new httplib::ThreadPool(threads); };
+    crocusdeal::warmUpHttpLibrary();
+    m_server.new_task_queue = [this] {
+        auto *pool = new httplib::ThreadPool(threads);
+        m_serving.set_value();
+        return pool;
+    };
     m_server.set_payload_max_length(maxValueBytes + maxFrameBytes);
     m_server.set_tcp_nodelay(true);
     m_server.set_keep_alive_timeout(1);
@@ -153,6 +161,8 @@
         m_server.listen_after_bind();
         m_ended = true;
     });
+    // Starting the threads takes seconds on a busy machine; a client that is told the address must not wait for that.
+    m_serving.get_future().wait();
     return port;
 }
 
