Keep nlohmann out of the headers and count the instances asked

Cause: jsonreader.h included the whole of nlohmann; a publish with an empty list of instances read like one that was seen in force. Ruled out: pimpl for the reader, since the forward header is enough. Before: "is in force everywhere".

--- a/src/crocusdeal/configurationchange.cpp
+++ b/src/crocusdeal/configurationchange.cpp
@@ -132,6 +132,7 @@
 
 struct force_report {
     bool isKnown = false; ///< False if the platform's list of instances could not be read.
+    std::size_t instances = 0;
     std::vector<instance_version> behind;
 };
 
@@ -145,7 +146,7 @@
     for (auto &status : queryStatus(*instances.value, statusLimit)) {
         versions.push_back(std::move(status.version));
     }
-    return {true, notInForce(versions, version)};
+    return {true, versions.size(), notInForce(versions, version)};
 }
 
 force_report waitInForce(operator_platform &platform, std::uint64_t version, duration limit)
@@ -199,6 +200,7 @@
                          {"problems", nlohmann::json::parse(toJson(report.problems))},
                          {"detail", report.detail},
                          {"instances_known", force.isKnown},
+                         {"instances", force.instances},
                          {"not_in_force", std::move(behind)}};
     std::cout << value.dump() << '\n';
 }
@@ -210,7 +212,7 @@
                    + " is accepted; the instances are not known, since the "
                      "platform does not answer");
     } else if (force.behind.empty()) {
-        std::cout << "version " << report.version << " is in force everywhere\n";
+        std::cout << "version " << report.version << " is in force everywhere (" << force.instances << " instances)\n";
     } else {
         printError("version " + std::to_string(report.version) + " is accepted, but not in force at:");
         for (const auto &instance : force.behind) {
--- a/src/libcrocusdealnet/configurationjson.cpp
+++ b/src/libcrocusdealnet/configurationjson.cpp
@@ -3,7 +3,7 @@
 #include "hostport.h"
 #include "jsonreader.h"
 
-#include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace crocusdeal
 {
--- a/src/libcrocusdealnet/daemonsettings.cpp
+++ b/src/libcrocusdealnet/daemonsettings.cpp
@@ -2,6 +2,8 @@
 
 #include "jsonreader.h"
 
+#include <nlohmann/json.hpp>
+
 #include <array>
 #include <set>
 
--- a/src/libcrocusdealnet/jsonreader.cpp
+++ b/src/libcrocusdealnet/jsonreader.cpp
@@ -1,6 +1,7 @@
 #include "jsonreader.h"
 
 #include <boost/leaf.hpp>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <set>
--- a/src/libcrocusdealnet/jsonreader.h
+++ b/src/libcrocusdealnet/jsonreader.h
@@ -1,11 +1,9 @@
 #pragma once
 
-// Included by source files only, since nlohmann's headers are slow to compile.
-
 #include "hostport.h"
 #include "settingsproblem.h"
 
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
 #include <limits>
--- a/tests/process/commandprocesstest.cpp
+++ b/tests/process/commandprocesstest.cpp
@@ -182,7 +182,7 @@
         });
         const auto inForce = crocusdealCommand(publish);
         propagation.join();
-        assertResult(0, "version 1 is in force everywhere", inForce);
+        assertResult(0, "version 1 is in force everywhere (3 instances)", inForce);
         platform.putInstance("i4", R"({"admin_address":"127.0.0.1:1"})");
         assertResult(4, "i4: unreachable", crocusdealCommand(shortWait));
     }
