Let a lagging replica copy while it waits

Cause: a replica with a lag pulled the next entries only after it had applied the last ones, so its lag grew with the write rate, and entries it had received were lost when the source crashed. Before: one batch for each lag; by reading, at most 500 entries per lag. Conclusion: the lag is a constant delay.

--- a/src/standins/database/database.cpp
+++ b/src/standins/database/database.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-constexpr std::size_t maxPullEntries = 500;
+constexpr std::size_t maxPullEntries = 2000;
 
 std::int64_t slotLimit(std::int64_t setting)
 {
--- a/src/standins/database/follower.cpp
+++ b/src/standins/database/follower.cpp
@@ -24,7 +24,8 @@
     : m_server(owner)
     , m_database(owner.data())
     , m_strand(asio::make_strand(owner.context().get_executor()))
-    , m_timer(m_strand)
+    , m_retryTimer(m_strand)
+    , m_lagTimer(m_strand)
     , m_timeout(m_strand)
 {
 }
@@ -43,8 +44,9 @@
 
 void follower::restart()
 {
+    dropReceived();
     ++m_attempt;
-    m_timer.cancel();
+    m_retryTimer.cancel();
     m_timeout.cancel();
     m_socket.reset();
     if (const auto lease = m_database.followLease()) {
@@ -53,15 +55,25 @@
     }
 }
 
+void follower::dropReceived()
+{
+    ++m_generation;
+    m_lagTimer.cancel();
+    m_batches.clear();
+    m_applying = false;
+    m_receivedEnds = m_database.termEnds();
+}
+
 void follower::retryLater()
 {
+    // What was received already is applied all the same, as a database replays its log when the source is gone.
     ++m_attempt;
     m_timeout.cancel();
     m_socket.reset();
-    m_timer.expires_after(retryPause);
-    m_timer.async_wait([self = shared_from_this()](asio::error_code error) {
-        if (!error) {
-            self->restart();
+    m_retryTimer.expires_after(retryPause);
+    m_retryTimer.async_wait([self = shared_from_this(), attempt = m_attempt](asio::error_code error) {
+        if (!error && attempt == self->m_attempt) {
+            self->connect();
         }
     });
 }
@@ -112,7 +124,7 @@
         return;
     }
     frame_writer writer;
-    writePull(writer, m_lease.term, m_database.termEnds());
+    writePull(writer, m_lease.term, m_receivedEnds);
     m_request += writer.str();
     m_timeout.expires_after(pullTimeout);
     m_timeout.async_wait([self = shared_from_this(), attempt = m_attempt](asio::error_code error) {
@@ -175,53 +187,74 @@
         retryLater();
         return;
     }
-    if (result.common != m_database.lastPosition()) {
+    const auto last = m_receivedEnds.empty() ? position{} : m_receivedEnds.back();
+    if (result.common != last) {
         std::cerr << "replication from " << m_lease.source << ": drops the log after " << toString(result.common)
                   << '\n';
-        m_database.dropTail(m_lease, result.common) ? pull() : restart();
+        if (m_batches.empty()) {
+            m_database.dropTail(m_lease, result.common);
+        }
+        restart();
         return;
     }
-    if (result.entries.empty()) {
-        pull();
+    receive(std::move(result.entries));
+    pull();
+}
+
+void follower::receive(std::vector<log_entry_ptr> entries)
+{
+    if (entries.empty()) {
         return;
     }
-    applyAfterLag(std::move(result.entries));
+    for (const auto &entry : entries) {
+        if (m_receivedEnds.empty() || m_receivedEnds.back().term != entry->at.term) {
+            m_receivedEnds.push_back(entry->at);
+        }
+        m_receivedEnds.back() = entry->at;
+    }
+    const auto lag = std::chrono::milliseconds(m_server.settings().lagMs);
+    m_batches.push_back({std::chrono::steady_clock::now() + lag, std::move(entries)});
+    applyNext();
 }
 
-void follower::applyAfterLag(std::vector<log_entry_ptr> entries)
+void follower::applyNext()
 {
-    const auto lag = std::chrono::milliseconds(m_server.settings().lagMs);
-    if (lag.count() == 0) {
-        takeWriteLock(entries);
+    if (m_applying || m_batches.empty()) {
         return;
     }
-    m_timer.expires_after(lag);
-    m_timer.async_wait(
-        [self = shared_from_this(), attempt = m_attempt, entries = std::move(entries)](asio::error_code error) {
-            if (!error && attempt == self->m_attempt) {
-                self->takeWriteLock(entries);
-            }
-        });
+    m_applying = true;
+    if (m_batches.front().due <= std::chrono::steady_clock::now()) {
+        takeWriteLock();
+        return;
+    }
+    m_lagTimer.expires_at(m_batches.front().due);
+    m_lagTimer.async_wait([self = shared_from_this(), generation = m_generation](asio::error_code error) {
+        if (!error && generation == self->m_generation) {
+            self->takeWriteLock();
+        }
+    });
 }
 
-void follower::takeWriteLock(const std::vector<log_entry_ptr> &entries)
+void follower::takeWriteLock()
 {
-    const auto granted = [self = shared_from_this(), attempt = m_attempt, entries](permit_queue::clock::time_point) {
-        asio::post(self->m_strand, [self, attempt, entries] {
-            if (attempt == self->m_attempt) {
-                self->apply(entries);
+    const auto granted = [self = shared_from_this(), generation = m_generation](permit_queue::clock::time_point) {
+        asio::post(self->m_strand, [self, generation] {
+            if (generation == self->m_generation) {
+                self->apply();
             } else {
                 self->m_database.writeLock().release(permit_queue::clock::now());
             }
         });
     };
     if (m_database.writeLock().acquire(m_database.nextId(), granted)) {
-        apply(entries);
+        apply();
     }
 }
 
-void follower::apply(const std::vector<log_entry_ptr> &entries)
+void follower::apply()
 {
+    const auto entries = std::move(m_batches.front().entries);
+    m_batches.pop_front();
     bool applied = false;
     try {
         applied = m_database.apply(m_lease, entries);
@@ -229,11 +262,17 @@
         std::cerr << "replication from " << m_lease.source << ": cannot apply " << toString(entries.front()->at) << ": "
                   << error.what() << '\n';
         m_database.writeLock().release(permit_queue::clock::now());
+        dropReceived();
         retryLater();
         return;
     }
     m_database.writeLock().release(permit_queue::clock::now());
-    applied ? pull() : restart();
+    if (!applied) {
+        restart();
+        return;
+    }
+    m_applying = false;
+    applyNext();
 }
 
 }
--- a/src/standins/loadtool/loadoptions.cpp
+++ b/src/standins/loadtool/loadoptions.cpp
@@ -41,7 +41,7 @@
     po::options_description load("Load");
     auto add = load.add_options();
     add("profile", po::value(&profile), "cooperative or association: mix, swing and connections; options override");
-    add("duration", po::value(&o.durationS)->default_value(o.durationS), "seconds");
+    add("duration", po::value(&o.durationS), "seconds (default 10; 30 with a profile)");
     add("drain", po::value(&o.drainS)->default_value(o.drainS), "seconds to wait for the last answers");
     add("rate", po::value(&o.rate), "arrivals a second (default 100)");
     add("swing", po::value(&o.swing), "factor on the rate between the two times");
@@ -82,6 +82,7 @@
 /** The demand of the two deployments; rates suit stand-ins with 5 ms a statement. */
 void applyProfile(const std::string &profile, load_options &o)
 {
+    o.durationS = 30;
     o.swing = 10;
     o.swingStartS = 10;
     o.swingEndS = 20;
--- a/tests/process/databasegrouptest.cpp
+++ b/tests/process/databasegrouptest.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <chrono>
 #include <filesystem>
 #include <thread>
@@ -67,6 +68,9 @@
     CPPUNIT_TEST(laggingReplicaShowsOldData);
     CPPUNIT_TEST(groupWaitEndsWithPositionTermOrTimeout);
     CPPUNIT_TEST(cutHoldsReplicationUntilHealed);
+    CPPUNIT_TEST(laggingReplicaKeepsUpWithTheRate);
+    CPPUNIT_TEST(laggingReplicaAppliesWhatItReceived);
+    CPPUNIT_TEST(failoversUnderLoadLeaveEqualData);
     CPPUNIT_TEST(remembersTermAndLogAfterACrash);
     CPPUNIT_TEST_SUITE_END();
 
@@ -207,7 +211,6 @@
         primary.ask(createTable);
         waitFor(replica, "1/1");
         replica.ask("SELECT standin_set('lag_ms', '700')");
-        // The pull that is waiting already has the old lag.
         primary.ask("INSERT INTO t VALUES (1, 'x')");
         const auto start = std::chrono::steady_clock::now();
         CPPUNIT_ASSERT_EQUAL(std::string("0"), replica.ask("SELECT count(*) FROM t"));
@@ -217,6 +220,93 @@
         CPPUNIT_ASSERT_EQUAL(std::string("1"), replica.ask("SELECT count(*) FROM t"));
     }
 
+    /** Guards against a lag that grows because a replica stops copying while it waits. */
+    void laggingReplicaKeepsUpWithTheRate()
+    {
+        const database_process primary;
+        const database_process replica({"--follow", primary.address(), "--lag-ms", "300"});
+        pg_client writer(primary.port());
+        writer.run(createTable);
+        const auto start = std::chrono::steady_clock::now();
+        for (int i = 0; std::chrono::steady_clock::now() - start < std::chrono::milliseconds(1500); ++i) {
+            writer.run("INSERT INTO t VALUES (" + std::to_string(i) + ", 'x')");
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        const auto last = positionOf(primary);
+        const auto written = std::chrono::steady_clock::now();
+        waitFor(replica, last);
+        const auto behind = std::chrono::steady_clock::now() - written;
+        CPPUNIT_ASSERT(behind > std::chrono::milliseconds(200));
+        CPPUNIT_ASSERT(behind < std::chrono::milliseconds(800));
+    }
+
+    /** Guards against entries that are lost when the source ends while the replica lags. */
+    void laggingReplicaAppliesWhatItReceived()
+    {
+        const auto primary = std::make_unique<database_process>();
+        const database_process replica({"--follow", primary->address(), "--lag-ms", "500"});
+        primary->ask(createTable);
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        primary->admin("crash");
+        CPPUNIT_ASSERT_EQUAL(std::string("0/0"), positionOf(replica));
+        waitFor(replica, "1/1");
+    }
+
+    /** Guards against databases that differ after commits, fences and dropped tails have raced. */
+    void failoversUnderLoadLeaveEqualData()
+    {
+        std::vector<std::unique_ptr<database_process>> group;
+        group.push_back(std::make_unique<database_process>());
+        for (int i = 0; i < 2; ++i) {
+            group.push_back(std::make_unique<database_process>(
+                std::vector<std::string>{"--follow", group[0]->address(), "--lag-ms", "20"}));
+        }
+        group[0]->ask(createTable);
+        for (const auto &member : group) {
+            waitFor(*member, "1/1");
+        }
+        std::atomic<bool> stop = false;
+        std::vector<std::thread> writers;
+        writers.reserve(6);
+        for (int w = 0; w < 6; ++w) {
+            writers.emplace_back([&group, &stop, w] {
+                pg_client client(group[static_cast<std::size_t>(w) % group.size()]->port());
+                for (int i = 0; !stop; ++i) {
+                    client.run("BEGIN");
+                    client.run("INSERT INTO t VALUES (" + std::to_string(w * 1000000 + i) + ", random())");
+                    client.run("COMMIT");
+                }
+            });
+        }
+        std::size_t primary = 0;
+        for (int term = 2; term < 8; ++term) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(150));
+            const auto number = std::to_string(term);
+            for (const auto &member : group) {
+                CPPUNIT_ASSERT_EQUAL(std::string("t"), member->ask("SELECT * FROM group_fence(" + number + ")"));
+            }
+            // Not the most advanced one, so that the others have tails to drop.
+            primary = (primary + 1) % group.size();
+            group[primary]->ask("SELECT * FROM group_promote(" + number + ")");
+            for (std::size_t i = 0; i < group.size(); ++i) {
+                if (i != primary) {
+                    group[i]->ask("SELECT * FROM group_follow(" + number + ", '" + group[primary]->address() + "')");
+                }
+            }
+        }
+        stop = true;
+        for (auto &writer : writers) {
+            writer.join();
+        }
+        const std::string query = "SELECT count(*) || ' ' || sum(id) || ' ' || sum(v) FROM t";
+        const auto last = positionOf(*group[primary]);
+        const auto data = group[primary]->ask(query);
+        for (const auto &member : group) {
+            waitUntilPositionIs(*member, last);
+            CPPUNIT_ASSERT_EQUAL(data, member->ask(query));
+        }
+    }
+
     /** Guards against waits that miss a change, and against waits that hold the only slot. */
     void groupWaitEndsWithPositionTermOrTimeout()
     {
