Cancel running scans and bound idle write transactions

Cause: a cancel went through the strand that the scan occupied, so it took effect after the scan; and a client cut off in the middle of a transaction kept the write lock of the whole database. Ruled out: row locks, which SQLite does not have. Before: both faults by reading; no test covered them. Conclusion: idle_transaction_ms (1000) applies only while others wait.

--- a/src/standins/database/clientconnection.cpp
+++ b/src/standins/database/clientconnection.cpp
@@ -81,21 +81,27 @@
 
 void client_connection::cancel(std::int32_t secret)
 {
-    asio::post(m_socket.get_executor(), [self = shared_from_this(), secret] {
-        if (self->m_handler && self->m_secret == secret) {
-            self->m_handler->cancel();
-        }
-    });
+    if (m_secret == secret) {
+        cancelRunning();
+    }
+}
+
+void client_connection::cancelRunning()
+{
+    std::shared_ptr<sql_session> target;
+    {
+        const std::lock_guard lock(m_cancelMutex);
+        target = m_cancelTarget;
+    }
+    if (target) {
+        target->cancel();
+    }
 }
 
 void client_connection::closeFromOutside()
 {
-    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-        self->closeNow();
-        if (self->m_handler) {
-            self->m_handler->cancel();
-        }
-    });
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->closeNow(); });
+    cancelRunning();
 }
 
 std::shared_ptr<session_host> client_connection::hold()
@@ -329,6 +335,10 @@
 void client_connection::sendWelcome()
 {
     m_handler = std::make_unique<message_handler>(m_server, *this, m_socket.get_executor(), m_pid, m_parameters);
+    {
+        const std::lock_guard lock(m_cancelMutex);
+        m_cancelTarget = m_handler->session();
+    }
     m_writer.begin('R').int32(0).end();
     writeParameterStatus(m_writer, "server_version", "15.0");
     writeParameterStatus(m_writer, "server_encoding", "UTF8");
--- a/src/standins/database/clientconnection.h
+++ b/src/standins/database/clientconnection.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <mutex>
 #include <string>
 
 namespace crocusdeal
@@ -55,6 +56,7 @@
     void readParameters(payload_reader &reader);
     void openSession();
     void sendWelcome();
+    void cancelRunning();
     void reject(const std::string &sqlState, const std::string &message);
 
     server &m_server;
@@ -77,8 +79,10 @@
     bool m_started = false;
     bool m_counted = false;
     std::int32_t m_pid = 0;
-    std::int32_t m_secret = 0;
+    const std::int32_t m_secret;
     session_parameters m_parameters;
+    std::mutex m_cancelMutex;
+    std::shared_ptr<sql_session> m_cancelTarget; ///< A running scan occupies the strand, so a cancel bypasses it.
     std::unique_ptr<message_handler> m_handler;
     std::unique_ptr<replication_feed> m_feed;
 };
--- a/src/standins/database/main.cpp
+++ b/src/standins/database/main.cpp
@@ -20,6 +20,21 @@
 namespace
 {
 
+constexpr auto usage = R"(databasestandin: one database of a group, for tests
+
+Prints "listening PORT ADMIN_PORT" once it accepts connections. Commands, as lines on the admin port or as
+SELECT standin_VERB('argument', ...):
+  set NAME NUMBER      lag_ms, connections, slots, connect_ms, statement_us, idle_transaction_ms
+  freeze, resume       answer nothing while sockets stay open
+  cut_from PEER        hold traffic from a peer: its address, host:port or application_name
+  cut_to PEER          hold traffic to a peer; heal [PEER] ends both
+  kill_connections     close all connections
+  drop_answer [silence]  the next commit takes effect; its connection is closed, or kept without an answer
+  crash                exit at once
+  status               term, role, position, connections, limit and followed database
+
+Options)";
+
 struct command_line {
     standin_options options;
     runtime_settings settings;
@@ -35,7 +50,7 @@
 {
     auto &options = result.options;
     std::string role;
-    po::options_description description("databasestandin: one database of a group, for tests");
+    po::options_description description(usage);
     auto add = description.add_options();
     add("help", "show this text");
     add("listen",
@@ -53,6 +68,9 @@
     add("slots", po::value<std::int64_t>()->default_value(0), "statements that run at once; 0: no limit");
     add("connect-ms", po::value<std::int64_t>()->default_value(0), "set-up time of a connection");
     add("statement-us", po::value<std::int64_t>()->default_value(0), "minimum time a statement holds its slot");
+    add("idle-transaction-ms",
+        po::value<std::int64_t>()->default_value(1000),
+        "idle time after which a write transaction is aborted if others wait for the write lock; 0: never");
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, description), values);
     po::notify(values);
@@ -73,6 +91,7 @@
     setNumber(values, "slots", result.settings.slots);
     setNumber(values, "connect-ms", result.settings.connectMs);
     setNumber(values, "statement-us", result.settings.statementUs);
+    setNumber(values, "idle-transaction-ms", result.settings.idleTransactionMs);
     return true;
 }
 
--- a/src/standins/database/messagehandler.cpp
+++ b/src/standins/database/messagehandler.cpp
@@ -41,9 +41,9 @@
     return m_busy;
 }
 
-void message_handler::cancel()
+const std::shared_ptr<sql_session> &message_handler::session() const
 {
-    m_session->cancel();
+    return m_session;
 }
 
 void message_handler::handle(const pg_frame &frame)
--- a/src/standins/database/messagehandler.h
+++ b/src/standins/database/messagehandler.h
@@ -30,8 +30,7 @@
     void handle(const pg_frame &frame);
     /** True while a statement runs; the next message must wait for session_host::resume(). */
     bool isBusy() const;
-    /** From any thread. */
-    void cancel();
+    const std::shared_ptr<sql_session> &session() const;
     /** ReadyForQuery, preceded by group_state if that has changed. */
     void sendReady();
 
--- a/src/standins/database/settings.cpp
+++ b/src/standins/database/settings.cpp
@@ -25,6 +25,9 @@
     if (name == "statement_us") {
         return &statementUs;
     }
+    if (name == "idle_transaction_ms") {
+        return &idleTransactionMs;
+    }
     return nullptr;
 }
 
--- a/src/standins/database/settings.h
+++ b/src/standins/database/settings.h
@@ -29,6 +29,8 @@
     std::atomic<std::int64_t> slots = 0; ///< Statements running at once; 0: no limit.
     std::atomic<std::int64_t> connectMs = 0; ///< Set-up time of a connection.
     std::atomic<std::int64_t> statementUs = 0; ///< Minimum time a statement holds its slot.
+    /** A write transaction that is idle this long is aborted with 25P03 if others wait for the write lock; 0: never. */
+    std::atomic<std::int64_t> idleTransactionMs = 1000;
 
     /** The setting of that name (`lag_ms`, `slots`, ...), null if there is none. */
     std::atomic<std::int64_t> *find(std::string_view name);
--- a/src/standins/database/sqlsession.cpp
+++ b/src/standins/database/sqlsession.cpp
@@ -120,6 +120,7 @@
     , m_settings(settings)
     , m_strand(strand)
     , m_timer(strand)
+    , m_idleTimer(strand)
     , m_backendPid(backendPid)
 {
 }
@@ -512,6 +513,7 @@
         failTransaction();
     }
     m_running = false;
+    watchIdleTransaction();
     const auto done = std::exchange(m_done, nullptr);
     done(failure ? &*failure : nullptr, std::exchange(m_result, {}));
 }
@@ -525,16 +527,42 @@
 
 void sql_session::onAbort(std::uint64_t write)
 {
-    if (!m_ownsWriteLock || write != m_writeId) {
-        return;
+    if (m_ownsWriteLock && write == m_writeId) {
+        abortWrite({"25006", "transaction aborted: the database is no longer primary"});
     }
+}
+
+void sql_session::abortWrite(const sql_error &reason)
+{
     rollbackWrite();
-    m_abortReason = sql_error("25006", "transaction aborted: the database is no longer primary");
+    m_abortReason = reason;
     if (m_block == block_state::Explicit) {
         m_block = block_state::Failed;
     }
 }
 
+void sql_session::watchIdleTransaction()
+{
+    const auto limit = std::chrono::milliseconds(m_settings.idleTransactionMs);
+    if (!m_ownsWriteLock || m_block == block_state::Implicit || limit.count() == 0) {
+        return;
+    }
+    // The write lock covers the whole database, unlike row locks: a client that is cut off in the middle of a
+    // transaction would stop all writes.
+    m_idleTimer.expires_after(limit);
+    m_idleTimer.async_wait([weak = weak_from_this(), write = m_writeId](asio::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self || !self->m_ownsWriteLock || self->m_writeId != write || self->m_running) {
+            return;
+        }
+        if (self->m_database.writeLock().waiting() > 0) {
+            self->abortWrite({"25P03", "transaction aborted: idle while others wait for the write lock"});
+        } else {
+            self->watchIdleTransaction();
+        }
+    });
+}
+
 void sql_session::cancel()
 {
     m_cancelled = true;
--- a/src/standins/database/sqlsession.h
+++ b/src/standins/database/sqlsession.h
@@ -100,6 +100,8 @@
     void beginWriteTransaction();
     void recordStatement();
     void onAbort(std::uint64_t write);
+    void abortWrite(const sql_error &reason);
+    void watchIdleTransaction();
     void onCancel();
     std::int64_t transactionTime() const;
 
@@ -107,6 +109,7 @@
     runtime_settings &m_settings;
     strand_type m_strand;
     asio::steady_timer m_timer;
+    asio::steady_timer m_idleTimer;
     std::int64_t m_backendPid;
     std::unique_ptr<sql_connection> m_connection;
     std::uint64_t m_generation = 0;
--- a/src/standins/loadtool/report.cpp
+++ b/src/standins/loadtool/report.cpp
@@ -90,13 +90,16 @@
     output
         << "kind              sent  answered in-deadl.   refused   p50(ms)   p90(ms)   p99(ms) p99.9(ms)   max(ms)\n";
     std::uint64_t answered = 0;
+    std::uint64_t inTime = 0;
     for (std::size_t i = 0; i < workKindCount; ++i) {
         if (m.kinds[i].sent() > 0) {
             printKind(output, workKindNames.name(static_cast<work_kind>(i)), m.kinds[i]);
         }
         answered += m.kinds[i].answered();
+        inTime += m.kinds[i].withinDeadline();
     }
-    output << "answered per second: " << formatted("%.0f", static_cast<double>(answered) / report.durationS) << '\n';
+    output << "answered per second: " << formatted("%.0f", static_cast<double>(answered) / report.durationS)
+           << ", within the deadline: " << formatted("%.0f", static_cast<double>(inTime) / report.durationS) << '\n';
     output << "longest gap between writes: " << formatted("%.3f s", report.gap.lengthS)
            << formatted(" from %.3f s\n", report.gap.startS);
     output << "failed connects: " << m.connectFailures << ", reconnects: " << m.reconnects << '\n';
--- a/tests/process/databasestandintest.cpp
+++ b/tests/process/databasestandintest.cpp
@@ -46,6 +46,8 @@
     CPPUNIT_TEST(slotsBoundTheRate);
     CPPUNIT_TEST(writeLockDoesNotBlockItsOwnerWithOneSlot);
     CPPUNIT_TEST(cancelEndsSleepingAndQueuedStatements);
+    CPPUNIT_TEST(cancelInterruptsAScan);
+    CPPUNIT_TEST(idleTransactionGivesWayToWaitingWriters);
     CPPUNIT_TEST(refusesConnectionsAboveTheLimit);
     CPPUNIT_TEST(connectionSetUpTakesItsTime);
     CPPUNIT_TEST(droppedAnswerLeavesTheCommit);
@@ -280,6 +282,36 @@
         CPPUNIT_ASSERT_EQUAL(std::string("2"), queued.run("SELECT 2").value());
     }
 
+    /** Guards against a cancel that waits for the statement it is to end. */
+    void cancelInterruptsAScan()
+    {
+        const database_process database;
+        const pg_client scanning(database.port());
+        PQsendQuery(scanning.handle(),
+                    "WITH RECURSIVE n(x) AS (SELECT 1 UNION ALL SELECT x + 1 FROM n) SELECT count(*) FROM n");
+        std::this_thread::sleep_for(milliseconds(200));
+        auto *cancel = PQgetCancel(scanning.handle());
+        char message[256];
+        CPPUNIT_ASSERT_EQUAL(1, PQcancel(cancel, message, sizeof message));
+        PQfreeCancel(cancel);
+        CPPUNIT_ASSERT_EQUAL(std::string("57014"), nextResult(scanning).sqlState);
+    }
+
+    /** Guards against one silent client that stops all writes. */
+    void idleTransactionGivesWayToWaitingWriters()
+    {
+        const database_process database({"--idle-transaction-ms", "200"});
+        pg_client idle(database.port());
+        idle.run(createTable);
+        idle.run("BEGIN");
+        idle.run("INSERT INTO t VALUES (1,'a')");
+        std::this_thread::sleep_for(milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(std::string("UPDATE 1"), idle.run("UPDATE t SET v = 'b'").tag);
+        CPPUNIT_ASSERT_EQUAL(std::string(), database.ask("INSERT INTO t VALUES (2,'c')"));
+        CPPUNIT_ASSERT_EQUAL(std::string("25P03"), idle.run("COMMIT").sqlState);
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), database.ask("SELECT id FROM t"));
+    }
+
     /** Guards against a limit that is off by one or counts closed connections. */
     void refusesConnectionsAboveTheLimit()
     {
