--- a/tests/process/databasestandintest.cpp
+++ b/tests/process/databasestandintest.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <filesystem>
 #include <thread>
 
 using namespace crocusdeal;
@@ -53,6 +54,7 @@
     CPPUNIT_TEST(droppedAnswerLeavesTheCommit);
     CPPUNIT_TEST(freezeKeepsSocketsAndResumes);
     CPPUNIT_TEST(killsConnectionsAndCrashes);
+    CPPUNIT_TEST(endsOnSigtermWithOpenConnections);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -377,6 +379,27 @@
         database.admin("crash");
         CPPUNIT_ASSERT_EQUAL(1, database.process().wait(std::chrono::seconds(5)).value_or(-1));
     }
+
+    /** Guards against a crash at the end, and against files that are left behind. */
+    void endsOnSigtermWithOpenConnections()
+    {
+        database_process database;
+        const auto prefix = "databasestandin-" + std::to_string(database.process().pid()) + '-';
+        const auto hasFiles = [&prefix] {
+            const std::filesystem::directory_iterator entries(std::filesystem::temp_directory_path());
+            return std::any_of(begin(entries), end(entries), [&prefix](const auto &entry) {
+                return entry.path().filename().string().rfind(prefix, 0) == 0;
+            });
+        };
+        pg_client client(database.port());
+        client.run(createTable);
+        PQsendQuery(client.handle(), "SELECT pg_sleep(30)");
+        std::this_thread::sleep_for(milliseconds(100));
+        CPPUNIT_ASSERT(hasFiles());
+        database.process().signal(SIGTERM);
+        CPPUNIT_ASSERT_EQUAL(0, database.process().wait(std::chrono::seconds(5)).value_or(-1));
+        CPPUNIT_ASSERT(!hasFiles());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(database_standin_test);
