--- a/src/standins/loadtool/loadoptions.cpp
+++ b/src/standins/loadtool/loadoptions.cpp
@@ -65,6 +65,7 @@
     add("pipeline", po::value(&o.pipeline)->default_value(1), "requests in flight on a connection, closed loop only");
     add("protocol", po::value(&protocol)->default_value("extended"), "simple, extended or prepared");
     add("deadline-ms", po::value(&o.deadlineMs)->default_value(o.deadlineMs), "answers within it are counted");
+    add("give-up", po::bool_switch(&o.giveUp), "do not send requests that waited longer than the deadline");
     add("timeout-ms", po::value(&o.timeoutMs)->default_value(o.timeoutMs), "an unanswered request ends its connection");
     return load;
 }
--- a/src/standins/loadtool/loadoptions.h
+++ b/src/standins/loadtool/loadoptions.h
@@ -50,6 +50,7 @@
     query_protocol protocol = query_protocol::Extended;
     std::int64_t deadlineMs = 2000;
     std::int64_t timeoutMs = 10000; ///< An unanswered request ends its connection.
+    bool giveUp = false; ///< A request that waited longer than the deadline for a connection is not sent.
     bool token = false;
     std::int64_t roamAfter = 0; ///< Requests after which a session moves to the next address; 0: only on failure.
 
--- a/src/standins/loadtool/loadworker.cpp
+++ b/src/standins/loadtool/loadworker.cpp
@@ -179,6 +179,12 @@
         return;
     }
     auto &queue = m_queue[session.stale ? 1 : 0];
+    while (m_options.giveUp && !queue.empty() && isLate(queue.front())) {
+        m_measurements.kinds[static_cast<std::size_t>(queue.front().kind)].onRefused("gave-up");
+        ++m_measurements.second(now()).refused;
+        --m_open;
+        queue.pop_front();
+    }
     if (queue.empty()) {
         m_free[session.stale ? 1 : 0].push_back(&session);
         return;
@@ -188,6 +194,11 @@
     send(session, std::move(next));
 }
 
+bool load_worker::isLate(const load_request &request) const
+{
+    return (now() - request.arrivalS) * 1000 > static_cast<double>(m_options.deadlineMs);
+}
+
 double load_worker::rateAt(double at) const
 {
     const auto &o = m_options;
--- a/src/standins/loadtool/loadworker.h
+++ b/src/standins/loadtool/loadworker.h
@@ -37,6 +37,7 @@
 
 private:
     double now() const;
+    bool isLate(const load_request &request) const;
     double rateAt(double at) const;
     void connect(load_session &session);
     void onConnected(load_session &session, bool ok);
--- a/tests/process/loadtooltest.cpp
+++ b/tests/process/loadtooltest.cpp
@@ -1,4 +1,9 @@
 #include "databasegroup.h"
+#include "pgframe.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -46,6 +51,61 @@
     std::unique_ptr<child_process> m_process;
 };
 
+/** Answers one statement on each connection and reports a new session token with it. */
+class token_server
+{
+public:
+    token_server()
+        : m_acceptor(m_context, {asio::ip::make_address("127.0.0.1"), 0})
+    {
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+    /** Returns the start-up messages of that many connections. */
+    std::vector<std::string> serve(int connections)
+    {
+        std::vector<std::string> startups;
+        for (int i = 1; i <= connections; ++i) {
+            auto socket = m_acceptor.accept();
+            frame_reader reader(1 << 20);
+            reader.setStartup(true);
+            startups.emplace_back(read(socket, reader).payload);
+            reader.setStartup(false);
+            frame_writer welcome;
+            welcome.begin('R').int32(0).end();
+            writeReadyForQuery(welcome, 'I');
+            asio::write(socket, asio::buffer(welcome.str()));
+            while (read(socket, reader).type != 'S') {
+            }
+            frame_writer answer;
+            answer.begin('1').end().begin('2').end().begin('n').end();
+            writeCommandComplete(answer, "SELECT 0");
+            writeParameterStatus(answer, "crocusdeal.session", "g:1/" + std::to_string(i));
+            writeReadyForQuery(answer, 'I');
+            asio::write(socket, asio::buffer(answer.str()));
+        }
+        return startups;
+    }
+
+private:
+    static pg_frame read(asio::ip::tcp::socket &socket, frame_reader &reader)
+    {
+        for (;;) {
+            if (const auto frame = reader.next()) {
+                return *frame;
+            }
+            reader.commit(socket.read_some(asio::buffer(reader.prepare(1024), 1024)));
+        }
+    }
+
+    asio::io_context m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+};
+
 std::vector<std::string> writeLoad(const database_process &database, const std::string &durationS)
 {
     return {"--address",
@@ -76,6 +136,8 @@
     CPPUNIT_TEST(countsRefusalsByState);
     CPPUNIT_TEST(latencyCountsFromTheArrival);
     CPPUNIT_TEST(pipelinesInTheClosedLoop);
+    CPPUNIT_TEST(givesUpLateRequests);
+    CPPUNIT_TEST(passesTheTokenOn);
     CPPUNIT_TEST(forwardsBytes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -205,6 +267,59 @@
         }
     }
 
+    /** Guards against a queue of requests whose callers are long gone. */
+    void givesUpLateRequests()
+    {
+        const database_process database({"--slots", "1", "--statement-us", "20000"});
+        load_run run({"--address",
+                      database.address(),
+                      "--setup",
+                      "--items",
+                      "1",
+                      "--duration",
+                      "1",
+                      "--rate",
+                      "200",
+                      "--connections",
+                      "1",
+                      "--deadline-ms",
+                      "100",
+                      "--give-up"});
+        CPPUNIT_ASSERT_EQUAL(0, run.exitStatus());
+        const auto kind = run.report()["kinds"]["point-read"];
+        CPPUNIT_ASSERT(kind["refused"]["gave-up"] > 50);
+        CPPUNIT_ASSERT(kind["max_ms"] < 300);
+    }
+
+    /** Guards against sessions that roam without their token. */
+    void passesTheTokenOn()
+    {
+        const database_process database;
+        pg_client(database.port()).run("CREATE TABLE load_counters (run bigint, id bigint, n bigint)");
+        token_server server;
+        load_run run({"--address",
+                      server.address(),
+                      "--check-address",
+                      database.address(),
+                      "--no-check",
+                      "--duration",
+                      "1",
+                      "--rate",
+                      "50",
+                      "--connections",
+                      "1",
+                      "--own-reads",
+                      "0",
+                      "--token",
+                      "--roam-after",
+                      "1"});
+        const auto startups = server.serve(3);
+        run.exitStatus();
+        CPPUNIT_ASSERT(startups[0].find("crocusdeal.session") == std::string::npos);
+        CPPUNIT_ASSERT(startups[1].find("-c crocusdeal.session=g:1/1") != std::string::npos);
+        CPPUNIT_ASSERT(startups[2].find("-c crocusdeal.session=g:1/2") != std::string::npos);
+    }
+
     void forwardsBytes()
     {
         const database_process database;
