--- a/src/standins/loadtool/loadoptions.cpp
+++ b/src/standins/loadtool/loadoptions.cpp
@@ -41,7 +41,7 @@
     po::options_description load("Load");
     auto add = load.add_options();
     add("profile", po::value(&profile), "cooperative or association: mix, swing and connections; options override");
-    add("duration", po::value(&o.durationS)->default_value(o.durationS), "seconds");
+    add("duration", po::value(&o.durationS), "seconds (default 10; 30 with a profile)");
     add("drain", po::value(&o.drainS)->default_value(o.drainS), "seconds to wait for the last answers");
     add("rate", po::value(&o.rate), "arrivals a second (default 100)");
     add("swing", po::value(&o.swing), "factor on the rate between the two times");
@@ -65,6 +65,7 @@
     add("pipeline", po::value(&o.pipeline)->default_value(1), "requests in flight on a connection, closed loop only");
     add("protocol", po::value(&protocol)->default_value("extended"), "simple, extended or prepared");
     add("deadline-ms", po::value(&o.deadlineMs)->default_value(o.deadlineMs), "answers within it are counted");
+    add("give-up", po::bool_switch(&o.giveUp), "do not send requests that waited longer than the deadline");
     add("timeout-ms", po::value(&o.timeoutMs)->default_value(o.timeoutMs), "an unanswered request ends its connection");
     return load;
 }
@@ -82,6 +83,7 @@
 /** The demand of the two deployments; rates suit stand-ins with 5 ms a statement. */
 void applyProfile(const std::string &profile, load_options &o)
 {
+    o.durationS = 30;
     o.swing = 10;
     o.swingStartS = 10;
     o.swingEndS = 20;
--- a/tests/process/databasestandintest.cpp
+++ b/tests/process/databasestandintest.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <filesystem>
 #include <thread>
 
 using namespace crocusdeal;
@@ -46,11 +47,14 @@
     CPPUNIT_TEST(slotsBoundTheRate);
     CPPUNIT_TEST(writeLockDoesNotBlockItsOwnerWithOneSlot);
     CPPUNIT_TEST(cancelEndsSleepingAndQueuedStatements);
+    CPPUNIT_TEST(cancelInterruptsAScan);
+    CPPUNIT_TEST(idleTransactionGivesWayToWaitingWriters);
     CPPUNIT_TEST(refusesConnectionsAboveTheLimit);
     CPPUNIT_TEST(connectionSetUpTakesItsTime);
     CPPUNIT_TEST(droppedAnswerLeavesTheCommit);
     CPPUNIT_TEST(freezeKeepsSocketsAndResumes);
     CPPUNIT_TEST(killsConnectionsAndCrashes);
+    CPPUNIT_TEST(endsOnSigtermWithOpenConnections);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -280,6 +284,36 @@
         CPPUNIT_ASSERT_EQUAL(std::string("2"), queued.run("SELECT 2").value());
     }
 
+    /** Guards against a cancel that waits for the statement it is to end. */
+    void cancelInterruptsAScan()
+    {
+        const database_process database;
+        const pg_client scanning(database.port());
+        PQsendQuery(scanning.handle(),
+                    "WITH RECURSIVE n(x) AS (SELECT 1 UNION ALL SELECT x + 1 FROM n) SELECT count(*) FROM n");
+        std::this_thread::sleep_for(milliseconds(200));
+        auto *cancel = PQgetCancel(scanning.handle());
+        char message[256];
+        CPPUNIT_ASSERT_EQUAL(1, PQcancel(cancel, message, sizeof message));
+        PQfreeCancel(cancel);
+        CPPUNIT_ASSERT_EQUAL(std::string("57014"), nextResult(scanning).sqlState);
+    }
+
+    /** Guards against one silent client that stops all writes. */
+    void idleTransactionGivesWayToWaitingWriters()
+    {
+        const database_process database({"--idle-transaction-ms", "200"});
+        pg_client idle(database.port());
+        idle.run(createTable);
+        idle.run("BEGIN");
+        idle.run("INSERT INTO t VALUES (1,'a')");
+        std::this_thread::sleep_for(milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(std::string("UPDATE 1"), idle.run("UPDATE t SET v = 'b'").tag);
+        CPPUNIT_ASSERT_EQUAL(std::string(), database.ask("INSERT INTO t VALUES (2,'c')"));
+        CPPUNIT_ASSERT_EQUAL(std::string("25P03"), idle.run("COMMIT").sqlState);
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), database.ask("SELECT id FROM t"));
+    }
+
     /** Guards against a limit that is off by one or counts closed connections. */
     void refusesConnectionsAboveTheLimit()
     {
@@ -345,6 +379,27 @@
         database.admin("crash");
         CPPUNIT_ASSERT_EQUAL(1, database.process().wait(std::chrono::seconds(5)).value_or(-1));
     }
+
+    /** Guards against a crash at the end, and against files that are left behind. */
+    void endsOnSigtermWithOpenConnections()
+    {
+        database_process database;
+        const auto prefix = "databasestandin-" + std::to_string(database.process().pid()) + '-';
+        const auto hasFiles = [&prefix] {
+            const std::filesystem::directory_iterator entries(std::filesystem::temp_directory_path());
+            return std::any_of(begin(entries), end(entries), [&prefix](const auto &entry) {
+                return entry.path().filename().string().rfind(prefix, 0) == 0;
+            });
+        };
+        pg_client client(database.port());
+        client.run(createTable);
+        PQsendQuery(client.handle(), "SELECT pg_sleep(30)");
+        std::this_thread::sleep_for(milliseconds(100));
+        CPPUNIT_ASSERT(hasFiles());
+        database.process().signal(SIGTERM);
+        CPPUNIT_ASSERT_EQUAL(0, database.process().wait(std::chrono::seconds(5)).value_or(-1));
+        CPPUNIT_ASSERT(!hasFiles());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(database_standin_test);
