--- a/src/libcrocusdeal/controlnode.cpp
+++ b/src/libcrocusdeal/controlnode.cpp
@@ -19,6 +19,8 @@
 constexpr duration queryInterval = 500_ms;
 /** Fresher facts of a wanted group are not asked for again. */
 constexpr duration freshBound = 1_s;
+/** Tables of members are compared and repaired, news of primaries are not, so they are repeated more often. */
+constexpr int newsFactor = 2;
 /** Candidates beyond these ranks start 1.5 s after the first and can ask then. */
 constexpr int ranksInterested = 3;
 
@@ -70,7 +72,7 @@
             datagram.wantedGroups = wantedFrom(datagram.to);
         }
         const auto room = maxFactsPerDatagram - std::min(maxFactsPerDatagram, datagram.databases.size());
-        auto news = m_facts.takeNews(room, retransmitLimit(m_membership.fleetSize()));
+        auto news = m_facts.takeNews(room, newsFactor * factTransmissions(m_membership.fleetSize()));
         std::move(news.begin(), news.end(), std::back_inserter(datagram.databases));
     }
 }
--- a/src/libcrocusdeal/disseminationqueue.h
+++ b/src/libcrocusdeal/disseminationqueue.h
@@ -17,6 +17,16 @@
     return static_cast<int>(lambda * std::ceil(std::log10(static_cast<double>(members) + 1)));
 }
 
+/** Datagrams that tell random members at once of something new. */
+inline constexpr int gossipFanOut = 4;
+inline constexpr int gossipRounds = 2;
+
+/** The limit with the gossip on top, which would use up the whole of it in a small fleet. */
+inline int factTransmissions(std::size_t members)
+{
+    return retransmitLimit(members) + gossipFanOut * gossipRounds;
+}
+
 /**
  * Facts waiting to be piggybacked, the least transmitted first; a newer fact of the same key replaces the older.
  *
--- a/src/libcrocusdeal/membership.cpp
+++ b/src/libcrocusdeal/membership.cpp
@@ -18,8 +18,6 @@
 constexpr duration relayTimeout = 400_ms;
 /** Below this a scheduling delay of a second on a small fleet would already kill a member. */
 constexpr duration minSuspicion = 3_s;
-constexpr int gossipFanOut = 4;
-constexpr int gossipRounds = 2;
 /** Enough for the members that one side of a short cut missed, without filling the queue after a long one. */
 constexpr std::size_t maxSpreadPerPull = 20;
 constexpr duration unjudgedLifetime = 10_s;
@@ -139,6 +137,8 @@
     const auto *member = m_table.find(finished.target->id);
     if (member != nullptr && member->info.state == member_state::Alive) {
         changeState(now, finished.target->id, member_state::Suspect, actions);
+        // Told at once, the member can refute before the suspicion has spread far.
+        sendUnjudgedProbe(finished.target->id, finished.target->controlAddress, now, actions);
     }
 }
 
@@ -148,7 +148,7 @@
         return;
     }
     const auto timeout = suspicionTimeout();
-    for (const auto &id : m_verifier.due(now, m_table.suspects(), timeout)) {
+    for (const auto &id : m_verifier.due(now, m_table.suspects(), timeout, fleetSize(), m_random)) {
         sendUnjudgedProbe(id, m_table.find(id)->info.description->controlAddress, now, actions);
     }
     std::vector<instance_id> expired;
@@ -505,7 +505,7 @@
     datagram.configurationVersion = m_configurationVersion;
     datagram.tableDigest = digest();
     datagram.health = static_cast<std::uint8_t>(m_health.score());
-    datagram.members = m_queue.take(maxFactsPerDatagram - (first ? 1 : 0), retransmitLimit(fleetSize()));
+    datagram.members = m_queue.take(maxFactsPerDatagram - (first ? 1 : 0), factTransmissions(fleetSize()));
     if (first) {
         datagram.members.insert(datagram.members.begin(), *first);
     }
--- a/src/libcrocusdeal/rendezvousindex.cpp
+++ b/src/libcrocusdeal/rendezvousindex.cpp
@@ -8,20 +8,26 @@
 namespace crocusdeal
 {
 
-rendezvous_index::rendezvous_index(std::size_t depth)
-    : m_depth(depth)
-{
-}
-
 void rendezvous_index::setKeys(std::vector<rendezvous_key> keys)
 {
-    m_entries.clear();
-    m_places.clear();
+    std::vector<owned_key> entries;
+    std::unordered_map<std::string, std::size_t> places;
+    entries.reserve(keys.size());
+    places.reserve(keys.size());
     for (auto &key : keys) {
-        m_places.emplace(key.name, m_entries.size());
-        m_entries.push_back({std::move(key), {}});
-        refill(m_entries.back());
+        if (!places.emplace(key.name, entries.size()).second) {
+            continue;
+        }
+        const auto old = m_places.find(key.name);
+        if (old != m_places.end() && m_entries[old->second].key == key) {
+            entries.push_back(std::move(m_entries[old->second]));
+            continue;
+        }
+        entries.push_back({std::move(key), {}});
+        refill(entries.back());
     }
+    m_entries = std::move(entries);
+    m_places = std::move(places);
 }
 
 void rendezvous_index::offer(owned_key &to, const instance_id &instance) const
@@ -31,12 +37,12 @@
     const auto before = [](const weighted_instance &a, const weighted_instance &b) {
         return a.weight != b.weight ? a.weight > b.weight : a.instance > b.instance;
     };
-    if (to.first.size() == m_depth && weight < to.first.back().weight) {
+    if (to.first.size() == to.key.depth && weight < to.first.back().weight) {
         return;
     }
     const weighted_instance offered{weight, instance};
     to.first.insert(std::upper_bound(to.first.begin(), to.first.end(), offered, before), offered);
-    if (to.first.size() > m_depth) {
+    if (to.first.size() > to.key.depth) {
         to.first.pop_back();
     }
 }
--- a/src/libcrocusdeal/rendezvousindex.h
+++ b/src/libcrocusdeal/rendezvousindex.h
@@ -14,6 +14,9 @@
 struct rendezvous_key {
     std::string name; ///< Key of the order; unique within an index.
     data_centre_id dataCentre; ///< Only instances of this data centre; of any if empty.
+    std::size_t depth = 1; ///< Owners kept.
+
+    friend bool operator==(const rendezvous_key &, const rendezvous_key &) = default;
 };
 
 /**
@@ -26,9 +29,7 @@
 class rendezvous_index
 {
 public:
-    /** Keeps the first @p depth instances per key. */
-    explicit rendezvous_index(std::size_t depth);
-
+    /** Replaces the keys; those that stay keep their owners. */
     void setKeys(std::vector<rendezvous_key> keys);
     void add(const instance_id &instance, const data_centre_id &dataCentre);
     void remove(const instance_id &instance);
@@ -52,7 +53,6 @@
     void offer(owned_key &to, const instance_id &instance) const;
     void refill(owned_key &to) const;
 
-    std::size_t m_depth;
     std::vector<owned_key> m_entries;
     std::unordered_map<std::string, std::size_t> m_places;
     std::unordered_map<instance_id, data_centre_id> m_instances;
--- a/src/libcrocusdeal/suspicionverifier.h
+++ b/src/libcrocusdeal/suspicionverifier.h
@@ -3,6 +3,8 @@
 #include "clock.h"
 #include "identifiers.h"
 
+#include <cstddef>
+#include <random>
 #include <unordered_map>
 #include <vector>
 
@@ -12,7 +14,8 @@
 /**
  * Chooses the suspects to ask directly before they are declared dead.
  *
- * Their answer carries the refutation, which otherwise does not reach every member in time when datagrams are lost.
+ * Their answer carries the refutation, which otherwise does not reach every member in time when datagrams are lost. A
+ * sample of the fleet asks first and spreads the answer, so that a large fleet does not ask one suspect all at once.
  */
 class suspicion_verifier
 {
@@ -20,10 +23,18 @@
     /** The suspects to probe now; @p suspects holds since when each is suspected. */
     std::vector<instance_id> due(time_point now,
                                  const std::unordered_map<instance_id, time_point> &suspects,
-                                 duration timeout);
+                                 duration timeout,
+                                 std::size_t fleet,
+                                 std::mt19937_64 &random);
 
 private:
-    std::unordered_map<instance_id, int> m_probes; ///< Sent to each suspect whose time is nearly up.
+    enum class stage {
+        Sampled, ///< The time of the sample has come.
+        Final,
+        Repeated, ///< The final probe was sent again, in case it was lost.
+    };
+
+    std::unordered_map<instance_id, stage> m_stages; ///< Of each suspect whose time is nearly up.
 };
 
 }
--- a/src/libcrocusdeal/targetownership.cpp
+++ b/src/libcrocusdeal/targetownership.cpp
@@ -18,6 +18,13 @@
     return "probe/" + group.str() + '/' + target.str();
 }
 
+const std::string candidatePrefix = "promote/";
+
+std::string candidateKey(const group_id &group)
+{
+    return candidatePrefix + group.str();
+}
+
 std::string watchKey(const data_centre_id &dataCentre)
 {
     return "config-watch/" + dataCentre.str();
@@ -27,66 +34,62 @@
 
 target_ownership::target_ownership(member_description self)
     : m_self(std::move(self))
-    , m_probers(probersPerTarget)
-    , m_candidates(candidatesKept)
-    , m_watchers(watchersPerDataCentre)
 {
-    m_watchers.setKeys({{watchKey(m_self.dataCentre), m_self.dataCentre}});
+    setGroups({});
 }
 
 void target_ownership::setGroups(const std::vector<group_targets> &groups)
 {
     m_groups = groups;
     m_places.clear();
-    std::vector<rendezvous_key> targets;
-    std::vector<rendezvous_key> candidates;
+    std::vector<rendezvous_key> keys;
+    keys.push_back({watchKey(m_self.dataCentre), m_self.dataCentre, watchersPerDataCentre});
     for (std::size_t i = 0; i < groups.size(); ++i) {
         m_places.emplace(groups[i].group, i);
-        candidates.push_back({groups[i].group.str(), {}});
+        keys.push_back({candidateKey(groups[i].group), {}, candidatesKept});
         for (const auto &target : groups[i].targets) {
-            targets.push_back({probeKey(groups[i].group, target.id), target.dataCentre});
+            keys.push_back({probeKey(groups[i].group, target.id), target.dataCentre, probersPerTarget});
         }
     }
-    m_probers.setKeys(std::move(targets));
-    m_candidates.setKeys(std::move(candidates));
+    m_owners.setKeys(std::move(keys));
 }
 
 void target_ownership::memberChanged(const member_info &member)
 {
-    for (auto *index : {&m_probers, &m_candidates, &m_watchers}) {
-        if (member.isLive()) {
-            index->add(member.id(), member.dataCentre());
-        } else {
-            index->remove(member.id());
-        }
+    if (member.isLive()) {
+        m_owners.add(member.id(), member.dataCentre());
+    } else {
+        m_owners.remove(member.id());
     }
 }
 
 std::vector<instance_id> target_ownership::probers(const group_id &group, const target_id &target) const
 {
-    return m_probers.owners(probeKey(group, target));
+    return m_owners.owners(probeKey(group, target));
 }
 
 bool target_ownership::isProber(const group_id &group, const target_id &target) const
 {
-    return m_probers.rank(probeKey(group, target), m_self.id) >= 0;
+    return m_owners.rank(probeKey(group, target), m_self.id) >= 0;
 }
 
 int target_ownership::candidateRank(const group_id &group) const
 {
-    return m_candidates.rank(group.str(), m_self.id);
+    return m_owners.rank(candidateKey(group), m_self.id);
 }
 
 bool target_ownership::shouldWatchPlatform() const
 {
-    return m_watchers.rank(watchKey(m_self.dataCentre), m_self.id) >= 0;
+    return m_owners.rank(watchKey(m_self.dataCentre), m_self.id) >= 0;
 }
 
 std::vector<group_id> target_ownership::candidateGroups() const
 {
     std::vector<group_id> groups;
-    for (const auto &name : m_candidates.ownedBy(m_self.id)) {
-        groups.emplace_back(name);
+    for (const auto &name : m_owners.ownedBy(m_self.id)) {
+        if (name.starts_with(candidatePrefix)) {
+            groups.emplace_back(name.substr(candidatePrefix.size()));
+        }
     }
     return groups;
 }
--- a/src/libcrocusdeal/targetownership.h
+++ b/src/libcrocusdeal/targetownership.h
@@ -50,9 +50,7 @@
     member_description m_self;
     std::vector<group_targets> m_groups;
     std::unordered_map<group_id, std::size_t> m_places;
-    rendezvous_index m_probers;
-    rendezvous_index m_candidates;
-    rendezvous_index m_watchers;
+    rendezvous_index m_owners; ///< One index for all keys, because each index holds the list of instances.
 };
 
 }
--- a/src/standins/capacity/virtualfleet.cpp
+++ b/src/standins/capacity/virtualfleet.cpp
@@ -292,6 +292,11 @@
     m_platformUp = up;
 }
 
+void virtual_fleet::setLoss(double loss)
+{
+    m_settings.loss = loss;
+}
+
 void virtual_fleet::stop(std::size_t index)
 {
     m_instances[index].up = false;
@@ -363,6 +368,15 @@
     return static_cast<std::size_t>(count);
 }
 
+double virtual_fleet::visibleShare() const
+{
+    double seen = 0;
+    for (const auto &one : m_instances) {
+        seen += one.up ? static_cast<double>(std::min(one.node->members().fleetSize(), countUp())) : 0;
+    }
+    return seen / static_cast<double>(countUp()) / static_cast<double>(countUp());
+}
+
 bool virtual_fleet::agrees() const
 {
     std::uint32_t digest = 0;
--- a/src/standins/capacity/virtualfleet.h
+++ b/src/standins/capacity/virtualfleet.h
@@ -87,12 +87,15 @@
     /** Puts a version into the platform; the watchers learn of it after a delay if the platform is up. */
     void publish(std::uint64_t version, const std::string &text);
     void setPlatformUp(bool up);
+    void setLoss(double loss);
 
     /** Instances that are up and at @p version. */
     std::size_t countAt(std::uint64_t version) const;
     std::size_t countUp() const;
     /** Whether each instance that is up sees exactly those that are up as live. */
     bool agrees() const;
+    /** Share of the pairs of instances that are up in which one sees the other as live. */
+    double visibleShare() const;
     const fleet_traffic &traffic() const
     {
         return m_traffic;
