--- a/src/libcrocusdeal/disseminationqueue.h
+++ b/src/libcrocusdeal/disseminationqueue.h
@@ -1,9 +1,12 @@
 #pragma once
 
-#include <algorithm>
 #include <cmath>
+#include <compare>
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -39,33 +42,43 @@
     void add(const std::string &key, Fact fact)
     {
         remove(key);
-        m_entries.push_back({key, std::move(fact), 0});
-        std::rotate(m_entries.begin(), m_entries.end() - 1, m_entries.end());
+        const place first{0, -m_next++};
+        m_entries.emplace(first, entry{key, std::move(fact)});
+        m_places.emplace(key, first);
     }
 
     void remove(const std::string &key)
     {
-        std::erase_if(m_entries, [&key](const entry &e) { return e.key == key; });
+        if (const auto found = m_places.find(key); found != m_places.end()) {
+            m_entries.erase(found->second);
+            m_places.erase(found);
+        }
     }
 
     /** Up to @p count facts, each counted as transmitted once; facts at @p limit transmissions are dropped. */
     std::vector<Fact> take(std::size_t count, int limit)
     {
         std::vector<Fact> facts;
-        const auto taken = std::min(count, m_entries.size());
-        facts.reserve(taken);
-        for (std::size_t i = 0; i < taken; ++i) {
-            facts.push_back(m_entries[i].fact);
-            ++m_entries[i].transmitted;
+        std::vector<typename entries::node_type> taken;
+        while (taken.size() < count && !m_entries.empty()) {
+            taken.push_back(m_entries.extract(m_entries.begin()));
+            facts.push_back(taken.back().mapped().fact);
+        }
+        for (auto &node : taken) {
+            const auto &key = node.mapped().key;
+            if (++node.key().transmitted >= limit) {
+                m_places.erase(key);
+                continue;
+            }
+            m_places.insert_or_assign(key, node.key());
+            m_entries.insert(std::move(node));
         }
-        std::erase_if(m_entries, [limit](const entry &e) { return e.transmitted >= limit; });
-        restoreOrder(std::min(taken, m_entries.size()));
         return facts;
     }
 
     bool contains(const std::string &key) const
     {
-        return std::any_of(m_entries.begin(), m_entries.end(), [&key](const entry &e) { return e.key == key; });
+        return m_places.contains(key);
     }
     bool empty() const
     {
@@ -77,22 +90,22 @@
     }
 
 private:
+    /** Order of the queue; among facts sent equally often the newest is first. */
+    struct place {
+        int transmitted;
+        std::int64_t age;
+
+        friend auto operator<=>(const place &, const place &) = default;
+    };
     struct entry {
         std::string key;
         Fact fact;
-        int transmitted;
     };
+    using entries = std::map<place, entry>;
 
-    /** Only the first @p changed entries have a new count, so one merge restores the order. */
-    void restoreOrder(std::size_t changed)
-    {
-        const auto middle = m_entries.begin() + static_cast<std::ptrdiff_t>(changed);
-        const auto less = [](const entry &a, const entry &b) { return a.transmitted < b.transmitted; };
-        std::stable_sort(m_entries.begin(), middle, less);
-        std::inplace_merge(m_entries.begin(), middle, m_entries.end(), less);
-    }
-
-    std::vector<entry> m_entries;
+    entries m_entries;
+    std::unordered_map<std::string, place> m_places;
+    std::int64_t m_next = 0;
 };
 
 }
--- a/src/libcrocusdeal/membership.cpp
+++ b/src/libcrocusdeal/membership.cpp
@@ -355,7 +355,7 @@
 membership_actions membership::tableReceived(time_point now, const std::vector<member_fact> &facts)
 {
     membership_actions actions;
-    m_pulls.received();
+    m_pulls.received(now, facts.size());
     spreadMissing(facts);
     for (const auto &fact : facts) {
         if (fact.about == m_settings.self.id) {
--- a/src/libcrocusdeal/tablepulls.cpp
+++ b/src/libcrocusdeal/tablepulls.cpp
@@ -13,6 +13,9 @@
 using namespace literals;
 
 constexpr duration retryInterval = 1_s;
+constexpr std::size_t smallTable = 100;
+constexpr int maxEarlyPulls = 3;
+constexpr duration earlyPullInterval = 2_s;
 /** Times log10 of the fleet: a change in flight makes about half of the digests differ, lasting divergence all. */
 constexpr double divergencePerDecade = 8;
 constexpr int maxDivergence = 100;
@@ -44,9 +47,11 @@
     m_next = now;
 }
 
-void table_pulls::received()
+void table_pulls::received(time_point now, std::size_t members)
 {
-    m_needed = false;
+    // Instances that start together first see each other's nearly empty tables.
+    m_needed = members < smallTable && ++m_earlyPulls < maxEarlyPulls;
+    m_next = m_needed ? now + earlyPullInterval : m_next;
 }
 
 bool table_pulls::isRequestDue(time_point now) const
--- a/src/libcrocusdeal/tablepulls.h
+++ b/src/libcrocusdeal/tablepulls.h
@@ -22,7 +22,8 @@
     void noteDigest(bool equal, const std::string &source);
     /** Pulls at the next chance whatever the digests say, as after a pause. */
     void request(time_point now);
-    void received();
+    /** A table of @p members arrived. */
+    void received(time_point now, std::size_t members);
 
     /** Whether a pull is due only because a table was requested; then any member may be asked. */
     bool isRequestDue(time_point now) const;
@@ -35,6 +36,7 @@
 
 private:
     bool m_needed = true;
+    int m_earlyPulls = 0;
     time_point m_next = never;
     int m_divergence = 0; ///< Rises with each datagram of another digest and falls with each of an equal one.
     std::string m_divergedFrom;
--- a/tests/libcrocusdeal/factstoretest.cpp
+++ b/tests/libcrocusdeal/factstoretest.cpp
@@ -140,6 +140,7 @@
         fleet.introduceAll();
         const auto groups = groupsOf(3);
         std::vector<group_id> wanted;
+        wanted.reserve(groups.size());
         for (const auto &group : groups) {
             wanted.push_back(group.group);
         }
