--- a/src/libcrocusdeal/databasegroup.h
+++ b/src/libcrocusdeal/databasegroup.h
@@ -89,7 +89,6 @@
 
     struct member {
         target_view view;
-        time_point ownHeardAt = never;
         time_point probedAt = never;
         int unansweredProbes = 0;
     };
--- a/tests/support/writeload.cpp
+++ b/tests/support/writeload.cpp
@@ -1,6 +1,7 @@
 #include "writeload.h"
 
 #include <algorithm>
+#include <iostream>
 #include <iterator>
 #include <map>
 #include <sstream>
@@ -44,10 +45,15 @@
     return colon == std::string::npos ? 0 : std::stoull(token.substr(colon + 1));
 }
 
-write_load::write_load(const cluster &target, std::vector<std::size_t> instances, int callers, reconnect after)
+write_load::write_load(const cluster &target,
+                       std::vector<std::size_t> instances,
+                       int callers,
+                       reconnect after,
+                       std::chrono::milliseconds pause)
     : m_cluster(target)
     , m_instances(std::move(instances))
     , m_reconnect(after)
+    , m_pause(pause)
 {
     int caller = 0;
     for (const auto instance : m_instances) {
@@ -100,9 +106,7 @@
             if (ended) {
                 break;
             }
-            if (refused) {
-                std::this_thread::sleep_for(pauseAfterRefusal);
-            }
+            std::this_thread::sleep_for(refused ? std::max(m_pause, pauseAfterRefusal) : m_pause);
         }
         if (m_reconnect == reconnect::OtherInstance) {
             const auto at = std::find(m_instances.begin(), m_instances.end(), instance);
@@ -116,13 +120,22 @@
                               std::chrono::milliseconds timeout,
                               const std::vector<std::size_t> &instances) const
 {
-    return waitFor(timeout, [&] {
+    const auto isWanted = [&](const load_record &record) {
+        return record.sent >= from && std::find(instances.begin(), instances.end(), record.instance) != instances.end();
+    };
+    const bool written = waitFor(timeout, [&] {
         const std::lock_guard lock(m_mutex);
         return std::any_of(m_records.rbegin(), m_records.rend(), [&](const load_record &record) {
-            return record.isAcknowledged() && record.sent >= from
-                && std::find(instances.begin(), instances.end(), record.instance) != instances.end();
+            return record.isAcknowledged() && isWanted(record);
         });
     });
+    if (!written) {
+        std::vector<load_record> told;
+        const auto all = records();
+        std::copy_if(all.begin(), all.end(), std::back_inserter(told), isWanted);
+        std::cout << "\nno write acknowledged, instead: " << summary(told) << std::endl;
+    }
+    return written;
 }
 
 read_load::read_load(const cluster &target, const std::vector<std::size_t> &instances)
