Test that connection shares follow the configuration

Cause: a change of the base share alone was passed on without a test. Ruled out: relying on the random histories, which keep the settings fixed. Before: 7 tests. After: 8 tests pass (test_libcrocusdeal connection_budget). Conclusion: limit and base share change at run time.

--- a/tests/libcrocusdeal/connectionbudgettest.cpp
+++ b/tests/libcrocusdeal/connectionbudgettest.cpp
@@ -314,6 +314,7 @@
     CPPUNIT_TEST(lendsTheWholeLimitOnDemand);
     CPPUNIT_TEST(staysWithinTwiceTheLimitWithTwoOwners);
     CPPUNIT_TEST(keepsTheBaseWithoutTheOwner);
+    CPPUNIT_TEST(passesOnAChangedConfiguration);
     CPPUNIT_TEST(backsOffWhenTheTargetRefuses);
     CPPUNIT_TEST(ignoresLateGrants);
     CPPUNIT_TEST(takesBackTheLoanOfASilentHolder);
@@ -389,6 +390,36 @@
         CPPUNIT_ASSERT(share.mayOpen({7000}));
     }
 
+    /** Guards against a base share or a limit that only instances started later learn. */
+    void passesOnAChangedConfiguration()
+    {
+        const instance_id self("i0");
+        connection_share share(target, self, 1);
+        connection_budget budget(target, self, 1, {}, {10, 2, 0_ms}, {0});
+        share.setOwner(self);
+        share.setWanted(10);
+        const auto run = [&](std::int64_t from, std::int64_t to) {
+            for (std::int64_t ms = from; ms <= to; ms += 100) {
+                budget.onTargetStatus(0, {ms}, {ms});
+                if (const auto report = share.poll({ms})) {
+                    share.onGrant(budget.onReport(*report, {ms}).value());
+                }
+                for (const auto &grant : budget.poll({ms})) {
+                    share.onGrant(grant);
+                }
+            }
+        };
+        run(0, 1000);
+        CPPUNIT_ASSERT_EQUAL(3, share.base());
+        budget.setSettings({10, 6, 0_ms});
+        run(1100, 1500);
+        CPPUNIT_ASSERT_EQUAL(1, share.base());
+        CPPUNIT_ASSERT_EQUAL(10, share.allowance());
+        budget.setSettings({4, 6, 0_ms});
+        run(1600, 2000);
+        CPPUNIT_ASSERT_EQUAL(4, share.allowance());
+    }
+
     /** Guards against instances that keep asking a target that is full, as it may be during a partition. */
     void backsOffWhenTheTargetRefuses()
     {
