Take group states without an upstream from answers and peers

Cause: the monitor now distinguishes the state that answers carry in band from the full status; the daemon still passed full ones with copied fields. Conclusion: only group_status() tells connections and upstreams.

--- a/src/libcrocusdealnet/groupruntime.cpp
+++ b/src/libcrocusdealnet/groupruntime.cpp
@@ -4,7 +4,6 @@
 #include "systemclock.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <limits>
 #include <set>
@@ -57,25 +56,6 @@
     return target_id(group.str() + '/' + target.str());
 }
 
-std::optional<target_status> parseGroupState(std::string_view text)
-{
-    const auto first = text.find(' ');
-    const auto second = first == std::string_view::npos ? first : text.find(' ', first + 1);
-    if (second == std::string_view::npos) {
-        return std::nullopt;
-    }
-    target_status status;
-    const auto parsed = std::from_chars(text.data(), text.data() + first, status.term);
-    const auto role = targetRoleNames.value(text.substr(first + 1, second - first - 1));
-    const auto at = parsePosition(text.substr(second + 1));
-    if (parsed.ec != std::errc() || parsed.ptr != text.data() + first || !role || !at) {
-        return std::nullopt;
-    }
-    status.role = *role;
-    status.at = *at;
-    return status;
-}
-
 group_runtime::group_runtime(group_environment &environment, const group_configuration &group, confirm_mode confirm)
     : m_environment(environment)
     , m_id(group.group)
@@ -350,21 +330,12 @@
 
 void group_runtime::observe(const target_id &target, std::string_view state, time_point askedAt)
 {
-    const auto status = parseGroupState(state);
-    if (!status) {
+    const auto parsed = parseTargetState(state);
+    if (!parsed) {
         targetLog().write(log_level::Warn, target.str() + " reported a malformed group_state");
         return;
     }
-    // The in-band state lacks these; an empty upstream would look like a replica that follows nobody.
-    const auto view = m_monitor->view();
-    const auto *known = view->find(target);
-    auto complete = *status;
-    if (known != nullptr && known->status) {
-        complete.connections = known->status->connections;
-        complete.maxConnections = known->status->maxConnections;
-        complete.following = known->status->following;
-    }
-    m_monitor->observe(target, complete, askedAt);
+    m_monitor->observe(target, *parsed, askedAt);
 }
 
 void group_runtime::noteUse()
--- a/src/libcrocusdealnet/groupruntime.h
+++ b/src/libcrocusdealnet/groupruntime.h
@@ -120,7 +120,4 @@
 /** The name of a target among those of all groups. */
 target_id fleetTargetId(const group_id &group, const target_id &target);
 
-/** Reads the in-band state "<term> <role> <entry term>/<offset>"; nothing if it is malformed. */
-std::optional<target_status> parseGroupState(std::string_view text);
-
 }
--- a/src/libcrocusdealnet/instance.cpp
+++ b/src/libcrocusdealnet/instance.cpp
@@ -547,7 +547,8 @@
     const auto known = groups();
     const auto found = known.find(fact.group);
     if (found != known.end()) {
-        found->second->monitor().observePeer(fact.target, fact.status, notBefore);
+        found->second->monitor().observePeer(
+            fact.target, {fact.status.term, fact.status.role, fact.status.at}, notBefore);
     }
 }
 
@@ -556,7 +557,9 @@
     std::vector<database_fact> facts;
     for (const auto &[id, group] : groups()) {
         for (const auto &fact : group->monitor().facts()) {
-            facts.push_back({id, fact.target, fact.status, fact.age});
+            // Counts and upstreams are not gossiped: only the ledger's owner and the repair need them, at first hand.
+            const target_status status{fact.state.term, fact.state.role, fact.state.at, 0, 0, {}};
+            facts.push_back({id, fact.target, status, fact.age});
         }
     }
     return facts;
