Run writes under request keys; bound retries

Cause: SET crocusdeal.request_key was accepted and had no effect, and reads were retried without a budget. Ruled out: storing outcomes in the instances, which keep nothing and would not know a repeat through another one. Before: a repeat with the same key inserted a second row. After: with psql, three INSERTs with key order-1 through two instances gave one row and the first answer (id 1) each time; an error frees the key. Conclusion: the key, the effect and the answer commit together; COMMIT is confirmed like any write.

--- a/src/libcrocusdealnet/callersession.cpp
+++ b/src/libcrocusdealnet/callersession.cpp
@@ -282,6 +282,9 @@
         return;
     }
     m_deadline = m_requestStart + m_service->queueDeadline();
+    if (!m_requestKey.empty() && m_info.cls == statement_class::Write) {
+        m_keyed = std::make_shared<keyed_request>(m_strand, m_requestKey, m_batch, m_statements, m_service->observe);
+    }
     dispatch();
 }
 
@@ -311,8 +314,11 @@
         error = makeError("0A000", "COPY is not supported through crocusdeal");
     } else if (m_info.mixesProxySettings) {
         error = makeError("0A000", "a crocusdeal setting cannot stand beside other statements in one request");
-    } else if (!m_requestKey.empty() && m_lease) {
-        error = makeError("0A000", "crocusdeal.request_key cannot be used inside a transaction");
+    } else if (!m_requestKey.empty() && m_info.cls != statement_class::Read
+               && (m_lease || m_info.cls != statement_class::Write || m_info.endsTransaction
+                   || !m_batch.endsWithSync())) {
+        error =
+            makeError("0A000", "crocusdeal.request_key covers one write outside of a transaction; RESET it for others");
     } else {
         return false;
     }
@@ -378,6 +384,10 @@
             result.value = m_requestKey;
             return result;
         }
+        if (setting.action == setting_action::Set && !isValidRequestKey(setting.value)) {
+            return {
+                false, {}, "invalid value for crocusdeal.request_key: expected 1 to 256 printable ASCII characters"};
+        }
         m_requestKey = setting.action == setting_action::Set ? setting.value : std::string();
         return result;
     }
@@ -442,9 +452,61 @@
     }
     m_lease = std::move(result.lease);
     setPhase(phase::Running);
+    if (m_keyed) {
+        runKeyed();
+        return;
+    }
     sendToTarget();
 }
 
+void caller_session::runKeyed()
+{
+    m_sentAt = systemNow();
+    watchTarget();
+    m_keyed->run(
+        m_lease->shared(),
+        [this] { return systemNow() < m_deadline && m_service->mayRetry(); },
+        [self = shared_from_this()](keyed_result result) { self->onKeyedEnded(std::move(result)); });
+}
+
+void caller_session::onKeyedEnded(keyed_result result)
+{
+    if (m_phase == phase::Closed) {
+        return;
+    }
+    m_watchTimer.cancel();
+    m_statements.apply(m_batch);
+    if (m_lease && result.connectionReusable) {
+        m_lease->endStatement(m_info.fingerprint, systemNow() - m_sentAt, false);
+    }
+    returnLease(result.connectionReusable ? lease_outcome::Reusable : lease_outcome::Broken);
+    switch (result.step) {
+    case key_step::Claim:
+        dispatch();
+        return;
+    case key_step::AnswerOutcome:
+        if (result.committed) {
+            m_out += result.frames;
+            confirm(*result.committed);
+            return;
+        }
+        break;
+    case key_step::AnswerError:
+        m_out += result.frames;
+        finishAnswer(false);
+        return;
+    case key_step::AnswerNotRun:
+        reportError(makeError("57P03", "not run: the target connection was lost"));
+        return;
+    default:
+        break;
+    }
+    m_state = session_state(systemNow());
+    reportError(makeError("08007",
+                          "the outcome of the keyed request is unknown",
+                          "Repeat the request with the same crocusdeal.request_key."));
+}
+
 bool caller_session::needsConfirmation() const
 {
     if (!m_lease->isPrimary()) {
@@ -692,6 +754,7 @@
 
 void caller_session::endRequest()
 {
+    m_keyed.reset();
     m_batch.clear();
     setPhase(phase::Idle);
     if (m_callerGone) {
@@ -724,8 +787,19 @@
 void caller_session::onTargetLost()
 {
     m_watchTimer.cancel();
+    if (m_keyed) {
+        // Closing the connection ends the keyed request's pending operation, which then decides what to do.
+        std::error_code ignored;
+        m_lease->connection().socket().close(ignored);
+        return;
+    }
     const auto target = m_lease->connection().target();
     sessionLog().write(log_level::Info, std::to_string(m_ticket.pid) + " lost its connection to " + target.str());
+    if (m_relay.isMidRow() && m_anythingWritten) {
+        // Part of a row has left; nothing but the rest of it could follow.
+        closeNow();
+        return;
+    }
     const bool inTransaction = m_transaction != 'I';
     const bool mayHaveCommitted = m_lease->isPrimary()
         && (m_info.endsTransaction ? m_transactionWrote || mayChangeData(m_info.cls)
--- a/src/libcrocusdealnet/callersession.h
+++ b/src/libcrocusdealnet/callersession.h
@@ -3,6 +3,7 @@
 #include "batchinfo.h"
 #include "callerstream.h"
 #include "dispatch.h"
+#include "keyedrequest.h"
 #include "requestbatch.h"
 #include "responserelay.h"
 #include "sessionregistry.h"
@@ -94,6 +95,9 @@
     bool needsConfirmation() const;
     duration staleness() const;
 
+    void runKeyed();
+    void onKeyedEnded(keyed_result result);
+
     void sendToTarget();
     void onSent(std::error_code error);
     void readTarget();
@@ -137,6 +141,7 @@
     session_state m_state;
     std::optional<duration> m_maxStaleness;
     std::string m_requestKey;
+    std::shared_ptr<keyed_request> m_keyed; ///< While a request runs under its key.
 
     request_batch m_batch;
     batch_info m_info;
--- a/src/libcrocusdealnet/connectionpool.cpp
+++ b/src/libcrocusdealnet/connectionpool.cpp
@@ -23,7 +23,7 @@
 {
 }
 
-void connection_pool::acquire(time_point deadline, handler done)
+void connection_pool::acquire(time_point deadline, const handler &done)
 {
     std::shared_ptr<target_connection> connection;
     std::vector<std::shared_ptr<target_connection>> stale;
@@ -38,7 +38,7 @@
             }
         }
         if (!connection) {
-            m_waiting.push_back({std::move(done), deadline});
+            m_waiting.push_back({done, deadline});
         }
     }
     for (auto &lost : stale) {
--- a/src/libcrocusdealnet/connectionpool.h
+++ b/src/libcrocusdealnet/connectionpool.h
@@ -46,7 +46,7 @@
     connection_pool(asio::io_context &io, target_connection_settings settings, connection_pool_hooks hooks);
 
     /** Lends an idle connection, opens one, or waits until one is free, at the latest until @p deadline. */
-    void acquire(time_point deadline, handler done);
+    void acquire(time_point deadline, const handler &done);
     /** Ends the waits whose deadline has passed; to be called each 100 ms. */
     void expireWaits(time_point now);
     /** Takes a connection back; closes it unless it is reusable. */
--- a/src/libcrocusdealnet/groupruntime.cpp
+++ b/src/libcrocusdealnet/groupruntime.cpp
@@ -285,9 +285,16 @@
     return entry;
 }
 
-std::function<bool()> group_runtime::makeRetryBudget()
+bool group_runtime::mayRetry()
 {
-    return [] { return true; };
+    const std::lock_guard lock(m_retryMutex);
+    return m_retries.tryRetry(systemNow());
+}
+
+void group_runtime::countRequest()
+{
+    const std::lock_guard lock(m_retryMutex);
+    m_retries.onRequest(systemNow());
 }
 
 std::shared_ptr<const service_hooks> group_runtime::makeHooks(const service_configuration &configuration,
@@ -298,6 +305,9 @@
     const auto self = shared_from_this();
     hooks->dispatch = [self, router](const dispatch_request &request, service_hooks::dispatch_handler done) {
         self->noteUse();
+        if (!request.avoid) {
+            self->countRequest();
+        }
         return router->dispatch(request, std::move(done));
     };
     hooks->explain = [router](const dispatch_request &request) { return router->explain(request); };
@@ -311,7 +321,7 @@
         self->observe(target, state, askedAt);
     };
     hooks->isTargetAlive = [self](const target_id &target) { return self->isAlive(target); };
-    hooks->mayRetry = makeRetryBudget();
+    hooks->mayRetry = [self] { return self->mayRetry(); };
     hooks->allowedStaleness = [reads =
                                    configuration.reads](const statement_info &statement) -> std::optional<duration> {
         if (!reads.staleTables.empty() && statement.tablesComplete && !statement.tables.empty()) {
--- a/src/libcrocusdealnet/groupruntime.h
+++ b/src/libcrocusdealnet/groupruntime.h
@@ -3,6 +3,7 @@
 #include "connectionpool.h"
 #include "groupmonitor.h"
 #include "limitcoordinator.h"
+#include "retrybudget.h"
 #include "serviceconfiguration.h"
 #include "servicerouter.h"
 
@@ -94,7 +95,8 @@
     service_entry makeService(const service_configuration &configuration);
     std::shared_ptr<const service_hooks> makeHooks(const service_configuration &configuration,
                                                    const std::shared_ptr<service_router> &router);
-    std::function<bool()> makeRetryBudget();
+    bool mayRetry();
+    void countRequest();
     void observe(const target_id &target, std::string_view state, time_point askedAt);
     void noteUse();
     /** Called for a target with an unanswered statement. */
@@ -111,6 +113,9 @@
     std::atomic<bool> m_suspected{false};
     std::map<target_id, double> m_demand; ///< Only used by updateDemand().
 
+    std::mutex m_retryMutex; ///< Guards m_retries; taken without other locks.
+    retry_budget m_retries;
+
     mutable std::mutex m_mutex;
     std::map<service_id, service_entry> m_services;
     service_limits m_limits;
--- a/src/libcrocusdealnet/responserelay.cpp
+++ b/src/libcrocusdealnet/responserelay.cpp
@@ -72,6 +72,11 @@
     return m_hasRows;
 }
 
+bool response_relay::isMidRow() const
+{
+    return m_rowBytesLeft > 0;
+}
+
 std::string response_relay::takeHeld()
 {
     m_holding = false;
--- a/src/libcrocusdealnet/responserelay.h
+++ b/src/libcrocusdealnet/responserelay.h
@@ -51,6 +51,8 @@
     /** The first error of this batch. */
     const std::optional<pg_error> &error() const;
     bool hasRows() const;
+    /** Whether a part of a large row was passed on without its end. */
+    bool isMidRow() const;
     std::string takeHeld();
     bool isHolding() const;
 
