Refuse a planned change whose target does not answer

Cause: the group was fenced first and stayed without primary for 500 ms until the chosen database was given up. Ruled out: a shorter fence time-out, which would hurt promotions under load. Before: another database became primary after the gap. Conclusion: the operator sees why, and writes go on.

--- a/src/libcrocusdeal/promotion.h
+++ b/src/libcrocusdeal/promotion.h
@@ -30,10 +30,11 @@
     NoMajority, ///< Too few databases granted the fence in time.
     Superseded, ///< A database already stands at a term as high as this one's.
     ResponsesLost, ///< Too many restarts.
+    TargetNotReached, ///< Nothing was fenced, since the chosen database of a planned change does not answer.
 };
 
 inline constexpr auto promotionOutcomeNames =
-    makeNameTable<promotion_outcome>("promoted", "no-majority", "superseded", "responses-lost");
+    makeNameTable<promotion_outcome>("promoted", "no-majority", "superseded", "responses-lost", "target-not-reached");
 
 /** Asks a database that is to catch up for its status, each tick. */
 struct poll_target {
--- a/src/libcrocusdealnet/groupmonitor.cpp
+++ b/src/libcrocusdealnet/groupmonitor.cpp
@@ -319,16 +319,17 @@
     if (m_planned.empty() || m_promotion.isRunning()) {
         return;
     }
+    const auto &wanted = m_planned.front().target;
     const bool reachable = m_group.reachesMajority(now);
-    if (!reachable && now < m_planned.front().deadline) {
+    const bool answers = !wanted || !isUnheard(*wanted, now);
+    if (!(reachable && answers) && now < m_planned.front().deadline) {
         return;
     }
     const auto change = std::move(m_planned.front());
     m_planned.erase(m_planned.begin());
     const auto current = m_group.primary();
-    const bool known = !change.target || control(*change.target) != nullptr;
-    if (!reachable || !known) {
-        change.done({});
+    if (!reachable || !answers) {
+        change.done({reachable ? promotion_outcome::TargetNotReached : promotion_outcome::NoMajority, 0, {}});
     } else if (change.target && current == change.target) {
         change.done({promotion_outcome::Promoted, m_group.highestTerm(), *current});
     } else {
--- a/tests/libcrocusdealnet/groupmonitortest.cpp
+++ b/tests/libcrocusdealnet/groupmonitortest.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(agreesWithARivalMonitor);
     CPPUNIT_TEST(answersNoReadIndexWithoutMajority);
     CPPUNIT_TEST(changesThePrimaryAsPlanned);
+    CPPUNIT_TEST(fencesNothingForAnUnreachableTarget);
     CPPUNIT_TEST(movesADrainedPrimary);
     CPPUNIT_TEST(repairsADatabaseThatComesBack);
     CPPUNIT_TEST(takesPeersAnswersIntoAccount);
@@ -190,15 +191,24 @@
         m_databases->setCopying(2, false);
         CPPUNIT_ASSERT_EQUAL(confirm_result::Confirmed, writeAndConfirm(1000_ms));
         m_databases->setCopying(2, true);
-        std::promise<promotion_result> done;
-        m_monitor->promote(target_id("c"), [&done](const promotion_result &result) { done.set_value(result); });
-        const auto result = done.get_future().get();
+        const auto result = promote("c");
         CPPUNIT_ASSERT_EQUAL(promotion_outcome::Promoted, result.outcome);
         CPPUNIT_ASSERT_EQUAL(std::string("c"), result.primary.str());
         CPPUNIT_ASSERT(m_databases->status(2).at == (position{1, 1}));
         CPPUNIT_ASSERT(eventually([this] { return m_databases->status(0).role == target_role::Replica; }, 1_s));
     }
 
+    /** Guards against stopping writes for a planned change that cannot succeed. */
+    void fencesNothingForAnUnreachableTarget()
+    {
+        startMonitor();
+        m_databases->crash(2);
+        std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+        CPPUNIT_ASSERT_EQUAL(promotion_outcome::TargetNotReached, promote("c").outcome);
+        CPPUNIT_ASSERT_EQUAL(promotion_outcome::TargetNotReached, promote("nobody").outcome);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_databases->status(0).term);
+    }
+
     /** Guards against a drained database that stays primary. */
     void movesADrainedPrimary()
     {
@@ -310,6 +320,13 @@
         return done.get_future().get();
     }
 
+    promotion_result promote(const char *name)
+    {
+        std::promise<promotion_result> done;
+        m_monitor->promote(target_id(name), [&done](const promotion_result &result) { done.set_value(result); });
+        return done.get_future().get();
+    }
+
     std::optional<position> readIndex(duration limit)
     {
         std::promise<std::optional<position>> done;
