--- a/src/standins/database/messagehandler.cpp
+++ b/src/standins/database/messagehandler.cpp
@@ -1,5 +1,7 @@
 #include "messagehandler.h"
 
+#include "rowencoding.h"
+
 #include <algorithm>
 #include <utility>
 
--- a/src/standins/database/sqlsession.h
+++ b/src/standins/database/sqlsession.h
@@ -28,9 +28,6 @@
     std::string tag; ///< Without the count for SELECT with a row limit.
 };
 
-/** Appends the RowDescription of a prepared SQLite statement; nothing if it returns no rows. */
-void writeColumns(frame_writer &writer, sqlite3_stmt *statement);
-
 /**
  * Runs the SQL statements of one connection: transaction state, slots, service time and locks.
  *
--- a/tests/libcrocusdealnet/pgframetest.cpp
+++ b/tests/libcrocusdealnet/pgframetest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(survivesArbitraryBytes);
     CPPUNIT_TEST(refusesOversizedMessageBeforeItsBody);
     CPPUNIT_TEST(payloadReaderStopsAtTheEnd);
+    CPPUNIT_TEST(frontTypeSeesTheNextMessageOnly);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -78,6 +79,24 @@
         CPPUNIT_ASSERT_EQUAL(std::int32_t{0}, reader.readInt32());
         CPPUNIT_ASSERT(reader.failed());
     }
+
+    /** Guards against a type read from a message that was taken already or from an untyped one. */
+    void frontTypeSeesTheNextMessageOnly()
+    {
+        frame_writer writer;
+        writer.begin('E').int32(7).end().begin('S').end();
+        frame_reader reader(100);
+        CPPUNIT_ASSERT_EQUAL('\0', reader.frontType());
+        reader.append(writer.str());
+        CPPUNIT_ASSERT_EQUAL('E', reader.frontType());
+        reader.next();
+        CPPUNIT_ASSERT_EQUAL('S', reader.frontType());
+        reader.next();
+        CPPUNIT_ASSERT_EQUAL('\0', reader.frontType());
+        reader.setStartup(true);
+        reader.append(writer.str());
+        CPPUNIT_ASSERT_EQUAL('\0', reader.frontType());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(pg_frame_test);
