--- a/src/libcrocusdealnet/controlplane.h
+++ b/src/libcrocusdealnet/controlplane.h
@@ -75,7 +75,7 @@
 /**
  * Membership, configuration and facts between instances over UDP and TCP, on an own strand of the context.
  *
- * All functions may be called from any thread.
+ * All functions may be called from any thread. The context must outlive the object, whose sockets belong to it.
  */
 class control_plane
 {
--- a/tests/libcrocusdealnet/controlplanetest.cpp
+++ b/tests/libcrocusdealnet/controlplanetest.cpp
@@ -67,6 +67,8 @@
         for (auto &thread : m_threads) {
             thread.join();
         }
+        // Their sockets and timers belong to the context.
+        planes.clear();
     }
 
     loopback_fleet(const loopback_fleet &) = delete;
