--- a/src/libcrocusdeal/databasegroup.cpp
+++ b/src/libcrocusdeal/databasegroup.cpp
@@ -13,6 +13,9 @@
 // Probes without an answer before the primary is suspected; with one each 250 ms, the last falls near 1 s.
 constexpr int probesForSuspicion = 3;
 
+// Peers exchange what they heard about once a second.
+constexpr int unknownPrimaryFactor = 3;
+
 // Weight of the newest replay rate in the average.
 constexpr double rateWeight = 0.25;
 
@@ -71,26 +74,54 @@
     if (entry == nullptr) {
         return false;
     }
+    const bool changed = take(*entry, status, askedAt, heardAt, source);
+    entry->view.upstreamTerm = std::max(entry->view.upstreamTerm, status.term);
+    return changed;
+}
+
+bool database_group::observe(const target_id &target,
+                             const target_state &state,
+                             time_point askedAt,
+                             time_point heardAt,
+                             observation_source source)
+{
+    auto *entry = findMember(target);
+    if (entry == nullptr) {
+        return false;
+    }
+    auto status = entry->view.status.value_or(target_status());
+    status.term = state.term;
+    status.role = state.role;
+    status.at = state.at;
+    return take(*entry, status, askedAt, heardAt, source);
+}
+
+bool database_group::take(member &entry,
+                          const target_status &status,
+                          time_point askedAt,
+                          time_point heardAt,
+                          observation_source source)
+{
     const auto oldTerm = m_highestTerm;
     const auto oldPrimary = primary();
-    const int oldRole = entry->view.status ? roleRank(entry->view.status->role) : -1;
+    const int oldRole = entry.view.status ? roleRank(entry.view.status->role) : -1;
 
     if (status.term > m_highestTerm) {
         raiseTerm(status.term);
         m_termSeenAt = heardAt;
     }
     if (source == observation_source::Own) {
-        entry->view.ownHeardAt = std::max(entry->view.ownHeardAt, heardAt);
+        entry.view.ownHeardAt = std::max(entry.view.ownHeardAt, heardAt);
     }
-    entry->unansweredProbes = 0;
-    learnReplayRate(*entry, status, heardAt);
-    mergeStatus(*entry, status, askedAt);
-    entry->view.askedAt = std::max(entry->view.askedAt, askedAt);
-    entry->view.heardAt = std::max(entry->view.heardAt, heardAt);
+    entry.unansweredProbes = 0;
+    learnReplayRate(entry, status, heardAt);
+    mergeStatus(entry, status, askedAt);
+    entry.view.askedAt = std::max(entry.view.askedAt, askedAt);
+    entry.view.heardAt = std::max(entry.view.heardAt, heardAt);
     if (status.role == target_role::Primary && status.term == m_highestTerm) {
         m_samples.add(askedAt, status.at);
     }
-    return oldTerm != m_highestTerm || oldPrimary != primary() || oldRole != roleRank(entry->view.status->role);
+    return oldTerm != m_highestTerm || oldPrimary != primary() || oldRole != roleRank(entry.view.status->role);
 }
 
 void database_group::raiseTerm(std::uint64_t term)
@@ -239,9 +270,24 @@
     return std::max(sign, m_watchingSince);
 }
 
+// A replica that follows another database shows that there is or was a primary. An instance that never heard of it may
+// have started just now without a way to it; peers are given the time to report.
+duration database_group::patience() const
+{
+    if (primary()) {
+        return m_policy.suspicionAfter;
+    }
+    const bool follows = std::any_of(m_members.begin(), m_members.end(), [this](const auto &entry) {
+        const auto &status = entry.second.view.status;
+        return status && status->term == m_highestTerm && status->role == target_role::Replica
+            && !status->following.empty();
+    });
+    return follows ? m_policy.suspicionAfter * unknownPrimaryFactor : m_policy.suspicionAfter;
+}
+
 time_point database_group::suspectedSince() const
 {
-    return lastSignOfPrimary() + m_policy.suspicionAfter;
+    return lastSignOfPrimary() + patience();
 }
 
 bool database_group::primarySuspected(time_point now) const
--- a/src/libcrocusdealnet/groupmonitor.cpp
+++ b/src/libcrocusdealnet/groupmonitor.cpp
@@ -24,15 +24,6 @@
 // A snapshot is renewed at most so often by ordinary answers.
 constexpr duration publishInterval{2};
 
-std::string joined(const std::vector<target_id> &targets)
-{
-    std::string text;
-    for (const auto &target : targets) {
-        text += ' ' + target.str();
-    }
-    return text;
-}
-
 }
 
 group_monitor::group_monitor(asio::io_context &context, group_monitor_settings settings, group_monitor_hooks hooks)
@@ -52,6 +43,19 @@
                          entry->wantWait(ask.at);
                      }
                  }})
+    , m_promotion({[this](const order_target &order) { give(order); },
+                   [this](const target_id &target) {
+                       if (auto *entry = control(target)) {
+                           entry->wantStatus(m_hooks.now());
+                       }
+                   },
+                   [this](bool promoting) {
+                       for (auto &[id, entry] : m_controls) {
+                           entry->setPromoting(promoting);
+                       }
+                   },
+                   [this](group_log_level level, const std::string &line) { log(level, line); },
+                   [this](std::uint64_t term, const target_id &primary) { m_hooks.onHint(term, primary); }})
     , m_view(m_group.view(m_hooks.now()))
 {
 }
@@ -76,16 +80,13 @@
             entry->close();
         }
         self->m_controls.clear();
-        self->m_promotion.reset();
+        self->m_promotion.abandon();
         for (const auto &done : self->m_waiters.abandon()) {
             done();
         }
         for (auto &change : std::exchange(self->m_planned, {})) {
             change.done({});
         }
-        if (const auto done = std::exchange(self->m_promoteCallback, nullptr)) {
-            done({});
-        }
     });
 }
 
@@ -128,17 +129,17 @@
     return m_view;
 }
 
-void group_monitor::observe(const target_id &target, const target_status &status, time_point askedAt)
+void group_monitor::observe(const target_id &target, const target_state &state, time_point askedAt)
 {
-    asio::post(m_strand, [self = shared_from_this(), target, status, askedAt] {
-        self->take(target, status, askedAt, observation_source::Own);
+    asio::post(m_strand, [self = shared_from_this(), target, state, askedAt] {
+        self->takeState(target, state, askedAt, observation_source::Own);
     });
 }
 
-void group_monitor::observePeer(const target_id &target, const target_status &status, time_point notBefore)
+void group_monitor::observePeer(const target_id &target, const target_state &state, time_point notBefore)
 {
-    asio::post(m_strand, [self = shared_from_this(), target, status, notBefore] {
-        self->take(target, status, notBefore, observation_source::Peer);
+    asio::post(m_strand, [self = shared_from_this(), target, state, notBefore] {
+        self->takeState(target, state, notBefore, observation_source::Peer);
     });
 }
 
@@ -209,7 +210,7 @@
 
 void group_monitor::scheduleTick()
 {
-    const bool busy = m_promotion || !m_planned.empty() || !m_waiters.empty();
+    const bool busy = m_promotion.isRunning() || !m_planned.empty() || !m_waiters.empty();
     m_timer.expires_after(std::chrono::milliseconds((busy ? busyTick : idleTick).ms));
     m_timer.async_wait([weak = weak_from_this()](const asio::error_code &error) {
         const auto self = weak.lock();
@@ -222,25 +223,44 @@
 void group_monitor::tick()
 {
     const auto now = m_hooks.now();
+    m_rank = m_hooks.candidateRank();
     m_group.tick(now);
     probe(now);
     for (auto &[id, entry] : m_controls) {
         entry->tick();
     }
-    if (m_promotion) {
-        run(m_promotion->tick(now));
-    }
+    m_promotion.tick(now);
     step();
+    stepDrain(now);
+    stepCandidate(now);
+    stepRepair(now);
     publish(now, false);
+    countControls();
     scheduleTick();
 }
 
+void group_monitor::countControls()
+{
+    std::map<target_id, int> counts;
+    for (const auto &[id, entry] : m_controls) {
+        counts.emplace(id, entry->openConnections());
+    }
+    const std::lock_guard lock(m_mutex);
+    m_controlCounts.swap(counts);
+}
+
+std::map<target_id, int> group_monitor::controlConnections() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_controlCounts;
+}
+
 void group_monitor::probe(time_point now)
 {
     const auto primary = m_group.primary();
     const auto *known = primary ? m_group.find(*primary) : nullptr;
     const bool quiet = known == nullptr || now - known->askedAt > ownProbesAfter;
-    const bool standby = quiet && m_hooks.candidateRank() >= 0;
+    const bool standby = quiet && m_rank >= 0;
     for (auto &[id, entry] : m_controls) {
         auto &next = m_nextProbe[id];
         if (now < next || !wantsProbe(id, now, standby)) {
@@ -271,7 +291,8 @@
     }
 }
 
-// Weighs everything anew. Statements may be sent from here, but their answers come later, so it does not nest.
+// Runs with every answer, unlike the decisions in tick(). Statements may be sent from here, but their answers come
+// later, so it does not nest.
 void group_monitor::step()
 {
     if (!m_running || std::exchange(m_inStep, true)) {
@@ -280,9 +301,6 @@
     const auto now = m_hooks.now();
     stepWaiters(now);
     stepPlanned(now);
-    stepDrain(now);
-    stepCandidate(now);
-    stepRepair(now);
     m_inStep = false;
 }
 
@@ -299,37 +317,40 @@
     }
 }
 
-// Of several instances, the first candidate repairs; the others would only repeat its orders.
+// Every candidate repairs, since the first one may not reach the database. Repeated orders have no further effect.
 void group_monitor::stepRepair(time_point now)
 {
-    if (m_promotion || m_hooks.candidateRank() != 0) {
+    if (m_promotion.isRunning() || m_rank < 0) {
         return;
     }
-    for (const auto &order : m_repair.update(m_group, now)) {
-        log(group_log_level::Info, order.target.str() + " is fenced, behind or on another upstream");
-        perform(order);
+    for (const auto &order : m_repair.update(m_group, now, m_rank)) {
+        log(group_log_level::Info,
+            "term " + std::to_string(order.term) + ": " + order.target.str() + " follows " + order.upstream.str()
+                + ", since it is fenced, behind or on another upstream");
+        give(order);
     }
 }
 
 void group_monitor::stepPlanned(time_point now)
 {
-    if (m_planned.empty() || m_promotion) {
+    if (m_planned.empty() || m_promotion.isRunning()) {
         return;
     }
+    const auto &wanted = m_planned.front().target;
     const bool reachable = m_group.reachesMajority(now);
-    if (!reachable && now < m_planned.front().deadline) {
+    const bool answers = !wanted || !isUnheard(*wanted, now);
+    if (!(reachable && answers) && now < m_planned.front().deadline) {
         return;
     }
     const auto change = std::move(m_planned.front());
     m_planned.erase(m_planned.begin());
     const auto current = m_group.primary();
-    const bool known = !change.target || control(*change.target) != nullptr;
-    if (!reachable || !known) {
-        change.done({});
+    if (!reachable || !answers) {
+        change.done({reachable ? promotion_outcome::TargetNotReached : promotion_outcome::NoMajority, 0, {}});
     } else if (change.target && current == change.target) {
         change.done({promotion_outcome::Promoted, m_group.highestTerm(), *current});
     } else {
-        startPromotion(change.target, "planned change", change.done);
+        m_promotion.start(m_group, change.target, "planned change", change.done, now);
     }
 }
 
@@ -343,16 +364,18 @@
                       : "no longer suspects the primary");
         publish(now, true);
     }
-    const int rank = m_hooks.candidateRank();
-    if (!suspected || rank < 0 || m_promotion || !m_group.reachesMajority(now)) {
+    if (!suspected || m_rank < 0 || m_promotion.isRunning() || !m_group.reachesMajority(now)) {
         return;
     }
-    const auto startAt = std::max(m_group.suspectedSince(), m_retryAt) + m_settings.policy.candidateStagger * rank;
+    const auto startAt =
+        std::max(m_group.suspectedSince(), m_promotion.retryAt()) + m_settings.policy.candidateStagger * m_rank;
     if (now >= startAt) {
         const auto primary = m_group.primary();
-        startPromotion(std::nullopt,
-                       primary ? "the primary " + primary->str() + " does not answer" : "there is no primary",
-                       nullptr);
+        m_promotion.start(m_group,
+                          std::nullopt,
+                          primary ? "the primary " + primary->str() + " does not answer" : "there is no primary",
+                          nullptr,
+                          now);
     }
 }
 
@@ -366,39 +389,63 @@
     if (m_drainSeenAt == never) {
         m_drainSeenAt = now;
     }
-    const int rank = m_hooks.candidateRank();
-    const auto startAt = std::max(m_drainSeenAt, m_retryAt) + m_settings.policy.candidateStagger * rank;
+    const auto startAt = std::max(m_drainSeenAt, m_promotion.retryAt()) + m_settings.policy.candidateStagger * m_rank;
     const bool hasOther = std::any_of(m_group.targets().begin(), m_group.targets().end(), [&](const auto &target) {
         const auto *known = m_group.find(target.id);
         return known != nullptr && !known->leaving && now - known->heardAt <= m_settings.policy.unheardLimit;
     });
-    if (rank >= 0 && now >= startAt && hasOther && !m_promotion && m_group.reachesMajority(now)) {
-        startPromotion(std::nullopt, "the primary " + primary->str() + " is drained", nullptr);
+    if (m_rank >= 0 && now >= startAt && hasOther && !m_promotion.isRunning() && m_group.reachesMajority(now)) {
+        m_promotion.start(m_group, std::nullopt, "the primary " + primary->str() + " is drained", nullptr, now);
     }
 }
 
-void group_monitor::take(const target_id &target,
-                         const target_status &status,
-                         time_point askedAt,
-                         observation_source source)
+void group_monitor::takeState(const target_id &target,
+                              const target_state &state,
+                              time_point askedAt,
+                              observation_source source)
 {
     if (!m_running) {
         return;
     }
     const auto now = m_hooks.now();
-    const auto *known = m_group.find(target);
-    const bool heardAgain = known == nullptr || now - known->heardAt > m_settings.policy.unheardLimit;
-    const bool changed = m_group.observe(target, status, askedAt, now, source) || heardAgain;
+    const bool heardAgain = isUnheard(target, now);
+    const bool changed = m_group.observe(target, state, askedAt, now, source);
     if (source == observation_source::Own) {
-        const std::lock_guard lock(m_mutex);
-        auto &fact = m_ownFacts[target];
-        if (askedAt >= fact.second || status.term > fact.first.term) {
-            fact = {status, askedAt};
-        }
+        recordFact(target, state, askedAt);
     }
-    if (m_promotion) {
-        run(m_promotion->observed(target, status, now));
+    afterObservation(now, changed || heardAgain);
+}
+
+void group_monitor::takeStatus(const target_id &target, const target_status &status, time_point askedAt)
+{
+    if (!m_running) {
+        return;
     }
+    const auto now = m_hooks.now();
+    const bool heardAgain = isUnheard(target, now);
+    const bool changed = m_group.observe(target, status, askedAt, now, observation_source::Own);
+    recordFact(target, {status.term, status.role, status.at}, askedAt);
+    m_promotion.observed(target, status, now);
+    afterObservation(now, changed || heardAgain);
+}
+
+bool group_monitor::isUnheard(const target_id &target, time_point now) const
+{
+    const auto *known = m_group.find(target);
+    return known == nullptr || now - known->heardAt > m_settings.policy.unheardLimit;
+}
+
+void group_monitor::recordFact(const target_id &target, const target_state &state, time_point askedAt)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &fact = m_ownFacts[target];
+    if (askedAt >= fact.second || state.term > fact.first.term) {
+        fact = {state, askedAt};
+    }
+}
+
+void group_monitor::afterObservation(time_point now, bool changed)
+{
     publish(now, changed);
     step();
 }
@@ -446,7 +493,10 @@
     hooks.onStatus = [weak](const target_id &id, const target_status &status, time_point askedAt) {
         if (const auto self = weak.lock()) {
             self->m_failing[id] = false;
-            self->take(id, status, askedAt, observation_source::Own);
+            self->takeStatus(id, status, askedAt);
+            if (self->m_hooks.onControlStatus) {
+                self->m_hooks.onControlStatus(id, status, askedAt);
+            }
         }
     };
     hooks.onOrder = [weak](const order_answer &answer, const std::string &error) {
@@ -483,92 +533,17 @@
     return {};
 }
 
-void group_monitor::startPromotion(std::optional<target_id> planned,
-                                   const std::string &why,
-                                   const promote_callback &done)
-{
-    std::vector<target_id> members;
-    for (const auto &target : m_group.targets()) {
-        members.push_back(target.id);
-    }
-    const auto term = m_group.highestTerm() + 1;
-    log(group_log_level::Info,
-        "term " + std::to_string(term) + ": fence all" + (planned ? " for " + planned->str() : "") + ": " + why);
-    m_promoteCallback = done;
-    m_promotion.emplace(std::move(members), m_group.drained(), std::move(planned), m_settings.policy);
-    for (auto &[id, entry] : m_controls) {
-        entry->setPromoting(true);
-    }
-    run(m_promotion->start(m_group.highestTerm(), m_hooks.now()));
-}
-
-void group_monitor::run(const promotion_actions &actions)
-{
-    for (const auto &action : actions) {
-        std::visit([this](const auto &entry) { perform(entry); }, action);
-    }
-}
-
-void group_monitor::logOrder(const order_target &order) const
-{
-    auto line = "term " + std::to_string(order.term) + ": ";
-    switch (order.order) {
-    case control_order::Fence:
-        line += "fence " + order.target.str();
-        break;
-    case control_order::Follow:
-        line += order.target.str() + " follows " + order.upstream.str();
-        break;
-    case control_order::Promote:
-        line += "promote " + order.target.str() + " at " + toString(m_promotion->neededPosition()) + ", granted by"
-            + joined(m_promotion->grantedBy());
-        break;
-    }
-    log(order.order == control_order::Fence ? group_log_level::Debug : group_log_level::Info, line);
-}
-
-void group_monitor::perform(const order_target &order)
+void group_monitor::give(const order_target &order)
 {
     auto *entry = control(order.target);
     if (entry == nullptr) {
         return;
     }
-    logOrder(order);
     const auto timeout =
         order.order == control_order::Promote ? m_settings.policy.promoteTimeout : m_settings.policy.fenceTimeout;
     entry->give(order, order.order == control_order::Follow ? upstreamOf(order.upstream) : std::string(), timeout);
 }
 
-void group_monitor::perform(const poll_target &poll)
-{
-    if (auto *entry = control(poll.target)) {
-        entry->wantStatus(m_hooks.now());
-    }
-}
-
-void group_monitor::perform(const promotion_ended &ended)
-{
-    const auto now = m_hooks.now();
-    const auto granted = joined(ended.grantedBy);
-    const bool promoted = ended.outcome == promotion_outcome::Promoted;
-    log(promoted ? group_log_level::Info : group_log_level::Warning,
-        "term " + std::to_string(ended.term) + ": "
-            + (promoted ? "promoted " + ended.primary.str() + " at " + toString(ended.at)
-                        : "promoted none, " + std::string(promotionOutcomeNames.name(ended.outcome)))
-            + (granted.empty() ? ", granted by none" : ", granted by" + granted));
-    for (auto &[id, entry] : m_controls) {
-        entry->setPromoting(false);
-    }
-    m_promotion.reset();
-    m_retryAt = promoted ? never : now + m_settings.policy.suspicionAfter;
-    if (promoted) {
-        m_hooks.onHint(ended.term, ended.primary);
-    }
-    if (const auto done = std::exchange(m_promoteCallback, nullptr)) {
-        done({ended.outcome, ended.term, ended.primary});
-    }
-}
-
 void group_monitor::onOrder(const order_answer &answer, const std::string &error)
 {
     if (!m_running) {
@@ -578,18 +553,18 @@
     const auto outcome = answer.lost ? "is lost, " + error : std::string(answer.granted ? "granted" : "refused");
     log(group_log_level::Debug,
         name + " of term " + std::to_string(answer.term) + " at " + answer.target.str() + ' ' + outcome);
-    if (m_promotion) {
-        run(m_promotion->answered(answer, m_hooks.now()));
-    }
+    m_promotion.answered(answer, m_hooks.now());
     step();
 }
 
 void group_monitor::onFailure(const target_id &target, const control_result &result)
 {
     if (!std::exchange(m_failing[target], true)) {
+        // libpq adds advice in further lines.
+        const auto reason = result.message.substr(0, result.message.find('\n'));
         log(group_log_level::Info,
             "no status of " + target.str() + ": " + std::string(controlErrorNames.name(result.error))
-                + (result.message.empty() ? "" : ", " + result.message));
+                + (reason.empty() ? "" : ", " + reason));
     }
 }
 
--- a/src/libcrocusdealnet/groupruntime.cpp
+++ b/src/libcrocusdealnet/groupruntime.cpp
@@ -4,7 +4,7 @@
 #include "systemclock.h"
 
 #include <algorithm>
-#include <charconv>
+#include <cmath>
 #include <limits>
 #include <set>
 #include <utility>
@@ -21,8 +21,8 @@
 /** An instance probes the targets of a group that it used within this time, besides the probers by order. */
 constexpr duration usedLimit{10000};
 constexpr duration idleConnectionLimit{60000};
-/** Each instance keeps this many connections to a target for the monitor, which counts outside of the pool. */
-constexpr int controlConnections = 1;
+/** Demand falls by this share each 100 ms, so that a pause between requests gives no connection away. */
+constexpr double demandDecay = 0.98;
 
 const part_log &groupLog()
 {
@@ -49,30 +49,11 @@
     return log_level::Warn;
 }
 
-int shareOf(const service_limits &limits, int liveInstances)
-{
-    return std::max(1, limits.connections / std::max(1, liveInstances) - controlConnections);
-}
-
 }
 
-std::optional<target_status> parseGroupState(std::string_view text)
+target_id fleetTargetId(const group_id &group, const target_id &target)
 {
-    const auto first = text.find(' ');
-    const auto second = first == std::string_view::npos ? first : text.find(' ', first + 1);
-    if (second == std::string_view::npos) {
-        return std::nullopt;
-    }
-    target_status status;
-    const auto parsed = std::from_chars(text.data(), text.data() + first, status.term);
-    const auto role = targetRoleNames.value(text.substr(first + 1, second - first - 1));
-    const auto at = parsePosition(text.substr(second + 1));
-    if (parsed.ec != std::errc() || parsed.ptr != text.data() + first || !role || !at) {
-        return std::nullopt;
-    }
-    status.role = *role;
-    status.at = *at;
-    return status;
+    return target_id(group.str() + '/' + target.str());
 }
 
 group_runtime::group_runtime(group_environment &environment, const group_configuration &group, confirm_mode confirm)
@@ -108,6 +89,9 @@
         return used || m_environment.isProber(m_id, target);
     };
     hooks.onHint = [this](std::uint64_t term, const target_id &primary) { m_environment.onHint(m_id, term, primary); };
+    hooks.onControlStatus = [this](const target_id &target, const target_status &status, time_point askedAt) {
+        m_environment.limits->onTargetStatus(fleetTargetId(m_id, target), status.connections, askedAt);
+    };
     return std::make_shared<group_monitor>(m_environment.io, std::move(settings), std::move(hooks));
 }
 
@@ -145,16 +129,7 @@
             gates.emplace(address.id, found->second);
             continue;
         }
-        target_connection_settings settings;
-        settings.address = address;
-        settings.database = group.group.str();
-        settings.user = m_environment.user;
-        settings.applicationName = "crocusdeal-" + m_environment.self.str();
-        auto pool = std::make_shared<connection_pool>(
-            m_environment.io, settings, 1, [](const std::string &line) { targetLog().write(log_level::Warn, line); });
-        gates.emplace(address.id,
-                      std::make_shared<target_gate>(
-                          m_environment.io, std::move(pool), m_costs, concurrency_limit_settings{limits.slots, 1}));
+        gates.emplace(address.id, makeGate(address, limits));
     }
     gate_map retired;
     for (const auto &[target, gate] : *before) {
@@ -166,6 +141,64 @@
     return retired;
 }
 
+connection_pool_hooks group_runtime::makePoolHooks(const target_id &key) const
+{
+    const auto limits = m_environment.limits;
+    connection_pool_hooks hooks;
+    hooks.beginOpening = [limits, key] { return limits->beginOpening(key); };
+    hooks.onEstablished = [limits, key] { limits->onEstablished(key); };
+    hooks.onOpenFailed = [limits, key](bool refused) { limits->onOpenFailed(key, refused); };
+    hooks.onClosed = [limits, key] { limits->onClosed(key); };
+    hooks.log = [](const std::string &line) { targetLog().write(log_level::Warn, line); };
+    return hooks;
+}
+
+std::shared_ptr<target_gate> group_runtime::makeGate(const target_address &address, const service_limits &limits)
+{
+    target_connection_settings settings;
+    settings.address = address;
+    settings.database = m_id.str();
+    settings.user = m_environment.user;
+    settings.applicationName = "crocusdeal-" + m_environment.self.str();
+    const auto key = fleetTargetId(m_id, address.id);
+    auto pool = std::make_shared<connection_pool>(m_environment.io, std::move(settings), makePoolHooks(key));
+    auto gate = std::make_shared<target_gate>(
+        m_environment.io, std::move(pool), m_costs, concurrency_limit_settings{limits.slots, 1});
+    gate->setOnLongFinished([coordinator = m_environment.limits, key] { coordinator->onLongFinished(key); });
+    return gate;
+}
+
+void group_runtime::updateDemand()
+{
+    const auto controls = m_monitor->controlConnections();
+    const auto gates = m_gates->get();
+    for (const auto &[target, gate] : *gates) {
+        gate->reclassify();
+        gate->pool().expireWaits(systemNow());
+        const auto counts = gate->pool().counts();
+        const double used = counts.open - counts.idle + counts.waiting;
+        auto &demand = m_demand[target];
+        demand = std::max(used, demand * demandDecay);
+        const auto key = fleetTargetId(m_id, target);
+        m_environment.limits->setDemand(key, static_cast<int>(std::ceil(demand)), gate->longDemand());
+        const auto control = controls.find(target);
+        m_environment.limits->setControlConnections(key, control == controls.end() ? 0 : control->second);
+    }
+}
+
+void group_runtime::onLimitsChanged(const target_id &target)
+{
+    const auto gates = m_gates->get();
+    const auto found = gates->find(target);
+    if (found == gates->end()) {
+        return;
+    }
+    const auto key = fleetTargetId(m_id, target);
+    found->second->setLongPlaces(m_environment.limits->longPlaces(key));
+    found->second->pool().setExcess(m_environment.limits->excess(key));
+    found->second->pool().openMore();
+}
+
 /** Starts waiting requests, so no lock may be held. */
 void group_runtime::applyCapacity()
 {
@@ -178,9 +211,7 @@
     }
     const auto gates = m_gates->get();
     for (const auto &[target, gate] : *gates) {
-        gate->pool().setShare(shareOf(limits, instances));
         gate->setCapacity({limits.slots, instances});
-        gate->setLongPlaces(std::max(1, limits.slots - 1));
     }
 }
 
@@ -217,7 +248,7 @@
     }
     for (const auto &[target, gate] : retired) {
         gate->refuseAll(refuse_reason::ShuttingDown);
-        gate->pool().setShare(0);
+        gate->pool().setExcess(gate->pool().counts().open);
     }
     applyCapacity();
     for (const auto &entry : removed) {
@@ -254,9 +285,16 @@
     return entry;
 }
 
-std::function<bool()> group_runtime::makeRetryBudget()
+bool group_runtime::mayRetry()
+{
+    const std::lock_guard lock(m_retryMutex);
+    return m_retries.tryRetry(systemNow());
+}
+
+void group_runtime::countRequest()
 {
-    return [] { return true; };
+    const std::lock_guard lock(m_retryMutex);
+    m_retries.onRequest(systemNow());
 }
 
 std::shared_ptr<const service_hooks> group_runtime::makeHooks(const service_configuration &configuration,
@@ -267,6 +305,9 @@
     const auto self = shared_from_this();
     hooks->dispatch = [self, router](const dispatch_request &request, service_hooks::dispatch_handler done) {
         self->noteUse();
+        if (!request.avoid) {
+            self->countRequest();
+        }
         return router->dispatch(request, std::move(done));
     };
     hooks->explain = [router](const dispatch_request &request) { return router->explain(request); };
@@ -280,7 +321,7 @@
         self->observe(target, state, askedAt);
     };
     hooks->isTargetAlive = [self](const target_id &target) { return self->isAlive(target); };
-    hooks->mayRetry = makeRetryBudget();
+    hooks->mayRetry = [self] { return self->mayRetry(); };
     hooks->allowedStaleness = [reads =
                                    configuration.reads](const statement_info &statement) -> std::optional<duration> {
         if (!reads.staleTables.empty() && statement.tablesComplete && !statement.tables.empty()) {
@@ -299,21 +340,12 @@
 
 void group_runtime::observe(const target_id &target, std::string_view state, time_point askedAt)
 {
-    const auto status = parseGroupState(state);
-    if (!status) {
+    const auto parsed = parseTargetState(state);
+    if (!parsed) {
         targetLog().write(log_level::Warn, target.str() + " reported a malformed group_state");
         return;
     }
-    // The in-band state lacks these; an empty upstream would look like a replica that follows nobody.
-    const auto view = m_monitor->view();
-    const auto *known = view->find(target);
-    auto complete = *status;
-    if (known != nullptr && known->status) {
-        complete.connections = known->status->connections;
-        complete.maxConnections = known->status->maxConnections;
-        complete.following = known->status->following;
-    }
-    m_monitor->observe(target, complete, askedAt);
+    m_monitor->observe(target, *parsed, askedAt);
 }
 
 void group_runtime::noteUse()
@@ -390,7 +422,8 @@
         entry.view = target;
         if (const auto found = gates->find(target.address.id); found != gates->end()) {
             entry.connections = found->second->pool().counts();
-            entry.share = found->second->pool().share();
+            entry.share = m_environment.limits->allowance(fleetTargetId(m_id, target.address.id));
+            entry.longPlaces = m_environment.limits->longPlaces(fleetTargetId(m_id, target.address.id));
             entry.waiting = found->second->waiting();
             entry.running = found->second->running();
             entry.limit = found->second->limit();
--- a/src/libcrocusdealnet/groupruntime.h
+++ b/src/libcrocusdealnet/groupruntime.h
@@ -2,6 +2,8 @@
 
 #include "connectionpool.h"
 #include "groupmonitor.h"
+#include "limitcoordinator.h"
+#include "retrybudget.h"
 #include "serviceconfiguration.h"
 #include "servicerouter.h"
 
@@ -29,13 +31,15 @@
     std::function<void(const group_id &, const target_id &, const target_status &)> onOwnFact; ///< A change, at once.
     std::function<void(const group_id &, std::uint64_t term, const target_id &primary)> onHint;
     std::function<void(const group_id &)> onSuspected; ///< Peers may know more of the primary.
+    std::shared_ptr<limit_coordinator> limits;
 };
 
 /** One target as this instance sees it, for status reports. */
 struct target_report {
     target_view view;
     connection_pool_counts connections;
-    int share = 0;
+    int share = 0; ///< Connections that this instance may have open.
+    int longPlaces = 0; ///< Long statements that it may run.
     std::size_t waiting = 0;
     std::size_t running = 0;
     int limit = 0;
@@ -71,6 +75,10 @@
     group_report report() const;
     /** Closes connections that were not used for a while. */
     void closeIdleConnections();
+    /** States the demand for connections and permits; to be called each 100 ms. */
+    void updateDemand();
+    /** The allowance or the long places of a target changed. */
+    void onLimitsChanged(const target_id &target);
 
 private:
     struct service_entry {
@@ -82,10 +90,13 @@
     std::shared_ptr<group_monitor> makeMonitor(const group_configuration &group, confirm_mode confirm);
     gate_map updateGates(const group_configuration &group, const service_limits &limits);
     void applyCapacity();
+    std::shared_ptr<target_gate> makeGate(const target_address &address, const service_limits &limits);
+    connection_pool_hooks makePoolHooks(const target_id &key) const;
     service_entry makeService(const service_configuration &configuration);
     std::shared_ptr<const service_hooks> makeHooks(const service_configuration &configuration,
                                                    const std::shared_ptr<service_router> &router);
-    std::function<bool()> makeRetryBudget();
+    bool mayRetry();
+    void countRequest();
     void observe(const target_id &target, std::string_view state, time_point askedAt);
     void noteUse();
     /** Called for a target with an unanswered statement. */
@@ -100,6 +111,10 @@
     std::atomic<std::int64_t> m_usedAt;
     std::atomic<std::int64_t> m_usedSince; ///< Without a pause above the limit.
     std::atomic<bool> m_suspected{false};
+    std::map<target_id, double> m_demand; ///< Only used by updateDemand().
+
+    std::mutex m_retryMutex; ///< Guards m_retries; taken without other locks.
+    retry_budget m_retries;
 
     mutable std::mutex m_mutex;
     std::map<service_id, service_entry> m_services;
@@ -107,7 +122,7 @@
     int m_liveInstances = 1;
 };
 
-/** Reads the in-band state "<term> <role> <entry term>/<offset>"; nothing if it is malformed. */
-std::optional<target_status> parseGroupState(std::string_view text);
+/** The name of a target among those of all groups. */
+target_id fleetTargetId(const group_id &group, const target_id &target);
 
 }
--- a/src/libcrocusdealnet/targetcontrol.h
+++ b/src/libcrocusdealnet/targetcontrol.h
@@ -31,6 +31,8 @@
                    hooks callbacks);
 
     const target_address &address() const;
+    /** Connections to the target that are open. */
+    int openConnections() const;
 
     /** Wants a status by a query sent at or after @p notBefore. */
     void wantStatus(time_point notBefore);
@@ -77,6 +79,7 @@
     std::optional<position> m_waitFor;
     time_point m_queryStartedAt = never; ///< Of the running query; never if none runs.
     time_point m_retryAt = never;
+    duration m_retryDelay;
     bool m_promoting = false;
     bool m_closed = false;
 };
--- a/src/standins/database/main.cpp
+++ b/src/standins/database/main.cpp
@@ -8,6 +8,7 @@
 #include <boost/program_options.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <optional>
@@ -20,6 +21,21 @@
 namespace
 {
 
+constexpr auto usage = R"(databasestandin: one database of a group, for tests
+
+Prints "listening PORT ADMIN_PORT" once it accepts connections. Commands, as lines on the admin port or as
+SELECT standin_VERB('argument', ...):
+  set NAME NUMBER      lag_ms, connections, slots, connect_ms, statement_us, idle_transaction_ms
+  freeze, resume       answer nothing while sockets stay open
+  cut_from PEER        hold traffic from a peer: its address, host:port or application_name
+  cut_to PEER          hold traffic to a peer; heal [PEER] ends both
+  kill_connections     close all connections
+  drop_answer [silence]  the next commit takes effect; its connection is closed, or kept without an answer
+  crash                exit at once
+  status               term, role, position, connections, limit and followed database
+
+Options)";
+
 struct command_line {
     standin_options options;
     runtime_settings settings;
@@ -35,7 +51,7 @@
 {
     auto &options = result.options;
     std::string role;
-    po::options_description description("databasestandin: one database of a group, for tests");
+    po::options_description description(usage);
     auto add = description.add_options();
     add("help", "show this text");
     add("listen",
@@ -53,6 +69,9 @@
     add("slots", po::value<std::int64_t>()->default_value(0), "statements that run at once; 0: no limit");
     add("connect-ms", po::value<std::int64_t>()->default_value(0), "set-up time of a connection");
     add("statement-us", po::value<std::int64_t>()->default_value(0), "minimum time a statement holds its slot");
+    add("idle-transaction-ms",
+        po::value<std::int64_t>()->default_value(1000),
+        "idle time after which a write transaction is aborted if others wait for the write lock; 0: never");
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, description), values);
     po::notify(values);
@@ -73,10 +92,12 @@
     setNumber(values, "slots", result.settings.slots);
     setNumber(values, "connect-ms", result.settings.connectMs);
     setNumber(values, "statement-us", result.settings.statementUs);
+    setNumber(values, "idle-transaction-ms", result.settings.idleTransactionMs);
     return true;
 }
 
-void run(const command_line &line, runtime_settings &settings)
+/** Serves until SIGINT or SIGTERM and ends the process. */
+[[noreturn]] void run(const command_line &line, runtime_settings &settings)
 {
     asio::io_context context(line.options.threads);
     server database(context, line.options, settings);
@@ -100,6 +121,9 @@
     for (auto &thread : threads) {
         thread.join();
     }
+    // Handlers left in the context refer to the server and the server to the context, so neither can go first.
+    database.data().store()->remove();
+    std::_Exit(0);
 }
 
 }
@@ -120,5 +144,4 @@
         std::cerr << "databasestandin: " << error.what() << '\n';
         return 1;
     }
-    return 0;
 }
--- a/src/standins/database/sqlsession.h
+++ b/src/standins/database/sqlsession.h
@@ -28,9 +28,6 @@
     std::string tag; ///< Without the count for SELECT with a row limit.
 };
 
-/** Appends the RowDescription of a prepared SQLite statement; nothing if it returns no rows. */
-void writeColumns(frame_writer &writer, sqlite3_stmt *statement);
-
 /**
  * Runs the SQL statements of one connection: transaction state, slots, service time and locks.
  *
@@ -100,6 +97,8 @@
     void beginWriteTransaction();
     void recordStatement();
     void onAbort(std::uint64_t write);
+    void abortWrite(const sql_error &reason);
+    void watchIdleTransaction();
     void onCancel();
     std::int64_t transactionTime() const;
 
@@ -107,6 +106,7 @@
     runtime_settings &m_settings;
     strand_type m_strand;
     asio::steady_timer m_timer;
+    asio::steady_timer m_idleTimer;
     std::int64_t m_backendPid;
     std::unique_ptr<sql_connection> m_connection;
     std::uint64_t m_generation = 0;
--- a/tests/libcrocusdeal/connectionbudgettest.cpp
+++ b/tests/libcrocusdeal/connectionbudgettest.cpp
@@ -43,7 +43,9 @@
         : m_random(seed)
         , m_partitioned(partitioned)
     {
-        m_eventsOf = 1000 * m_random.between(1, 10);
+        m_eventsOf = 1000 * m_random.between(1, 20);
+        m_longestPause = m_random.between(1, 3) * m_random.between(100, 4000);
+        m_wantPercent = m_random.between(5, 60);
         m_settings.limit = m_random.between(5, 45);
         m_settings.expectedInstances = m_random.between(2, 6);
         m_nodes.resize(m_settings.expectedInstances);
@@ -81,7 +83,8 @@
         int sum = std::accumulate(
             m_lingering.begin(), m_lingering.end(), 0, [](int s, const auto &l) { return s + l.second; });
         for (const auto &each : m_nodes) {
-            sum += each.alive ? each.share->open() : 0;
+            // An instance that resumes gives up its attempts if its right to open them has ended.
+            sum += each.alive && each.pausedUntil <= m_now ? each.share->open() : each.established;
         }
         return sum;
     }
@@ -143,11 +146,11 @@
             ++each.incarnation;
             start(each);
         } else if (event <= 20) {
-            each.pausedUntil = m_now + duration{m_random.between(100, 12000)};
+            each.pausedUntil = m_now + duration{m_random.between(100, m_longestPause)};
         } else if ((event <= 24 || !m_nodes[m_owner].alive) && !m_partitioned && each.alive) {
             m_owner = static_cast<int>(&each - m_nodes.data());
         }
-        if (m_random.chance(5)) {
+        if (m_random.chance(m_wantPercent)) {
             each.wanted = m_fixedWant > 0 ? m_fixedWant : m_random.between(0, m_settings.limit);
         }
     }
@@ -292,6 +295,8 @@
     std::vector<node> m_nodes;
     int m_owner = 0;
     int m_fixedWant = 0;
+    int m_longestPause = 0;
+    int m_wantPercent = 5;
     int m_eventsOf = 1000; ///< Faults are rarer the higher it is.
     std::uint64_t m_ledgers = 0;
     time_point m_now{0};
@@ -309,8 +314,10 @@
     CPPUNIT_TEST(lendsTheWholeLimitOnDemand);
     CPPUNIT_TEST(staysWithinTwiceTheLimitWithTwoOwners);
     CPPUNIT_TEST(keepsTheBaseWithoutTheOwner);
+    CPPUNIT_TEST(passesOnAChangedConfiguration);
     CPPUNIT_TEST(backsOffWhenTheTargetRefuses);
     CPPUNIT_TEST(ignoresLateGrants);
+    CPPUNIT_TEST(takesBackTheLoanOfASilentHolder);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -383,6 +390,36 @@
         CPPUNIT_ASSERT(share.mayOpen({7000}));
     }
 
+    /** Guards against a base share or a limit that only instances started later learn. */
+    void passesOnAChangedConfiguration()
+    {
+        const instance_id self("i0");
+        connection_share share(target, self, 1);
+        connection_budget budget(target, self, 1, {}, {10, 2, 0_ms}, {0});
+        share.setOwner(self);
+        share.setWanted(10);
+        const auto run = [&](std::int64_t from, std::int64_t to) {
+            for (std::int64_t ms = from; ms <= to; ms += 100) {
+                budget.onTargetStatus(0, {ms}, {ms});
+                if (const auto report = share.poll({ms})) {
+                    share.onGrant(budget.onReport(*report, {ms}).value());
+                }
+                for (const auto &grant : budget.poll({ms})) {
+                    share.onGrant(grant);
+                }
+            }
+        };
+        run(0, 1000);
+        CPPUNIT_ASSERT_EQUAL(3, share.base());
+        budget.setSettings({10, 6, 0_ms});
+        run(1100, 1500);
+        CPPUNIT_ASSERT_EQUAL(1, share.base());
+        CPPUNIT_ASSERT_EQUAL(10, share.allowance());
+        budget.setSettings({4, 6, 0_ms});
+        run(1600, 2000);
+        CPPUNIT_ASSERT_EQUAL(4, share.allowance());
+    }
+
     /** Guards against instances that keep asking a target that is full, as it may be during a partition. */
     void backsOffWhenTheTargetRefuses()
     {
@@ -428,6 +465,57 @@
         answer("a", 6, last, 3);
         CPPUNIT_ASSERT_EQUAL(4, share.allowance());
     }
+
+    /** Guards against lending a loan twice: to the others while its holder is paused, and again to the holder when it
+     * resumes with attempts that the target has not counted. */
+    void takesBackTheLoanOfASilentHolder()
+    {
+        connection_budget budget(target, instance_id("o"), 1, {}, {10, 2, 0_ms}, {0});
+        connection_share a(target, instance_id("a"), 1);
+        connection_share b(target, instance_id("b"), 1);
+        const auto exchange = [&](connection_share &share, time_point now) {
+            if (const auto report = share.poll(now)) {
+                if (const auto grant = budget.onReport(*report, now)) {
+                    share.onGrant(*grant);
+                }
+            }
+        };
+        const auto run = [&](std::int64_t from, std::int64_t to, bool withA) {
+            for (std::int64_t ms = from; ms <= to; ms += 100) {
+                budget.onTargetStatus(0, {ms}, {ms});
+                budget.poll({ms});
+                exchange(b, {ms});
+                if (withA) {
+                    exchange(a, {ms});
+                }
+                // What a may still go on with, and what b may open.
+                const int ofA = withA ? std::max(a.open() - a.attemptsToAbandon({ms}), a.allowance()) : 3;
+                CPPUNIT_ASSERT(!withA || a.open() == 0 || ofA + b.allowance() <= 10);
+            }
+        };
+        a.setOwner(instance_id("o"));
+        b.setOwner(instance_id("o"));
+        a.setWanted(7);
+        run(0, 1000, true);
+        CPPUNIT_ASSERT_EQUAL(7, a.allowance());
+        for (int i = 0; i < 7; ++i) {
+            a.onOpening();
+        }
+        CPPUNIT_ASSERT_EQUAL(0, a.attemptsToAbandon({1000}));
+        b.setWanted(10);
+        run(1100, 9000, false);
+        CPPUNIT_ASSERT_EQUAL(7, b.allowance());
+        CPPUNIT_ASSERT_EQUAL(4, a.attemptsToAbandon({9000}));
+        for (int i = 0; i < 4; ++i) {
+            a.onOpenFailed(false, {9000});
+        }
+        CPPUNIT_ASSERT(!a.mayOpen({9000}));
+        a.onGrant(budget.onReport(*a.poll({9000}), {9000}).value());
+        CPPUNIT_ASSERT(a.allowance() <= 3);
+        run(9100, 11000, true);
+        CPPUNIT_ASSERT_EQUAL(10, a.allowance() + b.allowance());
+        CPPUNIT_ASSERT_EQUAL(5, a.allowance());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(connection_budget_test);
--- a/tests/libcrocusdeal/modelclient.cpp
+++ b/tests/libcrocusdeal/modelclient.cpp
@@ -31,7 +31,7 @@
 
 void client::next()
 {
-    m_world.after(m_world.random(1, 15), [this] {
+    m_world.after(m_world.random(0, 12), [this] {
         auto current = std::make_shared<operation>();
         current->through = &m_world.randomInstance();
         if (current->through->pausedUntil() > m_world.now()) {
@@ -125,7 +125,7 @@
                 return;
             }
             const auto at = answer->status.at;
-            current->through->observe(target, *answer, askedAt);
+            current->through->observeInBand(target, *answer, askedAt);
             current->through->confirm(at, [this, current, at](bool confirmed) {
                 if (confirmed) {
                     m_world.acknowledged(current->value, at.term);
@@ -153,7 +153,7 @@
                 finish();
                 return;
             }
-            current->through->observe(target, *answer, askedAt);
+            current->through->observeInBand(target, *answer, askedAt);
             auto &result = m_world.result();
             ++(current->maxAge ? result.staleReads : result.reads);
             const auto missing = std::any_of(m_written.begin(), m_written.end(), [answer](int value) {
