Search the probe order only for members that come back

Cause: each refutation searched the probe order of 3,000 members; at 20% loss that was most of the processor time. Ruled out: visiting suspects less often, which alone changed nothing (kept at 250 ms).

--- a/src/libcrocusdeal/membership.cpp
+++ b/src/libcrocusdeal/membership.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t maxSpreadPerPull = 20;
 constexpr duration unjudgedLifetime = 10_s;
 constexpr duration purgeInterval = 60_s;
+/** At 20% loss a fleet of 3,000 has some 2,000 suspects at a time, too many to visit at every tick. */
+constexpr duration suspicionCheckInterval = 250_ms;
 constexpr duration announcementSpacing = 1_s;
 
 }
@@ -144,9 +146,10 @@
 
 void membership::expireSuspicions(time_point now, membership_actions &actions)
 {
-    if (m_table.suspects().empty()) {
+    if (m_table.suspects().empty() || now < m_nextSuspicionCheck) {
         return;
     }
+    m_nextSuspicionCheck = now + suspicionCheckInterval;
     const auto timeout = suspicionTimeout();
     for (const auto &id : m_verifier.due(now, m_table.suspects(), timeout, fleetSize(), m_random)) {
         sendUnjudgedProbe(id, m_table.find(id)->info.description->controlAddress, now, actions);
@@ -365,7 +368,7 @@
         // Not queued again: the peer's facts have been spread, and a whole table would fill the queue.
         const auto result = m_table.merge(now, fact);
         takeIntoOrder(result, fact);
-        if (result == merge_result::Added || result == merge_result::Changed) {
+        if (isNews(result)) {
             reportChange(fact.about, actions);
         }
     }
@@ -425,7 +428,7 @@
         return;
     }
     const auto result = m_table.merge(now, fact);
-    if (result != merge_result::Added && result != merge_result::Changed) {
+    if (!isNews(result)) {
         const auto *known = m_table.find(fact.about);
         const bool refuted = known != nullptr && known->info.state == member_state::Alive
             && fact.state != member_state::Alive && fact.incarnation < known->info.incarnation;
@@ -444,7 +447,7 @@
 {
     if (result == merge_result::Added) {
         m_order.insert(fact.description, m_random);
-    } else if (result == merge_result::Changed && fact.state == member_state::Alive) {
+    } else if (result == merge_result::Revived) {
         m_order.restore(m_table.find(fact.about)->info.description, m_random);
     }
 }
--- a/src/libcrocusdeal/membership.h
+++ b/src/libcrocusdeal/membership.h
@@ -179,6 +179,7 @@
     time_point m_lastTick = never;
     time_point m_nextProbe = never;
     time_point m_nextPurge = never;
+    time_point m_nextSuspicionCheck = never;
     time_point m_nextAnnouncement = never;
     int m_gossipRounds = 0;
 };
--- a/src/libcrocusdeal/membertable.cpp
+++ b/src/libcrocusdeal/membertable.cpp
@@ -91,11 +91,12 @@
     if (!overrides(fact, member.info)) {
         return merge_result::Unchanged;
     }
+    const bool wasLive = member.info.isLive();
     if (redescribed) {
         member.info.description = fact.description;
     }
     assign(now, member, fact.incarnation, fact.state);
-    return merge_result::Changed;
+    return redescribed || (!wasLive && member.info.isLive()) ? merge_result::Revived : merge_result::Changed;
 }
 
 bool member_table::setState(time_point now, const instance_id &id, member_state state)
--- a/src/libcrocusdeal/membertable.h
+++ b/src/libcrocusdeal/membertable.h
@@ -16,11 +16,18 @@
 enum class merge_result {
     Unchanged,
     Changed,
+    Revived, ///< Changed from dead or leaving to live, or in its description.
     Added, ///< The member was not known before.
     Unknown, ///< The fact is about a member without a known description.
     Conflict, ///< Equal incarnation but another description: the member must state a higher incarnation.
 };
 
+/** Whether the table changed, so that the fact is worth passing on. */
+constexpr bool isNews(merge_result result)
+{
+    return result == merge_result::Changed || result == merge_result::Revived || result == merge_result::Added;
+}
+
 /**
  * The other members of the fleet, with the precedence rules of SWIM section 4.2.
  *
--- a/src/libcrocusdeal/suspicionverifier.cpp
+++ b/src/libcrocusdeal/suspicionverifier.cpp
@@ -16,7 +16,7 @@
 /** Members of the sample, on average. */
 constexpr std::size_t sampleSize = 50;
 /** Bounds the cost of a failed data centre to about 1 KB/s while its members time out. */
-constexpr std::size_t maxPerCall = 1;
+constexpr std::size_t maxPerCall = 2;
 
 }
 
