Run no request while the last error of a session is on its way

Cause: a session that was told 57P01 stayed idle until the error was written; a write that arrived in between ran although the caller had been told that the session ends. Conclusion: a closing session takes no more requests.

--- a/src/libcrocusdealnet/callersession.cpp
+++ b/src/libcrocusdealnet/callersession.cpp
@@ -210,6 +210,7 @@
         }
         return;
     case phase::Confirming:
+    case phase::Closing:
     case phase::Closed:
         return;
     }
@@ -863,6 +864,7 @@
     frame_writer writer;
     writeError(writer, error);
     m_out = writer.take();
+    setPhase(phase::Closing);
     flush([this] { closeNow(); });
 }
 
--- a/src/libcrocusdealnet/callersession.h
+++ b/src/libcrocusdealnet/callersession.h
@@ -77,6 +77,7 @@
         Dispatching, ///< Waiting for a target connection.
         Running, ///< A target works on the batch.
         Confirming, ///< Waiting for the confirmation of a write.
+        Closing, ///< The last error is on its way; requests that arrive now are not run.
         Closed,
     };
 
