--- a/tests/libcrocusdeal/configurationspreadtest.cpp
+++ b/tests/libcrocusdeal/configurationspreadtest.cpp
@@ -38,6 +38,8 @@
     CPPUNIT_TEST(readyOnlyWithNewestReachableVersion);
     CPPUNIT_TEST(falseClaimDoesNotBlock);
     CPPUNIT_TEST(silentPeersLeadToPlatform);
+    CPPUNIT_TEST(busyPeerIsAskedAgain);
+    CPPUNIT_TEST(olderPeerIsBroughtForward);
     CPPUNIT_TEST(inForceEverywhereUnderLoss);
     CPPUNIT_TEST(racingVersionsEndAtTheNewest);
     CPPUNIT_TEST(cutSideCatchesUpWithoutPlatform);
@@ -174,6 +176,33 @@
         CPPUNIT_ASSERT(read);
     }
 
+    /** Guards against a load of pulls that drives instances to the platform or leaves them behind. */
+    void busyPeerIsAskedAgain()
+    {
+        configuration_spread spread(1);
+        spread.heard(start, peerA, "a:1", 2);
+        configuration_reply busy;
+        busy.busy = true;
+        CPPUNIT_ASSERT(!spread.pullFinished(start, peerA, busy).pull.has_value());
+        const auto retry = spread.tick(start + 600_ms);
+        CPPUNIT_ASSERT(retry.pull.has_value());
+        CPPUNIT_ASSERT(!retry.readPlatform);
+    }
+
+    /** Guards against taking an older peer's version, and against leaving that peer where it is. */
+    void olderPeerIsBroughtForward()
+    {
+        virtual_fleet_settings settings;
+        settings.size = 3;
+        virtual_fleet fleet(settings);
+        fleet.introduceAll();
+        fleet.setPlatformUp(false);
+        fleet.node(0).offerConfiguration(fleet.time(), 4, "four");
+        fleet.node(1).offerConfiguration(fleet.time(), 9, "nine");
+        fleet.run(5_s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fleet.countAt(9));
+    }
+
     /** Guards against a change that is late at some instance when datagrams are lost. */
     void inForceEverywhereUnderLoss()
     {
