--- a/src/libcrocusdealnet/callersession.cpp
+++ b/src/libcrocusdealnet/callersession.cpp
@@ -18,12 +18,12 @@
 
 /** What an idle session keeps for its next request. */
 constexpr std::size_t minReadBytes = 2048;
-constexpr std::size_t targetReadBytes = 32 * 1024;
+constexpr std::size_t targetReadBytes = std::size_t{32} * 1024;
 /** The session stops reading ahead of the request that it works on above this. */
-constexpr std::size_t readAheadBytes = 64 * 1024;
+constexpr std::size_t readAheadBytes = std::size_t{64} * 1024;
 /** A batch above this is refused, so that one caller cannot take the instance's memory. */
-constexpr std::size_t maxBatchBytes = 64 * 1024 * 1024;
-constexpr std::size_t flushBytes = 16 * 1024;
+constexpr std::size_t maxBatchBytes = std::size_t{64} * 1024 * 1024;
+constexpr std::size_t flushBytes = std::size_t{16} * 1024;
 constexpr duration targetCheckPeriod{500};
 
 constexpr const char *tokenParameter = "crocusdeal.session";
@@ -82,7 +82,7 @@
     m_environment.registry.remove(m_ticket.pid);
 }
 
-void caller_session::start(std::string greeting)
+void caller_session::start(const std::string &greeting)
 {
     m_ticket = m_environment.registry.add(shared_from_this());
     m_relayHooks.onGroupState = [this](std::string_view value) {
--- a/src/libcrocusdealnet/callersession.h
+++ b/src/libcrocusdealnet/callersession.h
@@ -62,7 +62,7 @@
     ~caller_session();
 
     /** Sends the end of the start-up answer and serves requests until the caller leaves. */
-    void start(std::string greeting);
+    void start(const std::string &greeting);
     void cancelRequest();
     /** Ends the session as soon as no request and no transaction is open. */
     void drain();
--- a/src/libcrocusdealnet/callerstartup.cpp
+++ b/src/libcrocusdealnet/callerstartup.cpp
@@ -15,7 +15,7 @@
 
 /** PostgreSQL refuses longer start-up messages as well. */
 constexpr std::size_t maxStartupBytes = 10000;
-constexpr std::size_t maxCallerMessageBytes = 16 * 1024 * 1024;
+constexpr std::size_t maxCallerMessageBytes = std::size_t{16} * 1024 * 1024;
 constexpr std::chrono::seconds startupTimeLimit{10};
 constexpr std::size_t readBytes = 1024;
 
--- a/src/libcrocusdealnet/keyedrequest.cpp
+++ b/src/libcrocusdealnet/keyedrequest.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr std::size_t readBytes = 16 * 1024;
+constexpr std::size_t readBytes = std::size_t{16} * 1024;
 constexpr const char *undefinedTable = "42P01";
 
 /** The command tag of the last statement, or the first value of the first row. */
--- a/src/libcrocusdealnet/limitcoordinator.cpp
+++ b/src/libcrocusdealnet/limitcoordinator.cpp
@@ -221,7 +221,7 @@
             poll(item, now, out);
         }
     }
-    deliver(std::move(out));
+    deliver(out);
     std::vector<target_id> changed;
     {
         const std::lock_guard lock(m_mutex);
@@ -230,11 +230,11 @@
     notify(changed);
 }
 
-void limit_coordinator::deliver(outbox out)
+void limit_coordinator::deliver(const outbox &out)
 {
-    for (auto &[to, messages] : out) {
+    for (const auto &[to, messages] : out) {
         if (to == m_self) {
-            deliverLocally(std::move(messages));
+            deliverLocally(messages);
             continue;
         }
         m_hooks.send(
--- a/src/libcrocusdealnet/limitcoordinator.h
+++ b/src/libcrocusdealnet/limitcoordinator.h
@@ -101,7 +101,7 @@
     void takeOver(entry &item, time_point now);
     void poll(entry &item, time_point now, outbox &out);
     void receive(const limit_messages &messages, limit_messages &answer, time_point now);
-    void deliver(outbox out);
+    void deliver(const outbox &out);
     void deliverLocally(limit_messages messages);
     std::vector<target_id> collectChanges(time_point now);
     void notify(const std::vector<target_id> &changed);
--- a/src/libcrocusdealnet/responserelay.cpp
+++ b/src/libcrocusdealnet/responserelay.cpp
@@ -9,7 +9,7 @@
 {
 
 /** Rows above this size are forwarded as they arrive instead of being buffered whole. */
-constexpr std::size_t largeRowBytes = 64 * 1024;
+constexpr std::size_t largeRowBytes = std::size_t{64} * 1024;
 
 constexpr std::string_view parseCompleteFrame("1\0\0\0\4", 5);
 constexpr std::string_view closeCompleteFrame("3\0\0\0\4", 5);
