Move the settings of a session out of the caller session

Cause: the session mixed protocol states with the parsing of its settings. Conclusion: no behaviour changed.

--- a/src/libcrocusdealnet/callersession.cpp
+++ b/src/libcrocusdealnet/callersession.cpp
@@ -8,8 +8,6 @@
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 
-#include <charconv>
-
 namespace crocusdeal
 {
 
@@ -69,12 +67,8 @@
     , m_strand(std::move(executor))
     , m_watchTimer(environment.io)
     , m_reader(std::move(reader))
-    , m_state(systemNow())
-    , m_maxStaleness(options.maxStaleness)
+    , m_settings(systemNow(), options)
 {
-    if (options.token) {
-        m_state.merge(*options.token);
-    }
 }
 
 caller_session::~caller_session()
@@ -283,8 +277,9 @@
         return;
     }
     m_deadline = m_requestStart + m_service->queueDeadline();
-    if (!m_requestKey.empty() && m_info.cls == statement_class::Write) {
-        m_keyed = std::make_shared<keyed_request>(m_strand, m_requestKey, m_batch, m_statements, m_service->observe);
+    if (!m_settings.requestKey().empty() && m_info.cls == statement_class::Write) {
+        m_keyed = std::make_shared<keyed_request>(
+            m_strand, m_settings.requestKey(), m_batch, m_statements, m_service->observe);
     }
     dispatch();
 }
@@ -296,7 +291,7 @@
     if (m_info.onlyProxySettings) {
         m_statements.apply(m_batch);
         writeSettingReplies(
-            writer, m_batch, m_statements, [this](const proxy_setting &setting) { return applySetting(setting); });
+            writer, m_batch, m_statements, [this](const proxy_setting &setting) { return m_settings.apply(setting); });
     } else if (m_batch.isSimple()) {
         writer.begin('I').end();
     }
@@ -315,7 +310,7 @@
         error = makeError("0A000", "COPY is not supported through crocusdeal");
     } else if (m_info.mixesProxySettings) {
         error = makeError("0A000", "a crocusdeal setting cannot stand beside other statements in one request");
-    } else if (!m_requestKey.empty() && m_info.cls != statement_class::Read
+    } else if (!m_settings.requestKey().empty() && m_info.cls != statement_class::Read
                && (m_lease || m_info.cls != statement_class::Write || m_info.endsTransaction
                    || !m_batch.endsWithSync())) {
         error =
@@ -351,53 +346,9 @@
     return true;
 }
 
-setting_result caller_session::applySetting(const proxy_setting &setting)
-{
-    setting_result result{true, {}, {}};
-    if (setting.name == tokenParameter) {
-        if (setting.action == setting_action::Show) {
-            result.value = toString(m_state.token());
-            return result;
-        }
-        const auto token = parseSessionToken(setting.value);
-        if (setting.action == setting_action::Reset || !token) {
-            return {false, {}, "invalid value for crocusdeal.session: expected group:term/offset"};
-        }
-        m_state.merge(*token);
-        return result;
-    }
-    if (setting.name == "crocusdeal.max_staleness") {
-        if (setting.action == setting_action::Show) {
-            result.value = m_maxStaleness ? std::to_string(m_maxStaleness->ms) : "0";
-            return result;
-        }
-        std::int64_t ms = 0;
-        const char *end = setting.value.data() + setting.value.size();
-        const auto parsed = std::from_chars(setting.value.data(), end, ms);
-        if (setting.action == setting_action::Set && (parsed.ec != std::errc() || parsed.ptr != end || ms < 0)) {
-            return {false, {}, "invalid value for crocusdeal.max_staleness: expected milliseconds of 0 or more"};
-        }
-        m_maxStaleness = ms > 0 ? std::optional(duration{ms}) : std::nullopt;
-        return result;
-    }
-    if (setting.name == "crocusdeal.request_key") {
-        if (setting.action == setting_action::Show) {
-            result.value = m_requestKey;
-            return result;
-        }
-        if (setting.action == setting_action::Set && !isValidRequestKey(setting.value)) {
-            return {
-                false, {}, "invalid value for crocusdeal.request_key: expected 1 to 256 printable ASCII characters"};
-        }
-        m_requestKey = setting.action == setting_action::Set ? setting.value : std::string();
-        return result;
-    }
-    return {false, {}, "unrecognized parameter \"" + setting.name + "\""};
-}
-
 duration caller_session::staleness() const
 {
-    duration allowed = m_maxStaleness.value_or(duration{0});
+    duration allowed = m_settings.maxStaleness().value_or(duration{0});
     if (m_info.statement) {
         allowed = std::max(allowed, m_service->allowedStaleness(*m_info.statement).value_or(duration{0}));
     }
@@ -411,9 +362,9 @@
     request.session = static_cast<std::uint64_t>(m_ticket.pid);
     request.cls = m_info.cls;
     request.fingerprint = m_info.fingerprint;
-    request.token = m_state.tokenFor(m_service->group);
-    request.historyKnown = m_state.historyKnown(m_service->group);
-    request.sessionStart = m_state.startedAt();
+    request.token = m_settings.state().tokenFor(m_service->group);
+    request.historyKnown = m_settings.state().historyKnown(m_service->group);
+    request.sessionStart = m_settings.state().startedAt();
     const auto allowed = staleness();
     if (allowed.ms > 0) {
         request.maxStaleness = allowed;
@@ -435,7 +386,7 @@
         return;
     }
     if (result.readIndex) {
-        m_state.advance(m_service->group, *result.readIndex);
+        m_settings.advance(m_service->group, *result.readIndex);
     }
     if (m_callerGone || (m_cancelled && result.lease)) {
         if (result.lease) {
@@ -502,7 +453,7 @@
     default:
         break;
     }
-    m_state = session_state(systemNow());
+    m_settings.forgetHistory(systemNow());
     reportError(makeError("08007",
                           "the outcome of the keyed request is unknown",
                           "Repeat the request with the same crocusdeal.request_key."));
@@ -704,14 +655,14 @@
     }
     setPhase(phase::Running);
     if (outcome == confirm_outcome::Confirmed) {
-        m_state.advance(m_service->group, at);
+        m_settings.advance(m_service->group, at);
         m_out += m_relay.takeHeld();
         finishAnswer(true);
         return;
     }
     m_relay.takeHeld();
     // The caller will want to look whether the write is there, which needs a read that covers it.
-    m_state = session_state(systemNow());
+    m_settings.forgetHistory(systemNow());
     reportError(makeError("08007",
                           "the outcome of the write is unknown: it could not be confirmed",
                           "Look whether the write took effect before repeating it."));
@@ -721,7 +672,7 @@
 {
     frame_writer writer;
     if (reportToken) {
-        writeParameterStatus(writer, tokenParameter, toString(m_state.token()));
+        writeParameterStatus(writer, tokenParameter, toString(m_settings.state().token()));
     }
     writeReadyForQuery(writer, m_failedTransaction ? 'E' : m_transaction);
     m_out += writer.take();
@@ -812,7 +763,7 @@
     m_transaction = 'I';
 
     if (mayHaveCommitted) {
-        m_state = session_state(systemNow());
+        m_settings.forgetHistory(systemNow());
         reportError(makeError("08007",
                               "the outcome of the write is unknown: the target connection was lost",
                               "Look whether the write took effect before repeating it."));
--- a/src/libcrocusdealnet/callersession.h
+++ b/src/libcrocusdealnet/callersession.h
@@ -7,8 +7,7 @@
 #include "requestbatch.h"
 #include "responserelay.h"
 #include "sessionregistry.h"
-#include "sessionstate.h"
-#include "settingreplies.h"
+#include "sessionsettings.h"
 #include "statementcache.h"
 #include "statementmap.h"
 
@@ -36,12 +35,6 @@
     std::function<void(statement_class, std::chrono::microseconds)> onAnswered;
 };
 
-/** What a caller asked for at start-up. */
-struct session_options {
-    std::optional<session_token> token;
-    std::optional<duration> maxStaleness;
-};
-
 /**
  * One caller's session after its start-up.
  *
@@ -90,7 +83,6 @@
     void handleLocally();
     bool refuseUnsupported();
     bool answerInFailedTransaction();
-    setting_result applySetting(const proxy_setting &setting);
     void dispatch();
     void onDispatched(dispatch_result result);
     bool needsConfirmation() const;
@@ -139,9 +131,7 @@
     std::atomic<bool> m_busy{false};
     phase m_phase = phase::Idle;
 
-    session_state m_state;
-    std::optional<duration> m_maxStaleness;
-    std::string m_requestKey;
+    session_settings m_settings;
     std::shared_ptr<keyed_request> m_keyed; ///< While a request runs under its key.
 
     request_batch m_batch;
