Acknowledge a request that wrote nothing after a promotion

Cause: the position after such a request is an entry of an earlier term, which is never confirmed, so an UPDATE without rows, or a repeat under a request key, was told "outcome unknown" until the first write of the term. Ruled out: confirming entries of earlier terms by counting databases, which may lose them (Raft, section 5.4.2). A request whose primary has no entry of the term in which it was routed has written nothing; a keyed lookup writes its row again, so that an entry of the term confirms it. Conclusion: the term of the routing decision counts, not that of the last answer on the connection, which may be old.

--- a/src/libcrocusdeal/requestkey.cpp
+++ b/src/libcrocusdeal/requestkey.cpp
@@ -106,6 +106,11 @@
     return "SELECT outcome FROM crocusdeal_requests WHERE request_key = " + quoted(key);
 }
 
+std::string request_key_statements::rewrite(std::string_view key)
+{
+    return "UPDATE crocusdeal_requests SET outcome = outcome WHERE request_key = " + quoted(key);
+}
+
 key_step request_key::onClaimed(bool inserted)
 {
     m_statementSent = m_statementSent || inserted;
--- a/src/libcrocusdeal/requestkey.h
+++ b/src/libcrocusdeal/requestkey.h
@@ -55,6 +55,9 @@
 /** Reads the outcome of an earlier run, on the primary. */
 std::string find(std::string_view key);
 
+/** Writes the row again as it is, so that the outcome can be confirmed by an entry of the present term. */
+std::string rewrite(std::string_view key);
+
 }
 
 /** What has to be done next for a keyed request. */
--- a/src/libcrocusdealnet/callersession.cpp
+++ b/src/libcrocusdealnet/callersession.cpp
@@ -2,6 +2,7 @@
 
 #include "partlog.h"
 #include "systemclock.h"
+#include "targetstate.h"
 
 #include <asio/bind_executor.hpp>
 #include <asio/dispatch.hpp>
@@ -42,12 +43,6 @@
     return {"FATAL", sqlState, std::move(message), {}, {}};
 }
 
-std::optional<position> positionOfGroupState(std::string_view state)
-{
-    const auto space = state.rfind(' ');
-    return space == std::string_view::npos ? std::nullopt : parsePosition(state.substr(space + 1));
-}
-
 bool mayChangeData(statement_class cls)
 {
     return cls == statement_class::Write || cls == statement_class::SessionState || cls == statement_class::Invalid;
@@ -403,6 +398,7 @@
         return;
     }
     m_lease = std::move(result.lease);
+    m_routedTerm = result.term;
     setPhase(phase::Running);
     if (m_keyed) {
         runKeyed();
@@ -610,24 +606,25 @@
         m_pinned = !m_info.discardsState;
     }
 
-    std::optional<position> committed;
+    std::optional<target_state> state;
     if (mayHaveCommitted) {
-        committed = positionOfGroupState(m_lease->connection().lastGroupState());
+        state = parseTargetState(m_lease->connection().lastGroupState());
     }
     if (status == 'I' && !m_pinned) {
         returnLease(lease_outcome::Reusable);
     }
-    if (mayHaveCommitted && !committed) {
+    if (mayHaveCommitted && !state) {
         m_relay.takeHeld();
         reportError(makeError("08007", "the outcome of the write is unknown: the target reports no position"));
         return;
     }
-    if (!committed) {
+    // Without an entry of the term in which it was routed the request has written nothing: there is nothing to confirm.
+    if (!state || (isUnwrittenPrimary(*state) && state->term == m_routedTerm)) {
         m_out += m_relay.takeHeld();
         finishAnswer(false);
         return;
     }
-    confirm(*committed);
+    confirm(state->at);
 }
 
 void caller_session::returnLease(lease_outcome outcome)
--- a/src/libcrocusdealnet/callersession.h
+++ b/src/libcrocusdealnet/callersession.h
@@ -141,6 +141,7 @@
     std::chrono::steady_clock::time_point m_preciseStart;
     time_point m_deadline;
     time_point m_sentAt;
+    std::uint64_t m_routedTerm = 0; ///< Of the group, when the lease was given.
     std::uint64_t m_dispatchTicket = 0;
     std::optional<target_id> m_avoid;
     bool m_cancelled = false;
--- a/src/libcrocusdealnet/dispatch.h
+++ b/src/libcrocusdealnet/dispatch.h
@@ -73,6 +73,7 @@
 /** The answer to a dispatch_request: a lease or a refusal that is true ("not run"). */
 struct dispatch_result {
     std::unique_ptr<connection_lease> lease;
+    std::uint64_t term = 0; ///< Highest term of the group known when the request was routed.
     pg_error refusal;
     std::optional<position> readIndex; ///< A position that covers the session's history, if it was asked for.
 };
--- a/src/libcrocusdealnet/keyedrequest.cpp
+++ b/src/libcrocusdealnet/keyedrequest.cpp
@@ -1,6 +1,7 @@
 #include "keyedrequest.h"
 
 #include "systemclock.h"
+#include "targetstate.h"
 
 #include <asio/bind_executor.hpp>
 #include <asio/write.hpp>
@@ -163,7 +164,22 @@
         fail(*error);
         return;
     }
-    answer(m_key.onFound(parseAnswer(m_received).value));
+    m_found = parseAnswer(m_received).value;
+    const auto state = parseTargetState(m_connection->lastGroupState());
+    if (m_found && state && isUnwrittenPrimary(*state)) {
+        sendText(request_key_statements::rewrite(m_keyText), &keyed_request::onRewritten);
+        return;
+    }
+    answer(m_key.onFound(m_found));
+}
+
+void keyed_request::onRewritten()
+{
+    if (const auto &error = m_relay.error()) {
+        fail(*error);
+        return;
+    }
+    answer(m_key.onFound(m_found));
 }
 
 void keyed_request::fail(const pg_error &error)
@@ -254,8 +270,9 @@
     result.step = step;
     result.connectionReusable = m_relay.transactionStatus() == 'I' && m_connection->socket().is_open();
     if (step == key_step::AnswerOutcome) {
-        const auto &state = m_connection->lastGroupState();
-        result.committed = parsePosition(std::string_view(state).substr(state.rfind(' ') + 1));
+        if (const auto state = parseTargetState(m_connection->lastGroupState())) {
+            result.committed = state->at;
+        }
         result.frames = m_key.outcome().frames;
         if (result.frames.empty()) {
             frame_writer writer;
--- a/src/libcrocusdealnet/keyedrequest.h
+++ b/src/libcrocusdealnet/keyedrequest.h
@@ -62,6 +62,7 @@
     void onCommitted();
     void find();
     void onFound();
+    void onRewritten();
     void fail(const pg_error &error);
     void rollBackAndAnswerError();
 
@@ -85,6 +86,7 @@
     std::string m_toTarget;
     std::string m_received; ///< Frames of the step under way.
     std::string m_errorFrames;
+    std::optional<std::string> m_found;
     time_point m_sentAt;
     bool m_tableCreated = false;
 };
--- a/src/libcrocusdealnet/servicerouter.cpp
+++ b/src/libcrocusdealnet/servicerouter.cpp
@@ -137,6 +137,7 @@
             return;
         }
         logRoute(*work, decision);
+        work->term = view->highestTerm;
         submit(work, decision);
         return;
     case route_kind::WaitForReplica:
@@ -251,6 +252,7 @@
     if (answer.connection) {
         dispatch_result result;
         result.lease = makeLease(*work, target, toPrimary, std::move(answer.connection));
+        result.term = work->term;
         result.readIndex = work->readIndex;
         finish(work, std::move(result));
         return;
--- a/src/libcrocusdealnet/servicerouter.h
+++ b/src/libcrocusdealnet/servicerouter.h
@@ -72,6 +72,7 @@
         std::optional<position> readIndex;
         time_point waitsSince = never; ///< For a replica that catches up.
         int attempts = 0;
+        std::uint64_t term = 0; ///< Highest known when it was routed.
         bool isCounted = false;
     };
     using job_ptr = std::shared_ptr<job>;
--- a/tests/process/primarykilltest.cpp
+++ b/tests/process/primarykilltest.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST_SUITE(primary_kill_test);
     CPPUNIT_TEST(acknowledgedWritesSurviveAKilledPrimary);
     CPPUNIT_TEST(acknowledgedWritesSurviveReplicationLag);
+    CPPUNIT_TEST(writeWithoutEffectAfterAPromotion);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -96,6 +97,20 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), contradictions(result.writes, cluster.database(result.newPrimary)));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, acknowledgedAfterNewerTerm(result.writes).size());
     }
+
+    /** Guards against "outcome unknown" for a request that wrote nothing before the new primary's first entry. */
+    void writeWithoutEffectAfterAPromotion()
+    {
+        cluster cluster;
+        auto caller = cluster.connect(0);
+        caller.run("CREATE TABLE v (id bigint)");
+        cluster.killDatabase(0);
+        cluster.waitForPrimaryOtherThan(0, maxFailoverGap);
+        const auto outcome = caller.runWithin("UPDATE v SET id = 2 WHERE id = 1", maxFailoverGap);
+        CPPUNIT_ASSERT_EQUAL(std::string(), outcome.sqlState);
+        CPPUNIT_ASSERT_EQUAL(std::string("UPDATE 0"), outcome.tag);
+        CPPUNIT_ASSERT_EQUAL(std::string(), caller.runWithin("INSERT INTO v VALUES (1)", maxFailoverGap).sqlState);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(primary_kill_test);
