--- a/tests/libcrocusdeal/modelclient.cpp
+++ b/tests/libcrocusdeal/modelclient.cpp
@@ -46,9 +46,7 @@
         }
         current->deadline = now + duration{200};
         const auto pick = m_world.random(0, 99);
-        current->kind = pick < 45 ? route_class::Write
-            : pick < 75           ? route_class::Read
-                                  : route_class::StaleRead;
+        current->kind = pick < 45 ? route_class::Write : pick < 75 ? route_class::Read : route_class::StaleRead;
         if (current->kind == route_class::StaleRead) {
             current->maxAge = duration{m_world.random(20, 200)};
         }
--- a/tests/libcrocusdealnet/responserelaytest.cpp
+++ b/tests/libcrocusdealnet/responserelaytest.cpp
@@ -1,6 +1,6 @@
+#include "responserelay.h"
 #include "pgframe.h"
 #include "requestbatch.h"
-#include "responserelay.h"
 #include "statementmap.h"
 
 #include <cppunit/TestFixture.h>
--- a/tests/libcrocusdealnet/startupmessagetest.cpp
+++ b/tests/libcrocusdealnet/startupmessagetest.cpp
@@ -1,5 +1,5 @@
-#include "pgframe.h"
 #include "startupmessage.h"
+#include "pgframe.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
