Use the own base share after 1 s without a grant

Cause: owners of ledgers grant nothing for 2 s after a start, and requests wait 2 s at most, so the first requests after a start were refused. Ruled out: a longer deadline, which would only hide the start. Before: scripts/demo from a clean clone failed: "not run: no target could take it before its deadline". Conclusion: the base of all instances together is 0.6 of the limit, which leaves room for an owner's view that differs for a moment.

--- a/src/libcrocusdealnet/limitcoordinator.cpp
+++ b/src/libcrocusdealnet/limitcoordinator.cpp
@@ -11,8 +11,11 @@
 namespace
 {
 
-/** Without an answer of any owner for so long, an instance uses the base share that it computes itself. */
-constexpr duration ownerPatience{3000};
+/**
+ * Without a share for so long, an instance uses the base share that it computes itself. Half of the default deadline of
+ * a request, so that the first requests after a start are not refused.
+ */
+constexpr duration ownerPatience{1000};
 /** Each instance keeps one control connection to a target, and a promotion opens a second one for a moment. */
 constexpr int promotionConnections = 1;
 constexpr double baseFraction = 0.6;
