Ignore SIGPIPE in processes that use the HTTP client

The daemon was spared because its admin server is a cpp-httplib server, which ignores the signal; the commands `crocusdeal publish`, `drain` and `status` and the test programs were not.

Ruled out: a server that closes each connection at once; 300 calls of 100 KB against one raised no signal.

Children of the test programs start with the default disposition again, so that the tests do not hide this fault.

Conclusion: httpwarmup is now httplibrary; its prepareHttpLibrary() is called before every use of the library.

--- a/src/crocusdeal/instancequery.cpp
+++ b/src/crocusdeal/instancequery.cpp
@@ -1,5 +1,7 @@
 #include "instancequery.h"
 
+#include "httplibrary.h"
+
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
@@ -45,6 +47,7 @@
 
 admin_response send(const host_port &address, const std::string &method, const std::string &path, duration limit)
 {
+    prepareHttpLibrary();
     const std::chrono::milliseconds time(limit.ms);
     httplib::ClientImpl client(address.host, address.port);
     client.set_connection_timeout(time);
--- a/src/libcrocusdealnet/adminserver.cpp
+++ b/src/libcrocusdealnet/adminserver.cpp
@@ -1,6 +1,6 @@
 #include "adminserver.h"
 
-#include "httpwarmup.h"
+#include "httplibrary.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -55,7 +55,7 @@
     explicit implementation(admin_hooks given)
         : hooks(std::move(given))
     {
-        warmUpHttpLibrary();
+        prepareHttpLibrary();
         server.new_task_queue = [] { return new httplib::ThreadPool(threads); };
         server.set_read_timeout(readTimeout);
         server.set_keep_alive_max_count(1);
--- a/src/libcrocusdealnet/httpwarmup.cpp
+++ b/src/libcrocusdealnet/httplibrary.cpp
@@ -1,4 +1,6 @@
-#include "httpwarmup.h"
+#include "httplibrary.h"
+
+#include <csignal>
 
 #ifdef __SANITIZE_THREAD__
 
@@ -102,8 +104,9 @@
 
 }
 
-void warmUpHttpLibrary()
+void prepareHttpLibrary()
 {
+    std::signal(SIGPIPE, SIG_IGN);
     static std::once_flag done;
     std::call_once(done, exerciseLibrary);
 }
@@ -115,8 +118,9 @@
 namespace crocusdeal
 {
 
-void warmUpHttpLibrary()
+void prepareHttpLibrary()
 {
+    std::signal(SIGPIPE, SIG_IGN);
 }
 
 }
--- a/src/libcrocusdealnet/platformexchange.cpp
+++ b/src/libcrocusdealnet/platformexchange.cpp
@@ -1,6 +1,6 @@
 #include "platformexchange.h"
 
-#include "httpwarmup.h"
+#include "httplibrary.h"
 
 #include <httplib.h>
 
@@ -74,7 +74,7 @@
         : m_address(std::move(address))
         , m_caller(std::move(caller))
     {
-        warmUpHttpLibrary();
+        prepareHttpLibrary();
     }
 
     platform_result<http_answer> call(const http_call &call, duration limit);
--- a/src/standins/platform/platformserver.cpp
+++ b/src/standins/platform/platformserver.cpp
@@ -1,7 +1,7 @@
 #include "platformserver.h"
 
 #include "faultboard.h"
-#include "httpwarmup.h"
+#include "httplibrary.h"
 #include "instanceregistry.h"
 #include "objectstore.h"
 #include "ratelimit.h"
@@ -124,7 +124,7 @@
     , m_readLimit(m_options.readsPerSecond)
     , m_writeLimit(m_options.writesPerSecond)
 {
-    crocusdeal::warmUpHttpLibrary();
+    crocusdeal::prepareHttpLibrary();
     m_server.new_task_queue = [this] {
         auto *pool = new httplib::ThreadPool(threads);
         m_serving.set_value();
--- a/tests/process/platformprocess.cpp
+++ b/tests/process/platformprocess.cpp
@@ -1,5 +1,7 @@
 #include "platformprocess.h"
 
+#include "processrunner.h"
+
 #include <cppunit/TestAssert.h>
 #include <httplib.h>
 
@@ -52,7 +54,8 @@
     }
     pointers.push_back(nullptr);
     pid_t process = 0;
-    const int error = ::posix_spawn(&process, path.c_str(), &actions, nullptr, pointers.data(), environ);
+    const int error =
+        ::posix_spawn(&process, path.c_str(), &actions, spawn_attributes().get(), pointers.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     ::close(pipes.output[1]);
     ::close(pipes.errors[1]);
--- a/tests/support/main.cpp
+++ b/tests/support/main.cpp
@@ -1,3 +1,5 @@
+#include "httplibrary.h"
+
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
 #include <cppunit/TestFailure.h>
@@ -14,6 +16,8 @@
 #include <string>
 #include <vector>
 
+using namespace crocusdeal;
+
 namespace
 {
 
@@ -54,6 +58,7 @@
 /** Runs the registered tests whose name contains the first argument; all of them without one. */
 int main(int argc, char **argv)
 {
+    prepareHttpLibrary();
     const std::unique_ptr<CppUnit::Test> all(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
     std::vector<CppUnit::Test *> tests;
     collect(all.get(), argc > 1 ? argv[1] : "", tests);
--- a/tests/support/processrunner.cpp
+++ b/tests/support/processrunner.cpp
@@ -6,7 +6,6 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
-#include <spawn.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <system_error>
@@ -28,6 +27,21 @@
 
 }
 
+spawn_attributes::spawn_attributes()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGPIPE);
+    posix_spawnattr_init(&m_attributes);
+    posix_spawnattr_setsigdefault(&m_attributes, &signals);
+    posix_spawnattr_setflags(&m_attributes, POSIX_SPAWN_SETSIGDEF);
+}
+
+spawn_attributes::~spawn_attributes()
+{
+    posix_spawnattr_destroy(&m_attributes);
+}
+
 child_process::child_process(const std::string &program,
                              const std::vector<std::string> &arguments,
                              const std::string &errorFile)
@@ -49,7 +63,7 @@
         argv.push_back(const_cast<char *>(argument.c_str()));
     }
     argv.push_back(nullptr);
-    const int error = posix_spawn(&m_pid, program.c_str(), &actions, nullptr, argv.data(), environ);
+    const int error = posix_spawn(&m_pid, program.c_str(), &actions, spawn_attributes().get(), argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     close(ends[1]);
     m_output = ends[0];
--- a/tests/support/processrunner.h
+++ b/tests/support/processrunner.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <spawn.h>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -10,6 +11,24 @@
 namespace crocusdeal
 {
 
+/** Attributes of a child that does not inherit the ignored SIGPIPE of the test program. */
+class spawn_attributes
+{
+public:
+    spawn_attributes();
+    ~spawn_attributes();
+    spawn_attributes(const spawn_attributes &) = delete;
+    spawn_attributes &operator=(const spawn_attributes &) = delete;
+
+    const posix_spawnattr_t *get() const
+    {
+        return &m_attributes;
+    }
+
+private:
+    posix_spawnattr_t m_attributes;
+};
+
 /** A program started by a test; killed and reaped by the destructor. */
 class child_process
 {
