Suspect a primary whose host refuses connections after 400 ms

Ruled out: a shorter silence, which would replace primaries that are only slow; a single refusal, which a restart causes; refusals seen by one instance only, so an answer to a later query by any peer ends the suspicion.

An idle control connection notices its end with the next probe only, which may be 250 ms later.

--- a/src/libcrocusdeal/databasegroup.cpp
+++ b/src/libcrocusdeal/databasegroup.cpp
@@ -13,6 +13,9 @@
 // Probes without an answer before the primary is suspected; with one each 250 ms, the last falls near 1 s.
 constexpr int probesForSuspicion = 3;
 
+// A single refusal may be a database that is being restarted.
+constexpr int refusalsForSuspicion = 2;
+
 // Peers exchange what they heard about once a second.
 constexpr int unknownPrimaryFactor = 3;
 
@@ -114,6 +117,9 @@
         entry.view.ownHeardAt = std::max(entry.view.ownHeardAt, heardAt);
     }
     entry.unansweredProbes = 0;
+    if (askedAt > entry.refusedSince) {
+        entry.refusals = 0;
+    }
     learnReplayRate(entry, status, heardAt);
     mergeStatus(entry, status, askedAt);
     entry.view.askedAt = std::max(entry.view.askedAt, askedAt);
@@ -187,12 +193,20 @@
     }
 }
 
+void database_group::noteRefused(const target_id &target, time_point now)
+{
+    if (auto *entry = findMember(target); entry != nullptr && entry->refusals++ == 0) {
+        entry->refusedSince = now;
+    }
+}
+
 void database_group::tick(time_point now)
 {
     if (now - m_lastTick > m_policy.pauseGap) {
         m_watchingSince = now;
         for (auto &[id, entry] : m_members) {
             entry.unansweredProbes = 0;
+            entry.refusals = 0;
         }
     }
     m_lastTick = now;
@@ -285,9 +299,21 @@
     return follows ? m_policy.suspicionAfter * unknownPrimaryFactor : m_policy.suspicionAfter;
 }
 
+const database_group::member *database_group::refusingPrimary() const
+{
+    const auto id = primary();
+    if (!id) {
+        return nullptr;
+    }
+    const auto &entry = m_members.at(*id);
+    return entry.refusals >= refusalsForSuspicion ? &entry : nullptr;
+}
+
 time_point database_group::suspectedSince() const
 {
-    return lastSignOfPrimary() + patience();
+    const auto silent = lastSignOfPrimary() + patience();
+    const auto *refusing = refusingPrimary();
+    return refusing == nullptr ? silent : std::min(silent, refusing->refusedSince + m_policy.refusedSuspicionAfter);
 }
 
 bool database_group::primarySuspected(time_point now) const
@@ -296,7 +322,7 @@
         return false;
     }
     const auto id = primary();
-    if (!id) {
+    if (!id || refusingPrimary() != nullptr) {
         return true;
     }
     return m_members.at(*id).unansweredProbes >= probesForSuspicion;
--- a/src/libcrocusdeal/databasegroup.h
+++ b/src/libcrocusdeal/databasegroup.h
@@ -49,6 +49,9 @@
     /** This instance sent the primary or, without one, any member a status query. */
     void noteProbe(const target_id &target, time_point now);
 
+    /** The host of @p target refused a connection of this instance. */
+    void noteRefused(const target_id &target, time_point now);
+
     /** To be called at least every 250 ms; a longer gap is a pause of this instance and restarts the suspicion. */
     void tick(time_point now);
 
@@ -68,7 +71,10 @@
     /** No term above the highest known one had a primary before this time. */
     time_point currentUntil() const;
 
-    /** Whether a candidate may act: no primary at the highest term answered for a while although it was probed. */
+    /**
+     * Whether a candidate may act: no primary at the highest term answered for a while although it was probed, or its
+     * host refuses connections, since the database process has ended.
+     */
     bool primarySuspected(time_point now) const;
 
     /** Since when primarySuspected() holds, on the assumption that it does. */
@@ -91,6 +97,8 @@
         target_view view;
         time_point probedAt = never;
         int unansweredProbes = 0;
+        time_point refusedSince = never;
+        int refusals = 0; ///< In a row, without an answer to a later query of anyone.
     };
 
     member *findMember(const target_id &target);
@@ -98,6 +106,7 @@
     void mergeStatus(member &entry, const target_status &status, time_point askedAt);
     void learnReplayRate(member &entry, const target_status &status, time_point heardAt);
     time_point lastSignOfPrimary() const;
+    const member *refusingPrimary() const;
     duration patience() const;
 
     group_id m_group;
--- a/src/libcrocusdeal/grouppolicy.h
+++ b/src/libcrocusdeal/grouppolicy.h
@@ -13,6 +13,11 @@
 struct group_policy {
     duration probeInterval{250};
     duration suspicionAfter{1000}; ///< Without an answer of the primary.
+    /**
+     * Since the first refused connection to the primary, if no answer to a later query is known. It leaves time for the
+     * peers' answers: they probe each 250 ms and are asked with each refusal.
+     */
+    duration refusedSuspicionAfter{400};
     duration candidateStagger{500}; ///< Between the starts of two candidates for a promotion.
     duration primaryRecheckAfter{100}; ///< An older answer of the primary releases no write.
     duration waitRound{100}; ///< Time-out of one group_wait.
--- a/src/libcrocusdealnet/controlconnection.cpp
+++ b/src/libcrocusdealnet/controlconnection.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <cstring>
 #include <utility>
@@ -267,6 +268,9 @@
     control_result result;
     result.error = error;
     result.message = m_connection != nullptr ? PQerrorMessage(m_connection) : "out of memory";
+    // libpq tells the reason in this text only.
+    result.refused = m_state == state::Connecting
+        && result.message.find(std::generic_category().message(ECONNREFUSED)) != std::string::npos;
     release();
     finish(std::move(result));
 }
--- a/src/libcrocusdealnet/controlconnection.h
+++ b/src/libcrocusdealnet/controlconnection.h
@@ -41,6 +41,7 @@
 struct control_result {
     control_error error = control_error::None;
     std::string message; ///< Of the error.
+    bool refused = false; ///< Not connected, since nothing listens at the address.
     control_row row;
     time_point sentAt = never; ///< When the statement was sent.
 };
--- a/src/libcrocusdealnet/groupmonitor.cpp
+++ b/src/libcrocusdealnet/groupmonitor.cpp
@@ -566,6 +566,28 @@
             "no status of " + target.str() + ": " + std::string(controlErrorNames.name(result.error))
                 + (reason.empty() ? "" : ", " + reason));
     }
+    if (target == m_group.primary()) {
+        watchFailingPrimary(target, result);
+    }
+}
+
+// A database whose process has ended refuses connections. That is known sooner than silence, so it is looked for as
+// soon as a connection to the primary fails, and again with each refusal at the pace of target_control.
+void group_monitor::watchFailingPrimary(const target_id &primary, const control_result &result)
+{
+    if (!m_running || (m_rank < 0 && !m_hooks.isProber(primary))) {
+        return;
+    }
+    const auto now = m_hooks.now();
+    if (result.refused) {
+        m_group.noteRefused(primary, now);
+        if (m_hooks.onPrimaryRefused) {
+            m_hooks.onPrimaryRefused();
+        }
+    }
+    if (auto *entry = control(primary); entry != nullptr && result.error != control_error::TimedOut) {
+        entry->wantStatus(now);
+    }
 }
 
 void group_monitor::log(group_log_level level, const std::string &line) const
--- a/src/libcrocusdealnet/groupmonitor.h
+++ b/src/libcrocusdealnet/groupmonitor.h
@@ -33,6 +33,8 @@
     std::function<int()> candidateRank;
     std::function<bool(const target_id &)> isProber;
     std::function<void(std::uint64_t term, const target_id &primary)> onHint;
+    /** The primary refuses connections: the peers are to be asked what they heard of it. May be empty. */
+    std::function<void()> onPrimaryRefused;
     /** A target answered group_status(); may be empty. */
     std::function<void(const target_id &, const target_status &, time_point askedAt)> onControlStatus;
 };
@@ -135,6 +137,7 @@
     void give(const order_target &order);
     void onOrder(const order_answer &answer, const std::string &error);
     void onFailure(const target_id &target, const control_result &result);
+    void watchFailingPrimary(const target_id &primary, const control_result &result);
     void log(group_log_level level, const std::string &line) const;
 
     control_connection::strand m_strand;
--- a/src/libcrocusdealnet/groupruntime.cpp
+++ b/src/libcrocusdealnet/groupruntime.cpp
@@ -89,6 +89,7 @@
         return used || m_environment.isProber(m_id, target);
     };
     hooks.onHint = [this](std::uint64_t term, const target_id &primary) { m_environment.onHint(m_id, term, primary); };
+    hooks.onPrimaryRefused = [this] { m_environment.onSuspected(m_id); };
     hooks.onControlStatus = [this](const target_id &target, const target_status &status, time_point askedAt) {
         m_environment.limits->onTargetStatus(fleetTargetId(m_id, target), status.connections, askedAt);
     };
--- a/tests/libcrocusdeal/databasegrouptest.cpp
+++ b/tests/libcrocusdeal/databasegrouptest.cpp
@@ -13,6 +13,7 @@
 {
     CPPUNIT_TEST_SUITE(database_group_test);
     CPPUNIT_TEST(suspectsASilentPrimaryOnly);
+    CPPUNIT_TEST(suspectsAPrimaryThatRefusesConnections);
     CPPUNIT_TEST(doesNotSuspectAfterItsOwnPause);
     CPPUNIT_TEST(givesPeersTimeToReportAPrimary);
     CPPUNIT_TEST(datesDataByConfirmedSamples);
@@ -55,6 +56,29 @@
         CPPUNIT_ASSERT(m_group->primarySuspected(time_point{1400}));
     }
 
+    /** Guards against waiting for the silence of a primary whose process has ended, against replacing one that a single
+     * refusal or a rejecting firewall hides from this instance only, and against refusals from before a pause. */
+    void suspectsAPrimaryThatRefusesConnections()
+    {
+        const target_id primary("a");
+        tickUntil(300);
+        m_group->noteRefused(primary, time_point{100});
+        CPPUNIT_ASSERT(!m_group->primarySuspected(time_point{600}));
+        m_group->noteRefused(primary, time_point{200});
+        CPPUNIT_ASSERT(!m_group->primarySuspected(time_point{499}));
+        CPPUNIT_ASSERT(m_group->primarySuspected(time_point{500}));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(500), m_group->suspectedSince().ms);
+
+        m_group->observe(
+            primary, status(target_role::Primary, {1, 10}), time_point{150}, time_point{350}, observation_source::Peer);
+        CPPUNIT_ASSERT(!m_group->primarySuspected(time_point{500}));
+
+        m_group->noteRefused(primary, time_point{400});
+        m_group->noteRefused(primary, time_point{450});
+        m_group->tick(time_point{5000});
+        CPPUNIT_ASSERT(!m_group->primarySuspected(time_point{5001}));
+    }
+
     /** Guards against a promotion by an instance that was paused and has not asked again. */
     void doesNotSuspectAfterItsOwnPause()
     {
