--- a/src/libcrocusdeal/request.h
+++ b/src/libcrocusdeal/request.h
@@ -21,27 +21,41 @@
     Refused, ///< By the admission queue.
     NoTarget, ///< No target is eligible, or none could be connected to.
     ConnectionLost, ///< The target connection failed.
-    DeadlinePassed, ///< While the request ran, or while a commit waited for confirmation.
-    Fenced, ///< The primary lost its role before the write was confirmed.
+    ReadOnlyTarget, ///< The database refused to write (25006) and did nothing.
+    NotConfirmed, ///< The commit was not confirmed in time, or the primary lost its role before.
+    DeadlinePassed, ///< While the request ran.
     Shutdown, ///< Of this instance.
 };
 
-inline constexpr auto requestFailureNames =
-    makeNameTable<request_failure>("refused", "no target", "connection lost", "deadline passed", "fenced", "shutdown");
+inline constexpr auto requestFailureNames = makeNameTable<request_failure>("refused",
+                                                                           "no target",
+                                                                           "connection lost",
+                                                                           "read-only target",
+                                                                           "not confirmed",
+                                                                           "deadline passed",
+                                                                           "shutdown");
+
+/** What the request may change and how it stands to a transaction; decides what may be repeated. */
+struct request_scope {
+    bool mayCommit = false; ///< Its end may commit a change.
+    bool inTransaction = false; ///< A transaction was open before: what ran in it cannot be repeated.
+    bool endsTransaction = false;
+};
 
-/** What the request does; decides what may be repeated. */
-enum class request_kind {
-    Read, ///< May be repeated at any time outside a transaction.
-    Write,
-    InTransaction, ///< Any statement of an open transaction, COMMIT included: what ran before it cannot be repeated.
+/** What a failed request means for its session. */
+enum class session_effect {
+    None,
+    HistoryUnknown, ///< The next read has to cover a write that may have been made.
+    TransactionFailed, ///< The open transaction is lost; the session waits for its end.
+    Closes, ///< The session cannot go on.
 };
 
 /** What the caller is told. */
 struct error_answer {
     std::string_view sqlState; ///< "53300" and "57P03": not run. "08007": outcome unknown.
-    bool closesSession = false; ///< The session cannot go on.
-
-    friend bool operator==(const error_answer &, const error_answer &) = default;
+    std::string_view message;
+    std::string_view hint;
+    session_effect effect = session_effect::None;
 };
 
 /**
@@ -52,8 +66,12 @@
 class request
 {
 public:
-    explicit request(request_kind kind)
-        : m_kind(kind)
+    /** No request is open. */
+    request() = default;
+
+    explicit request(const request_scope &scope)
+        : m_scope(scope)
+        , m_state(request_state::NotSent)
     {
     }
 
@@ -62,12 +80,18 @@
         return m_state;
     }
 
+    /** Changes the scope: the role of the target is known after routing, and messages after a Flush may add to it. */
+    void setScope(const request_scope &scope);
+
     /** To be called before the first byte is handed to the target connection. */
     void onSending();
 
     /** A part of the response was passed on to the caller; from now on it cannot be repeated unnoticed. */
     void onForwarded();
 
+    /** The target may have committed a change; the response is held until the commit is confirmed. */
+    void onCommitted();
+
     /** The complete response was passed on. */
     void onAnswered();
 
@@ -84,8 +108,10 @@
     error_answer fail(request_failure failure);
 
 private:
-    request_kind m_kind;
-    request_state m_state = request_state::NotSent;
+    error_answer unknownOutcome(request_failure failure) const;
+
+    request_scope m_scope;
+    request_state m_state = request_state::Answered;
     bool m_forwarded = false;
 };
 
