Probe replicas every 500 ms instead of 250 ms

Cause: a daemon that probes 12 targets sent and received 14.4 KB/s of status queries, above the 9 KB/s for all control traffic (docs/CAPACITY.md). Only the primary needs 250 ms, for the suspicion after 1 s; a replica is left out after 1 s of silence, which 500 ms serves with one answer lost.

Ruled out: prepared statements, because libpq describes the result with each execution; slower probes by the second prober, whose own view of a replica would lapse between two answers.

Before: 48 queries/s for 12 targets by the interval.

--- a/src/libcrocusdeal/grouppolicy.h
+++ b/src/libcrocusdeal/grouppolicy.h
@@ -11,7 +11,8 @@
  * The protections are on in every real use. The model tests turn single ones off to show that they are needed.
  */
 struct group_policy {
-    duration probeInterval{250};
+    duration probeInterval{250}; ///< Of the primary.
+    duration replicaProbeInterval{500}; ///< Half of unheardLimit, so that one lost answer leaves no replica out.
     duration suspicionAfter{1000}; ///< Without an answer of the primary.
     /**
      * Since the first refused connection to the primary, if no answer to a later query is known. It leaves time for the
--- a/src/libcrocusdealnet/groupmonitor.cpp
+++ b/src/libcrocusdealnet/groupmonitor.cpp
@@ -266,7 +266,8 @@
         if (now < next || !wantsProbe(id, now, standby)) {
             continue;
         }
-        next = now + m_settings.policy.probeInterval;
+        const bool isReplica = primary && id != *primary;
+        next = now + (isReplica ? m_settings.policy.replicaProbeInterval : m_settings.policy.probeInterval);
         m_group.noteProbe(id, now);
         entry->wantStatus(now);
     }
--- a/tests/libcrocusdealnet/fakedatabase.cpp
+++ b/tests/libcrocusdealnet/fakedatabase.cpp
@@ -151,6 +151,12 @@
     return static_cast<int>(m_databases.at(index).connections.size());
 }
 
+int fake_group::statusQueries(int index) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_databases.at(index).statusQueries;
+}
+
 void fake_group::accept(int index)
 {
     m_databases.at(index).acceptor->async_accept(
@@ -226,6 +232,7 @@
     if (std::sscanf(sql.c_str(), "SELECT * FROM group_wait('%llu/%llu', %d)", &term, &offset, &timeout) == 3) {
         wait(index, peer, {term, offset}, timeout, entry.term);
     } else if (sql == "SELECT * FROM group_status()") {
+        ++entry.statusQueries;
         sendRow(index, peer, std::nullopt);
     } else {
         const bool granted = order(entry, sql);
--- a/tests/libcrocusdealnet/fakedatabase.h
+++ b/tests/libcrocusdealnet/fakedatabase.h
@@ -42,6 +42,8 @@
     target_status status(int index) const;
     std::vector<std::string> applicationNames(int index) const;
     int openConnections(int index) const;
+    /** The number of group_status() queries so far. */
+    int statusQueries(int index) const;
 
 private:
     struct connection;
@@ -57,6 +59,7 @@
         std::set<std::shared_ptr<connection>> connections;
         std::vector<std::string> names;
         std::uint16_t port = 0;
+        int statusQueries = 0;
     };
 
     void accept(int index);
--- a/tests/libcrocusdealnet/groupmonitortest.cpp
+++ b/tests/libcrocusdealnet/groupmonitortest.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <chrono>
 #include <future>
 #include <iostream>
@@ -40,6 +41,7 @@
 class group_monitor_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(group_monitor_test);
+    CPPUNIT_TEST(probesWithinItsBudget);
     CPPUNIT_TEST(confirmsWritesThatReplicasHold);
     CPPUNIT_TEST(leavesUnheldWritesUnconfirmed);
     CPPUNIT_TEST(replacesACrashedPrimary);
@@ -85,6 +87,19 @@
         m_context.reset();
     }
 
+    /** Guards against probes that cost more control traffic than planned: 4/s to the primary, 2/s to a replica. */
+    void probesWithinItsBudget()
+    {
+        startMonitor();
+        const std::array<int, 3> before{
+            m_databases->statusQueries(0), m_databases->statusQueries(1), m_databases->statusQueries(2)};
+        std::this_thread::sleep_for(std::chrono::seconds(2));
+        CPPUNIT_ASSERT(m_databases->statusQueries(0) - before[0] <= 9);
+        for (const int replica : {1, 2}) {
+            CPPUNIT_ASSERT(m_databases->statusQueries(replica) - before[static_cast<std::size_t>(replica)] <= 5);
+        }
+    }
+
     /** Guards against acknowledging late, and against more than one control connection to a target. */
     void confirmsWritesThatReplicasHold()
     {
