Give up a silent primary as soon as it is replaced

Cause: with the primary paused, the failover gap was 3.0 s in most runs, although the promotion was done after 1.0 s: the sessions with a statement on the old primary waited for it until it had been silent for 3 s. A replaced primary can confirm nothing, so this wait was of no use.

Ruled out: a late promotion (the log shows term 2 promoted 1.0 s after the pause) and waiting for a connection (the writes were routed 3 s after it).

Conclusion: an old primary that answers reports its new role, so only one that is silent for 500 ms is given up early.

--- a/src/libcrocusdealnet/groupruntime.cpp
+++ b/src/libcrocusdealnet/groupruntime.cpp
@@ -18,6 +18,8 @@
 constexpr duration confirmTimeout{5000};
 /** A target that did not answer this instance for longer counts as gone; its connections are given up. */
 constexpr duration aliveLimit{3000};
+// Twice the interval of probes to a primary: one that answers at all has told its new role by then.
+constexpr duration replacedAliveLimit{500};
 /** An instance probes the targets of a group that it used within this time, besides the probers by order. */
 constexpr duration usedLimit{10000};
 constexpr duration idleConnectionLimit{60000};
@@ -369,7 +371,12 @@
         return false;
     }
     const time_point usedSince{m_usedSince.load(std::memory_order_relaxed)};
-    return systemNow() - std::max(known->ownHeardAt, usedSince) < aliveLimit;
+    const auto silence = systemNow() - std::max(known->ownHeardAt, usedSince);
+    // A silent primary that was replaced can neither confirm a write nor serve a read as the primary, so nothing is
+    // gained by waiting longer for it.
+    const bool isReplaced =
+        known->status && known->status->role == target_role::Primary && known->status->term < view->highestTerm;
+    return silence < (isReplaced ? replacedAliveLimit : aliveLimit);
 }
 
 void group_runtime::onViewChanged(const group_view_ptr &view)
--- a/src/libcrocusdealnet/targetexchange.cpp
+++ b/src/libcrocusdealnet/targetexchange.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::size_t targetReadBytes = std::size_t{32} * 1024;
 constexpr std::size_t flushBytes = std::size_t{16} * 1024;
-constexpr duration targetCheckPeriod{500};
+constexpr duration targetCheckPeriod{100};
 
 }
 
--- a/tests/process/pausetest.cpp
+++ b/tests/process/pausetest.cpp
@@ -40,7 +40,10 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    /** Guards against an old primary that wakes up and still takes writes, and against divergent rows on it. */
+    /**
+     * Guards against an old primary that wakes up and still takes writes, against divergent rows on it, and against
+     * sessions that wait for the answer of a paused primary after it was replaced.
+     */
     void pausedPrimaryIsReplaced()
     {
         cluster cluster;
@@ -67,8 +70,10 @@
         CPPUNIT_ASSERT(writes.waitForWrite(load_clock::now(), maxFailoverGap, {0, 1}));
         writes.stop();
         const auto records = writes.records();
-        std::cout << "\nwrites: " << summary(records) << "failover gap " << gapUntilNewTerm(records, paused, 1).count()
-                  << " ms" << std::endl;
+        const auto gap = gapUntilNewTerm(records, paused, 1);
+        std::cout << "\nwrites: " << summary(records) << "failover gap " << gap.count() << " ms" << std::endl;
+        // The goal for a primary that fails.
+        CPPUNIT_ASSERT(gap < 3s);
         requireOnlyTruth(records);
         CPPUNIT_ASSERT_EQUAL(std::string(), contradictions(records, cluster.database(newPrimary)));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, acknowledgedAfterNewerTerm(records).size());
