Move the admin answers out of the instance

Ruled out: moving isReady and report, which read the state under the mutex of the instance. Conclusion: no change of behaviour is intended.

--- a/src/libcrocusdealnet/instance.cpp
+++ b/src/libcrocusdealnet/instance.cpp
@@ -1,5 +1,6 @@
 #include "instance.h"
 
+#include "adminresponder.h"
 #include "adminserver.h"
 #include "configurationjson.h"
 #include "objectwatcher.h"
@@ -13,7 +14,6 @@
 
 #include <array>
 #include <chrono>
-#include <future>
 #include <random>
 #include <set>
 #include <utility>
@@ -28,7 +28,6 @@
 constexpr duration refreshPeriod{5000};
 constexpr duration platformTimeout{5000};
 constexpr duration shutdownLimit{30000};
-constexpr duration promoteLimit{15000};
 constexpr duration limitTimeout{500};
 constexpr std::chrono::milliseconds limitPeriod{100};
 constexpr std::chrono::milliseconds tickPeriod{500};
@@ -297,25 +296,14 @@
 
 std::optional<std::string> instance::startAdmin()
 {
-    admin_hooks hooks;
-    hooks.ready = [this] { return isReady(); };
-    hooks.status = [this] { return toJson(report(), systemNow()); };
-    hooks.metrics = [this] {
-        updateGauges(m_metrics, report(), systemNow());
-        return m_metrics.render();
-    };
-    hooks.explain = [this](const explain_request &request) { return explain(request); };
-    hooks.promote = [this](const std::string &group, const std::optional<std::string> &target) {
-        return promote(group, target);
-    };
-    hooks.setLogLevel = [](const std::string &level) {
-        const auto value = logLevelNames.value(level);
-        if (value) {
-            setLogLevel(*value);
-        }
-        return value.has_value();
-    };
-    m_admin = std::make_unique<admin_server>(std::move(hooks));
+    m_responder = std::make_unique<admin_responder>(
+        admin_sources{
+            .isReady = [this] { return isReady(); },
+            .report = [this] { return report(); },
+            .findService = [this](const std::string &name, pg_error &refusal) { return findService(name, refusal); },
+            .findGroup = [this](const group_id &id) { return findGroup(id); }},
+        m_metrics);
+    m_admin = std::make_unique<admin_server>(m_responder->hooks());
     if (!m_admin->start(m_settings.adminAddress.host, m_settings.adminAddress.port)) {
         return "cannot listen on " + toString(m_settings.adminAddress);
     }
@@ -340,70 +328,6 @@
     return report;
 }
 
-admin_answer instance::promote(const std::string &group, const std::optional<std::string> &target) const
-{
-    constexpr int notFound = 404;
-    constexpr int conflict = 409;
-    const auto known = groups();
-    const auto found = known.find(group_id(group));
-    if (found == known.end()) {
-        return {notFound, nlohmann::json{{"error", "group \"" + group + "\" does not exist"}}.dump()};
-    }
-    const auto answer = std::make_shared<std::promise<promotion_result>>();
-    auto result = answer->get_future();
-    found->second->monitor().promote(target ? std::optional(target_id(*target)) : std::nullopt,
-                                     [answer](const promotion_result &ended) { answer->set_value(ended); });
-    if (result.wait_for(std::chrono::milliseconds(promoteLimit.ms)) != std::future_status::ready) {
-        return {conflict, nlohmann::json{{"error", "the promotion did not end in time; see the status"}}.dump()};
-    }
-    const auto ended = result.get();
-    const bool promoted = ended.outcome == promotion_outcome::Promoted;
-    nlohmann::json body{{"outcome", std::string(promotionOutcomeNames.name(ended.outcome))}, {"term", ended.term}};
-    body["primary"] = ended.primary.str();
-    return {promoted ? 200 : conflict, body.dump()};
-}
-
-admin_answer instance::explain(const explain_request &request) const
-{
-    constexpr int notFound = 404;
-    constexpr int badRequest = 400;
-    pg_error refusal;
-    const auto service = findService(request.service, refusal);
-    if (!service) {
-        return {notFound, nlohmann::json{{"error", refusal.message}}.dump()};
-    }
-    const auto info = classifyStatement(request.statement);
-    std::optional<position> token;
-    if (!request.session.empty()) {
-        const auto parsed = parseSessionToken(request.session);
-        if (!parsed) {
-            return {badRequest, nlohmann::json{{"error", "the session must be a token, group:term/offset"}}.dump()};
-        }
-        const auto found = parsed->find(service->group);
-        if (found != parsed->end()) {
-            token = found->second;
-        }
-    }
-    dispatch_request question;
-    question.cls = info.cls;
-    question.fingerprint = info.fingerprint;
-    question.token = token;
-    question.historyKnown = token.has_value();
-    question.sessionStart = systemNow();
-    question.maxStaleness = service->allowedStaleness(info);
-    if (question.maxStaleness && question.maxStaleness->ms == 0) {
-        question.maxStaleness.reset();
-    }
-    question.deadline = systemNow() + service->queueDeadline();
-    const auto decision = service->explain(question);
-    nlohmann::json body{{"class", std::string(statementClassNames.name(info.cls))},
-                        {"decision", std::string(routeKindNames.name(decision.kind))},
-                        {"reason", std::string(routeReasonNames.name(decision.reason))},
-                        {"target", decision.target.str()},
-                        {"tables", info.tables}};
-    return {200, body.dump()};
-}
-
 void instance::scheduleTick()
 {
     m_timer.expires_after(tickPeriod);
@@ -613,6 +537,13 @@
     return m_groups;
 }
 
+std::shared_ptr<group_runtime> instance::findGroup(const group_id &id) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_groups.find(id);
+    return found == m_groups.end() ? nullptr : found->second;
+}
+
 bool instance::isReady() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libcrocusdealnet/instance.h
+++ b/src/libcrocusdealnet/instance.h
@@ -23,8 +23,7 @@
 class platform_client;
 class object_watcher;
 class admin_server;
-struct admin_answer;
-struct explain_request;
+class admin_responder;
 
 /**
  * One instance of the proxy: everything that runs in the daemon.
@@ -67,10 +66,9 @@
     std::shared_ptr<const service_hooks> findService(const std::string &database, pg_error &refusal) const;
 
     group_map groups() const;
+    std::shared_ptr<group_runtime> findGroup(const group_id &id) const;
     bool isReady() const;
     instance_report report() const;
-    admin_answer explain(const explain_request &request) const;
-    admin_answer promote(const std::string &group, const std::optional<std::string> &target) const;
     void closeSessions(std::function<void()> done, time_point limit);
     void stopAll();
 
@@ -79,7 +77,7 @@
     session_registry m_registry;
     statement_cache m_statements;
     asio::thread_pool m_blocking{1};
-    mutable metric_registry m_metrics;
+    metric_registry m_metrics;
     session_environment m_sessions;
     startup_environment m_startup;
     group_environment m_groupEnvironment;
@@ -91,6 +89,7 @@
     std::unique_ptr<platform_client> m_platform;
     std::unique_ptr<object_watcher> m_watcher;
     std::shared_ptr<caller_listener> m_listener;
+    std::unique_ptr<admin_responder> m_responder;
     std::unique_ptr<admin_server> m_admin;
 
     mutable std::mutex m_mutex;
