Join what the budget and the permit ledger share of ownership

Cause: connection_budget and permit_ledger had the same code for the number of the ledger, the end of it by a pause of the owner with its bound of 1 s, the members that have not reported and the head of a grant. Before: two copies. After: ledger_tenure. Conclusion: one bound for pauses in one place.

--- a/src/libcrocusdeal/connectionbudget.cpp
+++ b/src/libcrocusdeal/connectionbudget.cpp
@@ -11,8 +11,6 @@
 constexpr int basePercent = 60;
 constexpr duration resendInterval{100};
 constexpr duration rebalanceInterval{1000};
-// Longer than any wait of a healthy process; shorter than it takes others to see a failure and take over.
-constexpr duration pauseBound{1000};
 // The lease counts on the holder's clock from before its report arrived here; the margin covers clock drift.
 constexpr duration silentAfter = loanLease + duration{1000};
 
@@ -24,14 +22,9 @@
                                      const std::vector<instance_id> &members,
                                      connection_budget_settings settings,
                                      time_point now)
-    : m_target(std::move(target))
-    , m_owner(std::move(owner))
-    , m_ledger(ledger)
+    : m_tenure(std::move(target), std::move(owner), ledger, members, now)
     , m_settings(settings)
-    , m_takenOverAt(now)
-    , m_unreported(members.begin(), members.end())
     , m_gone{{settings.limit, now}}
-    , m_activeAt(now)
 {
 }
 
@@ -58,13 +51,7 @@
 
 share_grant connection_budget::grantFor(const holder_key &key, const holder_state &holder) const
 {
-    share_grant grant;
-    grant.target = m_target;
-    grant.owner = m_owner;
-    grant.ledger = m_ledger;
-    grant.holder = key.first;
-    grant.incarnation = key.second;
-    grant.answers = holder.sequence;
+    auto grant = m_tenure.makeGrant<share_grant>(key.first, key.second, holder.sequence);
     grant.number = holder.number;
     grant.base = holder.base;
     grant.allowance = holder.allowance;
@@ -72,13 +59,6 @@
     return grant;
 }
 
-bool connection_budget::checkStale(time_point now)
-{
-    m_stale = m_stale || now - m_activeAt > pauseBound;
-    m_activeAt = now;
-    return m_stale;
-}
-
 bool connection_budget::isReplaced(const holder_key &key) const
 {
     const auto found = m_replaced.find(key.first);
@@ -93,10 +73,10 @@
 std::optional<share_grant> connection_budget::onReport(const share_report &report, time_point now)
 {
     const holder_key key{report.holder, report.incarnation};
-    if (checkStale(now) || isReplaced(key)) {
+    if (m_tenure.checkStale(now) || isReplaced(key)) {
         return std::nullopt;
     }
-    if (report.ledger != m_ledger) {
+    if (report.ledger != m_tenure.ledger()) {
         // The holder still hears an earlier ledger. It reports to this one after it has seen this answer, and does not
         // take in grants of the other one from then on.
         holder_state unknown;
@@ -110,7 +90,7 @@
     if (report.sequence <= holder.sequence) {
         return std::nullopt;
     }
-    m_unreported.erase(report.holder);
+    m_tenure.onSettled(report.holder);
     const auto before = std::pair(holder.wanted, holder.accounted);
     update(holder, report, now);
     finishCensus(now);
@@ -146,7 +126,7 @@
     m_holders.erase(key);
     auto &replaced = m_replaced[release.holder];
     replaced = std::max(replaced, release.incarnation);
-    m_unreported.erase(release.holder);
+    m_tenure.onSettled(release.holder);
     m_changed = true;
 }
 
@@ -169,7 +149,7 @@
     const bool anySilent = std::any_of(m_holders.begin(), m_holders.end(), [&](const auto &entry) {
         return isSilent(entry.second, now) && entry.second.accounted > entry.second.highestBase;
     });
-    if (checkStale(now) || (m_gone.empty() && !anySilent)) {
+    if (m_tenure.checkStale(now) || (m_gone.empty() && !anySilent)) {
         return;
     }
     if (m_census.open && now - m_census.askedAt < censusWindow / 2) {
@@ -228,7 +208,7 @@
 std::vector<share_grant> connection_budget::poll(time_point now)
 {
     std::vector<share_grant> grants;
-    if (checkStale(now)) {
+    if (m_tenure.checkStale(now)) {
         return grants;
     }
     // Holders fall silent without an event.
--- a/src/libcrocusdeal/connectionbudget.h
+++ b/src/libcrocusdeal/connectionbudget.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "ledgertenure.h"
 #include "sharemessages.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -72,7 +72,7 @@
      * over anew if the instance is still the owner by a fresh view of the members. */
     bool isStale() const
     {
-        return m_stale;
+        return m_tenure.isStale();
     }
 
     /** The configuration changed. */
@@ -86,7 +86,7 @@
 
     bool isRebuilding(time_point now) const
     {
-        return !m_unreported.empty() || now - m_takenOverAt < m_settings.settling;
+        return !m_tenure.areAllSettled() || m_tenure.age(now) < m_settings.settling;
     }
 
 private:
@@ -128,7 +128,6 @@
     using holder_key = std::pair<instance_id, std::uint64_t>;
     using holder_map = std::map<holder_key, holder_state>;
 
-    bool checkStale(time_point now);
     share_grant grantFor(const holder_key &key, const holder_state &holder) const;
     bool isReplaced(const holder_key &key) const;
     bool isSilent(const holder_state &holder, time_point now) const;
@@ -139,20 +138,14 @@
     std::vector<fair_share> fairAllowances(time_point now);
     void setAllowance(holder_state &holder, int allowance);
 
-    target_id m_target;
-    instance_id m_owner;
-    std::uint64_t m_ledger;
+    ledger_tenure m_tenure;
     connection_budget_settings m_settings;
-    time_point m_takenOverAt;
-    std::set<instance_id> m_unreported;
     holder_map m_holders;
     std::map<instance_id, std::uint64_t> m_replaced; ///< Highest incarnation that is gone.
     std::vector<gone_state> m_gone;
     census m_census;
     bool m_changed = true; ///< Since the allowances were last worked out.
     time_point m_rebalancedAt = never;
-    time_point m_activeAt;
-    bool m_stale = false;
 };
 
 }
--- a/src/libcrocusdeal/permitledger.cpp
+++ b/src/libcrocusdeal/permitledger.cpp
@@ -11,8 +11,6 @@
 
 // A holder that waits asks every 20 ms; after several lost requests its place goes to the next one.
 constexpr duration reservedFor{150};
-// Longer than any wait of a healthy process; shorter than it takes others to see a failure and take over.
-constexpr duration pauseBound{1000};
 
 }
 
@@ -22,13 +20,8 @@
                              const std::vector<instance_id> &members,
                              permit_ledger_settings settings,
                              time_point now)
-    : m_target(std::move(target))
-    , m_owner(std::move(owner))
-    , m_ledger(ledger)
+    : m_tenure(std::move(target), std::move(owner), ledger, members, now)
     , m_settings(settings)
-    , m_takenOverAt(now)
-    , m_unreported(members.begin(), members.end())
-    , m_activeAt(now)
     , m_complete(members.empty())
 {
 }
@@ -55,11 +48,11 @@
 std::optional<permit_grant> permit_ledger::onRequest(const permit_request &request, time_point now)
 {
     tick(now);
-    if (m_stale) {
+    if (m_tenure.isStale()) {
         return std::nullopt;
     }
     auto grant = answerTo(request);
-    if (request.ledger != m_ledger) {
+    if (request.ledger != m_tenure.ledger()) {
         // The holder still hears an earlier ledger. It reports to this one after it has seen this answer, and does not
         // take in grants of the other one from then on.
         return grant;
@@ -71,7 +64,7 @@
     onMemberSettled(request.holder);
     grantMore(*holder, now);
     for (const auto &id : holder->permits) {
-        if (id.ledger == m_ledger && id.number > request.seen) {
+        if (id.ledger == m_tenure.ledger() && id.number > request.seen) {
             grant.granted.push_back(id.number);
         }
     }
@@ -80,13 +73,7 @@
 
 permit_grant permit_ledger::answerTo(const permit_request &request) const
 {
-    permit_grant grant;
-    grant.target = m_target;
-    grant.owner = m_owner;
-    grant.ledger = m_ledger;
-    grant.holder = request.holder;
-    grant.incarnation = request.incarnation;
-    grant.answers = request.sequence;
+    auto grant = m_tenure.makeGrant<permit_grant>(request.holder, request.incarnation, request.sequence);
     grant.renewedFor = m_settings.renewedFor;
     return grant;
 }
@@ -105,7 +92,7 @@
     holder.wanted = request.wanted;
     // What the holder has received and no longer holds is released; what is still on the way to it is not.
     std::erase_if(holder.permits,
-                  [&](const permit_id &id) { return id.ledger != m_ledger || id.number <= request.seen; });
+                  [&](const permit_id &id) { return id.ledger != m_tenure.ledger() || id.number <= request.seen; });
     holder.permits.insert(request.held.begin(), request.held.end());
     return &holder;
 }
@@ -117,7 +104,7 @@
     }
     const int before = waitingBefore(holder, now);
     while (static_cast<int>(holder.permits.size()) < holder.wanted && granted() + before < capacity()) {
-        holder.permits.insert({m_ledger, ++m_lastNumber});
+        holder.permits.insert({m_tenure.ledger(), ++m_lastNumber});
         holder.waitingSince = now;
     }
 }
@@ -134,7 +121,7 @@
 
 bool permit_ledger::mayGrant(time_point now) const
 {
-    return m_complete && !m_stale && now - m_takenOverAt >= m_settings.settling;
+    return m_complete && !m_tenure.isStale() && m_tenure.age(now) >= m_settings.settling;
 }
 
 void permit_ledger::onRelease(const permit_release &release)
@@ -158,8 +145,8 @@
 
 void permit_ledger::onMemberSettled(const instance_id &member)
 {
-    m_unreported.erase(member);
-    m_complete = m_complete || m_unreported.empty();
+    m_tenure.onSettled(member);
+    m_complete = m_complete || m_tenure.areAllSettled();
 }
 
 void permit_ledger::setSlots(int slots)
@@ -169,9 +156,8 @@
 
 void permit_ledger::tick(time_point now)
 {
-    m_stale = m_stale || now - m_activeAt > pauseBound;
-    m_activeAt = now;
-    m_complete = m_complete || now - m_takenOverAt >= silenceBound();
+    m_tenure.checkStale(now);
+    m_complete = m_complete || m_tenure.age(now) >= silenceBound();
     std::erase_if(m_holders, [&](const auto &entry) { return now - entry.second.heardAt >= silenceBound(); });
 }
 
--- a/src/libcrocusdeal/permitledger.h
+++ b/src/libcrocusdeal/permitledger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ledgertenure.h"
 #include "permitmessages.h"
 
 #include <cstddef>
@@ -68,7 +69,7 @@
      * over anew if the instance is still the owner by a fresh view of the members. */
     bool isStale() const
     {
-        return m_stale;
+        return m_tenure.isStale();
     }
 
     int capacity() const;
@@ -102,16 +103,10 @@
     void grantMore(holder_state &holder, time_point now);
     int waitingBefore(const holder_state &holder, time_point now) const;
 
-    target_id m_target;
-    instance_id m_owner;
-    std::uint64_t m_ledger;
+    ledger_tenure m_tenure;
     permit_ledger_settings m_settings;
-    time_point m_takenOverAt;
-    std::set<instance_id> m_unreported;
     std::map<holder_key, holder_state> m_holders;
     std::uint64_t m_lastNumber = 0;
-    time_point m_activeAt;
-    bool m_stale = false;
     bool m_complete = false; ///< All members have reported, or the bound is over.
 };
 
