Join how explain and promote print an instance's answer

Cause: both commands printed the answer of an instance, chose the exit code from its status and named the next instance with the same lines. Ruled out: joining the loops over the instances, because explain may ask again after any failure and promote only if the request was not sent. Before: two copies. Conclusion: no change of behaviour is intended.

--- a/src/crocusdeal/explaincommand.cpp
+++ b/src/crocusdeal/explaincommand.cpp
@@ -1,9 +1,8 @@
 #include "adminaddresses.h"
 #include "commandline.h"
+#include "instanceanswer.h"
 #include "instancequery.h"
 
-#include <iostream>
-
 namespace crocusdeal
 {
 
@@ -23,11 +22,10 @@
     for (const auto &address : adminAddresses(line, *service)) {
         const auto response = adminGet(address, "/explain", query, explainLimit);
         if (response.status == 0) {
-            printError(toString(address) + ": " + response.failure + ", the next instance is asked");
+            printNextAsked(address, response);
             continue;
         }
-        std::cout << response.body << '\n';
-        return response.status < 300 ? exit_code::Done : exit_code::Refused;
+        return printAnswer(response);
     }
     return exit_code::Unavailable;
 }
--- a/src/crocusdeal/promotecommand.cpp
+++ b/src/crocusdeal/promotecommand.cpp
@@ -1,9 +1,8 @@
 #include "adminaddresses.h"
 #include "commandline.h"
+#include "instanceanswer.h"
 #include "instancequery.h"
 
-#include <iostream>
-
 namespace crocusdeal
 {
 
@@ -23,7 +22,7 @@
     for (const auto &address : adminAddresses(line, positional[0])) {
         const auto response = adminPost(address, "/promote", query, promotionLimit);
         if (!response.isSent) {
-            printError(toString(address) + ": " + response.failure + ", the next instance is asked");
+            printNextAsked(address, response);
             continue;
         }
         if (response.status == 0) {
@@ -31,8 +30,7 @@
                        + "; the promotion may be under way, \"crocusdeal status\" shows the terms");
             return exit_code::Unavailable;
         }
-        std::cout << response.body << '\n';
-        return response.status < 300 ? exit_code::Done : exit_code::Refused;
+        return printAnswer(response);
     }
     return exit_code::Unavailable;
 }
