Join how the database stand-in opens its two ports

Cause: the admin port and the server of the stand-in opened, bound and listened on a loopback address with the same six lines. Ruled out: joining the accept loops, because database connections get a strand each and those of the admin port need none. Before: two copies. After: listenOnLoopback. Conclusion: no change of behaviour is intended.

--- a/src/standins/database/adminport.cpp
+++ b/src/standins/database/adminport.cpp
@@ -1,5 +1,7 @@
 #include "adminport.h"
 
+#include "loopbacklistener.h"
+
 #include <asio/read_until.hpp>
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
@@ -73,12 +75,7 @@
     : m_server(owner)
     , m_acceptor(owner.context())
 {
-    const auto [host, port] = parseLoopbackAddress(address);
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(host), port);
-    m_acceptor.open(endpoint.protocol());
-    m_acceptor.set_option(asio::socket_base::reuse_address(true));
-    m_acceptor.bind(endpoint);
-    m_acceptor.listen();
+    listenOnLoopback(m_acceptor, address);
     accept();
 }
 
--- a/src/standins/database/server.cpp
+++ b/src/standins/database/server.cpp
@@ -1,6 +1,7 @@
 #include "server.h"
 
 #include "clientconnection.h"
+#include "loopbacklistener.h"
 
 #include <asio/strand.hpp>
 
@@ -22,12 +23,7 @@
 
 void server::start()
 {
-    const auto [host, port] = parseLoopbackAddress(m_options.listenAddress);
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(host), port);
-    m_acceptor.open(endpoint.protocol());
-    m_acceptor.set_option(asio::socket_base::reuse_address(true));
-    m_acceptor.bind(endpoint);
-    m_acceptor.listen();
+    listenOnLoopback(m_acceptor, m_options.listenAddress);
     accept();
 }
 
