Ignore late results of a connection that was given up

Cause, found by reading: after a retry the session holds another target connection, while the read or write on the old one may still end with an error. The handlers checked only that some connection was held, so that error counted as the loss of the new one and a read was answered 08006 or retried again, a write 08007.

Ruled out: that the registration of the session covers it; the handlers run on its strand, but after the retry was dispatched. It was not reproduced.

Before: a check for any lease. After: the handlers compare the connection that they were started on with the present one.

Conclusion: the same rule as for late answers, which are dropped with their connection; process tests of callers, transactions and partitions pass.

--- a/src/libcrocusdealnet/targetexchange.cpp
+++ b/src/libcrocusdealnet/targetexchange.cpp
@@ -113,15 +113,22 @@
     asio::async_write(
         connection.socket(),
         asio::buffer(m_toTarget),
-        asio::bind_executor(m_strand,
-                            [this, session = m_session.lock()](std::error_code error, std::size_t) { onSent(error); }));
+        asio::bind_executor(
+            m_strand, [this, session = m_session.lock(), used = m_lease->shared()](std::error_code error, std::size_t) {
+                if (holds(used)) {
+                    onSent(error);
+                }
+            }));
+}
+
+// The end of an operation on a connection that was given up must not count for the connection of the retry.
+bool target_exchange::holds(const std::shared_ptr<target_connection> &connection) const
+{
+    return m_lease && m_lease->shared() == connection;
 }
 
 void target_exchange::onSent(std::error_code error)
 {
-    if (!m_lease) {
-        return;
-    }
     if (error) {
         m_hooks.onLost();
         return;
@@ -135,16 +142,17 @@
     char *buffer = connection.reader().prepare(targetReadBytes);
     connection.socket().async_read_some(
         asio::buffer(buffer, targetReadBytes),
-        asio::bind_executor(m_strand,
-                            [this, session = m_session.lock(), lease = m_lease->shared()](
-                                std::error_code error, std::size_t bytes) { onRead(error, bytes); }));
+        asio::bind_executor(
+            m_strand,
+            [this, session = m_session.lock(), used = m_lease->shared()](std::error_code error, std::size_t bytes) {
+                if (holds(used)) {
+                    onRead(error, bytes);
+                }
+            }));
 }
 
 void target_exchange::onRead(std::error_code error, std::size_t bytes)
 {
-    if (!m_lease) {
-        return;
-    }
     if (error) {
         m_hooks.onLost();
         return;
--- a/src/libcrocusdealnet/targetexchange.h
+++ b/src/libcrocusdealnet/targetexchange.h
@@ -67,6 +67,7 @@
     void cancelStatement();
 
 private:
+    bool holds(const std::shared_ptr<target_connection> &connection) const;
     void onSent(std::error_code error);
     void read();
     void onRead(std::error_code error, std::size_t bytes);
