--- a/tests/process/requestkeytest.cpp
+++ b/tests/process/requestkeytest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(repeatGetsTheFirstAnswer);
     CPPUNIT_TEST(concurrentRepeatsRunOnce);
     CPPUNIT_TEST(lostAnswerIsFoundAfterAPromotion);
+    CPPUNIT_TEST(killBetweenCommitAndAnswer);
     CPPUNIT_TEST(failedRequestFreesItsKey);
     CPPUNIT_TEST(refusesWhereAKeyCannotApply);
     CPPUNIT_TEST_SUITE_END();
@@ -88,6 +89,31 @@
         CPPUNIT_ASSERT_EQUAL(std::string("1"), other.runWithin("SELECT count(*) FROM orders", answerLimit).value());
     }
 
+    /** Guards against a doubled order when the instance fails after the commit and the caller repeats elsewhere. */
+    void killBetweenCommitAndAnswer()
+    {
+        cluster cluster;
+        auto caller = cluster.connect(0);
+        caller.run("CREATE TABLE orders (id integer PRIMARY KEY, item text)");
+        // The first keyed request creates the table of outcomes.
+        setKey(caller, "order-1");
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), caller.runWithin(insertOrder, answerLimit).value());
+        setKey(caller, "order-2");
+        cluster.database(0).admin("drop_answer silence");
+        CPPUNIT_ASSERT_EQUAL(1, PQsendQuery(caller.handle(), insertOrder.c_str()));
+        CPPUNIT_ASSERT(
+            waitFor(answerLimit, [&] { return cluster.database(0).ask("SELECT count(*) FROM orders") == "2"; }));
+        CPPUNIT_ASSERT_EQUAL(1, PQconsumeInput(caller.handle()));
+        CPPUNIT_ASSERT_EQUAL(1, PQisBusy(caller.handle()));
+        cluster.killInstance(0);
+        auto other = cluster.connect(1);
+        setKey(other, "order-2");
+        const auto repeated = other.runWithin(insertOrder, answerLimit);
+        CPPUNIT_ASSERT_EQUAL(std::string(), repeated.sqlState);
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), repeated.value());
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), other.run("SELECT count(*) FROM orders").value());
+    }
+
     /** Guards against a key that stays taken although its request had no effect. */
     void failedRequestFreesItsKey()
     {
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -25,10 +25,13 @@
 
 using namespace std::chrono_literals;
 
+/** Of one group. */
 constexpr std::size_t databaseCount = 3;
+constexpr std::chrono::milliseconds promoteLimit = 20s;
 /** Sanitizer builds start several times slower. */
 constexpr std::chrono::milliseconds startLimit = 30s;
 constexpr const char *serviceName = "orders";
+constexpr const char *secondServiceName = "records";
 constexpr std::streamoff maxPrintedLog = 6000;
 
 bool canBind(int type, std::uint16_t port)
@@ -176,7 +179,8 @@
 
 void cluster::startDatabases()
 {
-    for (std::size_t i = 0; i < databaseCount; ++i) {
+    const auto count = databaseCount * static_cast<std::size_t>(m_options.groups);
+    for (std::size_t i = 0; i < count; ++i) {
         const auto name = databaseName(i);
         std::vector<std::string> arguments{"--name",
                                            name,
@@ -192,8 +196,8 @@
                                            std::to_string(m_options.statementUs),
                                            "--data",
                                            m_directory / (name + ".data")};
-        if (i > 0) {
-            arguments.insert(arguments.end(), {"--follow", m_databases.front()->address()});
+        if (const auto first = i - i % databaseCount; i > first) {
+            arguments.insert(arguments.end(), {"--follow", m_databases[first]->address()});
         }
         m_databases.push_back(std::make_unique<database_process>(arguments, logFile(name)));
     }
@@ -312,11 +316,21 @@
     }
 }
 
-std::optional<std::size_t> cluster::primary() const
+operator_answer cluster::promote(std::size_t instance, std::size_t target) const
+{
+    httplib::Client client("http://" + loopback(m_instances.at(instance).adminPort));
+    client.set_read_timeout(promoteLimit);
+    const auto group = target < databaseCount ? serviceName : secondServiceName;
+    const auto answer =
+        client.Post("/promote?group=" + std::string(group) + "&target=" + databaseName(target), "", "application/json");
+    return answer ? operator_answer{answer->status, answer->body} : operator_answer{};
+}
+
+std::optional<std::size_t> cluster::primary(std::size_t group) const
 {
     std::optional<std::size_t> found;
     std::uint64_t highest = 0;
-    for (std::size_t i = 0; i < databaseCount; ++i) {
+    for (std::size_t i = group * databaseCount; i < (group + 1) * databaseCount; ++i) {
         const auto state = stateOf(i);
         const auto term = state.empty() ? 0 : std::stoull(state);
         if (state.find(" primary ") != std::string::npos && term > highest) {
@@ -379,20 +393,26 @@
 std::string cluster::configuration(const std::vector<std::string> &services,
                                    const std::vector<std::string> &drained) const
 {
-    auto targets = nlohmann::json::array();
-    for (std::size_t i = 0; i < databaseCount; ++i) {
-        targets.push_back(
-            {{"id", databaseName(i)}, {"address", database(i).address()}, {"data_centre", dataCentre(i)}});
-    }
     auto all = nlohmann::json::array();
-    for (const auto &service : services) {
+    const auto add = [&](const std::string &service, const std::string &group, std::size_t first) {
+        auto targets = nlohmann::json::array();
+        for (std::size_t i = first; i < first + databaseCount; ++i) {
+            targets.push_back(
+                {{"id", databaseName(i)}, {"address", database(i).address()}, {"data_centre", dataCentre(i)}});
+        }
         all.push_back({{"service", service},
-                       {"group", serviceName},
-                       {"targets", targets},
+                       {"group", group},
+                       {"targets", std::move(targets)},
                        {"limits", {{"connections", m_options.connections}, {"slots", m_options.slots}}},
                        {"writes", {{"confirm", m_options.confirm}}},
                        {"reads", nlohmann::json::parse(m_options.reads)},
                        {"drained", drained}});
+    };
+    for (const auto &service : services) {
+        add(service, serviceName, 0);
+    }
+    if (m_options.groups > 1) {
+        add(secondServiceName, secondServiceName, databaseCount);
     }
     return nlohmann::json{{"services", std::move(all)}}.dump();
 }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -27,14 +27,23 @@
     std::string confirm = "replica";
     std::string reads = "{}"; ///< Value of "reads" in the service file.
     bool tls = false;
+    int groups = 1; ///< Each of three databases, with a service of its own.
     bool relays = false; ///< The instances talk through relays, which cutInstances() cuts.
 };
 
+/** The answer of an instance to an operator. */
+struct operator_answer {
+    int status = 0; ///< Of HTTP; 0 if there was no answer.
+    std::string body;
+};
+
 /**
- * A platform stand-in, one group of three databases, and instances that serve it as the service "orders".
+ * A platform stand-in, groups of three databases, and instances that serve the first group as the service "orders" and
+ * the second one as "records".
  *
- * Database 0 is the first primary. Each instance has its own data centre, which it shares with the database of its
- * number. The logs of all processes lie in a temporary directory; they are printed when a test fails.
+ * Database 0 is the first primary of the first group, database 3 that of the second. Each instance has its own data
+ * centre, which it shares with the database of its number. The logs of all processes lie in a temporary directory; they
+ * are printed when a test fails.
  */
 class cluster
 {
@@ -47,7 +56,7 @@
     database_process &database(std::size_t index) const;
     child_process &instance(std::size_t index) const;
     std::uint16_t callerPort(std::size_t instance) const;
-    /** A new session of a caller. */
+    /** A new session of a caller; its service is "orders" unless @p parameters have another dbname. */
     pg_client connect(std::size_t instance, const std::string &parameters = "") const;
 
     /** Starts an instance that has ended, with the same settings. */
@@ -57,8 +66,11 @@
     /** True once a statement has been answered through the instance. */
     bool waitUntilServing(std::size_t instance, std::chrono::milliseconds timeout) const;
 
-    /** The primary of the highest term among the databases that answer. */
-    std::optional<std::size_t> primary() const;
+    /** Asks an instance to make a database the primary of its group. */
+    operator_answer promote(std::size_t instance, std::size_t target) const;
+
+    /** The primary of the highest term among the databases of the group that answer. */
+    std::optional<std::size_t> primary(std::size_t group = 0) const;
     /** The same once it is another one than @p index; fails the test after the timeout. */
     std::size_t waitForPrimaryOtherThan(std::size_t index, std::chrono::milliseconds timeout) const;
     /** Role, term and position of a database, as "term role position"; empty if it does not answer. */
@@ -71,7 +83,8 @@
     void cutInstances() const;
     void healAll() const;
 
-    /** The published object: services of the same group, of which "orders" comes first, and the drained targets. */
+    /** The published object: the services of the first group, the drained targets, and "records" if there is a second
+     * group. */
     std::string configuration(const std::vector<std::string> &services = {"orders"},
                               const std::vector<std::string> &drained = {}) const;
     /** A conditional update of config/services; the HTTP status, 0 if the answer was lost. */
--- a/tests/support/writeload.cpp
+++ b/tests/support/writeload.cpp
@@ -49,11 +49,13 @@
                        std::vector<std::size_t> instances,
                        int callers,
                        reconnect after,
-                       std::chrono::milliseconds pause)
+                       std::chrono::milliseconds pause,
+                       std::string parameters)
     : m_cluster(target)
     , m_instances(std::move(instances))
     , m_reconnect(after)
     , m_pause(pause)
+    , m_parameters(std::move(parameters))
 {
     int caller = 0;
     for (const auto instance : m_instances) {
@@ -87,7 +89,7 @@
 void write_load::run(std::size_t instance, int caller)
 {
     while (!m_stopped) {
-        auto client = m_cluster.connect(instance);
+        auto client = m_cluster.connect(instance, m_parameters);
         while (!m_stopped && client.connected()) {
             load_record record;
             record.id = m_nextId++;
--- a/tests/support/writeload.h
+++ b/tests/support/writeload.h
@@ -43,12 +43,13 @@
 public:
     static constexpr const char *createTable = "CREATE TABLE w (id bigint, caller bigint)";
 
-    /** @p callers threads on each of @p instances; each pauses between two writes. */
+    /** @p callers threads on each of @p instances; each pauses between two writes. @p parameters as for connect(). */
     write_load(const cluster &target,
                std::vector<std::size_t> instances,
                int callers,
                reconnect after,
-               std::chrono::milliseconds pause = {});
+               std::chrono::milliseconds pause = {},
+               std::string parameters = "");
     ~write_load();
     write_load(const write_load &) = delete;
     write_load &operator=(const write_load &) = delete;
@@ -68,6 +69,7 @@
     std::vector<std::size_t> m_instances;
     reconnect m_reconnect;
     std::chrono::milliseconds m_pause;
+    std::string m_parameters;
     std::atomic<bool> m_stopped = false;
     std::atomic<std::int64_t> m_nextId = 1;
     mutable std::mutex m_mutex;
