Wait for own writes before a planned change

A planned change fenced at once, so that writes in flight at the old primary were told 08007, also by the instance that carried the change out and knew of them. That instance now gives the primary no new work and waits until nothing of its own was queued, running or unconfirmed for 20 ms, for 500 ms at most. The test now also lets the target lag, so that it has to catch up.

--- a/src/libcrocusdeal/databasegroup.cpp
+++ b/src/libcrocusdeal/databasegroup.cpp
@@ -44,17 +44,28 @@
             entry = known->second;
         }
         entry.view.address = target;
-        entry.view.leaving = m_drained.contains(target.id);
     }
     m_targets = std::move(targets);
     m_members = std::move(members);
+    markLeaving();
 }
 
 void database_group::setDrained(std::set<target_id> drained)
 {
     m_drained = std::move(drained);
+    markLeaving();
+}
+
+void database_group::setHeld(std::optional<target_id> target)
+{
+    m_held = std::move(target);
+    markLeaving();
+}
+
+void database_group::markLeaving()
+{
     for (auto &[id, entry] : m_members) {
-        entry.view.leaving = m_drained.contains(id);
+        entry.view.leaving = m_drained.contains(id) || m_held == id;
     }
 }
 
--- a/src/libcrocusdeal/databasegroup.h
+++ b/src/libcrocusdeal/databasegroup.h
@@ -27,6 +27,8 @@
     /** Replaces the members; what is known of those that stay is kept. */
     void setTargets(std::vector<target_address> targets);
     void setDrained(std::set<target_id> drained);
+    /** The target that gets no new work until a planned change is over, as if it were drained; nothing ends this. */
+    void setHeld(std::optional<target_id> target);
 
     /**
      * Takes a status that @p target had at some time between @p askedAt and @p heardAt.
@@ -94,6 +96,7 @@
     };
 
     member *findMember(const target_id &target);
+    void markLeaving();
     void raiseTerm(std::uint64_t term);
     void mergeStatus(member &entry, const target_status &status, time_point askedAt);
     void learnReplayRate(member &entry, const target_status &status, time_point heardAt);
@@ -104,6 +107,7 @@
     group_policy m_policy;
     std::vector<target_address> m_targets;
     std::set<target_id> m_drained;
+    std::optional<target_id> m_held;
     std::map<target_id, member> m_members;
     std::uint64_t m_highestTerm = 0;
     age_samples m_samples;
--- a/src/libcrocusdeal/grouppolicy.h
+++ b/src/libcrocusdeal/grouppolicy.h
@@ -17,6 +17,7 @@
     duration primaryRecheckAfter{100}; ///< An older answer of the primary releases no write.
     duration waitRound{100}; ///< Time-out of one group_wait.
     duration unheardLimit{1000}; ///< A target not heard from for longer gets no work.
+    duration plannedHold{500}; ///< For writes in flight to be confirmed before a planned change fences.
     duration fenceTimeout{500};
     duration followTimeout{2000}; ///< For the chosen database of a planned change to catch up.
     duration promoteTimeout{500};
--- a/src/libcrocusdeal/groupview.h
+++ b/src/libcrocusdeal/groupview.h
@@ -16,7 +16,7 @@
     std::optional<target_status> status;
     time_point askedAt = never; ///< When the newest answered query was sent.
     time_point heardAt = never; ///< By this instance or by a peer.
-    bool leaving = false; ///< Drained: gets no new work.
+    bool leaving = false; ///< Drained, or primary before a planned change: gets no new work.
     time_point includesUntil = never; ///< Its data includes every write acknowledged before this time.
     std::uint64_t upstreamTerm = 0; ///< The term at which status->following was reported.
     double replayRate = 0; ///< Observed log entries a millisecond; 0 while unknown.
--- a/src/libcrocusdeal/router.h
+++ b/src/libcrocusdeal/router.h
@@ -44,7 +44,7 @@
     UnknownHistory,
     NoPrimary,
     PrimarySuspected,
-    PrimaryLeaving, ///< Drained; a planned change follows.
+    PrimaryLeaving, ///< A planned change follows.
     DataTooOld, ///< For a stale read; also if the primary's term was not confirmed recently.
     NewerTermElsewhere, ///< The token is of a newer term than any known here.
     DeadlineTooNear,
--- a/src/libcrocusdealnet/groupmonitor.cpp
+++ b/src/libcrocusdealnet/groupmonitor.cpp
@@ -21,6 +21,10 @@
 // So long after the last statement was routed the targets are still asked for their status.
 constexpr duration useLimit{2000};
 
+// A write is counted nowhere between the end of its statement and the request for its confirmation, and for a moment a
+// request that was routed by an older snapshot is not in the queue yet.
+constexpr duration quietBeforeFence{20};
+
 // A snapshot is renewed at most so often by ordinary answers.
 constexpr duration publishInterval{2};
 
@@ -342,15 +346,53 @@
     if (!(reachable && answers) && now < m_planned.front().deadline) {
         return;
     }
+    if (reachable && answers && awaitsWrites(m_planned.front(), now)) {
+        return;
+    }
     const auto change = std::move(m_planned.front());
     m_planned.erase(m_planned.begin());
     const auto current = m_group.primary();
+    const auto done = [this, tell = change.done](const promotion_result &result) {
+        setHeld(std::nullopt);
+        tell(result);
+    };
     if (!reachable || !answers) {
-        change.done({reachable ? promotion_outcome::TargetNotReached : promotion_outcome::NoMajority, 0, {}});
+        done({reachable ? promotion_outcome::TargetNotReached : promotion_outcome::NoMajority, 0, {}});
     } else if (change.target && current == change.target) {
-        change.done({promotion_outcome::Promoted, m_group.highestTerm(), *current});
+        done({promotion_outcome::Promoted, m_group.highestTerm(), *current});
     } else {
-        m_promotion.start(m_group, change.target, "planned change", change.done, now);
+        m_promotion.start(m_group, change.target, "planned change", done, now);
+    }
+}
+
+// A fence leaves the outcome of the writes in flight unknown. The time is bounded, since a long statement or a lagging
+// replica must not keep the change from happening.
+bool group_monitor::awaitsWrites(const planned_change &change, time_point now)
+{
+    const auto current = m_group.primary();
+    if (!current || current == change.target || isUnheard(*current, now)) {
+        return false;
+    }
+    if (m_held != current) {
+        m_heldSince = now;
+        m_writesSeenAt = now;
+        setHeld(current);
+    }
+    if (m_waiters.hasWrites() || (m_hooks.requestsAt && m_hooks.requestsAt(*current) > 0)) {
+        m_writesSeenAt = now;
+    }
+    return now - m_writesSeenAt < quietBeforeFence && now - m_heldSince < m_settings.policy.plannedHold;
+}
+
+void group_monitor::setHeld(std::optional<target_id> target)
+{
+    if (m_held == target) {
+        return;
+    }
+    m_held = target;
+    m_group.setHeld(std::move(target));
+    if (m_running) {
+        publish(m_hooks.now(), true);
     }
 }
 
--- a/src/libcrocusdealnet/groupmonitor.h
+++ b/src/libcrocusdealnet/groupmonitor.h
@@ -35,6 +35,8 @@
     std::function<void(std::uint64_t term, const target_id &primary)> onHint;
     /** A target answered group_status(); may be empty. */
     std::function<void(const target_id &, const target_status &, time_point askedAt)> onControlStatus;
+    /** Requests of this instance that are queued or running at the target; may be empty. */
+    std::function<int(const target_id &)> requestsAt;
 };
 
 /** What this instance itself heard from a target, for other instances. */
@@ -97,7 +99,10 @@
     /** Waits until the replica @p target reached @p at. */
     void awaitReplica(const target_id &target, position at, time_point deadline, wait_callback done);
 
-    /** A planned change to @p target, or to the furthest database that is not drained. */
+    /**
+     * A planned change to @p target, or to the furthest database that is not drained. If the primary answers, this
+     * instance gives it no new work and waits for its own writes there before it fences.
+     */
     void promote(std::optional<target_id> target, promote_callback done);
 
 private:
@@ -117,6 +122,8 @@
     void stepWaiters(time_point now);
     void stepRepair(time_point now);
     void stepPlanned(time_point now);
+    bool awaitsWrites(const planned_change &change, time_point now);
+    void setHeld(std::optional<target_id> target);
     void stepCandidate(time_point now);
     void stepDrain(time_point now);
 
@@ -151,6 +158,9 @@
     std::map<target_id, bool> m_failing;
 
     std::vector<planned_change> m_planned;
+    std::optional<target_id> m_held; ///< The primary that gets no new work.
+    time_point m_heldSince = never;
+    time_point m_writesSeenAt = never; ///< When one was in flight at the held primary.
     time_point m_renewedAt = never;
     time_point m_drainSeenAt = never;
     int m_rank = -1; ///< As of the last tick.
--- a/src/libcrocusdealnet/groupruntime.cpp
+++ b/src/libcrocusdealnet/groupruntime.cpp
@@ -92,6 +92,11 @@
     hooks.onControlStatus = [this](const target_id &target, const target_status &status, time_point askedAt) {
         m_environment.limits->onTargetStatus(fleetTargetId(m_id, target), status.connections, askedAt);
     };
+    hooks.requestsAt = [this](const target_id &target) {
+        const auto gates = m_gates->get();
+        const auto found = gates->find(target);
+        return found == gates->end() ? 0 : found->second->load().queuedAndRunning;
+    };
     return std::make_shared<group_monitor>(m_environment.io, std::move(settings), std::move(hooks));
 }
 
--- a/src/libcrocusdealnet/groupwaiters.cpp
+++ b/src/libcrocusdealnet/groupwaiters.cpp
@@ -40,6 +40,11 @@
     return m_writes.empty() && m_indexes.empty() && m_replicaWaits.empty();
 }
 
+bool group_waiters::hasWrites() const
+{
+    return !m_writes.empty();
+}
+
 group_waiters::completions group_waiters::update(const database_group &group, time_point now)
 {
     completions due;
--- a/src/libcrocusdealnet/groupwaiters.h
+++ b/src/libcrocusdealnet/groupwaiters.h
@@ -32,6 +32,7 @@
     void addIndex(time_point startedAt, time_point deadline, index_callback done);
     void addReplicaWait(const target_id &target, position at, time_point deadline, wait_callback done);
     bool empty() const;
+    bool hasWrites() const;
 
     /** Asks the targets for what is missing and returns the callbacks that are due. */
     completions update(const database_group &group, time_point now);
--- a/tests/libcrocusdealnet/groupmonitortest.cpp
+++ b/tests/libcrocusdealnet/groupmonitortest.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(agreesWithARivalMonitor);
     CPPUNIT_TEST(answersNoReadIndexWithoutMajority);
     CPPUNIT_TEST(changesThePrimaryAsPlanned);
+    CPPUNIT_TEST(holdsWorkBeforeAPlannedChange);
     CPPUNIT_TEST(fencesNothingForAnUnreachableTarget);
     CPPUNIT_TEST(movesADrainedPrimary);
     CPPUNIT_TEST(repairsADatabaseThatComesBack);
@@ -198,6 +199,22 @@
         CPPUNIT_ASSERT(eventually([this] { return m_databases->status(0).role == target_role::Replica; }, 1_s));
     }
 
+    /** Guards against a planned change that interrupts writes in flight, and against one that waits for ever. */
+    void holdsWorkBeforeAPlannedChange()
+    {
+        startMonitor();
+        m_requests = 1;
+        auto ended = std::async(std::launch::async, [this] { return promote("b"); });
+        CPPUNIT_ASSERT(eventually([this] { return m_monitor->view()->find(target_id("a"))->leaving; }, 200_ms));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_databases->status(0).term);
+        m_requests = 0;
+        CPPUNIT_ASSERT_EQUAL(promotion_outcome::Promoted, ended.get().outcome);
+        CPPUNIT_ASSERT(!m_monitor->view()->find(target_id("a"))->leaving);
+        m_requests = 1;
+        CPPUNIT_ASSERT(eventually([this] { return primaryName() == "b"; }, 1_s));
+        CPPUNIT_ASSERT_EQUAL(promotion_outcome::Promoted, promote("c").outcome);
+    }
+
     /** Guards against stopping writes for a planned change that cannot succeed. */
     void fencesNothingForAnUnreachableTarget()
     {
@@ -275,6 +292,7 @@
         hooks.onViewChanged = [](const group_view_ptr &) {};
         hooks.candidateRank = [this] { return m_rank.load(); };
         hooks.isProber = [this](const target_id &) { return m_prober.load(); };
+        hooks.requestsAt = [this](const target_id &) { return m_requests.load(); };
         hooks.onHint = [this](std::uint64_t term, const target_id &) {
             const std::lock_guard lock(m_mutex);
             m_hints.push_back(term);
@@ -342,6 +360,7 @@
     std::shared_ptr<group_monitor> m_monitor;
     std::atomic<int> m_rank = 0;
     std::atomic<bool> m_prober = true;
+    std::atomic<int> m_requests = 0;
     std::mutex m_mutex;
     std::vector<std::uint64_t> m_hints;
 };
--- a/tests/process/plannedchangetest.cpp
+++ b/tests/process/plannedchangetest.cpp
@@ -56,7 +56,10 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    /** Guards against lost, doubled or wrongly reported writes when an operator changes the primary under load. */
+    /**
+     * Guards against lost, doubled or wrongly reported writes when an operator changes the primary under load, and
+     * against unknown outcomes through the instance that carries it out, which knows its own writes.
+     */
     void plannedChangeUnderWrites()
     {
         cluster cluster;
@@ -64,12 +67,20 @@
         write_load writes(cluster, {0, 1}, 3, reconnect::SameInstance);
         CPPUNIT_ASSERT(writes.waitForWrite(load_clock::now() + 300ms, startLimit, {0, 1}));
         for (const std::size_t target : {1, 2, 0}) {
-            const auto answer = cluster.promote(target % 2, target);
+            // The target lacks writes that the other replica has confirmed.
+            cluster.database(target).admin("set lag_ms 150");
+            CPPUNIT_ASSERT(writes.waitForWrite(load_clock::now() + 200ms, maxFailoverGap, {0, 1}));
+            const auto answer = cluster.promote(0, target);
+            cluster.database(target).admin("set lag_ms 0");
             CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.body, 200, answer.status);
             CPPUNIT_ASSERT_EQUAL(target, cluster.primary().value());
             CPPUNIT_ASSERT(writes.waitForWrite(load_clock::now() + 200ms, maxFailoverGap, {0, 1}));
         }
         checkWrites(cluster, writes);
+        const auto records = writes.records();
+        CPPUNIT_ASSERT(std::none_of(records.begin(), records.end(), [](const load_record &record) {
+            return record.instance == 0 && !record.isAcknowledged();
+        }));
     }
 
     /** Guards against a drained primary that keeps its role, and against the same faults of writes. */
