Cut the replicas off in the test of replication lag

A longer lag was ruled out, since the replicas apply all they have received in any case. The test now also cuts the primary off from its replicas 200 ms before the kill.

--- a/tests/process/primarykilltest.cpp
+++ b/tests/process/primarykilltest.cpp
@@ -78,7 +78,10 @@
             result.reads.begin(), result.reads.end(), [](const auto &read) { return read.isAcknowledged(); }));
     }
 
-    /** Guards against acknowledging what only the primary holds: the replicas are 200 ms behind when it is killed. */
+    /**
+     * Guards against acknowledging what only the primary holds: the replicas are 200 ms behind and cut off from it when
+     * it is killed.
+     */
     void acknowledgedWritesSurviveReplicationLag()
     {
         cluster_options options;
@@ -93,6 +96,9 @@
                 cluster.database(replica).admin("set lag_ms 200");
             }
             std::this_thread::sleep_for(500ms);
+            // A replica still applies what it received from the killed primary, so the last writes must not reach it.
+            cluster.cutDatabase(0, {1, 2});
+            std::this_thread::sleep_for(200ms);
         });
         CPPUNIT_ASSERT_EQUAL(std::string(), contradictions(result.writes, cluster.database(result.newPrimary)));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, acknowledgedAfterNewerTerm(result.writes).size());
