Let the killed primary hold writes of its own

fourFailuresAtOnce passed although replicas confirmed nothing: in trials on a changed copy with confirmation by the primary alone it passed 5 of 5 runs, since the replicas had received nearly all writes before the kill, and a lag of 100 ms changed nothing because they still apply what they received. The test now cuts the primary off from its replicas 200 ms before it is killed. The parameters of a session are also built without temporary strings, as the linter asks.

--- a/tests/process/combinedfailuretest.cpp
+++ b/tests/process/combinedfailuretest.cpp
@@ -30,9 +30,10 @@
     auto session = cluster.connect(writer, service);
     const auto written = session.runWithin("INSERT INTO w VALUES (" + id + ", 0)", answerLimit);
     CPPUNIT_ASSERT_EQUAL_MESSAGE(service, std::string(), written.sqlState);
-    const auto token = session.parameterStatus("crocusdeal.session");
+    auto parameters = service;
+    parameters += " options='-c crocusdeal.session=" + session.parameterStatus("crocusdeal.session") + "'";
     for (const auto instance : allInstances) {
-        auto reader = cluster.connect(instance, service + " options='-c crocusdeal.session=" + token + "'");
+        auto reader = cluster.connect(instance, parameters);
         const auto read = reader.runWithin("SELECT count(*) FROM w WHERE id = " + id, answerLimit);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(
             service + " by " + std::to_string(instance) + ' ' + read.sqlState, std::string("1"), read.value());
@@ -77,6 +78,10 @@
         CPPUNIT_ASSERT(orders.waitForWrite(load_clock::now() + 200ms, startLimit, allInstances));
         CPPUNIT_ASSERT(records.waitForWrite(load_clock::now(), startLimit, allInstances));
 
+        // The killed primary has writes that no replica ever gets.
+        cluster.cutDatabase(killedPrimary, {1, 2});
+        std::this_thread::sleep_for(200ms);
+
         const auto failed = load_clock::now();
         cluster.setPlatformFaults(R"({"outage":true})");
         cluster.instance(pausedInstance).signal(SIGSTOP);
