Log statements that run or wait long, and under what

The log did not tell whether a long statement ran under a permit and whether its shape was known, nor where a short statement waited. The gate now writes one line for each statement that ran for 200 ms or waited for 50 ms: the waits for a place and for a connection, the running time, with or without a permit, and the long statements that ran here at its start.

--- a/src/libcrocusdealnet/targetgate.cpp
+++ b/src/libcrocusdealnet/targetgate.cpp
@@ -1,9 +1,11 @@
 #include "targetgate.h"
 
+#include "partlog.h"
 #include "systemclock.h"
 
 #include <algorithm>
 #include <chrono>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -15,6 +17,15 @@
 
 /** Longer than any wait of a healthy process between two beats of 100 ms. */
 constexpr duration pauseBound{1000};
+/** Statements that run or wait for longer are logged: the default of `long_statement_ms`. */
+constexpr duration loggedRun{200};
+constexpr duration loggedWait{50};
+
+const part_log &queueLog()
+{
+    static const part_log log("queue");
+    return log;
+}
 
 }
 
@@ -126,6 +137,7 @@
             if (found->second.isLong) {
                 onLongFinished = m_onLongFinished;
             }
+            logEnd(found->second);
             m_submitted.erase(found);
         }
         actions = m_queue.finish(id, systemNow());
@@ -138,7 +150,35 @@
 
 void target_gate::noteRunning(const queue_entry &entry, std::uint64_t fingerprint)
 {
-    m_submitted[entry.id] = {fingerprint, never, entry.deadline, entry.cls == work_class::Long, false};
+    running_statement statement;
+    statement.fingerprint = fingerprint;
+    statement.since = never;
+    statement.deadline = entry.deadline;
+    statement.isLong = entry.cls == work_class::Long;
+    statement.submitted = systemNow();
+    statement.wasKnown = m_costs->estimate(fingerprint).isKnown;
+    m_submitted[entry.id] = statement;
+}
+
+/** One line for each statement that ran long or waited long, to tell what a short statement waited for. */
+void target_gate::logEnd(const running_statement &statement) const
+{
+    if (statement.since == never || !queueLog().isEnabled(log_level::Info)) {
+        return;
+    }
+    const auto ran = systemNow() - statement.since;
+    const auto admitted = statement.admitted == never ? statement.submitted : statement.admitted;
+    const auto waited = statement.since - statement.submitted;
+    if (ran < loggedRun && waited < loggedWait) {
+        return;
+    }
+    queueLog().write(log_level::Info,
+                     m_pool->address().id.str() + " shape " + std::to_string(statement.fingerprint) + " waited "
+                         + std::to_string((admitted - statement.submitted).ms) + " ms for a place and "
+                         + std::to_string((statement.since - admitted).ms) + " ms for a connection, ran "
+                         + std::to_string(ran.ms) + " ms " + (statement.isLong ? "under a permit" : "without a permit")
+                         + ", shape " + (statement.wasKnown ? "known" : "unknown") + ", "
+                         + std::to_string(statement.longAtStart) + " long running here at its start");
 }
 
 void target_gate::setOnLongFinished(std::function<void()> hook)
@@ -239,7 +279,10 @@
         }
         done = std::move(found->second);
         m_handlers.erase(found);
-        deadline = m_submitted[id].deadline;
+        auto &statement = m_submitted[id];
+        deadline = statement.deadline;
+        statement.admitted = systemNow();
+        statement.longAtStart = m_queue.longRunning() - (statement.isLong ? 1 : 0);
     }
     m_pool->acquire(deadline,
                     [self = shared_from_this(), id, done = std::move(done)](
--- a/src/libcrocusdealnet/targetgate.h
+++ b/src/libcrocusdealnet/targetgate.h
@@ -98,10 +98,15 @@
         time_point deadline;
         bool isLong = false; ///< Admitted as long, under a permit.
         bool isReclassified = false;
+        time_point submitted; ///< To the queue.
+        time_point admitted = never; ///< By the queue; a connection may be waited for after that.
+        bool wasKnown = false; ///< The shape had running times at the submission.
+        int longAtStart = 0; ///< Long statements of this instance that ran on the target at the admission.
     };
 
     void apply(queue_actions actions);
     void noteRunning(const queue_entry &entry, std::uint64_t fingerprint);
+    void logEnd(const running_statement &statement) const;
     void startRequest(std::uint64_t id);
     void onConnection(std::uint64_t id,
                       const handler &done,
