Count long statements without a permit against the permits

A statement that turns out to be long while it runs has no permit, and the owner of the ledger did not know of it: it granted the permits of the target beside it, so that long work could take all slots. A request now tells how many long statements run at the holder, and the owner counts the larger of permits and running statements per holder. The request has a new field, so the version of the limit messages is 2; instances of the two versions do not hear each other's limits.

Ruled out: granting a permit to the running statement above the capacity, because the rule that permits never exceed the capacity is what the random histories test.

--- a/src/libcrocusdeal/permitholder.cpp
+++ b/src/libcrocusdeal/permitholder.cpp
@@ -48,6 +48,13 @@
     }
 }
 
+void permit_holder::setRunning(int running)
+{
+    const auto above = [this](int count) { return std::max(0, count - held()); };
+    m_changed = m_changed || above(running) != above(m_running);
+    m_running = running;
+}
+
 void permit_holder::onStatementFinished()
 {
     if (!m_held.empty()) {
@@ -80,8 +87,15 @@
     m_changed = false;
     m_sentAt = now;
     ++m_sequence;
-    return permit_request{
-        m_target, m_self, m_incarnation, m_sequence, m_ledger, m_seen, {m_held.begin(), m_held.end()}, m_wanted};
+    return permit_request{m_target,
+                          m_self,
+                          m_incarnation,
+                          m_sequence,
+                          m_ledger,
+                          m_seen,
+                          {m_held.begin(), m_held.end()},
+                          m_wanted,
+                          m_running};
 }
 
 void permit_holder::onGrant(const permit_grant &grant)
--- a/src/libcrocusdeal/permitholder.h
+++ b/src/libcrocusdeal/permitholder.h
@@ -28,6 +28,9 @@
     /** @p wanted long statements wait or run; idle permits above it are released. */
     void setWanted(int wanted);
 
+    /** @p running long statements run, also without a permit. Those above the permits held take places from others. */
+    void setRunning(int running);
+
     /** A long statement that ran under a permit has ended. Its permit goes back, so that other instances get their
      * turn. */
     void onStatementFinished();
@@ -64,6 +67,7 @@
     std::uint64_t m_seen = 0;
     std::set<permit_id> m_held;
     int m_wanted = 0;
+    int m_running = 0;
     bool m_changed = false;
     int m_retries = 0;
     time_point m_sentAt = never; ///< Of the last request.
--- a/src/libcrocusdeal/permitledger.cpp
+++ b/src/libcrocusdeal/permitledger.cpp
@@ -47,6 +47,15 @@
     return static_cast<int>(sum);
 }
 
+int permit_ledger::occupied() const
+{
+    int sum = 0;
+    for (const auto &[key, holder] : m_holders) {
+        sum += std::max(static_cast<int>(holder.permits.size()), holder.running);
+    }
+    return sum;
+}
+
 duration permit_ledger::silenceBound() const
 {
     return std::max(m_settings.renewedFor, m_settings.longestStatement) * 2;
@@ -103,6 +112,7 @@
         holder.waitingSince = now;
     }
     holder.wanted = request.wanted;
+    holder.running = request.running;
     // What the holder has received and no longer holds is released; what is still on the way to it is not.
     std::erase_if(holder.permits,
                   [&](const permit_id &id) { return id.ledger != m_ledger || id.number <= request.seen; });
@@ -116,7 +126,7 @@
         return;
     }
     const int before = waitingBefore(holder, now);
-    while (static_cast<int>(holder.permits.size()) < holder.wanted && granted() + before < capacity()) {
+    while (static_cast<int>(holder.permits.size()) < holder.wanted && occupied() + before < capacity()) {
         holder.permits.insert({m_ledger, ++m_lastNumber});
         holder.waitingSince = now;
     }
@@ -144,6 +154,7 @@
         // The sequence stays, so that a late request of the holder cannot bring its permits back.
         found->second.permits.clear();
         found->second.wanted = 0;
+        found->second.running = 0;
         found->second.sequence = static_cast<std::uint64_t>(-1);
     }
     onMemberSettled(release.holder);
--- a/src/libcrocusdeal/permitledger.h
+++ b/src/libcrocusdeal/permitledger.h
@@ -30,6 +30,9 @@
  * run until its deadline. A holder that returns after that with permits is counted again, above the capacity if need
  * be.
  *
+ * Statements that turned out to be long while they run have no permit. They take places too, so that fewer permits are
+ * granted while they run.
+ *
  * Holders are served in the order in which they began to wait.
  *
  * A new owner grants nothing until all members that it knows have reported, or that time is over. If two instances take
@@ -76,6 +79,9 @@
     /** Permits that count against the capacity. */
     int granted() const;
 
+    /** Places that long statements take: the permits, and the statements that run without one. */
+    int occupied() const;
+
     /** Whether permits of an earlier owner may still be unknown. */
     bool isRebuilding(time_point now) const
     {
@@ -89,6 +95,7 @@
         time_point heardAt;
         std::set<permit_id> permits;
         int wanted = 0;
+        int running = 0;
         time_point waitingSince;
     };
 
--- a/src/libcrocusdealnet/groupruntime.cpp
+++ b/src/libcrocusdealnet/groupruntime.cpp
@@ -181,7 +181,8 @@
         auto &demand = m_demand[target];
         demand = std::max(used, demand * demandDecay);
         const auto key = fleetTargetId(m_id, target);
-        m_environment.limits->setDemand(key, static_cast<int>(std::ceil(demand)), gate->longDemand());
+        m_environment.limits->setDemand(
+            key, static_cast<int>(std::ceil(demand)), gate->longDemand(), gate->longRunning());
         const auto control = controls.find(target);
         m_environment.limits->setControlConnections(key, control == controls.end() ? 0 : control->second);
     }
--- a/src/libcrocusdealnet/limitcodec.cpp
+++ b/src/libcrocusdealnet/limitcodec.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-constexpr char limitProtocolVersion = 1;
+constexpr char limitProtocolVersion = 2;
 
 }
 
@@ -45,7 +45,7 @@
 template<typename Archive>
 void serialize(Archive &archive, permit_request &m)
 {
-    archive(m.target, m.holder, m.incarnation, m.sequence, m.ledger, m.seen, m.held, m.wanted);
+    archive(m.target, m.holder, m.incarnation, m.sequence, m.ledger, m.seen, m.held, m.wanted, m.running);
 }
 
 template<typename Archive>
--- a/src/libcrocusdealnet/limitcoordinator.cpp
+++ b/src/libcrocusdealnet/limitcoordinator.cpp
@@ -418,12 +418,13 @@
     }
 }
 
-void limit_coordinator::setDemand(const target_id &target, int connections, int longStatements)
+void limit_coordinator::setDemand(const target_id &target, int connections, int longStatements, int longRunning)
 {
     const std::lock_guard lock(m_mutex);
     if (auto *item = find(target)) {
         item->share.setWanted(connections);
         item->permits.setWanted(longStatements);
+        item->permits.setRunning(longRunning);
     }
 }
 
--- a/src/libcrocusdealnet/limitcoordinator.h
+++ b/src/libcrocusdealnet/limitcoordinator.h
@@ -69,7 +69,8 @@
     void onEstablished(const target_id &target);
     void onOpenFailed(const target_id &target, bool refused);
     void onClosed(const target_id &target);
-    void setDemand(const target_id &target, int connections, int longStatements);
+    /** @p longRunning of the long statements run, also without a permit. */
+    void setDemand(const target_id &target, int connections, int longStatements, int longRunning = 0);
     /** A long statement that ran under a permit has ended. */
     void onLongFinished(const target_id &target);
     void setControlConnections(const target_id &target, int count);
--- a/src/libcrocusdealnet/targetgate.cpp
+++ b/src/libcrocusdealnet/targetgate.cpp
@@ -367,6 +367,12 @@
     return m_queue.longDemand();
 }
 
+int target_gate::longRunning() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_queue.longRunning();
+}
+
 target_load target_gate::load() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libcrocusdealnet/targetgate.h
+++ b/src/libcrocusdealnet/targetgate.h
@@ -79,6 +79,8 @@
     void setCapacity(concurrency_limit_settings capacity);
     void setLongPlaces(int places);
     int longDemand() const;
+    /** Long statements that run, also without a permit. */
+    int longRunning() const;
     target_load load() const;
     /** Counts statements that run longer than expected as long; to be called each 100 ms. */
     void reclassify();
--- a/tests/libcrocusdeal/permitledgertest.cpp
+++ b/tests/libcrocusdeal/permitledgertest.cpp
@@ -247,6 +247,7 @@
     CPPUNIT_TEST(keepsThePermitsOfSilentHolders);
     CPPUNIT_TEST(countsPermitsOfReturningHolders);
     CPPUNIT_TEST(grantsNothingAfterAPause);
+    CPPUNIT_TEST(countsLongStatementsWithoutAPermit);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -326,6 +327,32 @@
         CPPUNIT_ASSERT(!ledger.onRequest(requestOf("a", 1, 1), {1001}));
         CPPUNIT_ASSERT(ledger.isStale());
     }
+
+    /** Guards against a permit beside a statement that turned out to be long while it runs without one. */
+    void countsLongStatementsWithoutAPermit()
+    {
+        permit_ledger ledger(target, instance_id("o"), 1, {}, settingsOf(2), {0});
+        permit_holder holder(target, instance_id("a"), 1);
+        holder.setOwner(instance_id("o"));
+        holder.onGrant(*ledger.onRequest(*holder.poll({0}), {0}));
+        holder.onGrant(*ledger.onRequest(*holder.poll({1}), {1}));
+        CPPUNIT_ASSERT(!holder.poll({100}));
+        holder.setRunning(1);
+        const auto request = holder.poll({100});
+        CPPUNIT_ASSERT(request && request->held.empty());
+        holder.onGrant(*ledger.onRequest(*request, {100}));
+        CPPUNIT_ASSERT(ledger.onRequest(requestOf("b", 1, 1), {101})->granted.empty());
+        CPPUNIT_ASSERT_EQUAL(0, ledger.granted());
+        holder.setRunning(0);
+        holder.onGrant(*ledger.onRequest(*holder.poll({200}), {200}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), ledger.onRequest(requestOf("b", 2, 1), {201})->granted.size());
+        // A statement under a permit takes one place, not two.
+        auto running = requestOf("b", 3, 1, {{1, 1}});
+        running.running = 1;
+        ledger.onRequest(running, {300});
+        ledger.setSlots(3);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), ledger.onRequest(requestOf("c", 1, 1), {301})->granted.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(permit_ledger_test);
--- a/tests/libcrocusdealnet/limitcoordinatortest.cpp
+++ b/tests/libcrocusdealnet/limitcoordinatortest.cpp
@@ -153,6 +153,7 @@
         messages.shareGrants.push_back(grant);
         permit_request request;
         request.held = {{3, 4}};
+        request.running = 2;
         messages.permitRequests.push_back(request);
         const auto bytes = encodeLimitMessages(messages);
         const auto decoded = decodeLimitMessages(bytes);
@@ -160,6 +161,7 @@
         CPPUNIT_ASSERT_EQUAL(5, decoded->shareGrants.at(0).allowance);
         CPPUNIT_ASSERT_EQUAL(std::string("b"), decoded->shareGrants.at(0).holder.str());
         CPPUNIT_ASSERT((decoded->permitRequests.at(0).held.at(0) == permit_id{3, 4}));
+        CPPUNIT_ASSERT_EQUAL(2, decoded->permitRequests.at(0).running);
         for (std::size_t size = 0; size < bytes.size(); ++size) {
             CPPUNIT_ASSERT(!decodeLimitMessages(std::string_view(bytes).substr(0, size)));
         }
