Judge the first executions of a shape more carefully

And until a first long execution ended, after a second or more, all others of its shape started as short.

Now one of the first three executions that takes less than a quarter of the earlier ones replaces them, and a shape with fewer than three executions counts as long while one of them runs for more than long_statement_ms. The latter ends with the execution, so that a write that hangs in a failover leaves its shape as it was. Ruled out: not learning from executions beside long ones, because a shape that always runs beside them would stay unknown.

--- a/src/libcrocusdeal/statementcosts.cpp
+++ b/src/libcrocusdeal/statementcosts.cpp
@@ -21,6 +21,12 @@
 constexpr double baselineDoublingMs = 60'000;
 // The clock counts whole milliseconds; an execution below one is taken as half of one.
 constexpr double leastMs = 0.5;
+// After so many own executions a shape that was assumed to be long counts by its own times. One short execution may be
+// an exception, such as a query without rows to read.
+constexpr int trustedSamples = 3;
+// An early execution that is so much shorter than the earlier ones replaces them: those waited in the target for a slot
+// that long statements held. Counted as long, a point read would wait for permits behind them.
+constexpr double muchShorter = 0.25;
 
 duration roundedUp(double ms)
 {
@@ -37,13 +43,16 @@
 
 cost_estimate statement_costs::estimateOf(const shape &known) const
 {
+    if (known.samples < trustedSamples && known.runningFor > known.mean) {
+        return {roundedUp(known.runningFor), roundedUp(known.runningFor * 2), true, true};
+    }
     return {roundedUp(known.mean), roundedUp(known.mean + 2 * known.deviation), known.isLong, true};
 }
 
 cost_estimate statement_costs::estimate(std::uint64_t fingerprint) const
 {
     const auto found = m_shapes.find(fingerprint);
-    if (found != m_shapes.end()) {
+    if (found != m_shapes.end() && (found->second.samples > 0 || found->second.runningFor > 0)) {
         return estimateOf(found->second);
     }
     // An unknown shape never needs a permit: most shapes are short, and a wrong guess shows while it runs.
@@ -81,17 +90,40 @@
         return;
     }
     const auto ms = std::max(leastMs, static_cast<double>(ran.ms));
-    auto &known = shapeOf(fingerprint);
-    if (known.samples == 0) {
+    if (shapeOf(fingerprint).samples == 0) {
         m_prior += priorGain * (ms - m_prior);
     }
-    learn(known, ms, now);
+    learn(fingerprint, ms, now);
 }
 
 void statement_costs::recordAborted(std::uint64_t fingerprint, duration ran, time_point now)
 {
     if (fingerprint != 0 && ran > estimate(fingerprint).expected) {
-        learn(shapeOf(fingerprint), static_cast<double>(ran.ms), now);
+        learn(fingerprint, static_cast<double>(ran.ms), now);
+    }
+}
+
+bool statement_costs::isTrusted(std::uint64_t fingerprint) const
+{
+    const auto found = m_shapes.find(fingerprint);
+    return found != m_shapes.end() && found->second.samples >= trustedSamples;
+}
+
+void statement_costs::recordRunning(std::uint64_t fingerprint, duration ranFor)
+{
+    if (fingerprint == 0 || ranFor <= m_settings.longStatement || isTrusted(fingerprint)) {
+        return;
+    }
+    auto &known = shapeOf(fingerprint);
+    known.runningFor = std::max(known.runningFor, static_cast<double>(ranFor.ms));
+}
+
+void statement_costs::recordEnded(std::uint64_t fingerprint)
+{
+    // Other executions that still run are recorded again within 100 ms. A statement that ended with its connection,
+    // such as a write during a promotion, must not leave its shape waiting for permits.
+    if (const auto found = m_shapes.find(fingerprint); found != m_shapes.end()) {
+        found->second.runningFor = 0;
     }
 }
 
@@ -112,9 +144,11 @@
     return added;
 }
 
-void statement_costs::learn(shape &known, double ran, time_point now) const
+void statement_costs::learn(std::uint64_t fingerprint, double ran, time_point now)
 {
-    if (known.samples == 0) {
+    auto &known = shapeOf(fingerprint);
+    const bool isEarly = known.samples < trustedSamples;
+    if (known.samples == 0 || (isEarly && ran < known.mean * muchShorter)) {
         known.mean = ran;
         known.deviation = ran / 2;
     } else {
--- a/src/libcrocusdeal/statementcosts.h
+++ b/src/libcrocusdeal/statementcosts.h
@@ -55,6 +55,14 @@
     /** Takes in an execution that was aborted after @p ran: its full time is only known to be above. */
     void recordAborted(std::uint64_t fingerprint, duration ran, time_point now);
 
+    /** Takes in that an execution still runs after @p ranFor. Above `long_statement_ms` a shape without enough
+     * executions counts as long until recordEnded(), so that no more are started as short before the first has ended.
+     */
+    void recordRunning(std::uint64_t fingerprint, duration ranFor);
+
+    /** An execution has ended in any way; only record() tells a running time. */
+    void recordEnded(std::uint64_t fingerprint);
+
     std::size_t size() const
     {
         return m_shapes.size();
@@ -68,12 +76,14 @@
         time_point baselineAt;
         int samples = 0;
         bool isLong = false;
+        double runningFor = 0; ///< Time so far of an execution that turned out to be long, in ms.
         std::list<std::uint64_t>::iterator recent;
     };
 
     cost_estimate estimateOf(const shape &known) const;
     shape &shapeOf(std::uint64_t fingerprint);
-    void learn(shape &known, double ran, time_point now) const;
+    bool isTrusted(std::uint64_t fingerprint) const;
+    void learn(std::uint64_t fingerprint, double ran, time_point now);
     static void learnBaseline(shape &known, double ran, time_point now);
 
     statement_costs_settings m_settings;
--- a/src/libcrocusdealnet/targetgate.cpp
+++ b/src/libcrocusdealnet/targetgate.cpp
@@ -54,6 +54,18 @@
     return baseline;
 }
 
+void shared_costs::recordRunning(std::uint64_t fingerprint, duration ranFor)
+{
+    const std::lock_guard lock(m_mutex);
+    m_costs.recordRunning(fingerprint, ranFor);
+}
+
+void shared_costs::recordEnded(std::uint64_t fingerprint)
+{
+    const std::lock_guard lock(m_mutex);
+    m_costs.recordEnded(fingerprint);
+}
+
 void shared_costs::beat(time_point now)
 {
     const std::lock_guard lock(m_mutex);
@@ -137,6 +149,7 @@
             if (found->second.isLong) {
                 onLongFinished = m_onLongFinished;
             }
+            m_costs->recordEnded(found->second.fingerprint);
             logEnd(found->second);
             m_submitted.erase(found);
         }
@@ -194,9 +207,13 @@
     {
         const std::lock_guard lock(m_mutex);
         for (auto &[id, statement] : m_submitted) {
-            const bool candidate = statement.since != never && !statement.isLong && !statement.isReclassified
-                && !m_costs->ranThroughPause(statement.since, now);
-            if (!candidate || !m_costs->estimateRunning(statement.fingerprint, now - statement.since).isLong) {
+            const bool counts =
+                statement.since != never && !statement.isLong && !m_costs->ranThroughPause(statement.since, now);
+            if (counts) {
+                m_costs->recordRunning(statement.fingerprint, now - statement.since);
+            }
+            if (!counts || statement.isReclassified
+                || !m_costs->estimateRunning(statement.fingerprint, now - statement.since).isLong) {
                 continue;
             }
             statement.isReclassified = true;
--- a/src/libcrocusdealnet/targetgate.h
+++ b/src/libcrocusdealnet/targetgate.h
@@ -30,6 +30,10 @@
     /** Takes in a completed execution; returns the baseline known before. */
     double record(std::uint64_t fingerprint, duration ran, time_point now);
 
+    /** Takes in that a statement still runs. */
+    void recordRunning(std::uint64_t fingerprint, duration ranFor);
+    void recordEnded(std::uint64_t fingerprint);
+
     /** To be called each 100 ms; a gap shows a pause of this instance. */
     void beat(time_point now);
     /** Whether a statement that was sent at @p since ran through a pause of this instance. */
--- a/tests/libcrocusdeal/statementcoststest.cpp
+++ b/tests/libcrocusdeal/statementcoststest.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST(reclassifiesRunningStatements);
     CPPUNIT_TEST(keepsTheBaselineUnderContention);
     CPPUNIT_TEST(boundsTheTable);
+    CPPUNIT_TEST(countsARunningStatementUntilItEnds);
+    CPPUNIT_TEST(replacesAFirstRunThatWaited);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -86,6 +88,29 @@
         costs.record(0, 1_ms, {0});
         CPPUNIT_ASSERT(!costs.estimate(0).isKnown);
     }
+
+    /** Guards against more executions of a long shape that start as short while the first still runs, and against a
+     * shape that needs permits because one execution ended with its connection. */
+    void countsARunningStatementUntilItEnds()
+    {
+        statement_costs costs;
+        costs.recordRunning(1, 150_ms);
+        CPPUNIT_ASSERT(!costs.isLong(1) && !costs.estimate(1).isKnown);
+        costs.recordRunning(1, 250_ms);
+        CPPUNIT_ASSERT(costs.isLong(1));
+        costs.recordEnded(1);
+        CPPUNIT_ASSERT(!costs.isLong(1) && !costs.estimate(1).isKnown);
+    }
+
+    /** Guards against a point read that waits for permits because its first execution waited in a busy target. */
+    void replacesAFirstRunThatWaited()
+    {
+        statement_costs costs;
+        costs.record(1, 900_ms, {0});
+        CPPUNIT_ASSERT(costs.isLong(1));
+        costs.record(1, 5_ms, {1});
+        CPPUNIT_ASSERT(!costs.isLong(1) && costs.estimate(1).expected == 5_ms);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(statement_costs_test);
