Share which statement shapes are long between the instances

Each instance learnt running times for itself, so a restarted one started the first executions of a long shape without a permit, although others knew it. Holders now report the shapes that they measured as long to the owner of a target's ledgers (32 a message), the owner remembers 256 of them for 60 s, and its answers carry what a holder has not seen. A shape taken over is long until three own executions. An instance that knows the shape as short reports a correction, which wins, because a short statement that waited in the target looks long.

Ruled out: gossip to all members, which carries shapes to instances that never use them; passing on what was heard, which would never end.

`test_libcrocusdeal`: 140 passed, `test_libcrocusdealnet`: 58 passed. `test_process` in three shards: 97 passed, 1 failed: pause_test::pausedInstanceKnowsNothingOld, where instance 0 logged nothing for 10 s after it was resumed. The cause is not known. The sanitizer builds were not run.

--- a/src/libcrocusdeal/statementcosts.cpp
+++ b/src/libcrocusdeal/statementcosts.cpp
@@ -27,6 +27,7 @@
 // An early execution that is so much shorter than the earlier ones replaces them: those waited in the target for a slot
 // that long statements held. Counted as long, a point read would wait for permits behind them.
 constexpr double muchShorter = 0.25;
+constexpr duration correctsFor{30000};
 
 duration roundedUp(double ms)
 {
@@ -43,8 +44,9 @@
 
 cost_estimate statement_costs::estimateOf(const shape &known) const
 {
-    if (known.samples < trustedSamples && known.runningFor > known.mean) {
-        return {roundedUp(known.runningFor), roundedUp(known.runningFor * 2), true, true};
+    const auto assumed = std::max(known.adopted, known.runningFor);
+    if (known.samples < trustedSamples && assumed > known.mean) {
+        return {roundedUp(assumed), roundedUp(assumed * 2), true, true};
     }
     return {roundedUp(known.mean), roundedUp(known.mean + 2 * known.deviation), known.isLong, true};
 }
@@ -52,7 +54,8 @@
 cost_estimate statement_costs::estimate(std::uint64_t fingerprint) const
 {
     const auto found = m_shapes.find(fingerprint);
-    if (found != m_shapes.end() && (found->second.samples > 0 || found->second.runningFor > 0)) {
+    if (found != m_shapes.end()
+        && (found->second.samples > 0 || found->second.adopted + found->second.runningFor > 0)) {
         return estimateOf(found->second);
     }
     // An unknown shape never needs a permit: most shapes are short, and a wrong guess shows while it runs.
@@ -127,6 +130,47 @@
     }
 }
 
+void statement_costs::adopt(const shared_shape &learnt, time_point now)
+{
+    if (learnt.fingerprint == 0) {
+        return;
+    }
+    const bool trusted = isTrusted(learnt.fingerprint);
+    if (!learnt.isLong) {
+        const auto found = m_shapes.find(learnt.fingerprint);
+        if (found != m_shapes.end() && !trusted) {
+            auto &known = found->second;
+            known.adopted = 0;
+            known.mean = std::min(known.mean, static_cast<double>(learnt.expected.ms));
+            known.isLong = false;
+            m_measuredLong.erase(learnt.fingerprint);
+        }
+        return;
+    }
+    if (!trusted) {
+        shapeOf(learnt.fingerprint).adopted = static_cast<double>(learnt.expected.ms);
+    } else if (!m_shapes.at(learnt.fingerprint).isLong) {
+        m_corrections[learnt.fingerprint] = now;
+    }
+}
+
+std::vector<shared_shape> statement_costs::measured(time_point now)
+{
+    std::vector<shared_shape> shapes;
+    std::erase_if(m_corrections, [&](const auto &correction) {
+        const auto found = m_shapes.find(correction.first);
+        const bool holds = found != m_shapes.end() && !found->second.isLong && now - correction.second < correctsFor;
+        if (holds) {
+            shapes.push_back({correction.first, roundedUp(found->second.mean), false});
+        }
+        return !holds;
+    });
+    for (const auto fingerprint : m_measuredLong) {
+        shapes.push_back({fingerprint, roundedUp(m_shapes.at(fingerprint).mean), true});
+    }
+    return shapes;
+}
+
 statement_costs::shape &statement_costs::shapeOf(std::uint64_t fingerprint)
 {
     const auto found = m_shapes.find(fingerprint);
@@ -136,6 +180,7 @@
     }
     if (m_shapes.size() >= m_settings.maxShapes && !m_recent.empty()) {
         m_shapes.erase(m_recent.back());
+        m_measuredLong.erase(m_recent.back());
         m_recent.pop_back();
     }
     m_recent.push_front(fingerprint);
@@ -161,6 +206,12 @@
     known.samples = std::min(known.samples + 1, 1000);
     const auto bound = static_cast<double>(m_settings.longStatement.ms) * (known.isLong ? shortAgainFraction : 1);
     known.isLong = known.mean > bound;
+    if (known.isLong) {
+        m_measuredLong.insert(fingerprint);
+        m_corrections.erase(fingerprint);
+    } else if (m_measuredLong.erase(fingerprint) > 0) {
+        m_corrections[fingerprint] = now; // Others may have taken it over as long.
+    }
 }
 
 void statement_costs::learnBaseline(shape &known, double ran, time_point now)
--- a/src/libcrocusdeal/statementcosts.h
+++ b/src/libcrocusdeal/statementcosts.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "clock.h"
+#include "sharedshapes.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <list>
 #include <unordered_map>
+#include <unordered_set>
+#include <vector>
 
 namespace crocusdeal
 {
@@ -63,6 +66,13 @@
     /** An execution has ended in any way; only record() tells a running time. */
     void recordEnded(std::uint64_t fingerprint);
 
+    /** Takes over what another instance measured, until enough executions of its own say otherwise. A shape that is
+     * short by enough own executions is listed by measured() then, to correct the other one. */
+    void adopt(const shared_shape &learnt, time_point now);
+
+    /** What the others should know: the shapes whose own executions are long, and corrections of the last 30 s. */
+    std::vector<shared_shape> measured(time_point now);
+
     std::size_t size() const
     {
         return m_shapes.size();
@@ -76,6 +86,7 @@
         time_point baselineAt;
         int samples = 0;
         bool isLong = false;
+        double adopted = 0; ///< Measured by another instance in ms; 0 if not known.
         double runningFor = 0; ///< Time so far of an execution that turned out to be long, in ms.
         std::list<std::uint64_t>::iterator recent;
     };
@@ -89,6 +100,8 @@
     statement_costs_settings m_settings;
     std::unordered_map<std::uint64_t, shape> m_shapes;
     std::list<std::uint64_t> m_recent; ///< Most recently used first.
+    std::unordered_set<std::uint64_t> m_measuredLong;
+    std::unordered_map<std::uint64_t, time_point> m_corrections; ///< Shapes that others took for long, and when.
     double m_prior; ///< Decayed mean of the first executions of new shapes.
 };
 
--- a/src/libcrocusdealnet/groupruntime.cpp
+++ b/src/libcrocusdealnet/groupruntime.cpp
@@ -172,6 +172,7 @@
 {
     m_costs->beat(systemNow());
     const auto controls = m_monitor->controlConnections();
+    const auto shapes = m_costs->measured(systemNow());
     const auto gates = m_gates->get();
     for (const auto &[target, gate] : *gates) {
         gate->reclassify();
@@ -183,11 +184,17 @@
         const auto key = fleetTargetId(m_id, target);
         m_environment.limits->setDemand(
             key, static_cast<int>(std::ceil(demand)), gate->longDemand(), gate->longRunning());
+        m_environment.limits->setShapes(key, shapes);
         const auto control = controls.find(target);
         m_environment.limits->setControlConnections(key, control == controls.end() ? 0 : control->second);
     }
 }
 
+void group_runtime::adoptShapes(const std::vector<shared_shape> &shapes)
+{
+    m_costs->adopt(shapes, systemNow());
+}
+
 void group_runtime::onLimitsChanged(const target_id &target)
 {
     const auto gates = m_gates->get();
--- a/src/libcrocusdealnet/groupruntime.h
+++ b/src/libcrocusdealnet/groupruntime.h
@@ -77,6 +77,8 @@
     void closeIdleConnections();
     /** States the demand for connections and permits; to be called each 100 ms. */
     void updateDemand();
+    /** What other instances measured of these statement shapes. */
+    void adoptShapes(const std::vector<shared_shape> &shapes);
     /** The allowance or the long places of a target changed. */
     void onLimitsChanged(const target_id &target);
 
--- a/src/libcrocusdealnet/instance.cpp
+++ b/src/libcrocusdealnet/instance.cpp
@@ -249,6 +249,16 @@
             found->second->onLimitsChanged(target_id(key.str().substr(slash + 1)));
         }
     };
+    hooks.onShapes = [this](const target_id &key, const std::vector<shared_shape> &shapes) {
+        const auto known = groups();
+        const auto found = known.find(group_id(key.str().substr(0, key.str().find('/'))));
+        if (found != known.end()) {
+            limitLog().write(log_level::Info,
+                             key.str() + ": took over " + std::to_string(shapes.size())
+                                 + " statement shapes from others");
+            found->second->adoptShapes(shapes);
+        }
+    };
     // Wall clock time rises across restarts of the instance, which keeps nothing else.
     const auto started = std::chrono::system_clock::now().time_since_epoch();
     m_groupEnvironment.limits = std::make_shared<limit_coordinator>(
--- a/src/libcrocusdealnet/limitcodec.cpp
+++ b/src/libcrocusdealnet/limitcodec.cpp
@@ -80,17 +80,36 @@
     archive(m.target, m.holder, m.incarnation);
 }
 
+template<typename Archive>
+void serialize(Archive &archive, shared_shape &shape)
+{
+    archive(shape.fingerprint, shape.expected, shape.isLong);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, shape_report &m)
+{
+    archive(m.target, m.holder, m.sequence, m.ledger, m.seen, m.shapes);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, shape_update &m)
+{
+    archive(m.target, m.holder, m.ledger, m.answers, m.version, m.shapes);
+}
+
 template<typename Archive>
 void serialize(Archive &archive, limit_messages &m)
 {
     archive(m.permitRequests, m.permitGrants, m.permitReleases);
     archive(m.shareReports, m.shareGrants, m.shareReleases);
+    archive(m.shapeReports, m.shapeUpdates);
 }
 
 bool limit_messages::empty() const
 {
     return permitRequests.empty() && permitGrants.empty() && permitReleases.empty() && shareReports.empty()
-        && shareGrants.empty() && shareReleases.empty();
+        && shareGrants.empty() && shareReleases.empty() && shapeReports.empty() && shapeUpdates.empty();
 }
 
 std::string encodeLimitMessages(const limit_messages &messages)
--- a/src/libcrocusdealnet/limitcodec.h
+++ b/src/libcrocusdealnet/limitcodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "permitmessages.h"
+#include "sharedshapes.h"
 #include "sharemessages.h"
 
 #include <optional>
@@ -19,6 +20,8 @@
     std::vector<share_report> shareReports;
     std::vector<share_grant> shareGrants;
     std::vector<share_release> shareReleases;
+    std::vector<shape_report> shapeReports;
+    std::vector<shape_update> shapeUpdates;
 
     bool empty() const;
 };
--- a/src/libcrocusdealnet/limitcoordinator.cpp
+++ b/src/libcrocusdealnet/limitcoordinator.cpp
@@ -85,6 +85,8 @@
                    0,
                    {},
                    nullptr,
+                   nullptr,
+                   shape_reporter(limits.target, m_self),
                    nullptr};
         next.emplace(limits.target, std::move(item));
     }
@@ -155,11 +157,13 @@
     item.owner = owner;
     item.permits.setOwner(owner);
     item.share.setOwner(owner);
+    item.shapes.setOwner(owner);
     if (owner == m_self) {
         takeOver(item, now);
     } else {
         item.ledger.reset();
         item.budget.reset();
+        item.shapeLedger.reset();
     }
 }
 
@@ -172,6 +176,7 @@
     item.ledger = std::make_unique<permit_ledger>(item.limits.target, m_self, ledger, m_live, settings, now);
     item.budget = std::make_unique<connection_budget>(
         item.limits.target, m_self, ledger, m_live, budgetSettings(item.limits), now);
+    item.shapeLedger = std::make_unique<shape_ledger>(ledger);
 }
 
 void limit_coordinator::poll(entry &item, time_point now, outbox &out)
@@ -188,7 +193,12 @@
     if (auto request = item.permits.poll(now)) {
         out[item.owner].permitRequests.push_back(std::move(*request));
     }
-    if (auto report = item.share.poll(now)) {
+    auto report = item.share.poll(now);
+    // The share report goes about once a second, and permit requests up to ten times; the first is often enough.
+    for (auto &shapes : item.shapes.poll(report.has_value(), now)) {
+        out[item.owner].shapeReports.push_back(std::move(shapes));
+    }
+    if (report) {
         out[item.owner].shareReports.push_back(std::move(*report));
     }
 }
@@ -285,8 +295,29 @@
     return encodeLimitMessages(answer);
 }
 
+void limit_coordinator::receiveShapes(const limit_messages &messages, limit_messages &answer, time_point now)
+{
+    for (const auto &report : messages.shapeReports) {
+        if (auto *item = find(report.target); item != nullptr && item->shapeLedger) {
+            answer.shapeUpdates.push_back(item->shapeLedger->onReport(report, now));
+        }
+    }
+    for (const auto &update : messages.shapeUpdates) {
+        auto *item = find(update.target);
+        if (item == nullptr) {
+            continue;
+        }
+        const auto shapes = item->shapes.onUpdate(update);
+        if (!shapes.empty()) {
+            auto &learnt = m_learnt[update.target];
+            learnt.insert(learnt.end(), shapes.begin(), shapes.end());
+        }
+    }
+}
+
 void limit_coordinator::receive(const limit_messages &messages, limit_messages &answer, time_point now)
 {
+    receiveShapes(messages, answer, now);
     for (const auto &request : messages.permitRequests) {
         auto *item = find(request.target);
         if (item == nullptr || !item->ledger) {
@@ -353,6 +384,16 @@
 
 void limit_coordinator::notify(const std::vector<target_id> &changed)
 {
+    std::map<target_id, std::vector<shared_shape>> learnt;
+    {
+        const std::lock_guard lock(m_mutex);
+        learnt.swap(m_learnt);
+    }
+    for (const auto &[target, shapes] : learnt) {
+        if (m_hooks.onShapes) {
+            m_hooks.onShapes(target, shapes);
+        }
+    }
     for (const auto &target : changed) {
         m_hooks.onChanged(target);
     }
@@ -428,6 +469,14 @@
     }
 }
 
+void limit_coordinator::setShapes(const target_id &target, std::vector<shared_shape> shapes)
+{
+    const std::lock_guard lock(m_mutex);
+    if (auto *item = find(target)) {
+        item->shapes.setMeasured(std::move(shapes));
+    }
+}
+
 void limit_coordinator::onLongFinished(const target_id &target)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libcrocusdealnet/limitcoordinator.h
+++ b/src/libcrocusdealnet/limitcoordinator.h
@@ -47,6 +47,8 @@
         std::function<void(const std::string &line)> log; ///< Called under the lock; must not call back.
         /** The allowance or the long places of a target changed. */
         std::function<void(const target_id &)> onChanged;
+        /** What other instances measured of these statement shapes. */
+        std::function<void(const target_id &, const std::vector<shared_shape> &)> onShapes = nullptr;
     };
 
     /** @p incarnation must rise with each start of the instance. */
@@ -71,6 +73,8 @@
     void onClosed(const target_id &target);
     /** @p longRunning of the long statements run, also without a permit. */
     void setDemand(const target_id &target, int connections, int longStatements, int longRunning = 0);
+    /** What the other instances should know of statement shapes. */
+    void setShapes(const target_id &target, std::vector<shared_shape> shapes);
     /** A long statement that ran under a permit has ended. */
     void onLongFinished(const target_id &target);
     void setControlConnections(const target_id &target, int count);
@@ -94,6 +98,8 @@
         instance_id owner;
         std::unique_ptr<permit_ledger> ledger; ///< Only of the owner.
         std::unique_ptr<connection_budget> budget;
+        shape_reporter shapes;
+        std::unique_ptr<shape_ledger> shapeLedger;
     };
     using outbox = std::map<instance_id, limit_messages>;
 
@@ -102,6 +108,7 @@
     void takeOver(entry &item, time_point now);
     void poll(entry &item, time_point now, outbox &out);
     void receive(const limit_messages &messages, limit_messages &answer, time_point now);
+    void receiveShapes(const limit_messages &messages, limit_messages &answer, time_point now);
     void deliver(const outbox &out);
     void deliverLocally(limit_messages messages);
     std::vector<target_id> collectChanges(time_point now);
@@ -124,6 +131,7 @@
     std::set<instance_id> m_listed;
     std::map<instance_id, std::uint64_t> m_incarnations; ///< Of holders that reported here.
     std::set<instance_id> m_gone;
+    std::map<target_id, std::vector<shared_shape>> m_learnt; ///< Shapes for which the hook is still to be called.
     std::uint64_t m_nextLedger;
 };
 
--- a/src/libcrocusdealnet/targetgate.cpp
+++ b/src/libcrocusdealnet/targetgate.cpp
@@ -66,6 +66,20 @@
     m_costs.recordEnded(fingerprint);
 }
 
+void shared_costs::adopt(const std::vector<shared_shape> &shapes, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto &shape : shapes) {
+        m_costs.adopt(shape, now);
+    }
+}
+
+std::vector<shared_shape> shared_costs::measured(time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_costs.measured(now);
+}
+
 void shared_costs::beat(time_point now)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libcrocusdealnet/targetgate.h
+++ b/src/libcrocusdealnet/targetgate.h
@@ -15,6 +15,7 @@
 #include <mutex>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace crocusdeal
 {
@@ -33,6 +34,8 @@
     /** Takes in that a statement still runs. */
     void recordRunning(std::uint64_t fingerprint, duration ranFor);
     void recordEnded(std::uint64_t fingerprint);
+    void adopt(const std::vector<shared_shape> &shapes, time_point now);
+    std::vector<shared_shape> measured(time_point now);
 
     /** To be called each 100 ms; a gap shows a pause of this instance. */
     void beat(time_point now);
--- a/tests/libcrocusdeal/statementcoststest.cpp
+++ b/tests/libcrocusdeal/statementcoststest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(reclassifiesRunningStatements);
     CPPUNIT_TEST(keepsTheBaselineUnderContention);
     CPPUNIT_TEST(boundsTheTable);
+    CPPUNIT_TEST(takesOverLongShapes);
     CPPUNIT_TEST(countsARunningStatementUntilItEnds);
     CPPUNIT_TEST(replacesAFirstRunThatWaited);
     CPPUNIT_TEST_SUITE_END();
@@ -89,6 +90,27 @@
         CPPUNIT_ASSERT(!costs.estimate(0).isKnown);
     }
 
+    /** Guards against first executions without a permit, and against a shape that stays long by hearsay. */
+    void takesOverLongShapes()
+    {
+        statement_costs costs;
+        costs.adopt({1, 900_ms, true}, {0});
+        CPPUNIT_ASSERT(costs.isLong(1) && costs.estimate(1).expected == 900_ms);
+        CPPUNIT_ASSERT(costs.measured({0}).empty());
+        costs.record(1, 5_ms, {1});
+        costs.record(1, 5_ms, {2});
+        CPPUNIT_ASSERT(costs.isLong(1));
+        costs.record(1, 5_ms, {3});
+        CPPUNIT_ASSERT(!costs.isLong(1) && costs.estimate(1).expected == 5_ms);
+        // Enough executions of its own: hearsay has no effect but is corrected for a while.
+        costs.adopt({1, 900_ms, true}, {4});
+        CPPUNIT_ASSERT(!costs.isLong(1));
+        CPPUNIT_ASSERT(costs.measured({5}) == (std::vector<shared_shape>{{1, 5_ms, false}}));
+        CPPUNIT_ASSERT(costs.measured({40000}).empty());
+        costs.adopt({0, 900_ms, true}, {5});
+        CPPUNIT_ASSERT(!costs.isLong(0));
+    }
+
     /** Guards against more executions of a long shape that start as short while the first still runs, and against a
      * shape that needs permits because one execution ended with its connection. */
     void countsARunningStatementUntilItEnds()
@@ -108,8 +130,13 @@
         statement_costs costs;
         costs.record(1, 900_ms, {0});
         CPPUNIT_ASSERT(costs.isLong(1));
+        CPPUNIT_ASSERT(costs.measured({0}) == (std::vector<shared_shape>{{1, 900_ms, true}}));
         costs.record(1, 5_ms, {1});
         CPPUNIT_ASSERT(!costs.isLong(1) && costs.estimate(1).expected == 5_ms);
+        CPPUNIT_ASSERT(costs.measured({2}) == (std::vector<shared_shape>{{1, 5_ms, false}}));
+        costs.record(2, 900_ms, {0});
+        costs.adopt({2, 5_ms, false}, {1});
+        CPPUNIT_ASSERT(!costs.isLong(2));
     }
 };
 
--- a/tests/libcrocusdealnet/limitcoordinatortest.cpp
+++ b/tests/libcrocusdealnet/limitcoordinatortest.cpp
@@ -48,6 +48,9 @@
         };
         hooks.log = [](const std::string &) {};
         hooks.onChanged = [](const target_id &) {};
+        hooks.onShapes = [this, name](const target_id &, const std::vector<shared_shape> &shapes) {
+            learnt[name].insert(learnt[name].end(), shapes.begin(), shapes.end());
+        };
         auto node = std::make_shared<limit_coordinator>(instance_id(name), 1000 + nodes.size(), std::move(hooks));
         node->setTargets({{theTarget, data_centre_id("dc"), 15, 2}});
         node->setMembers(members);
@@ -90,6 +93,7 @@
     std::map<std::string, int> open;
     std::map<std::string, int> demand;
     std::set<std::string> silent;
+    std::map<std::string, std::vector<shared_shape>> learnt;
 };
 
 }
@@ -100,6 +104,7 @@
     CPPUNIT_TEST(everyInstanceGetsItsBase);
     CPPUNIT_TEST(lendsByDemandWithinTheLimit);
     CPPUNIT_TEST(servesWithoutAnOwner);
+    CPPUNIT_TEST(tellsLongShapesToAll);
     CPPUNIT_TEST(messagesSurviveTheCodec);
     CPPUNIT_TEST_SUITE_END();
 
@@ -141,6 +146,19 @@
         }
     }
 
+    /** Guards against an instance that never hears which shapes are long, be it the owner or not. */
+    void tellsLongShapesToAll()
+    {
+        coordinator_fleet fleet({"a", "b", "c"});
+        fleet.run(duration{2000});
+        const shared_shape shape{7, duration{900}, true};
+        fleet.nodes.at("b")->setShapes(theTarget, {shape});
+        fleet.run(duration{3000});
+        for (const auto &name : {"a", "c"}) {
+            CPPUNIT_ASSERT_MESSAGE(name, fleet.learnt[name] == std::vector<shared_shape>{shape});
+        }
+    }
+
     /** Guards against fields that are lost between instances, and against crashes on malformed input. */
     void messagesSurviveTheCodec()
     {
@@ -155,6 +173,8 @@
         request.held = {{3, 4}};
         request.running = 2;
         messages.permitRequests.push_back(request);
+        messages.shapeReports.push_back({theTarget, instance_id("b"), 1, 2, 3, {{4, duration{5}, true}}});
+        messages.shapeUpdates.push_back({theTarget, instance_id("b"), 1, 2, 3, {{4, duration{5}, false}}});
         const auto bytes = encodeLimitMessages(messages);
         const auto decoded = decodeLimitMessages(bytes);
         CPPUNIT_ASSERT(decoded);
@@ -162,6 +182,10 @@
         CPPUNIT_ASSERT_EQUAL(std::string("b"), decoded->shareGrants.at(0).holder.str());
         CPPUNIT_ASSERT((decoded->permitRequests.at(0).held.at(0) == permit_id{3, 4}));
         CPPUNIT_ASSERT_EQUAL(2, decoded->permitRequests.at(0).running);
+        CPPUNIT_ASSERT(decoded->shapeReports.at(0).shapes == messages.shapeReports.at(0).shapes);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), decoded->shapeReports.at(0).seen);
+        CPPUNIT_ASSERT(decoded->shapeUpdates.at(0).shapes == messages.shapeUpdates.at(0).shapes);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), decoded->shapeUpdates.at(0).version);
         for (std::size_t size = 0; size < bytes.size(); ++size) {
             CPPUNIT_ASSERT(!decodeLimitMessages(std::string_view(bytes).substr(0, size)));
         }
