--- a/src/libcrocusdealnet/targetgate.h
+++ b/src/libcrocusdealnet/targetgate.h
@@ -15,6 +15,7 @@
 #include <mutex>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace crocusdeal
 {
@@ -30,6 +31,12 @@
     /** Takes in a completed execution; returns the baseline known before. */
     double record(std::uint64_t fingerprint, duration ran, time_point now);
 
+    /** Takes in that a statement still runs. */
+    void recordRunning(std::uint64_t fingerprint, duration ranFor);
+    void recordEnded(std::uint64_t fingerprint);
+    void adopt(const std::vector<shared_shape> &shapes, time_point now);
+    std::vector<shared_shape> measured(time_point now);
+
     /** To be called each 100 ms; a gap shows a pause of this instance. */
     void beat(time_point now);
     /** Whether a statement that was sent at @p since ran through a pause of this instance. */
@@ -79,6 +86,8 @@
     void setCapacity(concurrency_limit_settings capacity);
     void setLongPlaces(int places);
     int longDemand() const;
+    /** Long statements that run, also without a permit. */
+    int longRunning() const;
     target_load load() const;
     /** Counts statements that run longer than expected as long; to be called each 100 ms. */
     void reclassify();
@@ -94,14 +103,19 @@
 private:
     struct running_statement {
         std::uint64_t fingerprint = 0;
-        time_point since;
+        time_point since = never;
         time_point deadline;
         bool isLong = false; ///< Admitted as long, under a permit.
         bool isReclassified = false;
+        time_point submitted; ///< To the queue.
+        time_point admitted = never; ///< By the queue; a connection may be waited for after that.
+        bool wasKnown = false; ///< The shape had running times at the submission.
+        int longAtStart = 0; ///< Long statements of this instance that ran on the target at the admission.
     };
 
     void apply(queue_actions actions);
     void noteRunning(const queue_entry &entry, std::uint64_t fingerprint);
+    void logEnd(const running_statement &statement) const;
     void startRequest(std::uint64_t id);
     void onConnection(std::uint64_t id,
                       const handler &done,
