--- a/src/libcrocusdeal/permitholder.cpp
+++ b/src/libcrocusdeal/permitholder.cpp
@@ -34,6 +34,7 @@
     }
     m_owner = owner;
     m_ledger = 0;
+    m_denied = false;
     m_changed = true; // A new owner rebuilds its ledger from these requests, also from those without permits.
 }
 
@@ -46,6 +47,7 @@
         m_held.erase(std::prev(m_held.end()));
         m_changed = true;
     }
+    m_denied = m_denied && held() < m_wanted;
 }
 
 void permit_holder::onStatementFinished()
@@ -79,6 +81,7 @@
     m_retries = m_answered < m_sequence ? std::min(m_retries + 1, maxRetryDoublings) : 0;
     m_changed = false;
     m_sentAt = now;
+    m_requested = m_wanted;
     ++m_sequence;
     return permit_request{
         m_target, m_self, m_incarnation, m_sequence, m_ledger, m_seen, {m_held.begin(), m_held.end()}, m_wanted};
@@ -106,9 +109,16 @@
             m_seen = number;
         }
     }
+    m_denied = held() < m_requested;
     setWanted(m_wanted); // The demand may have fallen since the request.
 }
 
+bool permit_holder::isDenied(time_point now) const
+{
+    // A further request that is on its way changes nothing: a waiting holder sends one each waitingInterval.
+    return now < m_validUntil && m_denied;
+}
+
 int permit_holder::places(time_point now) const
 {
     return now < m_validUntil ? held() : 0;
--- a/src/libcrocusdeal/permitholder.h
+++ b/src/libcrocusdeal/permitholder.h
@@ -41,6 +41,9 @@
     /** Long statements that may be started or go on at @p now. */
     int places(time_point now) const;
 
+    /** Whether the owner granted less than was wanted in its last answer, and more is still wanted. */
+    bool isDenied(time_point now) const;
+
     /** All permits that count against the capacity, also without renewal. */
     int held() const
     {
@@ -64,6 +67,8 @@
     std::uint64_t m_seen = 0;
     std::set<permit_id> m_held;
     int m_wanted = 0;
+    int m_requested = 0; ///< Wanted by the last request.
+    bool m_denied = false; ///< By the last answer, since when the demand was not met.
     bool m_changed = false;
     int m_retries = 0;
     time_point m_sentAt = never; ///< Of the last request.
