--- a/src/standins/policybench/scenarios.cpp
+++ b/src/standins/policybench/scenarios.cpp
@@ -18,6 +18,7 @@
 const std::vector<deployment> deployments{{"envelopes", 2, 5, 1.5, 1}, {"lapidary", 3, 5, 0.5, 1}};
 const std::vector<std::pair<policy, const char *>> policies{{policy::Naive, "naive"},
                                                             {policy::Full, "full"},
+                                                            {policy::NoPreemption, "no preemption"},
                                                             {policy::FifoOrder, "fifo order"},
                                                             {policy::StaticLimit, "static limit"},
                                                             {policy::LocalReserve, "local reserve"}};
@@ -41,6 +42,7 @@
     std::vector<double> inTime;
     std::vector<double> p99;
     std::vector<double> p50;
+    std::vector<double> preempted; ///< Share of the requests.
     std::vector<double> refused; ///< p50 of the time until a refusal.
 };
 
@@ -66,6 +68,8 @@
         result.goodput.push_back(work / (what.where.slots * (what.endMs - what.measureFromMs)));
         result.inTime.push_back(outcomes[index].inTimeShare());
         result.p99.push_back(outcomes[index].quantile(0.99));
+        const auto &measured = outcomes[index];
+        result.preempted.push_back(static_cast<double>(measured.preempted) / std::max(1, measured.offered));
         result.refused.push_back(outcomes[index].refusedQuantile(0.5));
         result.p50.push_back(outcomes[index].quantile(0.5));
     }
@@ -74,7 +78,7 @@
 
 void print(const deployment &where, const char *how, const char *what, const figures &f)
 {
-    std::printf("%-10s %-14s %-26s %8.1f%% %8.1f%% %9.1f %9.1f %10.1f\n",
+    std::printf("%-10s %-14s %-26s %8.1f%% %8.1f%% %9.1f %9.1f %10.1f %8.2f%%\n",
                 where.name.c_str(),
                 how,
                 what,
@@ -82,7 +86,8 @@
                 100 * mean(f.inTime),
                 mean(f.p50),
                 mean(f.p99),
-                mean(f.refused));
+                mean(f.refused),
+                100 * mean(f.preempted));
 }
 
 scenario overload(const deployment &where)
@@ -123,6 +128,18 @@
     return run;
 }
 
+/** The target needs eight times as long for everything, which is four fifths of its capacity. */
+scenario slowTarget(const deployment &where)
+{
+    scenario run;
+    run.where = where;
+    run.loads = {steady("a", 0.1 * capacityPerSecond(where))};
+    run.loads[0].slowFactor = 8;
+    run.measureFromMs = 10000;
+    run.endMs = 30000;
+    return run;
+}
+
 /** One service sends four times the capacity, the other three tenths of it. */
 scenario unfair(const deployment &where)
 {
@@ -160,6 +177,7 @@
         const auto alone = run(stragglers(where, 0, 0), "short work alone");
         const auto beside = run(stragglers(where, 0.3, 0), "short beside long work");
         const auto surprised = run(stragglers(where, 0, 0.002), "short, 0.2% stragglers");
+        run(slowTarget(where), "target slower by 8 times");
         run(unfair(where), "modest beside greedy service");
         if (how == policy::Full) {
             met &= mark(where,
@@ -179,7 +197,7 @@
 
 bool runPolicyBench(unsigned seeds)
 {
-    std::printf("%-10s %-14s %-26s %9s %9s %9s %9s %10s\n",
+    std::printf("%-10s %-14s %-26s %9s %9s %9s %9s %10s %9s\n",
                 "deployment",
                 "policy",
                 "scenario",
@@ -187,7 +205,8 @@
                 "in time",
                 "p50 ms",
                 "p99 ms",
-                "refused ms");
+                "refused ms",
+                "preempted");
     bool met = true;
     for (const auto &where : deployments) {
         met &= runDeployment(where, seeds);
--- a/src/standins/policybench/simulation.cpp
+++ b/src/standins/policybench/simulation.cpp
@@ -4,6 +4,7 @@
 #include "concurrencylimit.h"
 #include "permitholder.h"
 #include "permitledger.h"
+#include "preemptionpolicy.h"
 #include "statementcosts.h"
 
 #include <algorithm>
@@ -28,6 +29,9 @@
 constexpr std::uint64_t longFingerprint = 100;
 constexpr double pollMs = 5;
 constexpr double reclassifyMs = 50;
+constexpr double preemptionCheckMs = 10;
+// A cancel request opens a connection of its own: a round trip, and the way of the request.
+constexpr double cancelLatencies = 3;
 
 struct sim_request {
     std::size_t load = 0;
@@ -40,6 +44,9 @@
     bool isLong = false;
     bool measured = false;
     bool countsAsLong = false; ///< Runs under a permit.
+    bool wasPreempted = false;
+    bool cancelSent = false;
+    bool inSlot = false;
 };
 
 struct instance_state {
@@ -53,6 +60,7 @@
     statement_costs costs;
     concurrency_limit limit;
     permit_holder holder;
+    preemption_policy preemption;
     std::vector<std::uint64_t> running;
     double wakeAtMs = -1;
 };
@@ -92,7 +100,7 @@
         }
         if (m_what.how != policy::Naive) {
             at(pollMs, [this] { poll(); });
-            at(reclassifyMs, [this] { reclassify(); });
+            at(checkMs(), [this] { reclassify(); });
             for (std::size_t i = 0; i < m_instances.size(); ++i) {
                 apply(i, m_instances[i]->queue.setLimit(limitOf(*m_instances[i]), now()));
             }
@@ -183,6 +191,9 @@
         request.measured = m_nowMs >= m_what.measureFromMs;
         // Gamma of shape 2: varies about as much as lookups do.
         request.costMs = std::gamma_distribution<>(2, shapeMeansMs[shape] / 2)(m_random);
+        if (request.measured) {
+            request.costMs *= of.slowFactor;
+        }
         if (of.isLong || uniform() < of.stragglerShare) {
             request.costMs = longMs();
         }
@@ -197,12 +208,15 @@
         auto &request = m_requests.at(id);
         auto &instance = *m_instances[request.instance];
         const auto cost = instance.costs.estimate(request.fingerprint);
-        request.countsAsLong = cost.isLong;
+        request.countsAsLong = cost.isLong || request.wasPreempted;
+        if (!request.wasPreempted) {
+            instance.preemption.onRequest(now());
+        }
         queue_entry entry;
         entry.id = id;
         entry.service = service_id(m_what.loads[request.load].service);
         entry.caller = m_what.how == policy::FifoOrder ? 0 : request.caller;
-        entry.cls = cost.isLong ? work_class::Long : work_class::Short;
+        entry.cls = request.countsAsLong ? work_class::Long : work_class::Short;
         entry.expected = m_what.how == policy::FifoOrder ? duration{1} : cost.expected;
         entry.deadline = time_point{static_cast<std::int64_t>(request.arrivalMs + m_what.deadlineMs - 2)};
         apply(request.instance, instance.queue.submit(entry, now()));
@@ -245,14 +259,56 @@
             ++m_busySlots;
             const auto id = m_targetQueue.front();
             m_targetQueue.pop_front();
-            at(m_requests.at(id).costMs, [this, id] {
-                --m_busySlots;
+            auto &request = m_requests.at(id);
+            request.inSlot = true;
+            at(request.costMs, [this, id, attempt = request.wasPreempted] {
+                const auto found = m_requests.find(id);
+                // A cancelled attempt has left its slot before.
+                if (found == m_requests.end() || !found->second.inSlot || found->second.wasPreempted != attempt) {
+                    return;
+                }
+                leaveSlot(found->second);
                 at(m_what.where.latencyMs, [this, id] { finish(id); });
-                runTarget();
             });
         }
     }
 
+    void leaveSlot(sim_request &request)
+    {
+        request.inSlot = false;
+        --m_busySlots;
+        runTarget();
+    }
+
+    void preempt(std::uint64_t id)
+    {
+        m_requests.at(id).cancelSent = true;
+        at(cancelLatencies * m_what.where.latencyMs, [this, id] {
+            const auto found = m_requests.find(id);
+            const bool isQueued = std::erase(m_targetQueue, id) > 0;
+            if (found == m_requests.end() || (!isQueued && !found->second.inSlot)) {
+                return; // The answer is on its way.
+            }
+            if (found->second.inSlot) {
+                leaveSlot(found->second);
+            }
+            at(m_what.where.latencyMs, [this, id] { onPreempted(id); });
+        });
+    }
+
+    void onPreempted(std::uint64_t id)
+    {
+        auto &request = m_requests.at(id);
+        auto &instance = *m_instances[request.instance];
+        std::erase(instance.running, id);
+        request.wasPreempted = true;
+        m_outcomes[request.load].preempted += request.measured ? 1 : 0;
+        const duration ran{std::lround(m_nowMs - request.startedMs)};
+        instance.costs.recordAborted(request.fingerprint, ran, now());
+        apply(request.instance, instance.queue.finish(id, now()));
+        submit(id);
+    }
+
     void finish(std::uint64_t id)
     {
         const auto request = m_requests.at(id);
@@ -322,6 +378,16 @@
         }
     }
 
+    bool preempts() const
+    {
+        return m_what.how != policy::NoPreemption && m_what.how != policy::LocalReserve;
+    }
+
+    double checkMs() const
+    {
+        return preempts() ? preemptionCheckMs : reclassifyMs;
+    }
+
     void reclassify()
     {
         for (std::size_t i = 0; i < m_instances.size(); ++i) {
@@ -329,14 +395,41 @@
             for (const auto id : std::vector(instance.running)) {
                 auto &request = m_requests.at(id);
                 const duration ranFor{static_cast<std::int64_t>(m_nowMs - request.startedMs)};
-                if (!request.countsAsLong && instance.costs.estimateRunning(request.fingerprint, ranFor).isLong) {
+                const bool overruns = preempts()
+                    && instance.preemption.isOverrunning(ranFor, instance.costs.estimate(request.fingerprint).high);
+                if (!request.countsAsLong
+                    && (overruns || instance.costs.estimateRunning(request.fingerprint, ranFor).isLong)) {
                     request.countsAsLong = true;
                     apply(i, instance.queue.reclassify(id, now()));
                 }
             }
+            if (preempts()) {
+                preemptOne(instance);
+            }
         }
         if (m_nowMs < m_what.endMs + m_what.deadlineMs) {
-            at(reclassifyMs, [this] { reclassify(); });
+            at(checkMs(), [this] { reclassify(); });
+        }
+    }
+
+    void preemptOne(instance_state &instance)
+    {
+        const permit_pressure pressure{
+            instance.queue.longRunning(), longPlaces(instance), instance.holder.isDenied(now())};
+        int before = 0;
+        for (const auto id : instance.running) {
+            const auto &request = m_requests.at(id);
+            if (!request.countsAsLong) {
+                continue;
+            }
+            if (request.cancelSent && !request.wasPreempted) {
+                return;
+            }
+            const preemption_traits traits{true, false, false, false, false, request.cancelSent};
+            if (instance.preemption.tryPreempt(traits, pressure, before++, now())) {
+                preempt(id);
+                return;
+            }
         }
     }
 
--- a/src/standins/policybench/simulation.h
+++ b/src/standins/policybench/simulation.h
@@ -19,7 +19,8 @@
 /** How requests are ordered and limited. */
 enum class policy {
     Naive, ///< One FIFO queue in the target, no deadlines, no limit.
-    Full, ///< Queue, adaptive limit and permits.
+    Full, ///< Queue, adaptive limit, permits and preemption of reads.
+    NoPreemption, ///< As Full, but a statement that overruns keeps its slot.
     FifoOrder, ///< As Full, but first come, first served with deadlines.
     StaticLimit, ///< As Full, but each instance always runs as many statements as the target has slots.
     LocalReserve, ///< As Full, but each instance keeps a place for short work by itself, without permits.
@@ -35,6 +36,7 @@
     std::string service;
     std::vector<point> rate;
     bool isLong = false; ///< Long statements of one shape, of 0.5 to 1.5 s.
+    double slowFactor = 1; ///< Of the running times of short statements in the measured span.
     double stragglerShare = 0; ///< Share of short statements that take as long, without a sign before.
 };
 
@@ -58,6 +60,7 @@
     double workInTimeMs = 0; ///< Slot time of the answers that came in time and within the measured span.
     std::vector<double> latenciesMs; ///< Of all that were answered.
 
+    int preempted = 0;
     std::vector<double> refusedAfterMs; ///< Time until the refusal.
 
     /** Of the latencies. */
