Preempt reads that overrun without a permit

Now the gate checks its running statements every 20 ms, counts overrunning ones as long, asks for permits at once, and, if the owner denies one, asks the session of the oldest read without a permit to cancel it. The session sends the cancellation, holds the answer back, and after 57014 dispatches the read again as long work, once. If the statement ended before, its answer goes out as usual. Each preemption has a line with the prefix queue: and counts in crocusdeal_reads_preempted.

Ruled out: letting rows pass after the cancellation, since the read could not be repeated then; more than 1 MB held back ends the first run instead. Reads with less than half of their deadline left are not preempted, as they might not get a permit in time.

The p99 of the daemons with stragglers was not measured.

--- a/src/libcrocusdealnet/dispatch.cpp
+++ b/src/libcrocusdealnet/dispatch.cpp
@@ -56,6 +56,11 @@
     m_hooks.resume(fingerprint);
 }
 
+void connection_lease::endPreempted(std::uint64_t fingerprint, duration ran)
+{
+    m_hooks.preempted(fingerprint, ran);
+}
+
 void connection_lease::endStatement(std::uint64_t fingerprint, duration ran, bool keeps)
 {
     m_hooks.ran(fingerprint, ran);
--- a/src/libcrocusdealnet/dispatch.h
+++ b/src/libcrocusdealnet/dispatch.h
@@ -28,6 +28,10 @@
     std::optional<duration> maxStaleness; ///< The data may be this old, but not older than the token.
     time_point deadline; ///< A request that has not started by then is refused.
     std::optional<target_id> avoid; ///< A target on which this request has just failed.
+    bool wasPreempted = false; ///< Runs again after a preemption, as long work.
+    /** Asks the session to cancel the running read and to dispatch it again; empty for what must not be preempted. Runs
+     * on any thread. */
+    std::function<void()> preempt;
 };
 
 /** Tells the lender of a connection what its borrower does. */
@@ -36,6 +40,7 @@
     std::function<void()> pause; ///< No statement runs, the connection is kept.
     std::function<void(std::uint64_t fingerprint)> resume;
     std::function<void(std::uint64_t fingerprint, duration ran)> ran;
+    std::function<void(std::uint64_t fingerprint, duration ran)> preempted;
 };
 
 /** What happened on a lent connection. */
@@ -62,6 +67,8 @@
     void beginStatement(std::uint64_t fingerprint);
     /** A statement completed; with @p keeps the connection stays with the session. */
     void endStatement(std::uint64_t fingerprint, duration ran, bool keeps);
+    /** The statement was cancelled after @p ran to run again. */
+    void endPreempted(std::uint64_t fingerprint, duration ran);
 
 private:
     std::shared_ptr<target_connection> m_connection;
--- a/src/libcrocusdealnet/groupruntime.cpp
+++ b/src/libcrocusdealnet/groupruntime.cpp
@@ -167,6 +167,9 @@
     auto pool = std::make_shared<connection_pool>(m_environment.io, std::move(settings), makePoolHooks(key));
     auto gate = std::make_shared<target_gate>(
         m_environment.io, std::move(pool), m_costs, concurrency_limit_settings{limits.slots, 1});
+    gate->setPermitHooks(
+        {[coordinator = m_environment.limits, key] { return coordinator->isPermitDenied(key); },
+         [coordinator = m_environment.limits, key](int demand) { coordinator->setLongDemand(key, demand); }});
     gate->setOnLongFinished([coordinator = m_environment.limits, key] { coordinator->onLongFinished(key); });
     return gate;
 }
@@ -309,7 +312,7 @@
     const auto self = shared_from_this();
     hooks->dispatch = [self, router](const dispatch_request &request, service_hooks::dispatch_handler done) {
         self->noteUse();
-        if (!request.avoid) {
+        if (!request.avoid && !request.wasPreempted) {
             self->countRequest();
         }
         return router->dispatch(request, std::move(done));
--- a/src/libcrocusdealnet/instancestatus.cpp
+++ b/src/libcrocusdealnet/instancestatus.cpp
@@ -151,6 +151,8 @@
                 .set(static_cast<std::int64_t>(counts.readsAllowedOnReplicas));
             metrics.gauge("crocusdeal_reads_on_replicas", "Reads that replicas served", labels)
                 .set(static_cast<std::int64_t>(counts.readsOnReplicas));
+            metrics.gauge("crocusdeal_reads_preempted", "Reads cancelled at their target to run again", labels)
+                .set(static_cast<std::int64_t>(counts.preempted));
             metrics.gauge("crocusdeal_requests_refused", "Requests refused as not run", labels)
                 .set(static_cast<std::int64_t>(counts.refused));
         }
--- a/src/libcrocusdealnet/limitcoordinator.cpp
+++ b/src/libcrocusdealnet/limitcoordinator.cpp
@@ -427,6 +427,32 @@
     }
 }
 
+void limit_coordinator::setLongDemand(const target_id &target, int longStatements)
+{
+    const auto now = m_hooks.now();
+    outbox out;
+    {
+        const std::lock_guard lock(m_mutex);
+        auto *item = find(target);
+        if (item == nullptr) {
+            return;
+        }
+        item->permits.setWanted(longStatements);
+        if (auto request = item->permits.poll(now)) {
+            out[item->owner].permitRequests.push_back(std::move(*request));
+        }
+    }
+    deliver(out);
+}
+
+bool limit_coordinator::isPermitDenied(const target_id &target) const
+{
+    const auto now = m_hooks.now();
+    const std::lock_guard lock(m_mutex);
+    const auto *item = find(target);
+    return item != nullptr && item->permits.isDenied(now);
+}
+
 void limit_coordinator::onLongFinished(const target_id &target)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libcrocusdealnet/limitcoordinator.h
+++ b/src/libcrocusdealnet/limitcoordinator.h
@@ -70,6 +70,10 @@
     void onOpenFailed(const target_id &target, bool refused);
     void onClosed(const target_id &target);
     void setDemand(const target_id &target, int connections, int longStatements);
+    /** As setDemand() for the long statements, and asks for permits at once. */
+    void setLongDemand(const target_id &target, int longStatements);
+    /** Whether the owner has answered that it has no further permit for this instance. */
+    bool isPermitDenied(const target_id &target) const;
     /** A long statement that ran under a permit has ended. */
     void onLongFinished(const target_id &target);
     void setControlConnections(const target_id &target, int count);
--- a/src/libcrocusdealnet/requestrun.cpp
+++ b/src/libcrocusdealnet/requestrun.cpp
@@ -1,6 +1,7 @@
 #include "requestrun.h"
 
 #include "partlog.h"
+#include "preemptionpolicy.h"
 #include "systemclock.h"
 
 #include <asio/dispatch.hpp>
@@ -20,6 +21,12 @@
     return log;
 }
 
+const part_log &queueLog()
+{
+    static const part_log log("queue");
+    return log;
+}
+
 pg_error makeError(const char *sqlState, std::string message, std::string hint = {})
 {
     return {"ERROR", sqlState, std::move(message), {}, std::move(hint)};
@@ -41,12 +48,15 @@
     m_target.start(m_session,
                    {.onAnswered = [this] { onAnswered(); },
                     .onFlushAnswered = [this] { onFlushAnswered(); },
+                    .onHeldTooMuch = [this] { runAgainAsLong(); },
                     .onLost = [this] { onTargetLost(); }});
 }
 
 void request_run::begin(time_point receivedAt)
 {
     m_cancelled = false;
+    m_preempting = false;
+    m_wasPreempted = false;
     m_avoid.reset();
     if (m_target.hasLease()) {
         m_context.setPhase(session_phase::Running);
@@ -94,6 +104,7 @@
         m_cancelled = true;
         m_context.service->cancel(m_dispatchTicket);
     } else if (m_context.phase == session_phase::Running && m_target.hasLease()) {
+        stopPreempting(); // The caller gets the answer to its own cancellation.
         m_target.cancelStatement();
     }
 }
@@ -108,6 +119,7 @@
     // more while the end of an answer is on its way to the caller.
     if (m_context.phase == session_phase::Running && m_context.info.cls == statement_class::Read
         && m_target.hasLease()) {
+        stopPreempting();
         m_target.cancelStatement();
     }
 }
@@ -138,6 +150,15 @@
     }
     request.deadline = m_deadline;
     request.avoid = m_avoid;
+    request.wasPreempted = m_wasPreempted;
+    ++m_attempt;
+    if (mayPreempt()) {
+        request.preempt = [this, weak = m_session, attempt = m_attempt] {
+            if (auto session = weak.lock()) {
+                asio::dispatch(m_context.strand, [this, session, attempt] { preempt(attempt); });
+            }
+        };
+    }
     m_dispatchTicket = m_context.service->dispatch(request, [this, session = m_session.lock()](dispatch_result result) {
         auto shared = std::make_shared<dispatch_result>(std::move(result));
         asio::dispatch(m_context.strand, [this, session, shared] { onDispatched(std::move(*shared)); });
@@ -274,18 +295,79 @@
     return true;
 }
 
-void request_run::dispatchAgain(const target_id &avoid)
+bool request_run::mayPreempt() const
+{
+    preemption_traits traits;
+    traits.isRead = m_context.info.cls == statement_class::Read && m_context.batch.endsWithSync();
+    traits.inTransaction = m_context.transaction.isOpen();
+    traits.isPinned = m_context.transaction.isPinned();
+    traits.hasRequestKey = m_keyed != nullptr || !m_context.settings.requestKey().empty();
+    traits.answerStarted = m_context.awaitingSync || m_context.caller.hasSent();
+    traits.wasPreempted = m_wasPreempted || m_preempting;
+    return isPreemptible(traits);
+}
+
+/** The target needs the slot for short work. */
+void request_run::preempt(std::uint64_t attempt)
+{
+    const bool isRunning = attempt == m_attempt && m_context.phase == session_phase::Running && m_target.hasLease()
+        && !m_context.callerGone;
+    // The second run has to get a permit before the deadline.
+    const bool hasTime = m_deadline - systemNow() > m_context.service->queueDeadline() / 2;
+    if (!isRunning || !hasTime || !mayPreempt() || !m_context.request.mayRetry(request_failure::ConnectionLost)) {
+        return;
+    }
+    m_preempting = true;
+    m_target.setHoldOutput(true);
+    m_target.cancelStatement();
+}
+
+void request_run::stopPreempting()
+{
+    m_preempting = false;
+    m_target.setHoldOutput(false);
+}
+
+/** Whether the answer is that of the cancelled statement: it may have ended before. */
+bool request_run::wasCancelledToRunAgain()
+{
+    const auto &relay = m_target.relay();
+    return std::exchange(m_preempting, false) && relay.error() && relay.error()->sqlState == "57014"
+        && relay.transactionStatus() == 'I' && m_context.request.mayRetry(request_failure::ConnectionLost);
+}
+
+void request_run::runAgainAsLong()
+{
+    m_target.stopWatching();
+    m_preempting = false;
+    m_wasPreempted = true;
+    auto &lease = m_target.lease();
+    const auto ran = systemNow() - m_target.sentAt();
+    queueLog().write(log_level::Info,
+                     "session " + std::to_string(m_context.ticket.pid) + " read preempted at "
+                         + lease.connection().target().str() + " after " + std::to_string(ran.ms)
+                         + " ms, runs again as long work");
+    lease.endPreempted(m_context.info.fingerprint, ran);
+    m_target.returnLease(lease_outcome::Broken);
+    dispatchAgain(std::nullopt);
+}
+
+void request_run::dispatchAgain(std::optional<target_id> avoid)
 {
     m_context.request.onRetry();
     m_target.relay().takeHeld();
     m_context.caller.out().clear();
-    m_avoid = avoid;
+    m_avoid = std::move(avoid);
     dispatch();
 }
 
 void request_run::onAnswered()
 {
     m_target.stopWatching();
+    if (wasCancelledToRunAgain()) {
+        runAgainAsLong();
+        return;
+    }
     auto &relay = m_target.relay();
     auto &lease = m_target.lease();
     const bool keepsLease = m_context.transaction.isPinned() || relay.transactionStatus() != 'I';
@@ -376,6 +458,7 @@
     }
     m_target.returnLease(lease_outcome::Broken);
     m_target.relay().takeHeld();
+    m_preempting = false;
     m_context.transaction.onConnectionLost();
     if (m_context.request.mayRetry(request_failure::ConnectionLost) && systemNow() < m_deadline
         && m_context.service->mayRetry()) {
--- a/src/libcrocusdealnet/requestrun.h
+++ b/src/libcrocusdealnet/requestrun.h
@@ -52,7 +52,7 @@
 
 private:
     void dispatch();
-    void dispatchAgain(const target_id &avoid);
+    void dispatchAgain(std::optional<target_id> avoid);
     void onDispatched(dispatch_result result);
     duration staleness() const;
 
@@ -63,6 +63,12 @@
     void onAnswered();
     void onFlushAnswered();
     bool retryElsewhere();
+
+    bool mayPreempt() const;
+    void preempt(std::uint64_t attempt);
+    void stopPreempting();
+    bool wasCancelledToRunAgain();
+    void runAgainAsLong();
     void onTargetLost();
 
     void confirm(position at);
@@ -79,6 +85,9 @@
     std::uint64_t m_dispatchTicket = 0;
     std::optional<target_id> m_avoid;
     bool m_cancelled = false;
+    std::uint64_t m_attempt = 0; ///< Number of the last dispatch.
+    bool m_preempting = false; ///< The running read is being cancelled to run again.
+    bool m_wasPreempted = false;
 };
 
 }
--- a/src/libcrocusdealnet/servicerouter.cpp
+++ b/src/libcrocusdealnet/servicerouter.cpp
@@ -88,6 +88,10 @@
     work->request = request;
     work->done = std::move(done);
     work->ticket = nextGateId();
+    if (request.wasPreempted && !request.avoid) {
+        const std::lock_guard lock(m_mutex);
+        ++m_counts.preempted;
+    }
     step(work);
     return work->ticket;
 }
@@ -191,7 +195,7 @@
     entry.id = work->ticket;
     entry.service = m_service;
     entry.caller = work->request.session;
-    entry.cls = cost.isLong ? work_class::Long : work_class::Short;
+    entry.cls = cost.isLong || work->request.wasPreempted ? work_class::Long : work_class::Short;
     entry.expected = cost.expected;
     entry.deadline = work->request.deadline;
     {
@@ -200,10 +204,11 @@
     }
     const bool toPrimary = decision.kind == route_kind::ToPrimary;
     countRead(*work, !toPrimary);
-    destination->submit(
-        entry, work->request.fingerprint, [self = shared_from_this(), work, target, toPrimary](gate_answer answer) {
-            self->onGateAnswer(work, target, toPrimary, std::move(answer));
-        });
+    destination->submit(entry,
+                        {work->request.fingerprint, work->request.wasPreempted, work->request.preempt},
+                        [self = shared_from_this(), work, target, toPrimary](gate_answer answer) {
+                            self->onGateAnswer(work, target, toPrimary, std::move(answer));
+                        });
 }
 
 void service_router::countRead(job &work, bool onReplica)
@@ -240,6 +245,9 @@
         origin->resume(entry, fingerprint);
     };
     hooks.ran = [origin](std::uint64_t fingerprint, duration ran) { origin->ran(fingerprint, ran); };
+    hooks.preempted = [costs = m_costs](std::uint64_t fingerprint, duration ran) {
+        costs->recordAborted(fingerprint, ran, systemNow());
+    };
     return std::make_unique<connection_lease>(std::move(connection), isPrimary, std::move(hooks));
 }
 
--- a/src/libcrocusdealnet/servicerouter.h
+++ b/src/libcrocusdealnet/servicerouter.h
@@ -36,6 +36,7 @@
     std::uint64_t readsAllowedOnReplicas = 0;
     std::uint64_t readsOnReplicas = 0;
     std::uint64_t refused = 0; ///< Not run.
+    std::uint64_t preempted = 0; ///< Reads that were cancelled to run again.
     std::size_t waiting = 0; ///< Held for a route.
 };
 
--- a/src/libcrocusdealnet/targetexchange.cpp
+++ b/src/libcrocusdealnet/targetexchange.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t targetReadBytes = std::size_t{32} * 1024;
 constexpr std::size_t flushBytes = std::size_t{16} * 1024;
+/** A cancelled statement that goes on answering is given up above this, so that it cannot take the memory. */
+constexpr std::size_t heldBytes = std::size_t{1024} * 1024;
 constexpr duration targetCheckPeriod{100};
 
 }
@@ -81,6 +83,11 @@
     m_runBlocking([connection] { connection->cancelStatement(); });
 }
 
+void target_exchange::setHoldOutput(bool hold)
+{
+    m_holdOutput = hold;
+}
+
 response_relay &target_exchange::relay()
 {
     return m_relay;
@@ -95,6 +102,7 @@
 {
     auto &connection = m_lease->connection();
     m_endsWithSync = batch.endsWithSync();
+    m_holdOutput = false;
     m_relay.setPinned(mode.pinned);
     if (batch.isSimple()) {
         m_relay.beginSimple(mode.holdCompletion);
@@ -180,7 +188,11 @@
     case response_relay::progress::More:
         break;
     }
-    if (m_caller.out().size() < flushBytes && !m_relay.hasRows()) {
+    if (m_holdOutput && m_caller.out().size() > heldBytes) {
+        m_hooks.onHeldTooMuch();
+        return;
+    }
+    if (m_holdOutput || (m_caller.out().size() < flushBytes && !m_relay.hasRows())) {
         read();
         return;
     }
--- a/src/libcrocusdealnet/targetexchange.h
+++ b/src/libcrocusdealnet/targetexchange.h
@@ -21,6 +21,7 @@
 struct exchange_hooks {
     std::function<void()> onAnswered; ///< ReadyForQuery came.
     std::function<void()> onFlushAnswered; ///< Everything up to a Flush that ends the batch was answered.
+    std::function<void()> onHeldTooMuch; ///< More output than is held after setHoldOutput().
     std::function<void()> onLost; ///< The connection failed, or its target is known to be dead.
 };
 
@@ -65,6 +66,9 @@
     void stopWatching();
     /** Sends a cancellation for the running statement; the target connection is closed afterwards. */
     void cancelStatement();
+    /** Whether to keep the answer to the present batch back until its end, so that the request can still be repeated.
+     */
+    void setHoldOutput(bool hold);
 
 private:
     bool holds(const std::shared_ptr<target_connection> &connection) const;
@@ -89,6 +93,7 @@
     time_point m_sentAt;
     bool m_endsWithSync = false;
     bool m_watching = false;
+    bool m_holdOutput = false;
     bool m_cancelSent = false; ///< To the database, on the present lease.
 };
 
--- a/src/libcrocusdealnet/targetgate.cpp
+++ b/src/libcrocusdealnet/targetgate.cpp
@@ -15,6 +15,8 @@
 
 /** Longer than any wait of a healthy process between two beats of 100 ms. */
 constexpr duration pauseBound{1000};
+/** Short against the least time after which a statement counts as overrunning. */
+constexpr std::chrono::milliseconds overrunCheckPeriod{20};
 
 }
 
@@ -43,6 +45,12 @@
     return baseline;
 }
 
+void shared_costs::recordAborted(std::uint64_t fingerprint, duration ran, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_costs.recordAborted(fingerprint, ran, now);
+}
+
 void shared_costs::beat(time_point now)
 {
     const std::lock_guard lock(m_mutex);
@@ -66,17 +74,22 @@
     : m_pool(std::move(pool))
     , m_costs(std::move(costs))
     , m_limit(capacity)
+    , m_watchTimer(io)
     , m_timer(io)
 {
     m_queue.setLimit(m_limit.limit(), systemNow());
 }
 
-void target_gate::submit(const queue_entry &entry, std::uint64_t fingerprint, handler done)
+void target_gate::submit(const queue_entry &entry, gate_statement statement, handler done)
 {
     queue_actions actions;
     {
         const std::lock_guard lock(m_mutex);
-        noteRunning(entry, fingerprint);
+        noteRunning(entry, statement.fingerprint);
+        m_submitted[entry.id].preempt = std::move(statement.preempt);
+        if (!statement.wasPreempted) {
+            m_preemption.onRequest(systemNow());
+        }
         m_handlers.emplace(entry.id, std::move(done));
         actions = m_queue.submit(entry, systemNow());
     }
@@ -138,7 +151,7 @@
 
 void target_gate::noteRunning(const queue_entry &entry, std::uint64_t fingerprint)
 {
-    m_submitted[entry.id] = {fingerprint, never, entry.deadline, entry.cls == work_class::Long, false};
+    m_submitted[entry.id] = {fingerprint, never, entry.deadline, entry.cls == work_class::Long, false, false, {}};
 }
 
 void target_gate::setOnLongFinished(std::function<void()> hook)
@@ -147,6 +160,109 @@
     m_onLongFinished = std::move(hook);
 }
 
+void target_gate::setPermitHooks(permit_hooks hooks)
+{
+    const std::lock_guard lock(m_mutex);
+    m_permits = std::move(hooks);
+}
+
+/** Checks for overrunning statements until none runs. */
+void target_gate::watchRunning()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_submitted.empty() || std::exchange(m_watching, true)) {
+        return;
+    }
+    m_watchTimer.expires_after(overrunCheckPeriod);
+    m_watchTimer.async_wait([weak = weak_from_this()](std::error_code error) {
+        const auto self = weak.lock();
+        if (self && !error) {
+            self->checkRunning();
+        }
+    });
+}
+
+void target_gate::checkRunning()
+{
+    const auto now = systemNow();
+    permit_hooks permits;
+    queue_actions actions;
+    bool isDemandHigher = false;
+    int demand = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_watching = false;
+        permits = m_permits;
+        isDemandHigher = reclassifyOverrunning(now, actions);
+        demand = m_queue.longDemand();
+    }
+    apply(std::move(actions));
+    if (isDemandHigher) {
+        permits.onDemand(demand);
+    }
+    const bool isDenied = permits.isDenied();
+    std::function<void()> preempt;
+    {
+        const std::lock_guard lock(m_mutex);
+        preempt = choosePreempted(isDenied, now);
+    }
+    if (preempt) {
+        preempt();
+    }
+    watchRunning();
+}
+
+bool target_gate::reclassifyOverrunning(time_point now, queue_actions &actions)
+{
+    bool any = false;
+    for (auto &[id, statement] : m_submitted) {
+        if (statement.since == never || statement.isLong || statement.isReclassified
+            || !m_preemption.isOverrunning(now - statement.since, m_costs->estimate(statement.fingerprint).high)
+            || m_costs->ranThroughPause(statement.since, now)) {
+            continue;
+        }
+        statement.isReclassified = true;
+        any = true;
+        const auto changed = m_queue.reclassify(id, now);
+        actions.start.insert(actions.start.end(), changed.start.begin(), changed.start.end());
+        actions.refuse.insert(actions.refuse.end(), changed.refuse.begin(), changed.refuse.end());
+    }
+    return any;
+}
+
+/** The request to the session whose statement gives up its slot; empty if none has to. */
+std::function<void()> target_gate::choosePreempted(bool isDenied, time_point now)
+{
+    permit_pressure pressure{m_queue.longRunning(), m_longPlaces, isDenied};
+    int before = 0; // Statements that were admitted as long use the permits first.
+    std::vector<running_statement *> overrunning;
+    for (auto &[id, statement] : m_submitted) {
+        if (statement.since == never) {
+            continue;
+        }
+        before += statement.isLong ? 1 : 0;
+        pressure.longRunning -= statement.isPreempting ? 1 : 0;
+        if (statement.isReclassified && !statement.isPreempting) {
+            overrunning.push_back(&statement);
+        }
+    }
+    if (pressure.longRunning <= pressure.longPlaces) {
+        return {};
+    }
+    std::sort(overrunning.begin(), overrunning.end(), [](const running_statement *a, const running_statement *b) {
+        return a->since < b->since;
+    });
+    for (auto *statement : overrunning) {
+        preemption_traits traits;
+        traits.isRead = statement->preempt != nullptr;
+        if (m_preemption.tryPreempt(traits, pressure, before++, now)) {
+            statement->isPreempting = true;
+            return statement->preempt;
+        }
+    }
+    return {};
+}
+
 void target_gate::reclassify()
 {
     const auto now = systemNow();
@@ -180,6 +296,7 @@
     // Follow-up statements start at once; their handler is not needed.
     std::erase(actions.start, entry.id);
     apply(std::move(actions));
+    watchRunning();
 }
 
 void target_gate::ran(std::uint64_t fingerprint, duration time)
@@ -262,6 +379,7 @@
                 found->second.since = systemNow();
             }
         }
+        watchRunning();
         done({std::move(connection), {}, connect_error::None});
         return;
     }
@@ -313,6 +431,7 @@
     queue_actions actions;
     {
         const std::lock_guard lock(m_mutex);
+        m_longPlaces = places;
         actions = m_queue.setLongPlaces(places, systemNow());
     }
     apply(std::move(actions));
--- a/src/libcrocusdealnet/targetgate.h
+++ b/src/libcrocusdealnet/targetgate.h
@@ -3,6 +3,7 @@
 #include "admissionqueue.h"
 #include "concurrencylimit.h"
 #include "connectionpool.h"
+#include "preemptionpolicy.h"
 #include "router.h"
 #include "statementcosts.h"
 
@@ -29,6 +30,8 @@
     cost_estimate estimateRunning(std::uint64_t fingerprint, duration ranFor) const;
     /** Takes in a completed execution; returns the baseline known before. */
     double record(std::uint64_t fingerprint, duration ran, time_point now);
+    /** Takes in an execution that was cancelled after @p ran. */
+    void recordAborted(std::uint64_t fingerprint, duration ran, time_point now);
 
     /** To be called each 100 ms; a gap shows a pause of this instance. */
     void beat(time_point now);
@@ -49,6 +52,19 @@
     connect_error connectError = connect_error::None; ///< Set if the target could not be reached.
 };
 
+/** A statement that is submitted to a gate. */
+struct gate_statement {
+    std::uint64_t fingerprint = 0;
+    bool wasPreempted = false;
+    std::function<void()> preempt; ///< As in dispatch_request.
+};
+
+/** The permits for long statements on the target of a gate; called without a lock held. */
+struct permit_hooks {
+    std::function<bool()> isDenied; ///< The owner has answered that no further permit is free.
+    std::function<void(int demand)> onDemand; ///< More long statements run than before.
+};
+
 /**
  * Admits the requests of this instance to one target: order, concurrency limit, long places and connections.
  *
@@ -65,7 +81,7 @@
                 concurrency_limit_settings capacity);
 
     /** Asks for a place and a connection; @p entry needs an id that is unique at this gate. */
-    void submit(const queue_entry &entry, std::uint64_t fingerprint, handler done);
+    void submit(const queue_entry &entry, gate_statement statement, handler done);
     void cancel(std::uint64_t id);
     /** The request of @p id ended and gives its connection back. */
     void finish(std::uint64_t id, std::shared_ptr<target_connection> connection, bool reusable);
@@ -82,6 +98,7 @@
     target_load load() const;
     /** Counts statements that run longer than expected as long; to be called each 100 ms. */
     void reclassify();
+    void setPermitHooks(permit_hooks hooks);
     /** Called after a long statement that ran under a permit has ended. */
     void setOnLongFinished(std::function<void()> hook);
     /** Refuses all waiting requests. */
@@ -98,10 +115,16 @@
         time_point deadline;
         bool isLong = false; ///< Admitted as long, under a permit.
         bool isReclassified = false;
+        bool isPreempting = false; ///< Its session was asked to cancel it.
+        std::function<void()> preempt; ///< Empty if it must not be preempted.
     };
 
     void apply(queue_actions actions);
     void noteRunning(const queue_entry &entry, std::uint64_t fingerprint);
+    void watchRunning();
+    void checkRunning();
+    bool reclassifyOverrunning(time_point now, queue_actions &actions);
+    std::function<void()> choosePreempted(bool isDenied, time_point now);
     void startRequest(std::uint64_t id);
     void onConnection(std::uint64_t id,
                       const handler &done,
@@ -119,6 +142,11 @@
     std::unordered_map<std::uint64_t, handler> m_handlers;
     std::unordered_map<std::uint64_t, running_statement> m_submitted;
     std::function<void()> m_onLongFinished = [] {};
+    permit_hooks m_permits{[] { return false; }, [](int) {}};
+    preemption_policy m_preemption;
+    int m_longPlaces = 0;
+    asio::steady_timer m_watchTimer;
+    bool m_watching = false;
     asio::steady_timer m_timer;
     time_point m_tickAt = never;
 };
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -392,6 +392,7 @@
                        {"limits", {{"connections", m_options.connections}, {"slots", m_options.slots}}},
                        {"writes", {{"confirm", m_options.confirm}}},
                        {"reads", nlohmann::json::parse(m_options.reads)},
+                       {"queue", {{"deadline_ms", m_options.deadlineMs}}},
                        {"drained", drained}});
     }
     return nlohmann::json{{"services", std::move(all)}}.dump();
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -24,6 +24,7 @@
     int connectMs = 5;
     int lagMs = 0;
     int statementUs = 0;
+    int deadlineMs = 2000; ///< For the start of a request.
     std::string confirm = "replica";
     std::string reads = "{}"; ///< Value of "reads" in the service file.
     bool tls = false;
