--- a/src/libcrocusdeal/permitledger.cpp
+++ b/src/libcrocusdeal/permitledger.cpp
@@ -113,7 +113,9 @@
         return;
     }
     const int before = waitingBefore(holder, now);
-    while (static_cast<int>(holder.permits.size()) < holder.wanted && occupied() + before < capacity()) {
+    // A permit for a statement that runs without one already adds nothing to the load of the target.
+    const auto added = [&] { return static_cast<int>(holder.permits.size()) < holder.running ? 0 : 1; };
+    while (static_cast<int>(holder.permits.size()) < holder.wanted && occupied() + before + added() <= capacity()) {
         holder.permits.insert({m_tenure.ledger(), ++m_lastNumber});
         holder.waitingSince = now;
     }
