Count peak and refused connections in the database stand-in

Cause: no test counted the connections of the fleet at the databases, and a killed instance's connections were closed at once, unlike those of a machine that fails. The stand-in now states the peak and the refusals since the last call, and keeps connections whose end it is told not to notice. Ruled out: cut_from, which notices the end of idle connections and makes the instance open others. After: countsPeakAndRefusedConnections and lingeringConnectionsCountUntilHealed passed (build/tests/test_process).

--- a/src/standins/database/clientconnection.cpp
+++ b/src/standins/database/clientconnection.cpp
@@ -147,7 +147,7 @@
                              [self = shared_from_this()](asio::error_code error, std::size_t count) {
                                  self->m_reading = false;
                                  if (error) {
-                                     self->closeNow();
+                                     self->onEnded();
                                      return;
                                  }
                                  self->m_reader.commit(count);
@@ -155,6 +155,16 @@
                              });
 }
 
+void client_connection::onEnded()
+{
+    const auto again = [self = shared_from_this()] {
+        asio::post(self->m_socket.get_executor(), [self] { self->onEnded(); });
+    };
+    if (!m_server.faults().any() || !m_server.faults().holdsEndOf(m_peer, again)) {
+        closeNow();
+    }
+}
+
 void client_connection::process()
 {
     if (m_processing || m_waiting || m_held || !m_socket.is_open()) {
@@ -234,7 +244,7 @@
     asio::error_code error;
     m_sent += m_socket.write_some(asio::buffer(m_sending) + m_sent, error);
     if (error && error != asio::error::would_block) {
-        closeNow();
+        onEnded();
         return;
     }
     if (m_sent == m_sending.size()) {
--- a/src/standins/database/clientconnection.h
+++ b/src/standins/database/clientconnection.h
@@ -47,6 +47,8 @@
 private:
     void read();
     void process();
+    /** The other side has closed the connection. */
+    void onEnded();
     bool processFrame();
     void flush();
     void writeRest();
--- a/src/standins/database/database.cpp
+++ b/src/standins/database/database.cpp
@@ -379,13 +379,24 @@
 
 bool database::openConnection()
 {
-    if (++m_connections > m_settings.connections) {
+    const int count = ++m_connections;
+    if (count > m_settings.connections) {
         --m_connections;
+        ++m_refusedConnections;
         return false;
     }
+    int peak = m_peakConnections;
+    while (count > peak && !m_peakConnections.compare_exchange_weak(peak, count)) {
+    }
     return true;
 }
 
+connection_counts database::takeConnectionCounts()
+{
+    const int present = m_connections;
+    return {present, m_peakConnections.exchange(present), m_refusedConnections.exchange(0)};
+}
+
 void database::closeConnection()
 {
     --m_connections;
--- a/src/standins/database/database.h
+++ b/src/standins/database/database.h
@@ -38,6 +38,13 @@
     std::string source; ///< "host:port"
 };
 
+/** Connections of callers and of control. */
+struct connection_counts {
+    int present = 0;
+    int peak = 0; ///< Highest number since the last call.
+    int refused = 0; ///< With 53300 since the last call.
+};
+
 /** One database of a group: term, role, log and data. Thread-safe. */
 class database
 {
@@ -107,6 +114,7 @@
     /** False, without counting it, if the limit is reached. */
     bool openConnection();
     void closeConnection();
+    connection_counts takeConnectionCounts();
 
 private:
     struct waiter {
@@ -144,6 +152,8 @@
     std::atomic<std::uint64_t> m_stateVersion = 1;
     std::atomic<std::uint64_t> m_storeGeneration = 1;
     std::atomic<int> m_connections = 0;
+    std::atomic<int> m_peakConnections = 0;
+    std::atomic<int> m_refusedConnections = 0;
     std::atomic<std::uint64_t> m_statements = 0;
 };
 
--- a/src/standins/database/faults.cpp
+++ b/src/standins/database/faults.cpp
@@ -32,12 +32,22 @@
     changed();
 }
 
+void fault_switches::linger(const std::string &peer)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_lingering.insert(peer);
+    }
+    changed();
+}
+
 void fault_switches::heal(const std::string &peer)
 {
     {
         const std::lock_guard lock(m_mutex);
         m_from.erase(peer);
         m_to.erase(peer);
+        m_lingering.erase(peer);
     }
     changed();
 }
@@ -48,6 +58,7 @@
         const std::lock_guard lock(m_mutex);
         m_from.clear();
         m_to.clear();
+        m_lingering.clear();
     }
     changed();
 }
@@ -80,6 +91,16 @@
     return any() && holds(m_to, peer, std::move(resume));
 }
 
+bool fault_switches::holdsEndOf(const peer_name &peer, std::function<void()> resume)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!matches(m_lingering, peer)) {
+        return false;
+    }
+    m_parked.push_back(std::move(resume));
+    return true;
+}
+
 bool fault_switches::holds(const std::set<std::string> &names, const peer_name &peer, std::function<void()> resume)
 {
     const std::lock_guard lock(m_mutex);
@@ -101,7 +122,7 @@
     std::vector<std::function<void()>> parked;
     {
         const std::lock_guard lock(m_mutex);
-        m_any = m_frozen || !m_from.empty() || !m_to.empty();
+        m_any = m_frozen || !m_from.empty() || !m_to.empty() || !m_lingering.empty();
         parked.swap(m_parked);
     }
     for (const auto &resume : parked) {
--- a/src/standins/database/faults.h
+++ b/src/standins/database/faults.h
@@ -30,6 +30,8 @@
     void setFrozen(bool frozen);
     void cutFrom(const std::string &peer);
     void cutTo(const std::string &peer);
+    /** The end of the peer's connections is not noticed, so that they go on counting, as after a loss of power. */
+    void linger(const std::string &peer);
     void heal(const std::string &peer);
     void healAll();
     void dropNextCommitAnswer(commit_answer_fault fault);
@@ -41,6 +43,8 @@
     bool holdsFrom(const peer_name &peer, std::function<void()> resume);
     /** The same for traffic to the peer. */
     bool holdsTo(const peer_name &peer, std::function<void()> resume);
+    /** The same for the end of a connection of the peer. */
+    bool holdsEndOf(const peer_name &peer, std::function<void()> resume);
 
 private:
     static bool matches(const std::set<std::string> &names, const peer_name &peer);
@@ -53,6 +57,7 @@
     bool m_frozen = false;
     std::set<std::string> m_from;
     std::set<std::string> m_to;
+    std::set<std::string> m_lingering;
     std::vector<std::function<void()>> m_parked;
 };
 
--- a/src/standins/database/main.cpp
+++ b/src/standins/database/main.cpp
@@ -29,10 +29,12 @@
   freeze, resume       answer nothing while sockets stay open
   cut_from PEER        hold traffic from a peer: its address, host:port or application_name
   cut_to PEER          hold traffic to a peer; heal [PEER] ends both
+  linger PEER          count its connections after their end, until heal
   kill_connections     close all connections
   drop_answer [silence]  the next commit takes effect; its connection is closed, or kept without an answer
   crash                exit at once
   status               term, role, position, connections, limit and followed database
+  connections          present number; peak and number refused since the last call
 
 Options)";
 
--- a/src/standins/database/server.cpp
+++ b/src/standins/database/server.cpp
@@ -143,6 +143,8 @@
         m_faults.cutFrom(word(1));
     } else if (verb == "cut_to" && !word(1).empty()) {
         m_faults.cutTo(word(1));
+    } else if (verb == "linger" && !word(1).empty()) {
+        m_faults.linger(word(1));
     } else if (verb == "heal") {
         word(1).empty() ? m_faults.healAll() : m_faults.heal(word(1));
     } else if (verb == "kill_connections") {
@@ -156,6 +158,10 @@
         const auto status = m_database.status();
         return "ok " + m_database.stateText() + ' ' + std::to_string(status.connections) + ' '
             + std::to_string(status.maxConnections) + ' ' + status.following;
+    } else if (verb == "connections") {
+        const auto counts = m_database.takeConnectionCounts();
+        return "ok " + std::to_string(counts.present) + ' ' + std::to_string(counts.peak) + ' '
+            + std::to_string(counts.refused);
     } else if (verb == "statements") {
         return "ok " + std::to_string(m_database.statements());
     } else {
--- a/tests/process/databasestandintest.cpp
+++ b/tests/process/databasestandintest.cpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <csignal>
 #include <filesystem>
+#include <sys/socket.h>
 #include <thread>
 
 using namespace crocusdeal;
@@ -50,6 +51,8 @@
     CPPUNIT_TEST(cancelInterruptsAScan);
     CPPUNIT_TEST(idleTransactionGivesWayToWaitingWriters);
     CPPUNIT_TEST(refusesConnectionsAboveTheLimit);
+    CPPUNIT_TEST(countsPeakAndRefusedConnections);
+    CPPUNIT_TEST(lingeringConnectionsCountUntilHealed);
     CPPUNIT_TEST(connectionSetUpTakesItsTime);
     CPPUNIT_TEST(droppedAnswerLeavesTheCommit);
     CPPUNIT_TEST(freezeKeepsSocketsAndResumes);
@@ -330,6 +333,35 @@
         CPPUNIT_ASSERT(pg_client(database.port()).connected());
     }
 
+    /** Guards against a peak that misses closed connections, counts refused ones or lasts beyond its span. */
+    void countsPeakAndRefusedConnections()
+    {
+        const database_process database({"--connections", "2"});
+        auto first = std::make_unique<pg_client>(database.port());
+        const pg_client second(database.port());
+        CPPUNIT_ASSERT(!pg_client(database.port()).connected());
+        first.reset();
+        std::this_thread::sleep_for(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::string("ok 1 2 1"), database.admin("connections"));
+        CPPUNIT_ASSERT_EQUAL(std::string("ok 1 1 0"), database.admin("connections"));
+    }
+
+    /** Guards against a fault that closes the connections at once or never. */
+    void lingeringConnectionsCountUntilHealed()
+    {
+        const database_process database;
+        const pg_client client(database.port(), "application_name=lost");
+        CPPUNIT_ASSERT(client.connected());
+        database.admin("linger lost");
+        // Unlike PQfinish, this sends no message that ends the session.
+        shutdown(PQsocket(client.handle()), SHUT_RDWR);
+        std::this_thread::sleep_for(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::string("ok 1 1 0"), database.admin("connections"));
+        database.admin("heal");
+        std::this_thread::sleep_for(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::string("ok 0 1 0"), database.admin("connections"));
+    }
+
     /** Guards against connections that are cheaper than those of the deployments. */
     void connectionSetUpTakesItsTime()
     {
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <exception>
 #include <fstream>
@@ -126,11 +127,14 @@
     startDatabases();
     CPPUNIT_ASSERT_EQUAL(200, publish(0, configuration()));
     choosePorts();
+    const auto started = static_cast<std::size_t>(m_options.instances);
     for (std::size_t i = 0; i < m_instances.size(); ++i) {
         writeSettings(i);
+    }
+    for (std::size_t i = 0; i < started; ++i) {
         startInstance(i);
     }
-    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+    for (std::size_t i = 0; i < started; ++i) {
         if (!waitUntilServing(i, startLimit)) {
             printLogs();
             CPPUNIT_FAIL("instance " + std::to_string(i) + " does not serve");
@@ -152,7 +156,8 @@
 
 void cluster::choosePorts()
 {
-    m_instances.resize(static_cast<std::size_t>(m_options.instances));
+    m_instances.resize(static_cast<std::size_t>(m_options.instances)
+                       + static_cast<std::size_t>(m_options.spareInstances));
     for (auto &entry : m_instances) {
         entry.callerPort = listeningPort();
         entry.controlPort = listeningPort();
@@ -178,20 +183,21 @@
 {
     for (std::size_t i = 0; i < databaseCount; ++i) {
         const auto name = databaseName(i);
-        std::vector<std::string> arguments{"--name",
-                                           name,
-                                           "--connections",
-                                           std::to_string(m_options.connections),
-                                           "--slots",
-                                           std::to_string(m_options.slots),
-                                           "--connect-ms",
-                                           std::to_string(m_options.connectMs),
-                                           "--lag-ms",
-                                           std::to_string(m_options.lagMs),
-                                           "--statement-us",
-                                           std::to_string(m_options.statementUs),
-                                           "--data",
-                                           m_directory / (name + ".data")};
+        std::vector<std::string> arguments{
+            "--name",
+            name,
+            "--connections",
+            std::to_string(std::max(m_options.connections, m_options.acceptedConnections)),
+            "--slots",
+            std::to_string(m_options.slots),
+            "--connect-ms",
+            std::to_string(m_options.connectMs),
+            "--lag-ms",
+            std::to_string(m_options.lagMs),
+            "--statement-us",
+            std::to_string(m_options.statementUs),
+            "--data",
+            m_directory / (name + ".data")};
         if (i > 0) {
             arguments.insert(arguments.end(), {"--follow", m_databases.front()->address()});
         }
@@ -277,6 +283,13 @@
     });
 }
 
+bool cluster::isReady(std::size_t instance) const
+{
+    httplib::Client client("http://" + loopback(m_instances.at(instance).adminPort));
+    const auto answer = client.Get("/ready");
+    return answer && answer->status == 200;
+}
+
 database_process &cluster::database(std::size_t index) const
 {
     return *m_databases.at(index);
@@ -357,6 +370,15 @@
     }
 }
 
+void cluster::lingerInstance(std::size_t instance) const
+{
+    for (const auto &each : m_databases) {
+        for (const auto &name : connectionNames(instance)) {
+            each->admin("linger " + name);
+        }
+    }
+}
+
 void cluster::cutInstances() const
 {
     for (const auto &entry : m_instances) {
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -19,7 +19,9 @@
 
 struct cluster_options {
     int instances = 2;
+    int spareInstances = 0; ///< Not started; numbered after the others.
     int connections = 40; ///< Per database.
+    int acceptedConnections = 0; ///< What a database accepts, if more than the configured limit shall be seen.
     int slots = 4; ///< Per database.
     int connectMs = 5;
     int lagMs = 0;
@@ -57,6 +59,9 @@
     /** True once a statement has been answered through the instance. */
     bool waitUntilServing(std::size_t instance, std::chrono::milliseconds timeout) const;
 
+    /** Answer of admin /ready. */
+    bool isReady(std::size_t instance) const;
+
     /** The primary of the highest term among the databases that answer. */
     std::optional<std::size_t> primary() const;
     /** The same once it is another one than @p index; fails the test after the timeout. */
@@ -67,6 +72,8 @@
     void cutDatabase(std::size_t index, const std::vector<std::size_t> &others) const;
     /** Cuts all connections between a database and an instance, in both directions. */
     void cutInstance(std::size_t database, std::size_t instance) const;
+    /** The databases do not notice that connections of the instance end, until healAll(). */
+    void lingerInstance(std::size_t instance) const;
     /** Cuts all instances off from each other; needs relays. */
     void cutInstances() const;
     void healAll() const;
