Look for unknown seeds every 200 ms in the first 5 s

Cause: instances that start together formed two groups that did not know of each other for up to 9 s, so that a target's ledger had two owners that both lent up to the limit. Ruled out: longer settling of owners, which delays every takeover. Conclusion: the views agree before a new owner has settled for 2 s. Traffic at a start was not measured.

--- a/src/libcrocusdeal/partitionhealing.cpp
+++ b/src/libcrocusdeal/partitionhealing.cpp
@@ -12,6 +12,12 @@
 using namespace literals;
 
 constexpr duration aloneInterval = 1_s;
+/**
+ * Instances that start together would otherwise form groups that do not know of each other for healingInterval, and the
+ * ledgers of a target two owners. A new owner settles for 2 s, so the views have to agree before.
+ */
+constexpr duration startSpan = 5_s;
+constexpr duration startInterval{200};
 /** Keeps instances that lost contact together from trying in step. */
 constexpr std::uint64_t jitterMs = 500;
 
@@ -68,8 +74,15 @@
     if (now < m_next) {
         return std::nullopt;
     }
-    const auto interval = table.liveCount() == 0 ? aloneInterval : m_interval;
-    m_next = now + interval + duration{static_cast<std::int64_t>(random() % jitterMs)};
+    if (m_firstAt == never) {
+        m_firstAt = now;
+    }
+    if (now - m_firstAt < startSpan) {
+        m_next = now + startInterval;
+    } else {
+        const auto interval = table.liveCount() == 0 ? aloneInterval : m_interval;
+        m_next = now + interval + duration{static_cast<std::int64_t>(random() % jitterMs)};
+    }
     const auto found = candidates(table);
     return found.empty() ? std::nullopt : std::optional(found[random() % found.size()]);
 }
--- a/src/libcrocusdeal/partitionhealing.h
+++ b/src/libcrocusdeal/partitionhealing.h
@@ -39,6 +39,7 @@
     duration m_interval;
     std::vector<listed_instance> m_listed;
     time_point m_next = never;
+    time_point m_firstAt = never;
 };
 
 }
