Grant no connections without an owner beyond the target's own count

Cause: an instance without a grant used its base share after 1 s although the owner answered, on top of the connections that a dead instance had left at the database. Now this share needs an owner that has not answered for 2 s, and one connection at a time within what the target's count leaves free. Readiness waits for the grants, 10 s at most. A new owner no longer waits for ever for a member that died before its report, which the old rule had hidden. Ruled out: no connections at all without an owner, because a cut-off data centre has to serve. Not proved: three instances that act on the same count.

--- a/src/libcrocusdeal/connectionbudget.cpp
+++ b/src/libcrocusdeal/connectionbudget.cpp
@@ -9,6 +9,8 @@
 {
 
 constexpr int basePercent = 60;
+/** Of an instance that is gone; may be open as long as its others, and the limit does not contain it any more. */
+constexpr int controlConnections = 1;
 constexpr duration resendInterval{100};
 constexpr duration rebalanceInterval{1000};
 // Longer than any wait of a healthy process; shorter than it takes others to see a failure and take over.
@@ -53,7 +55,12 @@
     for (const auto &gone : m_gone) {
         sum += gone.accounted;
     }
-    return sum;
+    return sum + reservedForUnreachable();
+}
+
+int connection_budget::reservedForUnreachable() const
+{
+    return static_cast<int>(m_unreachable.size()) * base();
 }
 
 share_grant connection_budget::grantFor(const holder_key &key, const holder_state &holder) const
@@ -111,6 +118,7 @@
         return std::nullopt;
     }
     m_unreported.erase(report.holder);
+    m_unreachable.erase(report.holder);
     const auto before = std::pair(holder.wanted, holder.accounted);
     update(holder, report, now);
     finishCensus(now);
@@ -147,6 +155,7 @@
     auto &replaced = m_replaced[release.holder];
     replaced = std::max(replaced, release.incarnation);
     m_unreported.erase(release.holder);
+    m_unreachable.erase(release.holder);
     m_changed = true;
 }
 
@@ -154,9 +163,10 @@
 {
     auto &replaced = m_replaced[instance];
     replaced = std::max(replaced, incarnation);
+    m_unreachable.erase(instance);
     for (auto holder = m_holders.begin(); holder != m_holders.end();) {
         if (holder->first.first == instance && holder->first.second <= incarnation) {
-            m_gone.push_back({holder->second.accounted, now});
+            m_gone.push_back({holder->second.accounted + controlConnections, now});
             holder = m_holders.erase(holder);
         } else {
             ++holder;
@@ -164,6 +174,14 @@
     }
 }
 
+void connection_budget::onUnreachable(const instance_id &instance)
+{
+    if (m_unreported.erase(instance) > 0) {
+        m_unreachable.insert(instance);
+        m_changed = true;
+    }
+}
+
 void connection_budget::onTargetStatus(int connections, time_point askedAt, time_point now)
 {
     const bool anySilent = std::any_of(m_holders.begin(), m_holders.end(), [&](const auto &entry) {
@@ -267,7 +285,7 @@
 /** Gives each live holder what it wants or an equal level, whichever is less. */
 std::vector<connection_budget::fair_share> connection_budget::fairAllowances(time_point now)
 {
-    int rest = m_settings.limit;
+    int rest = m_settings.limit - reservedForUnreachable();
     for (const auto &gone : m_gone) {
         rest -= gone.accounted;
     }
--- a/src/libcrocusdeal/connectionbudget.h
+++ b/src/libcrocusdeal/connectionbudget.h
@@ -62,6 +62,9 @@
      * enough: an instance that is only cut off keeps its base. */
     void onGone(const instance_id &instance, std::uint64_t incarnation, time_point now);
 
+    /** A member is dead to the others: a new owner does not wait for its report, but reserves its base. */
+    void onUnreachable(const instance_id &instance);
+
     /** The target said between @p askedAt and @p now that it has @p connections. */
     void onTargetStatus(int connections, time_point askedAt, time_point now);
 
@@ -129,6 +132,7 @@
     using holder_map = std::map<holder_key, holder_state>;
 
     bool checkStale(time_point now);
+    int reservedForUnreachable() const;
     share_grant grantFor(const holder_key &key, const holder_state &holder) const;
     bool isReplaced(const holder_key &key) const;
     bool isSilent(const holder_state &holder, time_point now) const;
@@ -145,6 +149,7 @@
     connection_budget_settings m_settings;
     time_point m_takenOverAt;
     std::set<instance_id> m_unreported;
+    std::set<instance_id> m_unreachable; ///< Without a report; each may use its base.
     holder_map m_holders;
     std::map<instance_id, std::uint64_t> m_replaced; ///< Highest incarnation that is gone.
     std::vector<gone_state> m_gone;
--- a/src/libcrocusdeal/connectionshare.cpp
+++ b/src/libcrocusdeal/connectionshare.cpp
@@ -99,6 +99,11 @@
     m_leastInSpan = std::min(m_leastInSpan, count);
 }
 
+duration connection_share::reportInterval()
+{
+    return renewalInterval;
+}
+
 int connection_share::excess() const
 {
     return std::max(0, m_open - m_allowance);
--- a/src/libcrocusdeal/connectionshare.h
+++ b/src/libcrocusdeal/connectionshare.h
@@ -57,6 +57,15 @@
 
     void onGrant(const share_grant &grant);
 
+    /** Whether the present ledger has granted a share, which may be 0. */
+    bool hasGrant() const
+    {
+        return m_seen > 0;
+    }
+
+    /** Longest time between two reports while the owner answers. */
+    static duration reportInterval();
+
     int open() const
     {
         return m_open;
--- a/src/libcrocusdealnet/instance.cpp
+++ b/src/libcrocusdealnet/instance.cpp
@@ -616,7 +616,7 @@
 bool instance::isReady() const
 {
     const std::lock_guard lock(m_mutex);
-    return !m_draining && m_configurationVersion > 0 && m_control->isReady();
+    return !m_draining && m_configurationVersion > 0 && m_control->isReady() && m_groupEnvironment.limits->isReady();
 }
 
 void instance::shutdown(std::function<void()> done)
--- a/src/libcrocusdealnet/limitcoordinator.cpp
+++ b/src/libcrocusdealnet/limitcoordinator.cpp
@@ -11,11 +11,15 @@
 namespace
 {
 
-/**
- * Without a share for so long, an instance uses the base share that it computes itself. Half of the default deadline of
- * a request, so that the first requests after a start are not refused.
+/** Without an answer of the owner for so long, an instance without a grant counts as cut off: two attempts of 500 ms.
  */
 constexpr duration ownerPatience{1000};
+/** An owner that the instance reaches settles for 2 s and needs a census after that. */
+constexpr duration rebuildPatience{3000};
+/** An older count of the target does not show what others have opened; targets in use are asked each 250 ms. */
+constexpr duration countLifetime{1000};
+/** An instance whose ledgers give no grant for so long must not stay out of service because of one target. */
+constexpr duration readyPatience{10000};
 /** Each instance keeps one control connection to a target, and a promotion opens a second one for a moment. */
 constexpr int promotionConnections = 1;
 constexpr double baseFraction = 0.6;
@@ -52,8 +56,13 @@
 connection_budget_settings limit_coordinator::budgetSettings(const target_limits &limits) const
 {
     const int instances = static_cast<int>(m_live.size());
+    // The control connections of an instance that was declared dead may still be open.
+    const auto dead = std::count_if(m_members->begin(), m_members->end(), [this](const member_info &member) {
+        return member.state == member_state::Dead && m_incarnations.contains(member.id())
+            && !m_gone.contains(member.id());
+    });
     connection_budget_settings settings;
-    settings.limit = std::max(1, limits.connections - instances - promotionConnections);
+    settings.limit = std::max(1, limits.connections - instances - static_cast<int>(dead) - promotionConnections);
     settings.expectedInstances = instances;
     return settings;
 }
@@ -84,6 +93,10 @@
                    0,
                    0,
                    {},
+                   never,
+                   0,
+                   never,
+                   never,
                    nullptr,
                    nullptr};
         next.emplace(limits.target, std::move(item));
@@ -112,9 +125,20 @@
     }
     m_live.swap(live);
     updateOwners(now);
+    updateBudgets();
+}
+
+void limit_coordinator::updateBudgets()
+{
     for (auto &[target, item] : m_entries) {
-        if (item.budget) {
-            item.budget->setSettings(budgetSettings(item.limits));
+        if (!item.budget) {
+            continue;
+        }
+        item.budget->setSettings(budgetSettings(item.limits));
+        for (const auto &member : *m_members) {
+            if (member.state == member_state::Dead) {
+                item.budget->onUnreachable(member.id());
+            }
         }
     }
 }
@@ -153,6 +177,7 @@
         return;
     }
     item.owner = owner;
+    item.ownerSince = now;
     item.permits.setOwner(owner);
     item.share.setOwner(owner);
     if (owner == m_self) {
@@ -195,6 +220,7 @@
 
 void limit_coordinator::reportGone(time_point now)
 {
+    const auto before = m_gone.size();
     for (const auto &member : *m_members) {
         const auto &id = member.id();
         if (member.state != member_state::Dead || m_listed.empty() || m_listed.contains(id)) {
@@ -211,6 +237,9 @@
             }
         }
     }
+    if (m_gone.size() != before) {
+        updateBudgets();
+    }
 }
 
 void limit_coordinator::tick()
@@ -240,17 +269,26 @@
             deliverLocally(messages);
             continue;
         }
-        m_hooks.send(
-            to, encodeLimitMessages(messages), [weak = weak_from_this()](const std::optional<std::string> &bytes) {
-                const auto self = weak.lock();
-                const auto answer = bytes ? decodeLimitMessages(*bytes) : std::nullopt;
-                if (self && answer) {
-                    self->deliverLocally(*answer);
-                }
-            });
+        m_hooks.send(to,
+                     encodeLimitMessages(messages),
+                     [weak = weak_from_this(), owner = to](const std::optional<std::string> &bytes) {
+                         const auto self = weak.lock();
+                         const auto answer = bytes ? decodeLimitMessages(*bytes) : std::nullopt;
+                         if (self && answer) {
+                             self->onAnswered(owner);
+                             self->deliverLocally(*answer);
+                         }
+                     });
     }
 }
 
+void limit_coordinator::onAnswered(const instance_id &from)
+{
+    const auto now = m_hooks.now();
+    const std::lock_guard lock(m_mutex);
+    m_answeredAt[from] = now;
+}
+
 void limit_coordinator::deliverLocally(limit_messages messages)
 {
     const auto now = m_hooks.now();
@@ -336,7 +374,7 @@
     for (auto &[target, item] : m_entries) {
         const int share = usableShare(item, now);
         const int places = item.permits.places(now);
-        const int surplus = item.share.excess();
+        const int surplus = surplusOf(item, now);
         if (share == item.lastAllowance && places == item.lastPlaces && surplus == item.lastExcess) {
             continue;
         }
@@ -364,14 +402,54 @@
     return std::max(1, static_cast<int>(settings.limit * baseFraction / settings.expectedInstances));
 }
 
-// An instance that was started while its data centre is cut off would otherwise never serve. The base share is what an
-// owner would grant at least.
+bool limit_coordinator::isCutOff(const entry &item, time_point now) const
+{
+    if (item.owner == m_self) {
+        // As a new owner it waits for the reports of members that it cannot reach.
+        return now - item.ownerSince >= rebuildPatience;
+    }
+    const auto answered = m_answeredAt.find(item.owner);
+    const auto since = answered == m_answeredAt.end() ? item.ownerSince : std::max(answered->second, item.ownerSince);
+    return now - since >= ownerPatience + connection_share::reportInterval();
+}
+
+// A share of 0 that the owner granted does not keep an instance without connections once the owner is cut off.
+bool limit_coordinator::isGranted(const entry &item, time_point now) const
+{
+    return item.heardOwner || (item.share.hasGrant() && !isCutOff(item, now));
+}
+
+// One connection for each count of the target that includes the previous one, so that the limit holds with connections
+// that no live instance reports. The connection kept free for a promotion covers an instance that acts on the same
+// count.
+bool limit_coordinator::mayOpenByCount(const entry &item, time_point now) const
+{
+    return isCutOff(item, now) && item.share.open() < fallbackShare(item) && item.countedAt > item.establishedAt
+        && now - item.countedAt <= countLifetime && item.counted + 1 + promotionConnections <= item.limits.connections;
+}
+
 int limit_coordinator::usableShare(const entry &item, time_point now) const
 {
-    if (!item.heardOwner && now - item.since >= ownerPatience) {
-        return fallbackShare(item);
+    if (isGranted(item, now)) {
+        return item.share.allowance();
     }
-    return item.share.allowance();
+    return item.share.open() + (mayOpenByCount(item, now) ? 1 : 0);
+}
+
+int limit_coordinator::surplusOf(const entry &item, time_point now) const
+{
+    // The owner counts what was opened without it from the first report on, and takes back what is too much.
+    return isGranted(item, now) ? item.share.excess() : 0;
+}
+
+bool limit_coordinator::isReady() const
+{
+    const auto now = m_hooks.now();
+    const std::lock_guard lock(m_mutex);
+    return std::all_of(m_entries.begin(), m_entries.end(), [&](const auto &known) {
+        const auto &item = known.second;
+        return item.heardOwner || item.share.hasGrant() || isCutOff(item, now) || now - item.since >= readyPatience;
+    });
 }
 
 bool limit_coordinator::beginOpening(const target_id &target)
@@ -382,11 +460,13 @@
     if (item == nullptr) {
         return false;
     }
-    const bool byFallback =
-        !item->heardOwner && now - item->since >= ownerPatience && item->share.open() < fallbackShare(*item);
-    if (!byFallback && !item->share.mayOpen(now)) {
+    const bool byCount = !isGranted(*item, now) && mayOpenByCount(*item, now);
+    if (!byCount && !item->share.mayOpen(now)) {
         return false;
     }
+    if (byCount) {
+        item->countedAt = never; // The next one needs a new count.
+    }
     item->share.onOpening();
     return true;
 }
@@ -397,6 +477,7 @@
     const std::lock_guard lock(m_mutex);
     if (auto *item = find(target)) {
         item->share.onEstablished(now);
+        item->establishedAt = now;
     }
 }
 
@@ -448,7 +529,13 @@
 {
     const auto now = m_hooks.now();
     const std::lock_guard lock(m_mutex);
-    if (auto *item = find(target); item != nullptr && item->budget) {
+    auto *item = find(target);
+    if (item == nullptr) {
+        return;
+    }
+    item->counted = connections;
+    item->countedAt = askedAt;
+    if (item->budget) {
         item->budget->onTargetStatus(connections, askedAt, now);
     }
 }
@@ -463,9 +550,10 @@
 
 int limit_coordinator::excess(const target_id &target) const
 {
+    const auto now = m_hooks.now();
     const std::lock_guard lock(m_mutex);
     const auto *item = find(target);
-    return item == nullptr ? 0 : item->share.excess();
+    return item == nullptr ? 0 : surplusOf(*item, now);
 }
 
 int limit_coordinator::longPlaces(const target_id &target) const
--- a/src/libcrocusdealnet/limitcoordinator.h
+++ b/src/libcrocusdealnet/limitcoordinator.h
@@ -74,6 +74,8 @@
     void onLongFinished(const target_id &target);
     void setControlConnections(const target_id &target, int count);
 
+    /** Whether each target's ledger has granted a share or cannot be reached; true after 10 s in any case. */
+    bool isReady() const;
     int allowance(const target_id &target) const;
     /** Open connections to close because a loan was taken back. */
     int excess(const target_id &target) const;
@@ -91,6 +93,10 @@
         int lastPlaces = 0;
         int lastExcess = 0;
         instance_id owner;
+        time_point ownerSince = never;
+        int counted = 0; ///< Connections by the target's own count.
+        time_point countedAt = never; ///< When the target was asked for it.
+        time_point establishedAt = never; ///< Last connection of this instance.
         std::unique_ptr<permit_ledger> ledger; ///< Only of the owner.
         std::unique_ptr<connection_budget> budget;
     };
@@ -107,6 +113,12 @@
     void notify(const std::vector<target_id> &changed);
     int usableShare(const entry &item, time_point now) const;
     int fallbackShare(const entry &item) const;
+    int surplusOf(const entry &item, time_point now) const;
+    bool isCutOff(const entry &item, time_point now) const;
+    bool isGranted(const entry &item, time_point now) const;
+    bool mayOpenByCount(const entry &item, time_point now) const;
+    void onAnswered(const instance_id &from);
+    void updateBudgets();
     void reportGone(time_point now);
     connection_budget_settings budgetSettings(const target_limits &limits) const;
     entry *find(const target_id &target);
@@ -123,6 +135,7 @@
     std::set<instance_id> m_listed;
     std::map<instance_id, std::uint64_t> m_incarnations; ///< Of holders that reported here.
     std::set<instance_id> m_gone;
+    std::map<instance_id, time_point> m_answeredAt;
     std::uint64_t m_nextLedger;
 };
 
--- a/tests/libcrocusdeal/connectionbudgettest.cpp
+++ b/tests/libcrocusdeal/connectionbudgettest.cpp
@@ -318,6 +318,7 @@
     CPPUNIT_TEST(backsOffWhenTheTargetRefuses);
     CPPUNIT_TEST(ignoresLateGrants);
     CPPUNIT_TEST(takesBackTheLoanOfASilentHolder);
+    CPPUNIT_TEST(grantsAfterAMemberDiedWithoutAReport);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -466,6 +467,32 @@
         CPPUNIT_ASSERT_EQUAL(4, share.allowance());
     }
 
+    /** Guards against a new owner that waits for ever for a dead member, and against lending what that one may use. */
+    void grantsAfterAMemberDiedWithoutAReport()
+    {
+        connection_budget budget(target, instance_id("o"), 1, {instance_id("a"), instance_id("b")}, {10, 2, 0_ms}, {0});
+        connection_share a(target, instance_id("a"), 1);
+        a.setOwner(instance_id("o"));
+        a.setWanted(10);
+        const auto run = [&](std::int64_t from, std::int64_t to) {
+            for (std::int64_t ms = from; ms <= to; ms += 100) {
+                budget.onTargetStatus(0, {ms}, {ms});
+                budget.poll({ms});
+                if (const auto report = a.poll({ms})) {
+                    if (const auto grant = budget.onReport(*report, {ms})) {
+                        a.onGrant(*grant);
+                    }
+                }
+            }
+        };
+        run(0, 3000);
+        CPPUNIT_ASSERT_EQUAL(0, a.allowance());
+        budget.onUnreachable(instance_id("b"));
+        run(3100, 9000);
+        CPPUNIT_ASSERT_EQUAL(7, a.allowance());
+        CPPUNIT_ASSERT(budget.accounted() <= 10);
+    }
+
     /** Guards against lending a loan twice: to the others while its holder is paused, and again to the holder when it
      * resumes with attempts that the target has not counted. */
     void takesBackTheLoanOfASilentHolder()
--- a/tests/libcrocusdealnet/limitcoordinatortest.cpp
+++ b/tests/libcrocusdealnet/limitcoordinatortest.cpp
@@ -58,7 +58,7 @@
     void run(duration time)
     {
         for (const auto until = now + time; now < until; now = now + tickPeriod) {
-            int connections = 0;
+            int connections = lingering;
             for (const auto &[name, count] : open) {
                 connections += count;
             }
@@ -90,6 +90,7 @@
     std::map<std::string, int> open;
     std::map<std::string, int> demand;
     std::set<std::string> silent;
+    int lingering = 0; ///< Connections of instances that do not exist any more.
 };
 
 }
@@ -100,6 +101,8 @@
     CPPUNIT_TEST(everyInstanceGetsItsBase);
     CPPUNIT_TEST(lendsByDemandWithinTheLimit);
     CPPUNIT_TEST(servesWithoutAnOwner);
+    CPPUNIT_TEST(cutOffInstanceKeepsToTheCountOfTheTarget);
+    CPPUNIT_TEST(isReadyWithAGrantOrCutOff);
     CPPUNIT_TEST(messagesSurviveTheCodec);
     CPPUNIT_TEST_SUITE_END();
 
@@ -141,6 +144,44 @@
         }
     }
 
+    /** Guards against connections above the limit when an instance without an owner replaces one whose connections
+     * linger. */
+    void cutOffInstanceKeepsToTheCountOfTheTarget()
+    {
+        for (const int free : {0, 1, 2}) {
+            coordinator_fleet fleet({"a", "b", "c"});
+            fleet.silent = {"b", "c"};
+            constexpr int keptForPromotion = 1;
+            fleet.lingering = 15 - keptForPromotion - free;
+            int opened = 0;
+            for (int i = 0; i < 20; ++i) {
+                fleet.run(duration{500});
+                opened += fleet.openAll("a");
+            }
+            CPPUNIT_ASSERT_EQUAL(free, opened);
+        }
+    }
+
+    /** Guards against callers that are sent to an instance before it may open connections, and against one that is
+     * never ready without an owner. */
+    void isReadyWithAGrantOrCutOff()
+    {
+        coordinator_fleet fleet({"a", "b", "c"});
+        for (const auto &[name, node] : fleet.nodes) {
+            CPPUNIT_ASSERT_MESSAGE(name, !node->isReady());
+        }
+        fleet.run(duration{5000});
+        for (const auto &[name, node] : fleet.nodes) {
+            CPPUNIT_ASSERT_MESSAGE(name, node->isReady());
+        }
+        coordinator_fleet cut({"a", "b", "c"});
+        cut.silent = {"a", "b"};
+        cut.run(duration{500});
+        CPPUNIT_ASSERT(!cut.nodes.at("c")->isReady());
+        cut.run(duration{4000});
+        CPPUNIT_ASSERT(cut.nodes.at("c")->isReady());
+    }
+
     /** Guards against fields that are lost between instances, and against crashes on malformed input. */
     void messagesSurviveTheCodec()
     {
