--- a/src/libcrocusdeal/connectionbudget.h
+++ b/src/libcrocusdeal/connectionbudget.h
@@ -62,6 +62,9 @@
      * enough: an instance that is only cut off keeps its base. */
     void onGone(const instance_id &instance, std::uint64_t incarnation, time_point now);
 
+    /** A member is dead to the others: a new owner does not wait for its report, but reserves its base. */
+    void onUnreachable(const instance_id &instance);
+
     /** The target said between @p askedAt and @p now that it has @p connections. */
     void onTargetStatus(int connections, time_point askedAt, time_point now);
 
@@ -128,6 +131,7 @@
     using holder_key = std::pair<instance_id, std::uint64_t>;
     using holder_map = std::map<holder_key, holder_state>;
 
+    int reservedForUnreachable() const;
     share_grant grantFor(const holder_key &key, const holder_state &holder) const;
     bool isReplaced(const holder_key &key) const;
     bool isSilent(const holder_state &holder, time_point now) const;
@@ -140,6 +144,7 @@
 
     ledger_tenure m_tenure;
     connection_budget_settings m_settings;
+    std::set<instance_id> m_unreachable; ///< Without a report; each may use its base.
     holder_map m_holders;
     std::map<instance_id, std::uint64_t> m_replaced; ///< Highest incarnation that is gone.
     std::vector<gone_state> m_gone;
--- a/src/libcrocusdeal/ledgertenure.cpp
+++ b/src/libcrocusdeal/ledgertenure.cpp
@@ -49,9 +49,9 @@
     return now - m_takenOverAt;
 }
 
-void ledger_tenure::onSettled(const instance_id &member)
+bool ledger_tenure::onSettled(const instance_id &member)
 {
-    m_unreported.erase(member);
+    return m_unreported.erase(member) > 0;
 }
 
 bool ledger_tenure::areAllSettled() const
--- a/src/libcrocusdeal/ledgertenure.h
+++ b/src/libcrocusdeal/ledgertenure.h
@@ -31,8 +31,8 @@
     /** Time since taking over. */
     duration age(time_point now) const;
 
-    /** @p member has reported to this ledger, or holds nothing any more. */
-    void onSettled(const instance_id &member);
+    /** @p member has reported to this ledger, or need not any more; false if it had before. */
+    bool onSettled(const instance_id &member);
     bool areAllSettled() const;
 
     /** An answer of this ledger to the message @p answers of a holder; everything else is to be filled in. */
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -19,7 +19,9 @@
 
 struct cluster_options {
     int instances = 2;
+    int spareInstances = 0; ///< Not started; numbered after the others.
     int connections = 40; ///< Per database.
+    int acceptedConnections = 0; ///< What a database accepts, if more than the configured limit shall be seen.
     int slots = 4; ///< Per database.
     int connectMs = 5;
     int lagMs = 0;
@@ -70,6 +72,9 @@
     /** Asks an instance to make a database the primary of its group. */
     operator_answer promote(std::size_t instance, std::size_t target) const;
 
+    /** Answer of admin /ready. */
+    bool isReady(std::size_t instance) const;
+
     /** The primary of the highest term among the databases of the group that answer. */
     std::optional<std::size_t> primary(std::size_t group = 0) const;
     /** The same once it is another one than @p index; fails the test after the timeout. */
@@ -80,6 +85,8 @@
     void cutDatabase(std::size_t index, const std::vector<std::size_t> &others) const;
     /** Cuts all connections between a database and an instance, in both directions. */
     void cutInstance(std::size_t database, std::size_t instance) const;
+    /** The databases do not notice that connections of the instance end, until healAll(). */
+    void lingerInstance(std::size_t instance) const;
     /** Cuts all instances off from each other; needs relays. */
     void cutInstances() const;
     void healAll() const;
