Refuse stray arguments; spread the measured sessions over the instances

Boost.Program_options ignores arguments that belong to no option unless a description of positional arguments is given, so loadtool knew only the first address and every session of the four measures went to instance 1. crocusdeald and the stand-ins ignored stray arguments in the same way.

Ruled out: the distribution in loadtool, which begins sessions at each address in turn.

--- a/src/crocusdeald/main.cpp
+++ b/src/crocusdeald/main.cpp
@@ -105,7 +105,8 @@
     const auto options = describeOptions(line);
     try {
         po::variables_map values;
-        po::store(po::parse_command_line(argc, argv, options), values);
+        // Without the empty description, arguments that belong to no option would be ignored.
+        po::store(po::command_line_parser(argc, argv).options(options).positional({}).run(), values);
         po::notify(values);
     } catch (const po::error &error) {
         std::cerr << "crocusdeald: " << error.what() << '\n' << options;
--- a/src/standins/database/main.cpp
+++ b/src/standins/database/main.cpp
@@ -75,7 +75,7 @@
         po::value<std::int64_t>()->default_value(1000),
         "idle time after which a write transaction is aborted if others wait for the write lock; 0: never");
     po::variables_map values;
-    po::store(po::parse_command_line(argc, argv, description), values);
+    po::store(po::command_line_parser(argc, argv).options(description).positional({}).run(), values);
     po::notify(values);
     if (values.contains("help")) {
         std::cout << description << '\n';
--- a/src/standins/loadtool/loadoptions.cpp
+++ b/src/standins/loadtool/loadoptions.cpp
@@ -25,7 +25,9 @@
     po::options_description target("Target");
     auto add = target.add_options();
     add("help", "show this text");
-    add("address", po::value(&o.addresses)->composing(), "host:port; several: a failed session goes to the next one");
+    add("address",
+        po::value(&o.addresses)->multitoken()->composing(),
+        "host:port; several: sessions begin at each in turn, and a failed one goes to the next");
     add("check-address", po::value(&o.checkAddress), "host:port for tables and check; default: the first address");
     add("database", po::value(&o.database)->default_value(o.database), "database name");
     add("user", po::value(&o.user)->default_value(o.user), "user name");
@@ -136,7 +138,7 @@
     all.add(describeTarget(options)).add(describeLoad(options, protocol, profile));
     all.add(describeReport(options, skipCheck));
     po::variables_map values;
-    po::store(po::parse_command_line(argc, argv, all), values);
+    po::store(po::command_line_parser(argc, argv).options(all).positional({}).run(), values);
     if (values.contains("help")) {
         std::cout << all << '\n';
         return false;
--- a/src/standins/platform/main.cpp
+++ b/src/standins/platform/main.cpp
@@ -50,7 +50,7 @@
             "writes-per-second", options::value(&settings.writesPerSecond)->default_value(300), "limit of writes");
     try {
         options::variables_map values;
-        options::store(options::parse_command_line(argc, argv, description), values);
+        options::store(options::command_line_parser(argc, argv).options(description).positional({}).run(), values);
         if (values.count("help") > 0) {
             std::cout << description;
             return 0;
--- a/tests/process/commandprocesstest.cpp
+++ b/tests/process/commandprocesstest.cpp
@@ -273,6 +273,8 @@
         }
         assertResult(2, "unknown command", crocusdealCommand({"frobnicate"}));
         assertResult(2, "HOST:PORT expected", crocusdealCommand({"drain", "t", "--platform", "nonsense"}));
+        const std::vector<std::string> stray{"--settings", "none.json", "stray"};
+        assertResult(2, "positional", runProgram("src/crocusdeald/crocusdeald", stray));
     }
 };
 
