Measure the bytes of the limit ledgers

Cause: docs/CAPACITY.md had no figure for the traffic of the limit ledgers. The capacity program now encodes one exchange by the number of targets.

Before: "not measured".

--- a/src/standins/capacity/measurements.cpp
+++ b/src/standins/capacity/measurements.cpp
@@ -1,5 +1,6 @@
 #include "measurements.h"
 
+#include "limitbytes.h"
 #include "peercodec.h"
 #include "pgframe.h"
 #include "virtualfleet.h"
@@ -578,6 +579,7 @@
     return {
         {"configuration bytes", configurationBytes},
         {"prober bytes", proberBytes},
+        {"limit ledger bytes", printLimitBytes},
         {"memory of one node", memoryOfOneNode},
         {"ownership of targets", ownershipCost},
         {"platform calls", platformCalls},
