--- a/src/libcrocusdeal/permitmessages.h
+++ b/src/libcrocusdeal/permitmessages.h
@@ -31,8 +31,8 @@
     std::uint64_t seen = 0; ///< Highest number received from it. Permits up to it that are not in `held` were released.
     std::vector<permit_id> held;
     int wanted = 0; ///< Permits that the holder could use, those held included.
-    int running =
-        0; ///< Long statements that run at the holder, also those that turned out to be long without a permit.
+    /** Long statements that run at the holder, also those that turned out to be long without a permit. */
+    int running = 0;
 };
 
 /** Owner to holder: answers one request, repeats what the holder has not seen yet, and renews all that it holds. */
