--- /dev/null
+++ b/src/libcrocusdealfront/deadlinequeue.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "clock.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+namespace crocusdeal
+{
+
+/** All deadlines of a process on one timer. Used by one thread. */
+class deadline_queue
+{
+public:
+    using handle = std::uint64_t; ///< 0 stands for none.
+
+    explicit deadline_queue(asio::io_context &io);
+
+    handle schedule(time_point at, std::function<void()> action);
+    handle scheduleAfter(duration delay, std::function<void()> action);
+    void cancel(handle &number);
+    void cancelAll();
+
+private:
+    struct key {
+        time_point at;
+        handle number;
+
+        friend auto operator<=>(const key &, const key &) = default;
+    };
+
+    void arm();
+    void runDue();
+
+    asio::steady_timer m_timer;
+    std::map<key, std::function<void()>> m_actions;
+    std::map<handle, time_point> m_times;
+    time_point m_armedFor = never;
+    bool m_isArmed = false;
+    handle m_next = 1;
+};
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/front.cpp
@@ -0,0 +1,289 @@
+#include "front.h"
+
+#include "systemclock.h"
+
+#include <asio/ip/address.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace crocusdeal
+{
+
+namespace
+{
+
+constexpr duration housekeepingInterval{200};
+constexpr duration silenceLimit{300}; // A statement unanswered for so long is reason to ask for the target's status.
+constexpr duration stallLimit{1000};
+constexpr duration leftOutInterval{1000};
+// The balancer needs two missed probes to notice; sessions that it still sends here are served.
+constexpr duration idleCloseDelay{1200};
+constexpr duration endMargin{300};
+
+}
+
+front::front(front_context &context, front_settings settings, metadata_store &store, promotion_authority &authority)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_store(store)
+    , m_authority(authority)
+    , m_acceptor(context.io)
+    , m_directory(m_settings.drainTime)
+{
+}
+
+std::string front::start()
+{
+    m_startedAt = systemNow();
+    m_readiness =
+        std::make_shared<http_server>(m_context.io, [this](const std::string &path) { return answerReadiness(path); });
+    if (auto problem = m_readiness->listen(m_settings.readinessAddress); !problem.empty()) {
+        return problem;
+    }
+    if (auto problem = listenForCallers(); !problem.empty()) {
+        return problem;
+    }
+    m_feed = std::make_shared<store_feed>(m_context, m_store, m_settings.configurationApply);
+    m_feed->onConfiguration = [this](const routing_configuration &configuration) { applyConfiguration(configuration); };
+    m_feed->onTargets = [this](const target_news &news) { applyTargets(news); };
+    m_feed->start();
+    housekeep();
+    m_context.log.info("started")
+        .field("caller_address", toString(m_settings.callerAddress))
+        .field("data_centre", m_settings.dataCentre.str());
+    return {};
+}
+
+std::string front::listenForCallers()
+{
+    std::error_code error;
+    const auto ip = asio::ip::make_address(m_settings.callerAddress.host, error);
+    const asio::ip::tcp::endpoint endpoint(ip, m_settings.callerAddress.port);
+    if (!error) {
+        m_acceptor.open(endpoint.protocol(), error);
+    }
+    if (!error) {
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        m_acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return toString(m_settings.callerAddress) + ": " + error.message();
+    }
+    acceptNext();
+    return {};
+}
+
+void front::acceptNext()
+{
+    m_acceptor.async_accept([self = shared_from_this()](std::error_code error, asio::ip::tcp::socket socket) {
+        if (!self->m_acceptor.is_open()) {
+            return;
+        }
+        if (!error) {
+            self->addSession(std::move(socket));
+        }
+        self->acceptNext();
+    });
+}
+
+void front::addSession(asio::ip::tcp::socket socket)
+{
+    session_surroundings surroundings;
+    surroundings.configuration = [this] { return m_configuration; };
+    surroundings.group = [this](const service_id &service) { return groupOf(service); };
+    const auto session = std::make_shared<front_session>(
+        m_context, std::make_shared<byte_stream>(std::move(socket)), std::move(surroundings));
+    session->onEnded = [self = shared_from_this(), weak = std::weak_ptr(session)] {
+        if (const auto ended = weak.lock()) {
+            self->m_sessions.erase(ended);
+        }
+        if (self->m_shutdownAt != never && self->m_sessions.empty()) {
+            self->finishShutdown("all sessions have ended");
+        }
+    };
+    m_sessions.insert(session);
+    session->start();
+}
+
+void front::applyConfiguration(const routing_configuration &configuration)
+{
+    if (m_configuration && configuration.version <= m_configuration->version) {
+        return;
+    }
+    m_context.log.info("configuration_in_force")
+        .field("version", static_cast<std::int64_t>(configuration.version))
+        .field("before", m_configuration ? static_cast<std::int64_t>(m_configuration->version) : 0)
+        .field("routes", static_cast<std::int64_t>(configuration.routes.size()));
+    m_configuration = std::make_shared<const routing_configuration>(configuration);
+    for (const auto &[service, policy] : m_configuration->services) {
+        ensureGroup(service, policy);
+    }
+}
+
+void front::ensureGroup(const service_id &service, const service_policy &policy)
+{
+    auto &group = m_groups[service];
+    if (group) {
+        group->setPolicy(policy);
+        return;
+    }
+    group = std::make_shared<service_group>(m_context, service, m_settings.dataCentre, m_directory);
+    group->setPolicy(policy);
+    auto keeper = std::make_shared<leader_keeper>(
+        m_context, group, m_directory, m_store, m_authority, m_settings.instance.str(), m_settings.dataCentre);
+    m_keepers[service] = keeper;
+    keeper->start();
+}
+
+void front::applyTargets(const target_news &news)
+{
+    const auto now = systemNow();
+    if (news.isComplete) {
+        m_directory.replaceAll(news.entries, now);
+        m_areTargetsKnown = true;
+    }
+    for (const auto &entry : news.entries) {
+        const auto *known = m_directory.find(entry.id);
+        const bool isChanged = known == nullptr || known->entry != entry || known->missingSince;
+        m_directory.put(entry, now);
+        if (isChanged || news.isComplete) {
+            m_context.log.info("target_known")
+                .field("target", entry.id.str())
+                .field("service", entry.service.str())
+                .field("address", toString(entry.address))
+                .field("state", entry.isDraining ? "draining" : "ready")
+                .field("claims", entry.claimsPrimary ? "primary" : "replica")
+                .field("revision", static_cast<std::int64_t>(news.revision));
+        }
+    }
+    for (const auto &id : news.removed) {
+        m_context.log.info("target_entry_removed").field("target", id.str());
+        m_directory.remove(id, now);
+    }
+    if (news.isComplete || !news.entries.empty() || !news.removed.empty()) {
+        refreshGroups();
+    }
+}
+
+void front::refreshGroups()
+{
+    for (const auto &[service, group] : m_groups) {
+        group->refreshTargets();
+        m_keepers.at(service)->directoryChanged();
+    }
+}
+
+std::shared_ptr<service_group> front::groupOf(const service_id &service) const
+{
+    const auto found = m_groups.find(service);
+    return found == m_groups.end() ? nullptr : found->second;
+}
+
+void front::housekeep()
+{
+    const auto now = systemNow();
+    // While the store cannot be heard, entries that are missing may only have lapsed there.
+    if (!m_directory.forgetGone(now).empty()) {
+        refreshGroups();
+    }
+    watchSilence(now);
+    for (const auto &[service, group] : m_groups) {
+        for (const auto &[id, pool] : group->targets()) {
+            pool->closeUnused(now);
+        }
+        group->pump();
+    }
+    if (now - m_leftOutToldAt >= leftOutInterval) {
+        m_leftOutToldAt = now;
+        m_context.log.reportLeftOut();
+    }
+    m_context.log.flush();
+    m_context.deadlines.scheduleAfter(housekeepingInterval, [self = shared_from_this()] { self->housekeep(); });
+}
+
+void front::watchSilence(time_point now)
+{
+    for (const auto &[service, group] : m_groups) {
+        const auto &leader = group->leader();
+        const auto found = leader ? group->targets().find(*leader) : group->targets().end();
+        if (found == group->targets().end()) {
+            continue;
+        }
+        const auto silentSince = found->second->silentSince();
+        if (silentSince != never && now - silentSince > silenceLimit && found->second->lastAnswerAt() < silentSince) {
+            group->noteTrouble("a statement is not answered");
+        }
+        const auto openSince = group->oldestOpenWrite();
+        if (openSince != never && now - openSince > stallLimit) {
+            group->noteTrouble("a write is not acknowledged");
+        }
+    }
+}
+
+bool front::isReady() const
+{
+    return m_shutdownAt == never && m_configuration && m_areTargetsKnown;
+}
+
+http_response front::answerReadiness(const std::string &path) const
+{
+    if (path.substr(0, path.find('?')) != m_settings.readinessPath) {
+        return {404, "unknown path\n", {}};
+    }
+    return isReady() ? http_response{200, "ready\n", {}} : http_response{503, "not ready\n", {}};
+}
+
+void front::shutdown(std::function<void()> done)
+{
+    if (m_shutdownAt != never) {
+        return;
+    }
+    m_shutdownAt = systemNow();
+    m_whenShutDown = std::move(done);
+    m_context.log.info("shutting_down").field("sessions", static_cast<std::int64_t>(m_sessions.size()));
+    for (const auto &[service, keeper] : m_keepers) {
+        keeper->stop();
+    }
+    const auto self = shared_from_this();
+    m_context.deadlines.scheduleAfter(idleCloseDelay, [self] { self->closeIdleSessions(); });
+    m_context.deadlines.scheduleAfter(m_settings.grace / 2, [self] { self->endTransactions(); });
+    m_context.deadlines.scheduleAfter(m_settings.grace - endMargin, [self] { self->finishShutdown("grace is over"); });
+}
+
+void front::closeIdleSessions()
+{
+    const std::vector<std::shared_ptr<front_session>> sessions(m_sessions.begin(), m_sessions.end());
+    for (const auto &session : sessions) {
+        session->closeIfIdle();
+    }
+    constexpr duration again{50};
+    m_context.deadlines.scheduleAfter(again, [self = shared_from_this()] { self->closeIdleSessions(); });
+}
+
+void front::endTransactions()
+{
+    const std::vector<std::shared_ptr<front_session>> sessions(m_sessions.begin(), m_sessions.end());
+    for (const auto &session : sessions) {
+        session->abortTransaction("shutdown");
+    }
+}
+
+void front::finishShutdown(const char *why)
+{
+    const auto done = std::exchange(m_whenShutDown, nullptr);
+    if (!done) {
+        return;
+    }
+    m_context.log.info("stopped").field("why", why).field("sessions", static_cast<std::int64_t>(m_sessions.size()));
+    m_context.log.flush();
+    done();
+}
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/front.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "frontsession.h"
+#include "frontsettings.h"
+#include "httpmessage.h"
+#include "leaderkeeper.h"
+#include "metadatastore.h"
+#include "servicegroup.h"
+#include "storefeed.h"
+#include "targetdirectory.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace crocusdeal
+{
+
+/** The daemon: callers on one side, the targets of all services on the other. */
+class front : public std::enable_shared_from_this<front>
+{
+public:
+    front(front_context &context, front_settings settings, metadata_store &store, promotion_authority &authority);
+
+    /** Empty if it has started, else why not. */
+    std::string start();
+    /** Ends gracefully; @p done is called when nothing is left, at the latest when the grace is over. */
+    void shutdown(std::function<void()> done);
+    bool isReady() const;
+
+private:
+    std::string listenForCallers();
+    void acceptNext();
+    void addSession(asio::ip::tcp::socket socket);
+    void applyConfiguration(const routing_configuration &configuration);
+    void applyTargets(const target_news &news);
+    void refreshGroups();
+    std::shared_ptr<service_group> groupOf(const service_id &service) const;
+    void ensureGroup(const service_id &service, const service_policy &policy);
+    void housekeep();
+    void watchSilence(time_point now);
+    void closeIdleSessions();
+    void endTransactions();
+    void finishShutdown(const char *why);
+    http_response answerReadiness(const std::string &path) const;
+
+    front_context &m_context;
+    front_settings m_settings;
+    metadata_store &m_store;
+    promotion_authority &m_authority;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::shared_ptr<http_server> m_readiness;
+    std::shared_ptr<store_feed> m_feed;
+    std::shared_ptr<const routing_configuration> m_configuration;
+    target_directory m_directory;
+    bool m_areTargetsKnown = false;
+    std::map<service_id, std::shared_ptr<service_group>> m_groups;
+    std::map<service_id, std::shared_ptr<leader_keeper>> m_keepers;
+    std::set<std::shared_ptr<front_session>> m_sessions;
+    std::function<void()> m_whenShutDown;
+    time_point m_shutdownAt = never;
+    time_point m_startedAt = never;
+    time_point m_leftOutToldAt = never;
+};
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/frontsession.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "bytestream.h"
+#include "servicegroup.h"
+#include "sessionvalues.h"
+#include "statementrun.h"
+#include "wireprotocol.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace crocusdeal
+{
+
+/** What a session asks of the daemon that it belongs to. */
+struct session_surroundings {
+    /** The configuration in force; null before there is any. */
+    std::function<std::shared_ptr<const routing_configuration>()> configuration;
+    /** The targets of a service; null if it has none. */
+    std::function<std::shared_ptr<service_group>(const service_id &)> group;
+};
+
+/**
+ * The session of one caller.
+ *
+ * It answers what needs no target itself and begins a transaction at a target with its first statement, so that a caller
+ * that pauses after its BEGIN holds no connection.
+ */
+class front_session : public std::enable_shared_from_this<front_session>
+{
+public:
+    front_session(front_context &context, std::shared_ptr<byte_stream> stream, session_surroundings surroundings);
+
+    /** The caller has gone or the session was closed. */
+    std::function<void()> onEnded;
+
+    void start();
+    /** Nothing is running and no transaction is open. */
+    bool isIdle() const;
+    bool isInTransaction() const;
+    /** Ends an idle session without cutting a request that is on its way here. */
+    void closeIfIdle();
+    /** Rolls back the open transaction; its next statement is told so. */
+    void abortTransaction(const char *why);
+
+private:
+    void takeData(std::string &inbound);
+    void takeMessage(const caller_message &message);
+    void takeStartup(const caller_startup &startup);
+    void takeRequest(const caller_request &request);
+    void takeInFailedTransaction(const caller_request &request);
+    void takeBegin(const statement &what);
+    void takeSet(const statement &what);
+    void takePrepare(const statement &what);
+    void takeDeallocate(const statement &what);
+    void takeCommit(const caller_request &request);
+    void takeRollback();
+    void takeData(const caller_request &request, effect kind, std::optional<prepared_shape> prepared);
+    void runFirst(const caller_request &request, effect kind, std::optional<prepared_shape> prepared);
+    void sendInTransaction(const caller_request &request, std::optional<prepared_shape> prepared);
+    void finishRun(const caller_request &request, statement_outcome outcome);
+    void finishInTransaction(const caller_request &request, target_reply reply, time_point sentAt);
+    void finishCommit(const caller_request &request, const target_reply &reply);
+    void hitTransactionLimit();
+    void endTransaction(bool isReusable);
+    void rollBackTransaction();
+    void watchTransactionIdle();
+    void answerOwn();
+    void answerError(error_code code, std::string_view text);
+    void answerReply(const target_reply &reply);
+    void finishAnswer(std::optional<position> at);
+    std::optional<database_route> currentRoute();
+    void noteCommit(const service_id &service, std::optional<position> at);
+    void closed(const std::string &reason);
+
+    front_context &m_context;
+    std::shared_ptr<byte_stream> m_stream;
+    session_surroundings m_surroundings;
+    std::string m_database;
+    bool m_isStarted = false;
+    bool m_isBusy = false;
+    bool m_isEnded = false;
+    session_values m_values;
+    std::map<service_id, position> m_commits; ///< The last acknowledged one.
+
+    transaction_state m_state = transaction_state::Idle;
+    statement_kind m_begunBy = statement_kind::Begin;
+    time_point m_begunAt = never;
+    std::optional<database_route> m_transactionRoute;
+    std::shared_ptr<service_group> m_group; ///< Of the open transaction.
+    std::optional<target_grant> m_grant; ///< Of the open transaction, from its first statement.
+    bool m_hasWritten = false;
+    bool m_wasAborted = false; ///< By the product; the caller has not been told.
+    std::optional<caller_request> m_sent; ///< The statement that the target of the transaction is working on.
+    time_point m_sentAt = never;
+    int m_generation = 0;
+    deadline_queue::handle m_limit = 0;
+    deadline_queue::handle m_idleLimit = 0;
+    std::shared_ptr<statement_run> m_run;
+    std::string m_out;
+};
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/frontsettings.cpp
@@ -0,0 +1,76 @@
+#include "frontsettings.h"
+
+#include "jsonreader.h"
+
+#include <nlohmann/json.hpp>
+
+namespace crocusdeal
+{
+
+namespace
+{
+
+using presence = object_reader::presence;
+
+constexpr integer_range millisecondRange{100, 600000};
+constexpr integer_range secondRange{1, 600};
+constexpr std::int64_t msPerSecond = 1000;
+
+void readReadiness(object_reader &top, front_settings &settings, problem_list &problems)
+{
+    const auto *value = top.object("readiness", presence::Required);
+    if (value == nullptr) {
+        return;
+    }
+    object_reader reader(*value, "readiness", problems);
+    settings.readinessAddress = reader.address("address", presence::Required).value_or(host_port{});
+    settings.readinessPath = reader.string("path", presence::Required).value_or("");
+    if (settings.readinessPath.empty() || settings.readinessPath.front() != '/') {
+        problems.add("readiness.path", "path that begins with \"/\" expected, got \"" + settings.readinessPath + "\"");
+    }
+    reader.finish();
+}
+
+front_settings readSettings(const nlohmann::json &value, problem_list &problems)
+{
+    front_settings settings;
+    object_reader top(value, "", problems);
+    settings.instance = instance_id(top.name("instance", presence::Required).value_or(""));
+    settings.dataCentre = data_centre_id(top.name("data_centre", presence::Required).value_or(""));
+    settings.callerAddress = top.address("caller_address", presence::Required).value_or(host_port{});
+    readReadiness(top, settings, problems);
+    settings.storeAddress = top.address("store_address", presence::Required).value_or(host_port{});
+    settings.authorityAddress = top.address("authority_address", presence::Required).value_or(host_port{});
+    settings.metricsAddress = top.address("metrics_address", presence::Optional);
+    const auto drain = top.integer("drain_ms", presence::Optional, millisecondRange);
+    settings.drainTime = duration{drain.value_or(settings.drainTime.ms)};
+    const auto grace = top.integer("grace_s", presence::Optional, secondRange);
+    settings.grace = duration{grace ? *grace * msPerSecond : settings.grace.ms};
+    const auto apply = top.integer("configuration_apply_ms", presence::Optional, millisecondRange);
+    settings.configurationApply = duration{apply.value_or(settings.configurationApply.ms)};
+    const auto level = top.choice("log_level", presence::Optional, {"trace", "debug", "info", "warn", "error"});
+    settings.logLevel = level ? static_cast<log_level>(*level) : settings.logLevel;
+    top.finish();
+    return settings;
+}
+
+}
+
+settings_result<front_settings> parseFrontSettings(std::string_view text, const std::string &fileName)
+{
+    problem_list problems{fileName, unknown_keys::Refuse, {}};
+    const auto value = parseJson(text, problems);
+    if (value && !value->is_object()) {
+        problems.add("", "object expected");
+    }
+    if (!value || !value->is_object()) {
+        return {std::nullopt, std::move(problems.problems)};
+    }
+    auto settings = readSettings(*value, problems);
+    if (!problems.problems.empty()) {
+        return {std::nullopt, std::move(problems.problems)};
+    }
+    return {std::move(settings), {}};
+}
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -0,0 +1,478 @@
+#include "leaderkeeper.h"
+
+#include "systemclock.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace crocusdeal
+{
+
+namespace
+{
+
+constexpr duration surveyInterval{120};
+constexpr duration controlLimit{300};
+constexpr duration lostTime{350}; // The primary and the growth of its replicas' logs are missed for this long.
+constexpr duration stallTime{1000}; // Longer than a write waits in a busy target.
+constexpr duration retryTime{300};
+constexpr duration dutyReadDelay{1500};
+constexpr duration dutyReadSpread{1000};
+
+}
+
+leader_keeper::leader_keeper(front_context &context,
+                             std::shared_ptr<service_group> group,
+                             const target_directory &directory,
+                             metadata_store &store,
+                             promotion_authority &authority,
+                             std::string self,
+                             data_centre_id dataCentre)
+    : m_context(context)
+    , m_group(std::move(group))
+    , m_directory(directory)
+    , m_store(store)
+    , m_authority(authority)
+    , m_self(std::move(self))
+    , m_dataCentre(std::move(dataCentre))
+    , m_duty(m_self)
+{
+}
+
+void leader_keeper::start()
+{
+    m_group->onLeaderTrouble = [weak = weak_from_this()](const char *why) {
+        if (const auto self = weak.lock()) {
+            self->trouble(why);
+        }
+    };
+    // Spread by name, so that the instances do not all ask and claim at once.
+    const auto spread = static_cast<std::int64_t>(std::hash<std::string>()(m_self + m_group->id().str()) % 1000);
+    const auto delay = dutyReadDelay + duration{spread * dutyReadSpread.ms / 1000};
+    m_context.deadlines.scheduleAfter(delay, [self = shared_from_this()] { self->learnDuty(); });
+    trouble("start");
+}
+
+void leader_keeper::stop()
+{
+    m_isStopped = true;
+    m_group->onLeaderTrouble = nullptr;
+    m_context.deadlines.cancel(m_tick);
+    m_context.deadlines.cancel(m_wake);
+}
+
+void leader_keeper::learnDuty()
+{
+    if (m_isStopped || m_isDutyKnown) {
+        return;
+    }
+    const auto askedAt = systemNow();
+    m_store.readDuty(m_group->id(), [self = shared_from_this(), askedAt](const duty_news &news) {
+        if (news.failure == store_failure::None) {
+            self->m_isDutyKnown = true;
+            self->m_duty.observe({news.holder, news.revision}, askedAt);
+            return;
+        }
+        if (news.failure != store_failure::NotFound) {
+            self->m_context.deadlines.scheduleAfter(duration{1000}, [self] { self->learnDuty(); });
+            return;
+        }
+        self->m_isDutyKnown = true;
+        self->m_store.claimDuty(
+            self->m_group->id(), self->m_self, std::nullopt, [self, askedAt](const duty_news &claim) {
+                if (claim.failure == store_failure::None) {
+                    self->m_duty.claimed(claim.revision, askedAt);
+                } else if (claim.failure == store_failure::Conflict) {
+                    self->m_duty.observe({claim.holder, claim.revision}, askedAt);
+                }
+            });
+    });
+}
+
+void leader_keeper::directoryChanged()
+{
+    std::erase_if(m_sightings, [&](const auto &entry) { return !m_group->targets().contains(entry.first); });
+    const auto now = systemNow();
+    if (isLeaderDraining()) {
+        if (m_drainingSince == never) {
+            m_drainingSince = now;
+        }
+        scheduleTick({});
+    } else {
+        m_drainingSince = never;
+    }
+    for (const auto &[id, pool] : m_group->targets()) {
+        if (pool->entry().claimsPrimary && m_group->leader() != id) {
+            // The entry may be older than what this instance knows; the survey decides.
+            trouble("another target claims to be primary");
+        }
+    }
+    if (m_attempt) {
+        for (const auto &[id, known] : m_directory.targets()) {
+            if (!target_directory::countsForPromotion(known)) {
+                m_attempt->memberGone(id);
+            }
+        }
+        runAttempt();
+    }
+}
+
+void leader_keeper::trouble(const char *)
+{
+    if (m_isStopped) {
+        return;
+    }
+    if (m_troubleSince == never) {
+        m_troubleSince = systemNow();
+    }
+    if (!m_isSurveying) {
+        scheduleTick({});
+    }
+}
+
+void leader_keeper::scheduleTick(duration delay)
+{
+    if (m_isStopped) {
+        return;
+    }
+    m_context.deadlines.cancel(m_tick);
+    m_tick = m_context.deadlines.scheduleAfter(delay, [self = shared_from_this()] {
+        self->m_tick = 0;
+        self->tick();
+    });
+}
+
+bool leader_keeper::hasWork(time_point) const
+{
+    return m_troubleSince != never || m_drainingSince != never;
+}
+
+void leader_keeper::tick()
+{
+    const auto now = systemNow();
+    if (m_isStopped || m_attempt || m_isClaiming || !hasWork(now)) {
+        return;
+    }
+    if (m_isSurveying) {
+        return;
+    }
+    surveyAll();
+}
+
+void leader_keeper::surveyAll()
+{
+    const auto &targets = m_group->targets();
+    m_openAnswers = static_cast<int>(targets.size());
+    if (targets.empty()) {
+        scheduleTick(surveyInterval);
+        return;
+    }
+    m_isSurveying = true;
+    const auto pools = targets; // The answers may change the group.
+    for (const auto &[id, pool] : pools) {
+        pool->control(control_statement::Status,
+                      0,
+                      controlLimit,
+                      [self = shared_from_this(), id = id](const control_reply &reply) {
+                          self->takeSighting(id, reply);
+                          if (--self->m_openAnswers == 0) {
+                              self->m_isSurveying = false;
+                              self->judge();
+                          }
+                      });
+    }
+}
+
+void leader_keeper::takeSighting(const target_id &target, const control_reply &reply)
+{
+    if (!m_group->targets().contains(target)) {
+        return;
+    }
+    const auto now = systemNow();
+    auto &seen = m_sightings[target];
+    seen.isAnswered = reply.isAnswered;
+    seen.report = reply.report;
+    if (reply.isAnswered) {
+        seen.missingSince = never;
+    } else if (seen.missingSince == never) {
+        seen.missingSince = now;
+    }
+    if (!reply.report) {
+        return;
+    }
+    if (reply.report->received > seen.received) {
+        seen.received = reply.report->received;
+        seen.receivedChangedAt = now;
+    }
+    if (reply.report->isPrimary) {
+        m_lastLeader = target;
+        m_group->noteLead(target, std::nullopt, reply.askedAt);
+    } else if (m_group->leader() == target) {
+        m_group->noteNotLeading(target, "it answers as replica");
+    }
+}
+
+void leader_keeper::judge()
+{
+    if (m_isStopped || m_attempt || m_isClaiming) {
+        return;
+    }
+    const auto now = systemNow();
+    const bool hasLeader = std::any_of(m_sightings.begin(), m_sightings.end(), [](const auto &entry) {
+        return entry.second.report && entry.second.report->isPrimary;
+    });
+    if (hasLeader && isLeaderDraining() && now >= m_retryAt) {
+        begin(promotion_reason::PrimaryDraining);
+        return;
+    }
+    if (hasLeader && isLeaderStalled(now) && now >= m_retryAt) {
+        begin(promotion_reason::PrimaryStalled);
+        return;
+    }
+    if (hasLeader && !isLeaderStalled(now)) {
+        m_troubleSince = never;
+    }
+    if (!hasLeader && isLeaderLost(now) && now >= m_retryAt) {
+        begin(promotion_reason::PrimaryLost);
+        return;
+    }
+    if (hasWork(now)) {
+        scheduleTick(surveyInterval);
+    }
+}
+
+bool leader_keeper::isLeaderLost(time_point now) const
+{
+    bool isAnyReplicaSeen = false;
+    for (const auto &[id, seen] : m_sightings) {
+        if (seen.isAnswered && !seen.report) {
+            return false; // It lives and may be the primary.
+        }
+        if (seen.report) {
+            isAnyReplicaSeen = true;
+            if (now - seen.receivedChangedAt < lostTime) {
+                return false; // A primary that this instance cannot reach still feeds it, or did just now.
+            }
+        }
+    }
+    return isAnyReplicaSeen && now - m_troubleSince >= lostTime;
+}
+
+bool leader_keeper::isLeaderStalled(time_point now) const
+{
+    const auto &leader = m_group->leader();
+    const auto found = leader ? m_group->targets().find(*leader) : m_group->targets().end();
+    if (found == m_group->targets().end() || m_group->policy().syncReplicas == 0) {
+        return false;
+    }
+    const auto since = m_group->oldestOpenWrite();
+    return since != never && now - since >= stallTime && m_group->lastWriteAckedAt() < since;
+}
+
+bool leader_keeper::isLeaderDraining() const
+{
+    const auto &leader = m_group->leader();
+    const auto *known = leader ? m_directory.find(*leader) : nullptr;
+    return known != nullptr && known->drainingSince.has_value();
+}
+
+void leader_keeper::begin(promotion_reason reason)
+{
+    const auto now = systemNow();
+    const auto since = reason == promotion_reason::PrimaryDraining ? m_drainingSince : m_troubleSince;
+    if (!m_duty.mayClaim(now, since)) {
+        scheduleTick(surveyInterval);
+        return;
+    }
+    claimThenStart(reason);
+}
+
+void leader_keeper::claimThenStart(promotion_reason reason)
+{
+    m_isClaiming = true;
+    const auto sentAt = systemNow();
+    m_store.claimDuty(
+        m_group->id(), m_self, m_duty.replaces(), [self = shared_from_this(), sentAt, reason](const duty_news &news) {
+            self->m_isClaiming = false;
+            self->m_context.log.info("duty_claim")
+                .field("service", self->m_group->id().str())
+                .field("reason", promotionReasonNames.name(reason))
+                .field("outcome", storeFailureNames.name(news.failure))
+                .field("holder", news.holder)
+                .field("revision", static_cast<std::int64_t>(news.revision));
+            if (news.failure == store_failure::None) {
+                self->m_duty.claimed(news.revision, sentAt);
+                self->startAttempt(reason);
+                return;
+            }
+            if (news.failure == store_failure::Conflict) {
+                self->m_duty.observe({news.holder, news.revision}, systemNow());
+            } else if (news.failure == store_failure::NotFound) {
+                self->m_duty.observeAbsent();
+            } else if (self->m_duty.token()) {
+                // Nobody whom the store turns away as well can have claimed since, and the platform fences the rest.
+                self->startAttempt(reason);
+                return;
+            }
+            self->scheduleTick(surveyInterval);
+        });
+}
+
+void leader_keeper::startAttempt(promotion_reason reason)
+{
+    std::vector<promotion_member> members;
+    for (const auto &[id, known] : m_directory.targets()) {
+        if (known.entry.service != m_group->id() || !target_directory::countsForPromotion(known)) {
+            continue;
+        }
+        members.push_back(
+            {id, known.drainingSince.has_value(), known.entry.isWarmingUp, known.entry.dataCentre == m_dataCentre});
+    }
+    const auto leader = m_group->leader() ? m_group->leader() : m_lastLeader;
+    m_context.log.info("promotion_started")
+        .field("service", m_group->id().str())
+        .field("reason", promotionReasonNames.name(reason))
+        .field("leader", leader ? leader->str() : "none")
+        .field("members", static_cast<std::int64_t>(members.size()))
+        .field("token", static_cast<std::int64_t>(m_duty.token().value_or(0)))
+        .field("trouble_ms", (systemNow() - m_troubleSince).ms);
+    m_attempt = std::make_unique<promotion_attempt>(
+        reason, leader, std::move(members), m_group->policy().syncReplicas > 0, systemNow());
+    runAttempt();
+}
+
+void leader_keeper::runAttempt()
+{
+    if (!m_attempt) {
+        return;
+    }
+    const auto actions = m_attempt->step(systemNow());
+    for (const auto &action : actions) {
+        perform(action);
+    }
+    if (m_attempt && m_attempt->result() != promotion_outcome::Pending) {
+        finishAttempt();
+        return;
+    }
+    m_context.deadlines.cancel(m_wake);
+    m_wake = m_context.deadlines.schedule(m_attempt->wakeAt(), [self = shared_from_this()] {
+        self->m_wake = 0;
+        self->runAttempt();
+    });
+}
+
+void leader_keeper::perform(const promotion_action &action)
+{
+    if (const auto *survey = std::get_if<survey_target>(&action)) {
+        ask(survey->target, control_statement::Status, 0);
+    } else if (const auto *pause = std::get_if<pause_target>(&action)) {
+        ask(pause->target, control_statement::Pause, pause->term);
+    } else if (const auto *resume = std::get_if<resume_target>(&action)) {
+        ask(resume->target, control_statement::Resume, 0);
+    } else if (const auto *stepDown = std::get_if<step_down_target>(&action)) {
+        ask(stepDown->target, control_statement::StepDown, stepDown->term);
+    } else {
+        order(std::get<order_promotion>(action).target);
+    }
+}
+
+void leader_keeper::ask(const target_id &target, control_statement what, std::uint64_t term)
+{
+    const auto found = m_group->targets().find(target);
+    if (found == m_group->targets().end()) {
+        m_attempt->memberGone(target);
+        return;
+    }
+    // The answer must not come back within step(), which is still running.
+    const auto pool = found->second;
+    const auto *attempt = m_attempt.get();
+    pool->control(what, term, controlLimit, [self = shared_from_this(), target, attempt](const control_reply &reply) {
+        asio::post(self->m_context.io, [self, target, attempt, reply] {
+            if (self->m_attempt.get() != attempt || !self->m_attempt) {
+                return;
+            }
+            if (reply.report) {
+                self->m_attempt->statusReceived(target, *reply.report, reply.askedAt, systemNow());
+            } else {
+                self->m_attempt->statusMissing(target, systemNow());
+            }
+            self->runAttempt();
+        });
+    });
+}
+
+void leader_keeper::order(const target_id &target)
+{
+    const auto token = m_duty.token();
+    if (!token) {
+        m_attempt->orderRefused();
+        return;
+    }
+    m_context.log.info("promotion_ordered")
+        .field("service", m_group->id().str())
+        .field("target", target.str())
+        .field("token", static_cast<std::int64_t>(*token))
+        .field("why", m_attempt->explanation());
+    const auto *attempt = m_attempt.get();
+    m_authority.promote(m_group->id(),
+                        target,
+                        m_self,
+                        *token,
+                        [self = shared_from_this(), attempt, token = *token](order_answer answer, const std::string &detail) {
+                            if (self->m_attempt.get() == attempt && self->m_attempt) {
+                                self->orderAnswered(answer, detail, token);
+                            }
+                        });
+}
+
+void leader_keeper::orderAnswered(order_answer answer, const std::string &detail, std::uint64_t token)
+{
+    m_context.log.info("promotion_answer")
+        .field("service", m_group->id().str())
+        .field("answer", orderAnswerNames.name(answer))
+        .field("detail", detail);
+    switch (answer) {
+    case order_answer::Accepted:
+        m_attempt->orderAccepted(systemNow());
+        break;
+    case order_answer::Refused:
+        m_duty.refused(token);
+        m_attempt->orderRefused();
+        break;
+    case order_answer::TurnedAway:
+        m_attempt->orderRefused();
+        break;
+    case order_answer::Unanswered:
+        // It may be carried out at any time; the lead of the chosen target tells.
+        m_mustSupersede = true;
+        m_attempt->orderAccepted(systemNow());
+        break;
+    }
+    runAttempt();
+}
+
+void leader_keeper::finishAttempt()
+{
+    const auto attempt = std::move(m_attempt);
+    m_context.deadlines.cancel(m_wake);
+    const auto outcome = attempt->result();
+    m_context.log.info("promotion_ended")
+        .field("service", m_group->id().str())
+        .field("outcome", promotionOutcomeNames.name(outcome))
+        .field("chosen", attempt->chosen() ? attempt->chosen()->str() : "none")
+        .field("why", attempt->explanation())
+        .field("trouble_ms", (systemNow() - m_troubleSince).ms);
+    m_sightings.clear();
+    if (outcome == promotion_outcome::Promoted || outcome == promotion_outcome::LeaderFound) {
+        m_lastLeader = attempt->chosen();
+        m_group->setLeader(*attempt->chosen(), "promotion");
+        m_group->noteLead(*attempt->chosen(), std::nullopt, systemNow());
+        m_troubleSince = never;
+    }
+    m_drainingSince = isLeaderDraining() ? systemNow() : never;
+    m_retryAt = systemNow() + retryTime;
+    scheduleTick(retryTime);
+}
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/leaderkeeper.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "dutyclaim.h"
+#include "metadatastore.h"
+#include "promotionattempt.h"
+#include "servicegroup.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace crocusdeal
+{
+
+/**
+ * Finds the primary of one service again after trouble, and changes it if it is lost or leaves.
+ *
+ * Whether a primary is lost is judged by what its replicas receive as well: one that only this instance cannot reach goes
+ * on feeding them and is left alone.
+ */
+class leader_keeper : public std::enable_shared_from_this<leader_keeper>
+{
+public:
+    leader_keeper(front_context &context,
+                  std::shared_ptr<service_group> group,
+                  const target_directory &directory,
+                  metadata_store &store,
+                  promotion_authority &authority,
+                  std::string self,
+                  data_centre_id dataCentre);
+
+    void start();
+    void stop();
+    /** The directory has changed. */
+    void directoryChanged();
+    /** Something suggests that the primary cannot serve. */
+    void trouble(const char *why);
+
+private:
+    struct sighting {
+        bool isAnswered = false;
+        std::optional<target_report> report;
+        position received;
+        time_point receivedChangedAt = never; ///< When the received position was last seen to grow.
+        time_point missingSince = never;
+    };
+
+    void scheduleTick(duration delay);
+    void tick();
+    bool hasWork(time_point now) const;
+    void surveyAll();
+    void takeSighting(const target_id &target, const control_reply &reply);
+    void judge();
+    bool isLeaderLost(time_point now) const;
+    bool isLeaderStalled(time_point now) const;
+    bool isLeaderDraining() const;
+    void learnDuty();
+    void begin(promotion_reason reason);
+    void claimThenStart(promotion_reason reason);
+    void startAttempt(promotion_reason reason);
+    void runAttempt();
+    void perform(const promotion_action &action);
+    void ask(const target_id &target, control_statement what, std::uint64_t term);
+    void order(const target_id &target);
+    void orderAnswered(order_answer answer, const std::string &detail, std::uint64_t token);
+    void finishAttempt();
+
+    front_context &m_context;
+    std::shared_ptr<service_group> m_group;
+    const target_directory &m_directory;
+    metadata_store &m_store;
+    promotion_authority &m_authority;
+    std::string m_self;
+    data_centre_id m_dataCentre;
+    duty_claim m_duty;
+    std::map<target_id, sighting> m_sightings;
+    std::unique_ptr<promotion_attempt> m_attempt;
+    deadline_queue::handle m_tick = 0;
+    deadline_queue::handle m_wake = 0;
+    time_point m_troubleSince = never;
+    time_point m_drainingSince = never;
+    time_point m_retryAt = never;
+    std::optional<target_id> m_lastLeader;
+    bool m_isSurveying = false;
+    bool m_isClaiming = false;
+    bool m_isDutyKnown = false;
+    bool m_mustSupersede = false; ///< An unanswered order may still be carried out.
+    int m_openAnswers = 0;
+    bool m_isStopped = false;
+};
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/metadatastore.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "clock.h"
+#include "nametable.h"
+#include "routingconfiguration.h"
+#include "targetentry.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace crocusdeal
+{
+
+enum class store_failure {
+    None,
+    Unreachable, ///< The call may have been executed, now or later.
+    TurnedAway, ///< Nothing was done.
+    Conflict, ///< Another change came first.
+    NotFound,
+    HistoryGone, ///< The watch has to start from a new list.
+    BadAnswer,
+};
+
+inline constexpr auto storeFailureNames = makeNameTable<store_failure>(
+    "none", "unreachable", "turned_away", "conflict", "not_found", "history_gone", "bad_answer");
+
+/** The latest configuration, or none if there is none or it cannot be read. */
+struct configuration_news {
+    store_failure failure = store_failure::None;
+    std::string detail;
+    std::optional<routing_configuration> configuration;
+    std::uint64_t revision = 0; ///< Of the store, to watch from.
+};
+
+/** A complete list of the targets, or changes since a revision. */
+struct target_news {
+    store_failure failure = store_failure::None;
+    std::string detail;
+    bool isComplete = false;
+    std::vector<target_entry> entries; ///< Present, or changed.
+    std::vector<target_id> removed;
+    std::vector<std::string> ignored; ///< Entries that name no target, with the reason.
+    std::uint64_t revision = 0;
+};
+
+/** A record of who promotes. */
+struct duty_news {
+    store_failure failure = store_failure::None;
+    std::string detail;
+    std::string holder;
+    std::uint64_t revision = 0;
+};
+
+/** What the product needs of the store that outlives it. Hooks are called from the loop, once a call. */
+class metadata_store
+{
+public:
+    virtual ~metadata_store() = default;
+
+    virtual void readConfiguration(std::function<void(configuration_news)> done) = 0;
+    /** Waits up to @p wait for a change after @p revision; without one there is no configuration in the answer. */
+    virtual void
+    watchConfiguration(std::uint64_t revision, duration wait, std::function<void(configuration_news)> done) = 0;
+    virtual void listTargets(std::function<void(target_news)> done) = 0;
+    virtual void watchTargets(std::uint64_t revision, duration wait, std::function<void(target_news)> done) = 0;
+    virtual void readDuty(const service_id &service, std::function<void(duty_news)> done) = 0;
+    /** Creates the record, or replaces it if its revision is still @p replaces. */
+    virtual void claimDuty(const service_id &service,
+                           const std::string &holder,
+                           std::optional<std::uint64_t> replaces,
+                           std::function<void(duty_news)> done) = 0;
+};
+
+enum class order_answer {
+    Accepted,
+    Refused, ///< The fencing token is too low, or the target cannot take over.
+    TurnedAway, ///< Nothing was done; may be repeated.
+    Unanswered, ///< May be carried out, now or later.
+};
+
+inline constexpr auto orderAnswerNames = makeNameTable<order_answer>("accepted", "refused", "turned_away", "unanswered");
+
+/** Who carries out changes of a primary. */
+class promotion_authority
+{
+public:
+    virtual ~promotion_authority() = default;
+
+    virtual void promote(const service_id &service,
+                         const target_id &target,
+                         const std::string &holder,
+                         std::uint64_t fencingToken,
+                         std::function<void(order_answer, std::string detail)> done) = 0;
+};
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -0,0 +1,368 @@
+#include "servicegroup.h"
+
+#include "placement.h"
+#include "systemclock.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace crocusdeal
+{
+
+namespace
+{
+
+constexpr duration ageMargin{30}; // A sample counts from when it was asked for; the clocks round to milliseconds.
+constexpr std::size_t longestQueue = 400;
+
+}
+
+service_group::service_group(front_context &context,
+                             service_id id,
+                             data_centre_id dataCentre,
+                             const target_directory &directory)
+    : m_context(context)
+    , m_id(std::move(id))
+    , m_dataCentre(std::move(dataCentre))
+    , m_directory(directory)
+{
+}
+
+const service_id &service_group::id() const
+{
+    return m_id;
+}
+
+void service_group::setPolicy(const service_policy &policy)
+{
+    m_policy = policy;
+    refreshTargets();
+}
+
+const service_policy &service_group::policy() const
+{
+    return m_policy;
+}
+
+void service_group::refreshTargets()
+{
+    for (const auto &[id, known] : m_directory.targets()) {
+        if (known.entry.service != m_id) {
+            continue;
+        }
+        auto &pool = m_targets[id];
+        if (!pool) {
+            pool = std::make_shared<target_pool>(m_context, known.entry, m_policy.maxConnections);
+            pool->onCapacity = [weak = weak_from_this()] {
+                if (const auto self = weak.lock()) {
+                    self->pump();
+                }
+            };
+            pool->openMore();
+            continue;
+        }
+        pool->update(known.entry, m_policy.maxConnections);
+    }
+    for (auto it = m_targets.begin(); it != m_targets.end();) {
+        const auto *known = m_directory.find(it->first);
+        if (known != nullptr && known->entry.service == m_id) {
+            ++it;
+            continue;
+        }
+        it->second->retire();
+        if (m_leader == it->first) {
+            noteNotLeading(it->first, "gone");
+        }
+        it = m_targets.erase(it);
+    }
+    pump();
+}
+
+const std::map<target_id, std::shared_ptr<target_pool>> &service_group::targets() const
+{
+    return m_targets;
+}
+
+service_group::ticket service_group::acquire(target_need need,
+                                             std::function<void(target_grant)> granted,
+                                             std::function<void(refusal_reason)> refused)
+{
+    if (m_queue.size() == 0 && tryPlace(need, granted)) {
+        return 0;
+    }
+    if (m_queue.size() >= longestQueue) {
+        refused(refusal_reason::QueueFull);
+        return 0;
+    }
+    waiting_work work;
+    work.priority = need.priority;
+    work.wantedBy = need.wantedBy;
+    work.refuseAt = need.refuseAt;
+    work.refuse = [this, need, refused = std::move(refused)] { refused(whyNotPlaced(need)); };
+    work.tryPlace = [this, need, granted = std::move(granted)] { return tryPlace(need, granted); };
+    const auto number = m_queue.add(std::move(work));
+    pump();
+    armRefusals();
+    return number;
+}
+
+void service_group::abandon(ticket number)
+{
+    m_queue.remove(number);
+}
+
+void service_group::pump()
+{
+    // Placing work may end in a release, which pumps again; one level does it all.
+    m_isPumpWanted = true;
+    if (std::exchange(m_isPumping, true)) {
+        return;
+    }
+    const auto self = shared_from_this();
+    while (std::exchange(m_isPumpWanted, false)) {
+        if (m_queue.size() > 0) {
+            m_queue.placeAll();
+        }
+    }
+    m_isPumping = false;
+}
+
+std::size_t service_group::queued() const
+{
+    return m_queue.size();
+}
+
+void service_group::armRefusals()
+{
+    const auto next = m_queue.nextRefusal();
+    if (!next || (m_refusalTimer != 0 && m_refusalAt <= *next)) {
+        return;
+    }
+    m_context.deadlines.cancel(m_refusalTimer);
+    m_refusalAt = *next;
+    m_refusalTimer = m_context.deadlines.schedule(*next, [self = shared_from_this()] {
+        self->m_refusalTimer = 0;
+        self->m_queue.refuseExpired(systemNow());
+        self->armRefusals();
+    });
+}
+
+bool service_group::tryPlace(const target_need &need, const std::function<void(target_grant)> &granted)
+{
+    if (need.isWrite || need.mustBeLeader || need.reads == consistency::Primary) {
+        return tryPlaceAtLeader(need, granted);
+    }
+    const auto required = requiredPosition(need);
+    if (!required) {
+        return tryPlaceAtLeader(need, granted);
+    }
+    const auto now = systemNow();
+    std::vector<read_candidate> candidates;
+    std::vector<std::shared_ptr<target_pool>> pools;
+    for (const auto &[id, pool] : m_targets) {
+        const bool isCovering = pool->knownPosition() >= *required;
+        if (!isUsable(*pool, now) || need.avoid.contains(id) || (pool->isLagging(now) && !isCovering)) {
+            continue;
+        }
+        read_candidate candidate;
+        candidate.index = pools.size();
+        candidate.inFlight = pool->inFlight();
+        candidate.permits = pool->permits();
+        candidate.slots = pool->entry().slots;
+        candidate.answerMs = pool->answerMs();
+        candidate.isLocal = pool->entry().dataCentre == m_dataCentre;
+        candidate.isPrimary = m_leader == id;
+        candidate.isKnownToCover = isCovering;
+        candidate.isWarmingUp = pool->entry().isWarmingUp;
+        candidate.hasIdleConnection = pool->hasIdle();
+        candidates.push_back(candidate);
+        pools.push_back(pool);
+    }
+    while (const auto best = placeRead(candidates)) {
+        if (grantAt(pools[*best], required, false, granted)) {
+            return true;
+        }
+        std::erase_if(candidates, [&](const read_candidate &candidate) { return candidate.index == *best; });
+    }
+    return candidates.empty() && pools.empty() && tryPlaceAtLeader(need, granted);
+}
+
+bool service_group::tryPlaceAtLeader(const target_need &need, const std::function<void(target_grant)> &granted)
+{
+    const auto found = m_leader ? m_targets.find(*m_leader) : m_targets.end();
+    if (found == m_targets.end()) {
+        noteTrouble("no primary is known");
+        return false;
+    }
+    const auto &pool = found->second;
+    if (!isUsable(*pool, systemNow()) || pool->inFlight() >= pool->permits()) {
+        return false;
+    }
+    return grantAt(pool, std::nullopt, !need.isWrite, granted);
+}
+
+bool service_group::grantAt(const std::shared_ptr<target_pool> &pool,
+                            std::optional<position> after,
+                            bool needsProof,
+                            const std::function<void(target_grant)> &granted)
+{
+    auto link = pool->takeIdle();
+    if (!link) {
+        openWhereNeeded(*pool);
+        return false;
+    }
+    pool->addInFlight(1);
+    granted({pool, std::move(link), m_leader == pool->entry().id, after, needsProof});
+    return true;
+}
+
+void service_group::openWhereNeeded(target_pool &pool)
+{
+    if (static_cast<std::size_t>(pool.opening()) <= m_queue.size() && pool.canOpen(systemNow())) {
+        pool.openMore();
+    }
+}
+
+std::optional<position> service_group::requiredPosition(const target_need &need) const
+{
+    auto required = m_samples.covering(need.arrivedAt - need.maxStaleness + ageMargin);
+    if (required && need.reads == consistency::ReadYourWrites && need.ownCommit) {
+        required = std::max(*required, *need.ownCommit);
+    }
+    return required;
+}
+
+bool service_group::isUsable(const target_pool &pool, time_point now) const
+{
+    const auto *known = m_directory.find(pool.entry().id);
+    return known != nullptr && m_directory.acceptsNewWork(*known, m_leader == pool.entry().id, now)
+        && !pool.isFailing(now);
+}
+
+refusal_reason service_group::whyNotPlaced(const target_need &need) const
+{
+    if (m_targets.empty()) {
+        return refusal_reason::NoTarget;
+    }
+    const bool needsLeader = need.isWrite || need.mustBeLeader || need.reads == consistency::Primary;
+    return needsLeader && !m_leader ? refusal_reason::NoPrimary : refusal_reason::QueueTime;
+}
+
+void service_group::release(const target_grant &grant, bool isReusable)
+{
+    grant.target->addInFlight(-1);
+    if (isReusable && grant.link->isIdle()) {
+        grant.target->giveBack(grant.link);
+    } else {
+        grant.link->close("not reusable");
+    }
+    pump();
+}
+
+void service_group::addPermit(const target_grant &grant)
+{
+    grant.target->addInFlight(1);
+}
+
+void service_group::endPermit(const target_grant &grant)
+{
+    grant.target->addInFlight(-1);
+    pump();
+}
+
+const std::optional<target_id> &service_group::leader() const
+{
+    return m_leader;
+}
+
+void service_group::noteLead(const target_id &target, std::optional<position> at, time_point askedAt)
+{
+    m_leaderProvedAt = std::max(m_leaderProvedAt, askedAt);
+    m_troubleSince = never;
+    if (m_leader != target) {
+        setLeader(target, "proof");
+    }
+    if (at) {
+        m_samples.add(*at, askedAt);
+    }
+}
+
+void service_group::noteNotLeading(const target_id &target, const char *why)
+{
+    if (m_leader != target) {
+        return;
+    }
+    m_leader.reset();
+    m_context.log.warn("primary_lost")
+        .field("service", m_id.str())
+        .field("target", target.str())
+        .field("why", why)
+        .field("proved_ms_ago", (systemNow() - m_leaderProvedAt).ms);
+    noteTrouble(why);
+}
+
+void service_group::setLeader(const target_id &target, const char *source)
+{
+    if (m_leader == target) {
+        return;
+    }
+    m_context.log.info("primary_known")
+        .field("service", m_id.str())
+        .field("target", target.str())
+        .field("before", m_leader ? m_leader->str() : "none")
+        .field("source", source);
+    m_leader = target;
+    m_samples.clear();
+    pump();
+}
+
+time_point service_group::leaderProvedAt() const
+{
+    return m_leaderProvedAt;
+}
+
+time_point service_group::troubleSince() const
+{
+    return m_troubleSince;
+}
+
+void service_group::noteTrouble(const char *why)
+{
+    if (m_troubleSince != never) {
+        return;
+    }
+    m_troubleSince = systemNow();
+    m_context.log.warn("primary_trouble").field("service", m_id.str()).field("why", why);
+    if (onLeaderTrouble) {
+        onLeaderTrouble(why);
+    }
+}
+
+void service_group::writeSent(time_point at)
+{
+    m_openWrites.insert(at);
+}
+
+void service_group::writeEnded(time_point sentAt, bool isAcknowledged)
+{
+    const auto found = m_openWrites.find(sentAt);
+    if (found != m_openWrites.end()) {
+        m_openWrites.erase(found);
+    }
+    if (isAcknowledged) {
+        m_lastWriteAckedAt = std::max(m_lastWriteAckedAt, sentAt);
+    }
+}
+
+time_point service_group::oldestOpenWrite() const
+{
+    return m_openWrites.empty() ? never : *m_openWrites.begin();
+}
+
+time_point service_group::lastWriteAckedAt() const
+{
+    return m_lastWriteAckedAt;
+}
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/servicegroup.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "freshness.h"
+#include "routingconfiguration.h"
+#include "targetdirectory.h"
+#include "targetpool.h"
+#include "waitqueue.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace crocusdeal
+{
+
+/** What a statement, or the transaction that it begins, needs of its target. */
+struct target_need {
+    bool isWrite = false; ///< Only the primary will do.
+    consistency reads = consistency::Primary;
+    duration maxStaleness{0};
+    std::optional<position> ownCommit; ///< The session's last one; counts for read-your-writes.
+    time_point arrivedAt;
+    int priority = 0;
+    time_point wantedBy;
+    time_point refuseAt; ///< If no target is free by then.
+    bool mustBeLeader = false; ///< A replica has refused already.
+    std::set<target_id> avoid; ///< Targets that have failed this statement.
+};
+
+/** A target and a connection to it, with one permit. */
+struct target_grant {
+    std::shared_ptr<target_pool> target;
+    std::shared_ptr<target_link> link;
+    bool isLeader = false;
+    std::optional<position> after; ///< What the log of the target must hold.
+    /** Without a position the target has to prove that it leads, by accepting a transaction that may write. */
+    bool needsProof = false;
+};
+
+enum class refusal_reason {
+    NoPrimary,
+    NoTarget,
+    QueueTime,
+    QueueFull,
+    Shutdown,
+};
+
+inline constexpr auto refusalReasonNames =
+    makeNameTable<refusal_reason>("no_primary", "no_target", "queue_time", "queue_full", "shutdown");
+
+/** The targets of one service as this instance sees them, and the work that waits for them. */
+class service_group : public std::enable_shared_from_this<service_group>
+{
+public:
+    using ticket = wait_queue::ticket;
+
+    service_group(front_context &context, service_id id, data_centre_id dataCentre, const target_directory &directory);
+
+    /** Trouble with the primary was seen; asks for somebody to look. */
+    std::function<void(const char *why)> onLeaderTrouble;
+
+    const service_id &id() const;
+    void setPolicy(const service_policy &policy);
+    const service_policy &policy() const;
+    /** Takes over what the directory holds now. */
+    void refreshTargets();
+    const std::map<target_id, std::shared_ptr<target_pool>> &targets() const;
+
+    /** Gives a target now or later, or refuses; one of the hooks is called once, @p granted possibly at once. */
+    ticket acquire(target_need need,
+                   std::function<void(target_grant)> granted,
+                   std::function<void(refusal_reason)> refused);
+    void abandon(ticket number);
+    /** Ends a permit and gives the connection back if it can serve another session. */
+    void release(const target_grant &grant, bool isReusable);
+    void addPermit(const target_grant &grant);
+    void endPermit(const target_grant &grant);
+    void pump();
+    std::size_t queued() const;
+
+    const std::optional<target_id> &leader() const;
+    /** A target has proved that it led when it answered; @p at covers what was acknowledged before @p askedAt. */
+    void noteLead(const target_id &target, std::optional<position> at, time_point askedAt);
+    /** A target that was taken for the primary does not lead. */
+    void noteNotLeading(const target_id &target, const char *why);
+    /** From what the directory or a survey says. */
+    void setLeader(const target_id &target, const char *source);
+    time_point leaderProvedAt() const;
+    /** Since when there has been trouble with the primary; never without any. */
+    time_point troubleSince() const;
+    void noteTrouble(const char *why);
+
+    /** Writes and commits that are sent to the primary, by when; a stalled primary acknowledges none. */
+    void writeSent(time_point at);
+    void writeEnded(time_point sentAt, bool isAcknowledged);
+    time_point oldestOpenWrite() const;
+    time_point lastWriteAckedAt() const;
+
+private:
+    bool tryPlace(const target_need &need, const std::function<void(target_grant)> &granted);
+    bool tryPlaceAtLeader(const target_need &need, const std::function<void(target_grant)> &granted);
+    bool grantAt(const std::shared_ptr<target_pool> &pool,
+                 std::optional<position> after,
+                 bool needsProof,
+                 const std::function<void(target_grant)> &granted);
+    std::optional<position> requiredPosition(const target_need &need) const;
+    refusal_reason whyNotPlaced(const target_need &need) const;
+    bool isUsable(const target_pool &pool, time_point now) const;
+    void armRefusals();
+    void openWhereNeeded(target_pool &pool);
+
+    front_context &m_context;
+    service_id m_id;
+    data_centre_id m_dataCentre;
+    const target_directory &m_directory;
+    service_policy m_policy;
+    std::map<target_id, std::shared_ptr<target_pool>> m_targets;
+    wait_queue m_queue;
+    position_samples m_samples;
+    std::optional<target_id> m_leader;
+    time_point m_leaderProvedAt = never;
+    time_point m_troubleSince = never;
+    std::multiset<time_point> m_openWrites;
+    time_point m_lastWriteAckedAt = never;
+    deadline_queue::handle m_refusalTimer = 0;
+    time_point m_refusalAt = never;
+    bool m_isPumping = false;
+    bool m_isPumpWanted = false;
+};
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/statementrun.cpp
@@ -0,0 +1,442 @@
+#include "statementrun.h"
+
+#include "systemclock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusdeal
+{
+
+namespace
+{
+
+constexpr int maxAttempts = 5;
+constexpr duration busyDelay{15};
+constexpr int waitShareOfTimeout = 2; // Work that will be served may wait half of its time.
+constexpr int waitShareOfLatency = 4; // Work that nobody can serve yet is refused early, so that it can go elsewhere.
+constexpr duration shortestWait{20};
+
+}
+
+void encodeStatement(const target_protocol &protocol,
+                     std::string &out,
+                     const connection_values &values,
+                     const caller_request &request,
+                     const std::optional<prepared_shape> &prepared,
+                     std::optional<position> after)
+{
+    if (prepared) {
+        protocol.addExecute(out, request.id, after, values.nameOf(*prepared), request.what.argument);
+        return;
+    }
+    protocol.addStatement(out, request.id, after, request.what.text);
+}
+
+void sendPreparation(const target_protocol &protocol,
+                     const std::shared_ptr<target_link> &link,
+                     const session_values &session,
+                     const prepared_shape *needed,
+                     bool isInTransaction)
+{
+    for (const auto &step : link->values.prepareFor(session, needed, isInTransaction)) {
+        std::string encoded;
+        switch (step.kind) {
+        case preparation_step::Discard:
+            protocol.addControl(encoded, control_statement::Discard);
+            break;
+        case preparation_step::Set:
+            protocol.addSet(encoded, step.name, step.value);
+            break;
+        case preparation_step::Prepare:
+            protocol.addPrepare(encoded, step.name, step.preparedEffect, step.value);
+            break;
+        }
+        link->send(encoded, [link](const target_reply &reply) {
+            if (!reply.isSuccess() && !reply.isLost) {
+                // The connection does not hold what is believed of it.
+                link->close("preparation was refused");
+            }
+        });
+    }
+}
+
+statement_run::statement_run(front_context &context,
+                             std::shared_ptr<service_group> group,
+                             statement_order order,
+                             const session_values &values,
+                             std::function<void(statement_outcome)> done)
+    : m_context(context)
+    , m_group(std::move(group))
+    , m_order(std::move(order))
+    , m_values(values)
+    , m_done(std::move(done))
+{
+}
+
+bool statement_run::opensTransaction() const
+{
+    return m_order.opens.has_value();
+}
+
+bool statement_run::opensPlain() const
+{
+    return m_order.opens == statement_kind::Begin;
+}
+
+bool statement_run::isWrapped() const
+{
+    return m_grant && m_grant->needsProof && !opensTransaction();
+}
+
+void statement_run::start()
+{
+    const auto &route = m_order.route;
+    m_need.isWrite = m_order.kind == effect::Write || opensPlain();
+    m_need.reads = route.reads;
+    m_need.maxStaleness = route.maxStaleness;
+    m_need.ownCommit = m_order.ownCommit;
+    m_need.arrivedAt = m_order.startedAt;
+    m_need.priority = route.priority;
+    m_need.wantedBy = m_order.arrivedAt + route.targetLatency;
+    const auto self = shared_from_this();
+    m_limit = m_context.deadlines.schedule(m_order.arrivedAt + route.statementTimeout, [self] { self->hitLimit(); });
+    acquire();
+}
+
+void statement_run::abandon()
+{
+    m_done = nullptr;
+    if (!m_grant) {
+        finish({});
+    }
+}
+
+void statement_run::acquire()
+{
+    const auto &route = m_order.route;
+    const bool isPrimaryMissing = !m_group->leader() && (m_need.isWrite || m_need.reads == consistency::Primary);
+    const auto wait =
+        isPrimaryMissing ? route.targetLatency / waitShareOfLatency : route.statementTimeout / waitShareOfTimeout;
+    m_need.refuseAt = m_order.arrivedAt + std::max(wait, shortestWait);
+    ++m_generation;
+    m_ticket = m_group->acquire(
+        m_need,
+        [self = shared_from_this()](target_grant grant) { self->takeGrant(std::move(grant)); },
+        [self = shared_from_this()](refusal_reason reason) { self->refuse(reason); });
+}
+
+void statement_run::takeGrant(target_grant grant)
+{
+    m_ticket = 0;
+    m_grant = std::move(grant);
+    ++m_attempts;
+    if (opensTransaction() || m_grant->needsProof) {
+        sendBegin();
+    } else {
+        sendStatement();
+    }
+}
+
+void statement_run::refuse(refusal_reason reason)
+{
+    m_ticket = 0;
+    m_context.log.info("statement_refused")
+        .field("id", m_order.request.id)
+        .field("database", m_order.route.database)
+        .field("service", m_group->id().str())
+        .field("reason", refusalReasonNames.name(reason))
+        .field("queued", static_cast<std::int64_t>(m_group->queued()))
+        .field("waited_ms", (systemNow() - m_order.arrivedAt).ms)
+        .field("primary", m_group->leader() ? m_group->leader()->str() : "none")
+        .field("primary_proved_ms_ago", (systemNow() - m_group->leaderProvedAt()).ms);
+    fail(unkeptCode(), refusalReasonNames.name(reason).data());
+}
+
+void statement_run::sendBegin()
+{
+    sendPreparation(m_context.targets, m_grant->link, m_values, nullptr, false);
+    const bool isPlain = opensPlain() || m_grant->needsProof;
+    std::string encoded;
+    m_context.targets.addControl(encoded,
+                                 isPlain ? control_statement::Begin : control_statement::BeginRead,
+                                 isPlain ? std::nullopt : m_grant->after);
+    m_grant->link->send(encoded, [self = shared_from_this(), generation = m_generation](const target_reply &reply) {
+        if (generation == self->m_generation) {
+            self->takeBegin(reply);
+        }
+    });
+}
+
+void statement_run::takeBegin(const target_reply &reply)
+{
+    m_grant->target->noteAnswer(reply);
+    if (reply.isLost) {
+        m_need.avoid.insert(m_grant->target->entry().id);
+        m_group->noteTrouble("connection lost");
+        dropGrant(false);
+        retry("connection lost before the statement was sent", {});
+        return;
+    }
+    if (reply.error) {
+        takeError(reply);
+        return;
+    }
+    const bool isPlain = opensPlain() || m_grant->needsProof;
+    if (isPlain) {
+        m_group->noteLead(m_grant->target->entry().id, reply.at, reply.sentAt);
+    }
+    sendStatement();
+}
+
+void statement_run::sendStatement()
+{
+    const auto link = m_grant->link;
+    const bool isInTransaction = opensTransaction() || isWrapped();
+    const auto *prepared = m_order.prepared ? &*m_order.prepared : nullptr;
+    sendPreparation(m_context.targets, link, m_values, prepared, isInTransaction);
+    std::string encoded;
+    encodeStatement(m_context.targets,
+                    encoded,
+                    link->values,
+                    m_order.request,
+                    m_order.prepared,
+                    isInTransaction ? std::nullopt : m_grant->after);
+    m_isSent = true;
+    m_sentAt = systemNow();
+    if (m_order.kind == effect::Write && !opensTransaction()) {
+        m_isWriteOpen = true;
+        m_group->writeSent(m_sentAt);
+    }
+    const auto self = shared_from_this();
+    const auto generation = m_generation;
+    const bool isWrappedRead = isWrapped();
+    link->send(encoded, [self, generation](target_reply reply) {
+        if (generation == self->m_generation) {
+            self->takeReply(std::move(reply));
+        }
+    });
+    if (isWrappedRead) {
+        std::string rollback;
+        m_context.targets.addControl(rollback, control_statement::Rollback);
+        const auto grant = *m_grant;
+        link->send(rollback, [group = m_group, grant](const target_reply &reply) {
+            group->release(grant, reply.isSuccess());
+        });
+    }
+}
+
+void statement_run::takeReply(target_reply reply)
+{
+    m_grant->target->recordAnswer(reply);
+    if (std::exchange(m_isWriteOpen, false)) {
+        m_group->writeEnded(m_sentAt, reply.isSuccess());
+    }
+    if (reply.isLost) {
+        takeLoss(reply);
+    } else if (reply.error) {
+        takeError(std::move(reply));
+    } else {
+        takeSuccess(std::move(reply));
+    }
+}
+
+void statement_run::takeSuccess(target_reply reply)
+{
+    const auto target = m_grant->target->entry().id;
+    const bool isProof = m_grant->needsProof || opensPlain() || m_order.kind == effect::Write;
+    if (isProof) {
+        m_group->noteLead(target, reply.at, reply.sentAt);
+    }
+    m_context.log.debug("statement_served")
+        .field("id", m_order.request.id)
+        .field("database", m_order.route.database)
+        .field("target", target.str())
+        .field("at_primary", m_grant->isLeader ? 1 : 0)
+        .field("attempts", m_attempts)
+        .field("ms", (systemNow() - m_order.arrivedAt).ms);
+    statement_outcome outcome;
+    if (opensTransaction()) {
+        m_group->endPermit(*m_grant);
+        outcome.kept = *m_grant;
+        m_grant.reset();
+    } else if (isWrapped()) {
+        m_grant.reset(); // The answer to the rollback releases it.
+    } else {
+        dropGrant(true);
+    }
+    outcome.reply = std::move(reply);
+    finish(std::move(outcome));
+}
+
+void statement_run::takeError(target_reply reply)
+{
+    const auto code = *reply.error;
+    const auto target = m_grant->target->entry().id;
+    const bool isAtLeader = m_grant->isLeader;
+    const auto pool = m_grant->target;
+    if (code == error_code::ReadOnly) {
+        m_group->noteNotLeading(target, "it refused as read only");
+    }
+    rollBackGrant();
+    if (!hasNotRun(code) || m_attempts >= maxAttempts) {
+        m_context.log.info("statement_failed")
+            .field("id", m_order.request.id)
+            .field("database", m_order.route.database)
+            .field("target", target.str())
+            .field("code", errorCodeNames.name(code))
+            .field("text", reply.errorText)
+            .field("attempts", m_attempts)
+            .field("ms", (systemNow() - m_order.arrivedAt).ms);
+        statement_outcome outcome;
+        outcome.reply = std::move(reply);
+        finish(std::move(outcome));
+        return;
+    }
+    m_isSent = false;
+    if (code == error_code::Lagging) {
+        pool->noteLagging(systemNow());
+        m_need.mustBeLeader = m_need.mustBeLeader || isAtLeader || m_attempts >= 2;
+        m_need.avoid.insert(target);
+    }
+    const bool isBusy = code == error_code::Busy;
+    retry(errorCodeNames.name(code).data(), isBusy ? busyDelay * m_attempts : duration{});
+}
+
+void statement_run::takeLoss(const target_reply &reply)
+{
+    const auto target = m_grant->target->entry().id;
+    m_group->noteTrouble("connection lost");
+    if (isWrapped()) {
+        m_grant.reset();
+    } else {
+        dropGrant(false);
+    }
+    if (m_order.kind == effect::Write && !opensTransaction()) {
+        m_context.log.warn("statement_in_doubt")
+            .field("id", m_order.request.id)
+            .field("database", m_order.route.database)
+            .field("target", target.str())
+            .field("reason", reply.reason)
+            .field("ms", (systemNow() - m_order.arrivedAt).ms);
+        fail(error_code::InDoubt, "the answer of the target was lost");
+        return;
+    }
+    m_need.avoid.insert(target);
+    retry("connection lost", {});
+}
+
+void statement_run::retry(const char *why, duration delay)
+{
+    m_context.log.info("statement_retried")
+        .field("id", m_order.request.id)
+        .field("database", m_order.route.database)
+        .field("why", why)
+        .field("attempts", m_attempts)
+        .field("ms", (systemNow() - m_order.arrivedAt).ms);
+    ++m_generation;
+    if (m_attempts >= maxAttempts) {
+        fail(unkeptCode(), why);
+        return;
+    }
+    if (delay == duration{}) {
+        acquire();
+        return;
+    }
+    m_retryTimer = m_context.deadlines.scheduleAfter(delay, [self = shared_from_this()] {
+        self->m_retryTimer = 0;
+        self->acquire();
+    });
+}
+
+void statement_run::dropGrant(bool isReusable)
+{
+    const auto grant = std::exchange(m_grant, std::nullopt);
+    m_group->release(*grant, isReusable);
+}
+
+void statement_run::rollBackGrant()
+{
+    if (isWrapped() && m_isSent) {
+        m_grant.reset();
+        return;
+    }
+    if (!opensTransaction() && !m_grant->needsProof) {
+        dropGrant(true);
+        return;
+    }
+    const auto grant = *std::exchange(m_grant, std::nullopt);
+    std::string rollback;
+    m_context.targets.addControl(rollback, control_statement::Rollback);
+    grant.link->send(rollback, [group = m_group, grant](const target_reply &reply) {
+        // A transaction that was refused has nothing to roll back; the state tells that none is open.
+        group->release(grant, !reply.isLost && reply.state == transaction_state::Idle);
+    });
+}
+
+void statement_run::hitLimit()
+{
+    m_limit = 0;
+    const bool mayHaveRun = m_isSent && m_grant;
+    m_context.log.warn("statement_timed_out")
+        .field("id", m_order.request.id)
+        .field("database", m_order.route.database)
+        .field("target", m_grant ? m_grant->target->entry().id.str() : "none")
+        .field("sent", mayHaveRun ? 1 : 0)
+        .field("attempts", m_attempts);
+    const bool isWrite = m_order.kind == effect::Write;
+    if (m_grant) {
+        if (std::exchange(m_isWriteOpen, false)) {
+            m_group->writeEnded(m_sentAt, false);
+        }
+        ++m_generation;
+        if (isWrapped() && m_isSent) {
+            m_grant->link->close("statement timed out");
+            m_grant.reset();
+        } else {
+            dropGrant(false);
+        }
+    }
+    if (!mayHaveRun) {
+        fail(error_code::Busy, "no target was free in time");
+    } else if (opensTransaction()) {
+        fail(error_code::Aborted, "the statement timed out");
+    } else {
+        fail(isWrite ? error_code::InDoubt : error_code::Timeout, "the statement timed out");
+    }
+}
+
+error_code statement_run::unkeptCode() const
+{
+    // An earlier attempt may have run a read, or a statement of a transaction that was rolled back.
+    return m_isSent ? error_code::Aborted : error_code::Busy;
+}
+
+void statement_run::fail(error_code code, std::string text)
+{
+    statement_outcome outcome;
+    outcome.error = code;
+    outcome.errorText = std::move(text);
+    finish(std::move(outcome));
+}
+
+void statement_run::finish(statement_outcome outcome)
+{
+    m_context.deadlines.cancel(m_limit);
+    m_context.deadlines.cancel(m_retryTimer);
+    if (m_ticket != 0) {
+        m_group->abandon(std::exchange(m_ticket, 0));
+    }
+    const auto done = std::exchange(m_done, nullptr);
+    if (done) {
+        done(std::move(outcome));
+        return;
+    }
+    if (outcome.kept) {
+        // The caller has gone; closing the connection rolls back.
+        m_group->addPermit(*outcome.kept);
+        m_group->release(*outcome.kept, false);
+    }
+}
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/statementrun.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "servicegroup.h"
+#include "sessionvalues.h"
+#include "wireprotocol.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace crocusdeal
+{
+
+/** What a statement is to be run as. */
+struct statement_order {
+    caller_request request;
+    effect kind = effect::Read;
+    std::optional<prepared_shape> prepared; ///< Of Execute.
+    /** The transaction that the caller has begun and that this is the first statement of. */
+    std::optional<statement_kind> opens;
+    database_route route;
+    std::optional<position> ownCommit;
+    time_point arrivedAt;
+    time_point startedAt; ///< Of the operation: for the first statement of a transaction, when it was begun.
+};
+
+/** How a statement ended, for its caller. */
+struct statement_outcome {
+    target_reply reply; ///< Of the target, if there is no error of the product's own.
+    std::optional<error_code> error; ///< The product's own.
+    std::string errorText;
+    std::optional<target_grant> kept; ///< With the transaction open on it.
+};
+
+/** Adds the statement as the target has to see it. */
+void encodeStatement(const target_protocol &protocol,
+                     std::string &out,
+                     const connection_values &values,
+                     const caller_request &request,
+                     const std::optional<prepared_shape> &prepared,
+                     std::optional<position> after);
+/** Sends the steps that give the connection the session's values. */
+void sendPreparation(const target_protocol &protocol,
+                     const std::shared_ptr<target_link> &link,
+                     const session_values &session,
+                     const prepared_shape *needed,
+                     bool isInTransaction);
+
+/**
+ * One statement on its own, or the first of a transaction, from its arrival to its outcome.
+ *
+ * It is sent again only while no target can have run it, or if it changes nothing.
+ */
+class statement_run : public std::enable_shared_from_this<statement_run>
+{
+public:
+    statement_run(front_context &context,
+                  std::shared_ptr<service_group> group,
+                  statement_order order,
+                  const session_values &values,
+                  std::function<void(statement_outcome)> done);
+
+    void start();
+    /** The caller has gone: gives up waiting; what is sent runs to its end. */
+    void abandon();
+
+private:
+    void acquire();
+    void takeGrant(target_grant grant);
+    void refuse(refusal_reason reason);
+    void sendBegin();
+    void takeBegin(const target_reply &reply);
+    void sendStatement();
+    void takeReply(target_reply reply);
+    void takeSuccess(target_reply reply);
+    void takeError(target_reply reply);
+    void takeLoss(const target_reply &reply);
+    void retry(const char *why, duration delay);
+    void dropGrant(bool isReusable);
+    void rollBackGrant();
+    void hitLimit();
+    void finish(statement_outcome outcome);
+    /** The promise that nothing is kept, which is true of everything that is retried. */
+    error_code unkeptCode() const;
+    void fail(error_code code, std::string text);
+    bool opensTransaction() const;
+    bool opensPlain() const;
+    bool isWrapped() const;
+
+    front_context &m_context;
+    std::shared_ptr<service_group> m_group;
+    statement_order m_order;
+    session_values m_values;
+    std::function<void(statement_outcome)> m_done;
+    target_need m_need;
+    std::optional<target_grant> m_grant;
+    service_group::ticket m_ticket = 0;
+    deadline_queue::handle m_limit = 0;
+    deadline_queue::handle m_retryTimer = 0;
+    int m_attempts = 0;
+    int m_generation = 0; ///< Answers to earlier attempts are ignored.
+    bool m_isSent = false; ///< Some target may have run the statement.
+    bool m_isWriteOpen = false;
+    time_point m_sentAt = never;
+};
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/storefeed.cpp
@@ -0,0 +1,137 @@
+#include "storefeed.h"
+
+#include "systemclock.h"
+
+#include <algorithm>
+#include <string>
+
+namespace crocusdeal
+{
+
+namespace
+{
+
+constexpr duration retryTime{250};
+constexpr duration targetWait{4000};
+constexpr duration shortestWait{500};
+
+}
+
+store_feed::store_feed(front_context &context, metadata_store &store, duration configurationApply)
+    : m_context(context)
+    , m_store(store)
+    // A watch that has gone silent is noticed when its time is over, which leaves as much again to read afresh.
+    , m_configurationWait(std::max(shortestWait, configurationApply / 2))
+{
+}
+
+void store_feed::start()
+{
+    readConfiguration();
+    listTargets();
+}
+
+void store_feed::stop()
+{
+    m_isStopped = true;
+}
+
+time_point store_feed::configurationHeardAt() const
+{
+    return m_configurationHeardAt;
+}
+
+void store_feed::later(void (store_feed::*step)())
+{
+    m_context.deadlines.scheduleAfter(retryTime, [self = shared_from_this(), step] {
+        if (!self->m_isStopped) {
+            ((*self).*step)();
+        }
+    });
+}
+
+void store_feed::readConfiguration()
+{
+    m_store.readConfiguration([self = shared_from_this()](const configuration_news &news) {
+        self->takeConfiguration(news, false);
+    });
+}
+
+void store_feed::watchConfiguration()
+{
+    m_store.watchConfiguration(
+        m_configurationRevision, m_configurationWait, [self = shared_from_this()](const configuration_news &news) {
+            self->takeConfiguration(news, true);
+        });
+}
+
+void store_feed::takeConfiguration(const configuration_news &news, bool isWatch)
+{
+    if (m_isStopped) {
+        return;
+    }
+    if (news.failure == store_failure::HistoryGone) {
+        readConfiguration();
+        return;
+    }
+    noteStore("configuration", news.failure == store_failure::None, news.detail);
+    if (news.failure != store_failure::None) {
+        // A watch may have missed changes while it failed, so it starts from what is there now.
+        later(&store_feed::readConfiguration);
+        return;
+    }
+    m_configurationHeardAt = systemNow();
+    m_configurationRevision = news.revision;
+    if (news.configuration) {
+        onConfiguration(*news.configuration);
+    } else if (!isWatch) {
+        later(&store_feed::readConfiguration);
+        return;
+    }
+    watchConfiguration();
+}
+
+void store_feed::listTargets()
+{
+    m_store.listTargets([self = shared_from_this()](const target_news &news) { self->takeTargets(news); });
+}
+
+void store_feed::watchTargets()
+{
+    m_store.watchTargets(m_targetRevision, targetWait, [self = shared_from_this()](const target_news &news) {
+        self->takeTargets(news);
+    });
+}
+
+void store_feed::takeTargets(const target_news &news)
+{
+    if (m_isStopped) {
+        return;
+    }
+    if (news.failure == store_failure::HistoryGone) {
+        listTargets();
+        return;
+    }
+    noteStore("targets", news.failure == store_failure::None, news.detail);
+    if (news.failure != store_failure::None) {
+        later(&store_feed::listTargets);
+        return;
+    }
+    for (const auto &entry : news.ignored) {
+        m_context.log.warn("target_entry_ignored").field("entry", entry);
+    }
+    m_targetRevision = news.revision;
+    onTargets(news);
+    watchTargets();
+}
+
+void store_feed::noteStore(const char *what, bool isReachable, const std::string &detail)
+{
+    if (isReachable == m_isStoreReachable) {
+        return;
+    }
+    m_isStoreReachable = isReachable;
+    m_context.log.warn(isReachable ? "store_regained" : "store_lost").field("call", what).field("detail", detail);
+}
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/storefeed.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "metadatastore.h"
+#include "targetpool.h"
+
+#include <functional>
+#include <memory>
+
+namespace crocusdeal
+{
+
+/** Keeps this instance up to date with the configuration and the targets in the metadata store. */
+class store_feed : public std::enable_shared_from_this<store_feed>
+{
+public:
+    store_feed(front_context &context, metadata_store &store, duration configurationApply);
+
+    std::function<void(routing_configuration)> onConfiguration;
+    std::function<void(const target_news &)> onTargets;
+
+    void start();
+    void stop();
+    /** When the store last answered about the configuration. */
+    time_point configurationHeardAt() const;
+
+private:
+    void readConfiguration();
+    void watchConfiguration();
+    void takeConfiguration(const configuration_news &news, bool isWatch);
+    void listTargets();
+    void watchTargets();
+    void takeTargets(const target_news &news);
+    void noteStore(const char *what, bool isReachable, const std::string &detail);
+    void later(void (store_feed::*step)());
+
+    front_context &m_context;
+    metadata_store &m_store;
+    duration m_configurationWait;
+    std::uint64_t m_configurationRevision = 0;
+    std::uint64_t m_targetRevision = 0;
+    time_point m_configurationHeardAt = never;
+    bool m_isStoreReachable = true;
+    bool m_isStopped = false;
+};
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -0,0 +1,354 @@
+#include "targetpool.h"
+
+#include "systemclock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusdeal
+{
+
+namespace
+{
+
+constexpr int extraPermits = 1; // Keeps a slot busy while an answer travels.
+constexpr double firstAnswerMs = 10;
+constexpr double answerWeight = 0.1;
+constexpr duration laggingTime{150};
+constexpr duration firstRetry{100};
+constexpr duration longestRetry{800};
+constexpr duration limitRetry{250}; // After the target refused a connection by its limit.
+constexpr duration unusedTime{5000};
+constexpr std::size_t keptIdle = 2;
+constexpr int openingAtOnce = 2; // Each takes a slot of the target for its start-up.
+constexpr int largestShareDivisor = 2; // No instance takes more than half of the connections of a target.
+
+}
+
+struct target_pool::control_call {
+    control_statement what = control_statement::Status;
+    std::uint64_t term = 0;
+    time_point askedAt = never;
+    std::function<void(control_reply)> done;
+    deadline_queue::handle limit = 0;
+    bool isFinished = false;
+};
+
+target_pool::target_pool(front_context &context, target_entry entry, int maxConnections)
+    : m_context(context)
+    , m_entry(std::move(entry))
+    , m_maxConnections(maxConnections)
+    , m_answerMs(firstAnswerMs)
+{
+}
+
+const target_entry &target_pool::entry() const
+{
+    return m_entry;
+}
+
+void target_pool::update(const target_entry &entry, int maxConnections)
+{
+    m_maxConnections = maxConnections;
+    const bool isAnotherLife = entry.born != m_entry.born || entry.address != m_entry.address;
+    m_entry = entry;
+    if (!isAnotherLife) {
+        return;
+    }
+    m_known = {};
+    m_failures = 0;
+    m_retryAt = never;
+    const auto links = m_links;
+    for (const auto &link : links) {
+        link->close("target has started again");
+    }
+}
+
+void target_pool::retire()
+{
+    m_isRetired = true;
+    onCapacity = nullptr;
+    const auto idle = std::exchange(m_idle, {});
+    for (const auto &link : idle) {
+        link->close("target is gone");
+    }
+    if (m_controlLink) {
+        m_controlLink->close("target is gone");
+    }
+}
+
+int target_pool::permits() const
+{
+    return m_entry.slots + extraPermits;
+}
+
+int target_pool::inFlight() const
+{
+    return m_inFlight;
+}
+
+void target_pool::addInFlight(int difference)
+{
+    m_inFlight += difference;
+}
+
+double target_pool::answerMs() const
+{
+    return m_answerMs;
+}
+
+void target_pool::recordAnswer(const target_reply &reply)
+{
+    if (reply.isLost) {
+        return;
+    }
+    const auto now = systemNow();
+    noteAnswer(reply);
+    if (reply.isSuccess()) {
+        m_answerMs += answerWeight * (static_cast<double>((now - reply.sentAt).ms) - m_answerMs);
+    }
+}
+
+void target_pool::noteAnswer(const target_reply &reply)
+{
+    if (reply.isLost) {
+        return;
+    }
+    m_lastAnswerAt = systemNow();
+    if (reply.at) {
+        m_known = std::max(m_known, *reply.at);
+    }
+}
+
+position target_pool::knownPosition() const
+{
+    return m_known;
+}
+
+void target_pool::noteLagging(time_point now)
+{
+    m_laggingUntil = now + laggingTime;
+}
+
+bool target_pool::isLagging(time_point now) const
+{
+    return now < m_laggingUntil;
+}
+
+bool target_pool::isFailing(time_point now) const
+{
+    return m_failures > 0 && m_links.empty() && now < m_retryAt;
+}
+
+time_point target_pool::lastAnswerAt() const
+{
+    return m_lastAnswerAt;
+}
+
+time_point target_pool::silentSince() const
+{
+    auto oldest = never;
+    for (const auto &link : m_links) {
+        const auto since = link->oldestPendingAt();
+        if (since != never && (oldest == never || since < oldest)) {
+            oldest = since;
+        }
+    }
+    return oldest;
+}
+
+bool target_pool::hasIdle() const
+{
+    return !m_idle.empty();
+}
+
+bool target_pool::canOpen(time_point now) const
+{
+    const int limit = std::max(2, m_maxConnections / largestShareDivisor);
+    return !m_isRetired && now >= m_retryAt && m_opening < openingAtOnce && connections() < limit;
+}
+
+std::shared_ptr<target_link> target_pool::takeIdle()
+{
+    while (!m_idle.empty()) {
+        auto link = std::move(m_idle.back());
+        m_idle.pop_back();
+        if (link->isIdle()) {
+            return link;
+        }
+    }
+    return nullptr;
+}
+
+void target_pool::openMore()
+{
+    openLink([self = shared_from_this()](const std::shared_ptr<target_link> &link, const link_opening &opening) {
+        if (opening.isOpen) {
+            self->giveBack(link);
+        } else if (self->onCapacity) {
+            self->onCapacity();
+        }
+    });
+}
+
+int target_pool::opening() const
+{
+    return m_opening;
+}
+
+void target_pool::openLink(std::function<void(std::shared_ptr<target_link>, const link_opening &)> done)
+{
+    ++m_opening;
+    auto link = std::make_shared<target_link>(m_context.io, m_context.deadlines, m_context.targets);
+    link->open(m_entry.address,
+               m_entry.service.str(),
+               m_entry.id.str(),
+               [self = shared_from_this(), link, done = std::move(done)](const link_opening &opening) {
+                   --self->m_opening;
+                   self->noteOpened(opening);
+                   if (opening.isOpen) {
+                       self->trackLink(link);
+                   }
+                   done(link, opening);
+               });
+}
+
+void target_pool::trackLink(const std::shared_ptr<target_link> &link)
+{
+    m_links.insert(link);
+    link->onEnded = [self = shared_from_this(), raw = link.get()] {
+        const auto isSame = [raw](const std::shared_ptr<target_link> &other) { return other.get() == raw; };
+        std::erase_if(self->m_idle, isSame);
+        std::erase_if(self->m_links, isSame);
+        if (self->m_controlLink.get() == raw) {
+            self->m_controlLink.reset();
+        }
+        if (self->onCapacity) {
+            self->onCapacity();
+        }
+    };
+}
+
+void target_pool::noteOpened(const link_opening &opening)
+{
+    const auto now = systemNow();
+    if (opening.isOpen) {
+        m_failures = 0;
+        m_retryAt = never;
+        m_lastAnswerAt = now;
+        return;
+    }
+    ++m_failures;
+    const auto growing = std::min(longestRetry, firstRetry * (std::int64_t{1} << std::min(m_failures - 1, 4)));
+    const bool isLimit = opening.refusal == error_code::ConnectionLimit || opening.refusal == error_code::Busy;
+    m_retryAt = now + (isLimit ? limitRetry : growing);
+    m_context.log.warn("target_connection_failed")
+        .field("target", m_entry.id.str())
+        .field("service", m_entry.service.str())
+        .field("refusal", opening.refusal ? errorCodeNames.name(*opening.refusal) : "none")
+        .field("reason", opening.reason)
+        .field("connections", connections())
+        .field("failures", m_failures);
+}
+
+void target_pool::giveBack(const std::shared_ptr<target_link> &link)
+{
+    if (!link->isIdle()) {
+        return;
+    }
+    if (m_isRetired) {
+        link->close("target is gone");
+        return;
+    }
+    link->idleSince = systemNow();
+    m_idle.push_back(link);
+    if (onCapacity) {
+        onCapacity();
+    }
+}
+
+void target_pool::closeUnused(time_point now)
+{
+    if (m_controlLink && m_controlLink->isIdle() && now - m_controlLink->lastAnswerAt > unusedTime) {
+        giveBack(std::exchange(m_controlLink, nullptr));
+    }
+    while (m_idle.size() > keptIdle && now - m_idle.front()->idleSince > unusedTime) {
+        const auto link = m_idle.front();
+        link->close("not needed");
+    }
+}
+
+int target_pool::connections() const
+{
+    return static_cast<int>(m_links.size()) + m_opening;
+}
+
+void target_pool::control(control_statement what,
+                          std::uint64_t term,
+                          duration limit,
+                          std::function<void(control_reply)> done)
+{
+    const auto call = std::make_shared<control_call>();
+    call->what = what;
+    call->term = term;
+    call->done = std::move(done);
+    call->limit = m_context.deadlines.scheduleAfter(limit, [self = shared_from_this(), call] {
+        if (self->m_controlLink) {
+            // The next control statement gets a fresh connection: this one may be dead without a reset.
+            self->m_controlLink->close("control statement not answered");
+        }
+        self->finishControl(call, {std::nullopt, false, "not answered", call->askedAt});
+    });
+    if (m_controlLink && m_controlLink->isOpen()) {
+        sendControl(call);
+        return;
+    }
+    if (auto idle = takeIdle()) {
+        m_controlLink = std::move(idle);
+        sendControl(call);
+        return;
+    }
+    openLink([self = shared_from_this(), call](const std::shared_ptr<target_link> &link, const link_opening &opening) {
+        if (opening.isOpen) {
+            if (self->m_controlLink && self->m_controlLink->isOpen()) {
+                self->giveBack(link);
+            } else {
+                self->m_controlLink = link;
+            }
+            self->sendControl(call);
+            return;
+        }
+        const bool isAnswered = opening.refusal.has_value() && *opening.refusal != error_code::WrongTarget;
+        self->finishControl(call, {std::nullopt, isAnswered, opening.reason, systemNow()});
+    });
+}
+
+void target_pool::sendControl(const std::shared_ptr<control_call> &call)
+{
+    if (call->isFinished) {
+        return;
+    }
+    std::string encoded;
+    m_context.targets.addControl(encoded, call->what, std::nullopt, call->term);
+    call->askedAt = systemNow();
+    m_controlLink->send(encoded, [self = shared_from_this(), call](const target_reply &reply) {
+        self->noteAnswer(reply);
+        control_reply answer{std::nullopt, !reply.isLost, reply.isLost ? reply.reason : reply.errorText, reply.sentAt};
+        if (reply.isSuccess() && !reply.rows.empty()) {
+            answer.report = self->m_context.targets.decodeReport(reply.rows.front());
+        }
+        self->finishControl(call, std::move(answer));
+    });
+}
+
+void target_pool::finishControl(const std::shared_ptr<control_call> &call, control_reply reply)
+{
+    if (std::exchange(call->isFinished, true)) {
+        return;
+    }
+    m_context.deadlines.cancel(call->limit);
+    const auto done = std::exchange(call->done, nullptr);
+    done(std::move(reply));
+}
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/targetpool.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "eventlog.h"
+#include "targetentry.h"
+#include "targetlink.h"
+#include "targetreport.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace crocusdeal
+{
+
+/** What every part of the daemon uses; outlives them. */
+struct front_context {
+    asio::io_context &io;
+    deadline_queue &deadlines;
+    event_log &log;
+    const target_protocol &targets;
+    const caller_protocol &callers;
+};
+
+/** How a status or another control statement ended. */
+struct control_reply {
+    std::optional<target_report> report; ///< Nothing if the target refused or did not answer.
+    bool isAnswered = false; ///< The target lives, also if it refused.
+    std::string detail;
+    time_point askedAt = never;
+};
+
+/** The connections of this instance to one target, and what it has seen of the target's load. */
+class target_pool : public std::enable_shared_from_this<target_pool>
+{
+public:
+    target_pool(front_context &context, target_entry entry, int maxConnections);
+
+    /** A connection or a permit has become free. */
+    std::function<void()> onCapacity;
+
+    const target_entry &entry() const;
+    /** Takes over what changed; another life or address of the target ends the connections. */
+    void update(const target_entry &entry, int maxConnections);
+    /** Ends idle connections now and the others when their work ends. */
+    void retire();
+
+    /** Statements that this instance may have in flight, and has. */
+    int permits() const;
+    int inFlight() const;
+    void addInFlight(int difference);
+    double answerMs() const;
+    void recordAnswer(const target_reply &reply);
+    /** An answer that tells nothing of the time that statements of callers take. */
+    void noteAnswer(const target_reply &reply);
+    /** The highest position that its log was seen to hold. */
+    position knownPosition() const;
+    void noteLagging(time_point now);
+    bool isLagging(time_point now) const;
+    /** Whether connections to it fail at the moment. */
+    bool isFailing(time_point now) const;
+    time_point lastAnswerAt() const;
+    /** When the oldest statement that is not answered yet was sent; never without one. */
+    time_point silentSince() const;
+
+    bool hasIdle() const;
+    bool canOpen(time_point now) const;
+    /** An idle connection; null if there is none. */
+    std::shared_ptr<target_link> takeIdle();
+    /** Opens one more connection; onCapacity tells when it can be used. */
+    void openMore();
+    /** Connections that are being opened. */
+    int opening() const;
+    void giveBack(const std::shared_ptr<target_link> &link);
+    /** Closes connections that nobody needed for a while, but for the last ones. */
+    void closeUnused(time_point now);
+    int connections() const;
+
+    /** Sends a control statement over a connection of its own, with a limit on the time of the answer. */
+    void control(control_statement what, std::uint64_t term, duration limit, std::function<void(control_reply)> done);
+
+private:
+    struct control_call;
+
+    void openLink(std::function<void(std::shared_ptr<target_link>, const link_opening &)> done);
+    void noteOpened(const link_opening &opening);
+    void sendControl(const std::shared_ptr<control_call> &call);
+    void finishControl(const std::shared_ptr<control_call> &call, control_reply reply);
+    void trackLink(const std::shared_ptr<target_link> &link);
+
+    front_context &m_context;
+    target_entry m_entry;
+    int m_maxConnections;
+    std::vector<std::shared_ptr<target_link>> m_idle; ///< The most recently used last.
+    std::set<std::shared_ptr<target_link>> m_links; ///< All, also those in use.
+    std::shared_ptr<target_link> m_controlLink;
+    int m_opening = 0;
+    int m_inFlight = 0;
+    double m_answerMs;
+    position m_known;
+    time_point m_laggingUntil = never;
+    time_point m_retryAt = never;
+    int m_failures = 0;
+    time_point m_lastAnswerAt = never;
+    bool m_isRetired = false;
+};
+
+}
--- /dev/null
+++ b/src/libcrocusdealpolicy/placement.cpp
@@ -0,0 +1,51 @@
+#include "placement.h"
+
+#include <algorithm>
+
+namespace crocusdeal
+{
+
+namespace
+{
+
+// Expected costs in milliseconds.
+constexpr double remoteCost = 4;
+constexpr double primaryCost = 8; // Reads there take slots from the writes.
+constexpr double uncoveredCost = 6; // The read may be refused there and be sent again.
+constexpr double warmingCost = 15;
+constexpr double connectCost = 10;
+
+double expectedMs(const read_candidate &candidate)
+{
+    const int ahead = std::max(0, candidate.inFlight + 1 - candidate.slots);
+    const double turns = 1.0 + static_cast<double>(ahead) / candidate.slots;
+    double cost = candidate.answerMs * turns;
+    cost += candidate.isLocal ? 0 : remoteCost;
+    cost += candidate.isPrimary ? primaryCost : 0;
+    cost += candidate.isKnownToCover ? 0 : uncoveredCost;
+    cost += candidate.isWarmingUp ? warmingCost : 0;
+    cost += candidate.hasIdleConnection ? 0 : connectCost;
+    // Spreads simultaneous reads over targets of equal load.
+    return cost + candidate.inFlight;
+}
+
+}
+
+std::optional<std::size_t> placeRead(const std::vector<read_candidate> &candidates)
+{
+    std::optional<std::size_t> best;
+    double bestMs = 0;
+    for (const auto &candidate : candidates) {
+        if (candidate.inFlight >= candidate.permits) {
+            continue;
+        }
+        const double cost = expectedMs(candidate);
+        if (!best || cost < bestMs) {
+            best = candidate.index;
+            bestMs = cost;
+        }
+    }
+    return best;
+}
+
+}
--- /dev/null
+++ b/src/libcrocusdealpolicy/placement.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace crocusdeal
+{
+
+/** A target that could run a read, and what is known of its load. */
+struct read_candidate {
+    std::size_t index = 0; ///< Of the target, for the caller of placeRead().
+    int inFlight = 0; ///< Statements of this instance that the target is working on.
+    int permits = 1; ///< How many this instance may have in flight there.
+    int slots = 1;
+    double answerMs = 0; ///< Smoothed time from a statement to its answer, so the load of other instances too.
+    bool isLocal = false; ///< In the data centre of this instance.
+    bool isPrimary = false;
+    bool isKnownToCover = false; ///< Its log is known to hold the position that the read needs.
+    bool isWarmingUp = false;
+    bool hasIdleConnection = false;
+};
+
+/** The candidate that is expected to answer soonest; nothing if none has a permit free. */
+std::optional<std::size_t> placeRead(const std::vector<read_candidate> &candidates);
+
+}
--- /dev/null
+++ b/src/libcrocusdealpolicy/promotionattempt.cpp
@@ -0,0 +1,389 @@
+#include "promotionattempt.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace crocusdeal
+{
+
+namespace
+{
+
+constexpr duration askInterval{60};
+constexpr duration surveyTime{350}; // An answer later than this counts as missing in the survey.
+constexpr duration plannedPauseTime{1200}; // After it the old primary is made to step down instead.
+constexpr duration catchUpTime{1500};
+constexpr duration lostPauseTime{20000}; // How long a missing replica is waited for.
+constexpr duration leadTime{4000}; // From the order to the lead of the chosen target.
+
+}
+
+promotion_attempt::promotion_attempt(promotion_reason reason,
+                                     std::optional<target_id> leader,
+                                     std::vector<promotion_member> members,
+                                     bool hasSyncReplicas,
+                                     time_point now)
+    : m_reason(reason)
+    , m_leader(std::move(leader))
+    , m_hasSyncReplicas(hasSyncReplicas)
+    , m_startedAt(now)
+    , m_stageSince(now)
+{
+    for (auto &member : members) {
+        m_members.push_back({std::move(member), {}, never, never, false, false, false, false});
+    }
+}
+
+std::vector<promotion_action> promotion_attempt::step(time_point now)
+{
+    std::vector<promotion_action> actions;
+    if (m_stage != stage::Ended && m_result != promotion_outcome::Pending) {
+        end(m_result, actions);
+    }
+    if (m_stage == stage::Survey) {
+        survey(now, actions);
+    }
+    if (m_stage == stage::Pausing) {
+        pauseWanted(now, actions);
+    }
+    if (m_stage == stage::CatchingUp) {
+        catchUp(now, actions);
+    }
+    if (m_stage == stage::AwaitingLead) {
+        awaitLead(now, actions);
+    }
+    return actions;
+}
+
+time_point promotion_attempt::wakeAt() const
+{
+    time_point next = m_stageSince + leadTime;
+    for (const auto &state : m_members) {
+        if (!state.isAskPending && state.lastAsk != never) {
+            next = std::min(next, state.lastAsk + askInterval);
+        }
+    }
+    if (m_stage == stage::Survey) {
+        next = std::min(next, m_stageSince + surveyTime);
+    }
+    return next;
+}
+
+void promotion_attempt::survey(time_point now, std::vector<promotion_action> &actions)
+{
+    for (auto &state : m_members) {
+        if (!state.status) {
+            askAgain(state, now, actions);
+        }
+    }
+    for (const auto &state : m_members) {
+        const bool isOld = state.member.id == m_leader && m_reason != promotion_reason::PrimaryLost;
+        if (state.status && state.status->isPrimary && !isOld) {
+            m_chosen = state.member.id;
+            m_explanation = "target answers as primary";
+            end(promotion_outcome::LeaderFound, actions);
+            return;
+        }
+    }
+    if (isSurveyComplete() || now - m_stageSince >= surveyTime) {
+        beginPausing(now);
+    }
+}
+
+void promotion_attempt::beginPausing(time_point now)
+{
+    m_stage = stage::Pausing;
+    m_stageSince = now;
+    if (isPlanned()) {
+        choosePlanned();
+    }
+    for (auto &state : m_members) {
+        state.isPauseWanted = state.member.id != m_leader && state.member.id != m_chosen;
+    }
+}
+
+void promotion_attempt::choosePlanned()
+{
+    const member_state *best = nullptr;
+    const auto rank = [](const member_state &state) {
+        return std::tuple(!state.member.isWarmingUp, state.member.isLocal, state.status->received);
+    };
+    for (const auto &state : m_members) {
+        if (state.member.id == m_leader || state.member.isDraining || !state.status) {
+            continue;
+        }
+        if (best == nullptr || rank(state) > rank(*best)) {
+            best = &state;
+        }
+    }
+    if (best != nullptr) {
+        m_chosen = best->member.id;
+    }
+}
+
+void promotion_attempt::pauseWanted(time_point now, std::vector<promotion_action> &actions)
+{
+    if (isPlanned() && !m_chosen) {
+        m_explanation = "no replica answers that could take over";
+        end(promotion_outcome::NotSafe, actions);
+        return;
+    }
+    auto *leader = m_leader ? find(*m_leader) : nullptr;
+    if (m_reason == promotion_reason::PrimaryLost && leader != nullptr) {
+        if (leader->status && leader->status->isPrimary) {
+            m_chosen = m_leader;
+            m_explanation = "the primary answers again";
+            end(promotion_outcome::LeaderFound, actions);
+            return;
+        }
+        askAgain(*leader, now, actions);
+    }
+    for (auto &state : m_members) {
+        if (!state.isPauseWanted || state.isPaused || state.isAskPending || now - state.lastAsk < askInterval) {
+            continue;
+        }
+        state.isAskPending = true;
+        state.lastAsk = now;
+        // A pause is refused at or below a term that the target has heard of.
+        actions.emplace_back(pause_target{state.member.id, m_highestTerm + 1});
+    }
+    if (areAllPaused() || !m_hasSyncReplicas) {
+        if (!isPlanned()) {
+            chooseFurthest(now);
+        }
+        m_stage = stage::CatchingUp;
+        m_stageSince = now;
+        return;
+    }
+    const auto waited = now - m_stageSince;
+    if (isPlanned() && waited >= plannedPauseTime && m_leader && !m_isSteppedDown) {
+        // A replica that cannot be stopped may acknowledge for the old primary, so the old primary has to stop instead.
+        m_isSteppedDown = true;
+        m_stage = stage::CatchingUp;
+        m_stageSince = now;
+        actions.emplace_back(step_down_target{*m_leader, m_highestTerm + 1});
+        return;
+    }
+    if (waited >= lostPauseTime) {
+        m_explanation = "a replica that may hold acknowledged commits does not answer";
+        end(promotion_outcome::NotSafe, actions);
+    }
+}
+
+void promotion_attempt::chooseFurthest(time_point)
+{
+    const member_state *best = nullptr;
+    const auto rank = [](const member_state &state) {
+        return std::tuple(
+            state.status->received, !state.member.isDraining, !state.member.isWarmingUp, state.member.isLocal);
+    };
+    for (const auto &state : m_members) {
+        if (!state.isPauseWanted || !state.status || (m_hasSyncReplicas && !state.isPaused)) {
+            continue;
+        }
+        if (best == nullptr || rank(state) > rank(*best)) {
+            best = &state;
+        }
+    }
+    if (best != nullptr) {
+        m_chosen = best->member.id;
+        m_needed = best->status->received;
+    }
+}
+
+void promotion_attempt::catchUp(time_point now, std::vector<promotion_action> &actions)
+{
+    if (!m_chosen) {
+        m_explanation = "no replica answers";
+        end(promotion_outcome::NotSafe, actions);
+        return;
+    }
+    if (!isPlanned()) {
+        order(now, actions);
+        return;
+    }
+    auto *leader = m_leader ? find(*m_leader) : nullptr;
+    auto *chosen = find(*m_chosen);
+    if (chosen == nullptr || now - m_stageSince >= catchUpTime) {
+        m_explanation = "the chosen replica does not catch up";
+        end(promotion_outcome::NotSafe, actions);
+        return;
+    }
+    // The position of the old primary counts only if it was asked for after the others had stopped receiving.
+    const bool isLeaderKnown = leader != nullptr && leader->status && leader->askedAt >= m_stageSince
+        && (!m_isSteppedDown || !leader->status->isPrimary);
+    if (isLeaderKnown) {
+        m_needed = std::max(furthestPaused(), leader->status->received);
+    }
+    if (isLeaderKnown && chosen->status && chosen->status->received >= m_needed) {
+        order(now, actions);
+        return;
+    }
+    if (leader != nullptr && !isLeaderKnown) {
+        askAgain(*leader, now, actions);
+    }
+    askAgain(*chosen, now, actions);
+}
+
+void promotion_attempt::order(time_point now, std::vector<promotion_action> &actions)
+{
+    m_stage = stage::Ordering;
+    m_stageSince = now;
+    m_explanation = "holds " + toString(m_needed);
+    actions.emplace_back(order_promotion{*m_chosen});
+}
+
+void promotion_attempt::awaitLead(time_point now, std::vector<promotion_action> &actions)
+{
+    auto *chosen = find(*m_chosen);
+    if (chosen != nullptr && chosen->status && chosen->status->isPrimary && chosen->askedAt >= m_stageSince) {
+        end(promotion_outcome::Promoted, actions);
+        return;
+    }
+    if (chosen == nullptr || now - m_stageSince >= leadTime) {
+        m_explanation = "the chosen target does not lead";
+        end(promotion_outcome::Unanswered, actions);
+        return;
+    }
+    askAgain(*chosen, now, actions);
+}
+
+void promotion_attempt::end(promotion_outcome result, std::vector<promotion_action> &actions)
+{
+    m_result = result;
+    m_stage = stage::Ended;
+    if (result == promotion_outcome::Refused) {
+        // A newer holder may rely on the pauses; it also ends them.
+        return;
+    }
+    for (const auto &state : m_members) {
+        const bool mayBePaused = state.isPauseWanted && state.lastAsk != never;
+        const bool wasLeftPaused = state.status && state.status->isPaused();
+        if (mayBePaused || wasLeftPaused) {
+            actions.emplace_back(resume_target{state.member.id});
+        }
+    }
+}
+
+void promotion_attempt::askAgain(member_state &state, time_point now, std::vector<promotion_action> &actions)
+{
+    if (state.isAskPending || now - state.lastAsk < askInterval) {
+        return;
+    }
+    state.isAskPending = true;
+    state.lastAsk = now;
+    actions.emplace_back(survey_target{state.member.id});
+}
+
+void promotion_attempt::statusReceived(const target_id &target,
+                                       const target_report &status,
+                                       time_point askedAt,
+                                       time_point)
+{
+    auto *state = find(target);
+    if (state == nullptr) {
+        return;
+    }
+    state->isAskPending = false;
+    state->isMissing = false;
+    state->status = status;
+    state->askedAt = askedAt;
+    state->isPaused = status.isPaused() && m_stage != stage::Survey;
+    m_highestTerm = std::max({m_highestTerm, status.term, status.pausedAt});
+}
+
+void promotion_attempt::statusMissing(const target_id &target, time_point)
+{
+    auto *state = find(target);
+    if (state == nullptr) {
+        return;
+    }
+    state->isAskPending = false;
+    state->isMissing = true;
+}
+
+void promotion_attempt::memberGone(const target_id &target)
+{
+    std::erase_if(m_members, [&](const member_state &state) { return state.member.id == target; });
+}
+
+void promotion_attempt::orderAccepted(time_point now)
+{
+    m_stage = stage::AwaitingLead;
+    m_stageSince = now;
+}
+
+void promotion_attempt::orderRefused()
+{
+    m_result = promotion_outcome::Refused;
+}
+
+void promotion_attempt::orderUnanswered()
+{
+    m_result = promotion_outcome::Unanswered;
+}
+
+promotion_outcome promotion_attempt::result() const
+{
+    return m_result;
+}
+
+const std::optional<target_id> &promotion_attempt::chosen() const
+{
+    return m_chosen;
+}
+
+std::uint64_t promotion_attempt::highestTerm() const
+{
+    return m_highestTerm;
+}
+
+const std::string &promotion_attempt::explanation() const
+{
+    return m_explanation;
+}
+
+promotion_reason promotion_attempt::reason() const
+{
+    return m_reason;
+}
+
+bool promotion_attempt::isPlanned() const
+{
+    return m_reason == promotion_reason::PrimaryDraining;
+}
+
+promotion_attempt::member_state *promotion_attempt::find(const target_id &target)
+{
+    const auto found = std::find_if(
+        m_members.begin(), m_members.end(), [&](const member_state &state) { return state.member.id == target; });
+    return found == m_members.end() ? nullptr : &*found;
+}
+
+bool promotion_attempt::isSurveyComplete() const
+{
+    return std::all_of(m_members.begin(), m_members.end(), [](const member_state &state) {
+        return state.status || state.isMissing;
+    });
+}
+
+bool promotion_attempt::areAllPaused() const
+{
+    return std::all_of(m_members.begin(), m_members.end(), [](const member_state &state) {
+        return !state.isPauseWanted || state.isPaused;
+    });
+}
+
+position promotion_attempt::furthestPaused() const
+{
+    position furthest;
+    for (const auto &state : m_members) {
+        if (state.isPaused && state.status) {
+            furthest = std::max(furthest, state.status->received);
+        }
+    }
+    return furthest;
+}
+
+}
--- /dev/null
+++ b/src/libcrocusdealpolicy/targetdirectory.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "clock.h"
+#include "targetentry.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace crocusdeal
+{
+
+/** What the metadata store has said of one target. */
+struct known_target {
+    target_entry entry;
+    std::optional<time_point> drainingSince;
+    std::optional<time_point> missingSince; ///< Its entry is gone.
+};
+
+/** The targets of all services, by what they say of themselves in the metadata store. */
+class target_directory
+{
+public:
+    /** @p drainTime is how long a target serves after it has reported that it drains. */
+    explicit target_directory(duration drainTime);
+
+    void put(const target_entry &entry, time_point now);
+    void remove(const target_id &id, time_point now);
+    /** A complete list; what it does not name is gone. */
+    void replaceAll(const std::vector<target_entry> &entries, time_point now);
+    /** Forgets the targets whose entries are gone for good; returns their ids. */
+    std::vector<target_id> forgetGone(time_point now);
+
+    const known_target *find(const target_id &id) const;
+    const std::map<target_id, known_target> &targets() const;
+
+    /** Whether @p target may be given a statement that begins something new. */
+    bool acceptsNewWork(const known_target &target, bool isLeader, time_point now) const;
+    /** Whether @p target may hold acknowledged commits that have to be asked for. */
+    static bool countsForPromotion(const known_target &target);
+
+private:
+    duration m_drainTime;
+    std::map<target_id, known_target> m_targets;
+};
+
+}
