--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -20,6 +20,8 @@
 constexpr duration leftOutInterval{1000};
 // The balancer needs two missed probes to notice; sessions that it still sends here are served.
 constexpr duration idleCloseDelay{1200};
+constexpr duration shortestShutdown{2200};
+constexpr duration quietTime{250}; // The last answers are on their way, and new sessions may be.
 constexpr duration endMargin{300};
 
 }
@@ -104,9 +106,7 @@
         if (const auto ended = weak.lock()) {
             self->m_sessions.erase(ended);
         }
-        if (self->m_shutdownAt != never && self->m_sessions.empty()) {
-            self->finishShutdown("all sessions have ended");
-        }
+        self->m_lastSessionEndedAt = systemNow();
     };
     m_sessions.insert(session);
     session->start();
@@ -263,6 +263,11 @@
     for (const auto &session : sessions) {
         session->closeIfIdle();
     }
+    const auto now = systemNow();
+    if (m_sessions.empty() && now - m_lastSessionEndedAt >= quietTime && now - m_shutdownAt >= shortestShutdown) {
+        finishShutdown("all sessions have ended");
+        return;
+    }
     constexpr duration again{50};
     m_context.deadlines.scheduleAfter(again, [self = shared_from_this()] { self->closeIdleSessions(); });
 }
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -61,6 +61,7 @@
     std::set<std::shared_ptr<front_session>> m_sessions;
     std::function<void()> m_whenShutDown;
     time_point m_shutdownAt = never;
+    time_point m_lastSessionEndedAt = never;
     time_point m_startedAt = never;
     time_point m_leftOutToldAt = never;
 };
--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -356,7 +356,7 @@
         return;
     }
     m_context.deadlines.cancel(m_wake);
-    m_wake = m_context.deadlines.schedule(m_attempt->wakeAt(), [self = shared_from_this()] {
+    m_wake = m_context.deadlines.schedule(m_attempt->wakeAt(systemNow()), [self = shared_from_this()] {
         self->m_wake = 0;
         self->runAttempt();
     });
--- a/src/libcrocusdealpolicy/promotionattempt.cpp
+++ b/src/libcrocusdealpolicy/promotionattempt.cpp
@@ -56,17 +56,16 @@
     return actions;
 }
 
-time_point promotion_attempt::wakeAt() const
+time_point promotion_attempt::wakeAt(time_point now) const
 {
-    time_point next = m_stageSince + leadTime;
+    // Members that are not asked any more have asked long ago, so times in the past mean nothing.
+    auto next = now + askInterval;
     for (const auto &state : m_members) {
-        if (!state.isAskPending && state.lastAsk != never) {
-            next = std::min(next, state.lastAsk + askInterval);
+        const auto again = state.lastAsk + askInterval;
+        if (!state.isAskPending && again > now) {
+            next = std::min(next, again);
         }
     }
-    if (m_stage == stage::Survey) {
-        next = std::min(next, m_stageSince + surveyTime);
-    }
     return next;
 }
 
--- a/src/libcrocusdealpolicy/promotionattempt.h
+++ b/src/libcrocusdealpolicy/promotionattempt.h
@@ -82,7 +82,8 @@
 
     /** What is to be done now; to be called again after each input and when wakeAt() has come. */
     std::vector<promotion_action> step(time_point now);
-    time_point wakeAt() const;
+    /** Always later than @p now. */
+    time_point wakeAt(time_point now) const;
 
     void statusReceived(const target_id &target, const target_report &status, time_point askedAt, time_point now);
     /** The target did not answer, or refused. */
