Refuse early without a primary, send silent reads elsewhere, keep few connections

Reads sent into a silent cut waited for their whole limit. Ruled out: slots (quiet windows at the same load are served in 25 ms), the store (configuration in force 10 ms after the start).

--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -72,15 +72,17 @@
         if (news.failure == store_failure::None) {
             self->m_isDutyKnown = true;
             self->m_duty.observe({news.holder, news.revision}, askedAt);
-            return;
-        }
-        if (news.failure != store_failure::NotFound) {
+            if (news.holder != self->m_self) {
+                return;
+            }
+        } else if (news.failure != store_failure::NotFound) {
             self->m_context.deadlines.scheduleAfter(duration{1000}, [self] { self->learnDuty(); });
             return;
         }
+        // A token in hand allows to act while the store is away; one of an earlier process is not in hand.
         self->m_isDutyKnown = true;
         self->m_store.claimDuty(
-            self->m_group->id(), self->m_self, std::nullopt, [self, askedAt](const duty_news &claim) {
+            self->m_group->id(), self->m_self, self->m_duty.replaces(), [self, askedAt](const duty_news &claim) {
                 if (claim.failure == store_failure::None) {
                     self->m_duty.claimed(claim.revision, askedAt);
                 } else if (claim.failure == store_failure::Conflict) {
--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -15,6 +15,7 @@
 
 constexpr duration ageMargin{30}; // A sample counts from when it was asked for; the clocks round to milliseconds.
 constexpr std::size_t longestQueue = 400;
+constexpr duration passingTrouble{150}; // A survey that finds the primary in place takes less.
 
 }
 
@@ -150,9 +151,6 @@
 
 bool service_group::tryPlace(const target_need &need, const std::function<void(target_grant)> &granted)
 {
-    if (need.isWrite || need.mustBeLeader || need.reads == consistency::Primary) {
-        return tryPlaceAtLeader(need, granted);
-    }
     const auto required = requiredPosition(need);
     if (!required) {
         return tryPlaceAtLeader(need, granted);
@@ -226,6 +224,9 @@
 
 std::optional<position> service_group::requiredPosition(const target_need &need) const
 {
+    if (need.isWrite || need.mustBeLeader || need.reads == consistency::Primary) {
+        return std::nullopt;
+    }
     auto required = m_samples.covering(need.arrivedAt - need.maxStaleness + ageMargin);
     if (required && need.reads == consistency::ReadYourWrites && need.ownCommit) {
         required = std::max(*required, *need.ownCommit);
@@ -237,7 +238,7 @@
 {
     const auto *known = m_directory.find(pool.entry().id);
     return known != nullptr && m_directory.acceptsNewWork(*known, m_leader == pool.entry().id, now)
-        && !pool.isFailing(now);
+        && !pool.isFailing(now) && !pool.isSilent(now);
 }
 
 refusal_reason service_group::whyNotPlaced(const target_need &need) const
@@ -245,8 +246,7 @@
     if (m_targets.empty()) {
         return refusal_reason::NoTarget;
     }
-    const bool needsLeader = need.isWrite || need.mustBeLeader || need.reads == consistency::Primary;
-    return needsLeader && !m_leader ? refusal_reason::NoPrimary : refusal_reason::QueueTime;
+    return needsLeader(need) && isLeaderMissing(systemNow()) ? refusal_reason::NoPrimary : refusal_reason::QueueTime;
 }
 
 void service_group::release(const target_grant &grant, bool isReusable)
@@ -276,6 +276,16 @@
     return m_leader;
 }
 
+bool service_group::isLeaderMissing(time_point now) const
+{
+    return !m_leader || (m_troubleSince != never && now - m_troubleSince > passingTrouble);
+}
+
+bool service_group::needsLeader(const target_need &need) const
+{
+    return !requiredPosition(need);
+}
+
 void service_group::noteLead(const target_id &target, std::optional<position> at, time_point askedAt)
 {
     m_leaderProvedAt = std::max(m_leaderProvedAt, askedAt);
--- a/src/libcrocusdealfront/servicegroup.h
+++ b/src/libcrocusdealfront/servicegroup.h
@@ -82,6 +82,10 @@
     std::size_t queued() const;
 
     const std::optional<target_id> &leader() const;
+    /** Whether statements for the primary cannot be expected to be served soon. */
+    bool isLeaderMissing(time_point now) const;
+    /** Whether only the primary can serve @p need, as things are known now. */
+    bool needsLeader(const target_need &need) const;
     /** A target has proved that it led when it answered; @p at covers what was acknowledged before @p askedAt. */
     void noteLead(const target_id &target, std::optional<position> at, time_point askedAt);
     /** A target that was taken for the primary does not lead. */
--- a/src/libcrocusdealfront/statementrun.cpp
+++ b/src/libcrocusdealfront/statementrun.cpp
@@ -16,6 +16,9 @@
 constexpr int waitShareOfTimeout = 2; // Work that will be served may wait half of its time.
 constexpr int waitShareOfLatency = 4; // Work that nobody can serve yet is refused early, so that it can go elsewhere.
 constexpr duration shortestWait{20};
+constexpr duration shortestHedge{250};
+constexpr int hedgeAnswerTimes = 6; // Well above the usual time of an answer.
+constexpr duration orphanLimit{2000}; // How long a silent connection may still answer.
 
 }
 
@@ -115,7 +118,7 @@
 void statement_run::acquire()
 {
     const auto &route = m_order.route;
-    const bool isPrimaryMissing = !m_group->leader() && (m_need.isWrite || m_need.reads == consistency::Primary);
+    const bool isPrimaryMissing = m_group->isLeaderMissing(systemNow()) && m_group->needsLeader(m_need);
     const auto wait =
         isPrimaryMissing ? route.targetLatency / waitShareOfLatency : route.statementTimeout / waitShareOfTimeout;
     m_need.refuseAt = m_order.arrivedAt + std::max(wait, shortestWait);
@@ -214,9 +217,15 @@
     link->send(encoded, [self, generation](target_reply reply) {
         if (generation == self->m_generation) {
             self->takeReply(std::move(reply));
+        } else {
+            self->takeOrphanReply(generation, reply);
         }
     });
+    if (m_order.kind == effect::Read && !opensTransaction()) {
+        armHedge();
+    }
     if (isWrappedRead) {
+        m_isRollbackSent = true;
         std::string rollback;
         m_context.targets.addControl(rollback, control_statement::Rollback);
         const auto grant = *m_grant;
@@ -226,8 +235,57 @@
     }
 }
 
+void statement_run::armHedge()
+{
+    const auto usual = duration{static_cast<std::int64_t>(m_grant->target->answerMs())};
+    const auto delay = std::max(shortestHedge, usual * hedgeAnswerTimes);
+    m_hedgeTimer = m_context.deadlines.scheduleAfter(delay, [self = shared_from_this()] {
+        self->m_hedgeTimer = 0;
+        self->hedge();
+    });
+}
+
+void statement_run::takeOrphanReply(int generation, const target_reply &reply)
+{
+    const auto found = std::find_if(
+        m_orphans.begin(), m_orphans.end(), [&](const orphan_grant &orphan) { return orphan.generation == generation; });
+    if (found == m_orphans.end()) {
+        return;
+    }
+    const auto grant = found->grant;
+    m_orphans.erase(found);
+    grant.target->recordAnswer(reply);
+    m_group->release(grant, !reply.isLost && reply.state == transaction_state::Idle);
+}
+
+void statement_run::hedge()
+{
+    if (!m_grant || m_attempts >= maxAttempts) {
+        return;
+    }
+    const bool isTargetSilent = m_grant->target->lastAnswerAt() < m_sentAt;
+    const bool isLate = systemNow() - m_order.arrivedAt >= m_order.route.statementTimeout / waitShareOfTimeout;
+    if (!isTargetSilent && !isLate) {
+        armHedge();
+        return;
+    }
+    const auto orphan = *std::exchange(m_grant, std::nullopt);
+    m_need.avoid.insert(orphan.target->entry().id);
+    m_context.deadlines.scheduleAfter(orphanLimit, [link = std::weak_ptr(orphan.link), since = m_sentAt] {
+        const auto silent = link.lock();
+        if (silent && silent->oldestPendingAt() != never && silent->oldestPendingAt() <= since) {
+            silent->close("not answered");
+        }
+    });
+    if (!std::exchange(m_isRollbackSent, false)) {
+        m_orphans.push_back({orphan, m_generation});
+    }
+    retry(isTargetSilent ? "target is silent" : "answer is late", {});
+}
+
 void statement_run::takeReply(target_reply reply)
 {
+    m_context.deadlines.cancel(m_hedgeTimer);
     m_grant->target->recordAnswer(reply);
     if (std::exchange(m_isWriteOpen, false)) {
         m_group->writeEnded(m_sentAt, reply.isSuccess());
@@ -260,7 +318,7 @@
         m_group->endPermit(*m_grant);
         outcome.kept = *m_grant;
         m_grant.reset();
-    } else if (isWrapped()) {
+    } else if (std::exchange(m_isRollbackSent, false)) {
         m_grant.reset(); // The answer to the rollback releases it.
     } else {
         dropGrant(true);
@@ -307,7 +365,7 @@
 {
     const auto target = m_grant->target->entry().id;
     m_group->noteTrouble("connection lost");
-    if (isWrapped()) {
+    if (std::exchange(m_isRollbackSent, false)) {
         m_grant.reset();
     } else {
         dropGrant(false);
@@ -357,7 +415,7 @@
 
 void statement_run::rollBackGrant()
 {
-    if (isWrapped() && m_isSent) {
+    if (std::exchange(m_isRollbackSent, false)) {
         m_grant.reset();
         return;
     }
@@ -390,7 +448,7 @@
             m_group->writeEnded(m_sentAt, false);
         }
         ++m_generation;
-        if (isWrapped() && m_isSent) {
+        if (std::exchange(m_isRollbackSent, false)) {
             m_grant->link->close("statement timed out");
             m_grant.reset();
         } else {
@@ -424,6 +482,7 @@
 {
     m_context.deadlines.cancel(m_limit);
     m_context.deadlines.cancel(m_retryTimer);
+    m_context.deadlines.cancel(m_hedgeTimer);
     if (m_ticket != 0) {
         m_group->abandon(std::exchange(m_ticket, 0));
     }
--- a/src/libcrocusdealfront/statementrun.h
+++ b/src/libcrocusdealfront/statementrun.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace crocusdeal
 {
@@ -74,6 +75,10 @@
     void sendStatement();
     void takeReply(target_reply reply);
     void takeSuccess(target_reply reply);
+    void armHedge();
+    /** Sends a read to another target and leaves the silent one to answer when it can. */
+    void hedge();
+    void takeOrphanReply(int generation, const target_reply &reply);
     void takeError(target_reply reply);
     void takeLoss(const target_reply &reply);
     void retry(const char *why, duration delay);
@@ -95,9 +100,16 @@
     std::function<void(statement_outcome)> m_done;
     target_need m_need;
     std::optional<target_grant> m_grant;
+    struct orphan_grant {
+        target_grant grant;
+        int generation;
+    };
+    std::vector<orphan_grant> m_orphans; ///< Of reads that were sent elsewhere meanwhile.
     service_group::ticket m_ticket = 0;
     deadline_queue::handle m_limit = 0;
     deadline_queue::handle m_retryTimer = 0;
+    deadline_queue::handle m_hedgeTimer = 0;
+    bool m_isRollbackSent = false; ///< Its answer releases the grant.
     int m_attempts = 0;
     int m_generation = 0; ///< Answers to earlier attempts are ignored.
     bool m_isSent = false; ///< Some target may have run the statement.
--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -18,8 +18,10 @@
 constexpr duration firstRetry{100};
 constexpr duration longestRetry{800};
 constexpr duration limitRetry{250}; // After the target refused a connection by its limit.
-constexpr duration unusedTime{5000};
-constexpr std::size_t keptIdle = 2;
+// Extra connections go soon: those of an instance that loses power stay counted for seconds, and its successor needs room.
+constexpr duration unusedTime{800};
+constexpr std::size_t keptIdle = 1;
+constexpr duration silentTime{250};
 constexpr int openingAtOnce = 2; // Each takes a slot of the target for its start-up.
 constexpr int largestShareDivisor = 2; // No instance takes more than half of the connections of a target.
 
@@ -140,6 +142,12 @@
     return m_failures > 0 && m_links.empty() && now < m_retryAt;
 }
 
+bool target_pool::isSilent(time_point now) const
+{
+    const auto since = silentSince();
+    return since != never && now - since > silentTime && m_lastAnswerAt < since;
+}
+
 time_point target_pool::lastAnswerAt() const
 {
     return m_lastAnswerAt;
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -61,6 +61,8 @@
     bool isLagging(time_point now) const;
     /** Whether connections to it fail at the moment. */
     bool isFailing(time_point now) const;
+    /** Whether it has left statements unanswered for long and has not answered anything since. */
+    bool isSilent(time_point now) const;
     time_point lastAnswerAt() const;
     /** When the oldest statement that is not answered yet was sent; never without one. */
     time_point silentSince() const;
