--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -14,12 +14,13 @@
 namespace
 {
 
-constexpr duration housekeepingInterval{200};
-constexpr duration silenceLimit{300}; // A statement unanswered for so long is reason to ask for the target's status.
+constexpr duration housekeepingInterval{100};
+constexpr duration silenceLimit{220}; // A statement unanswered for so long is reason to ask for the target's status.
 constexpr duration stallLimit{1000};
 constexpr duration leftOutInterval{1000};
 // The balancer needs two missed probes to notice; sessions that it still sends here are served.
 constexpr duration idleCloseDelay{1200};
+constexpr duration balancerTime{2200}; // The balancer probes once a second and acts on two misses.
 constexpr duration shortestShutdown{2200};
 constexpr duration quietTime{250}; // The last answers are on their way, and new sessions may be.
 constexpr duration endMargin{300};
@@ -194,6 +195,7 @@
         refreshGroups();
     }
     watchSilence(now);
+    watchIsolation(now);
     for (const auto &[service, group] : m_groups) {
         for (const auto &[id, pool] : group->targets()) {
             pool->closeUnused(now);
@@ -227,9 +229,30 @@
     }
 }
 
+void front::watchIsolation(time_point now)
+{
+    const auto cutOff = std::count_if(
+        m_keepers.begin(), m_keepers.end(), [&](const auto &entry) { return entry.second->isCutOff(now); });
+    const bool isIsolated = static_cast<std::size_t>(cutOff) * 2 > m_keepers.size();
+    if (isIsolated != (m_isolatedSince != never)) {
+        m_isolatedSince = isIsolated ? now : never;
+        m_context.log.warn(isIsolated ? "targets_out_of_reach" : "targets_within_reach")
+            .field("services_cut_off", static_cast<std::int64_t>(cutOff))
+            .field("services", static_cast<std::int64_t>(m_keepers.size()));
+    }
+    if (m_isolatedSince == never || now - m_isolatedSince < balancerTime || m_shutdownAt != never) {
+        return;
+    }
+    // Their callers connect again through an instance that the balancer still uses.
+    const std::vector<std::shared_ptr<front_session>> sessions(m_sessions.begin(), m_sessions.end());
+    for (const auto &session : sessions) {
+        session->closeIfIdle();
+    }
+}
+
 bool front::isReady() const
 {
-    return m_shutdownAt == never && m_configuration && m_areTargetsKnown;
+    return m_shutdownAt == never && m_configuration && m_areTargetsKnown && m_isolatedSince == never;
 }
 
 http_response front::answerReadiness(const std::string &path) const
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -41,6 +41,7 @@
     void ensureGroup(const service_id &service, const service_policy &policy);
     void housekeep();
     void watchSilence(time_point now);
+    void watchIsolation(time_point now);
     void closeIdleSessions();
     void endTransactions();
     void finishShutdown(const char *why);
@@ -64,6 +65,7 @@
     time_point m_lastSessionEndedAt = never;
     time_point m_startedAt = never;
     time_point m_leftOutToldAt = never;
+    time_point m_isolatedSince = never; ///< Most targets of most services do not answer here.
 };
 
 }
--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -12,9 +12,11 @@
 namespace
 {
 
-constexpr duration surveyInterval{120};
-constexpr duration controlLimit{300};
-constexpr duration lostTime{350}; // The primary and the growth of its replicas' logs are missed for this long.
+constexpr duration surveyInterval{80};
+constexpr duration controlLimit{250};
+constexpr duration lostTime{220}; // The primary and the growth of its replicas' logs are missed for this long.
+constexpr duration sightingUse{250}; // An older answer of a replica tells nothing of the present.
+constexpr duration cutOffTime{250};
 constexpr duration stallTime{1000}; // Longer than a write waits in a busy target.
 constexpr duration retryTime{300};
 constexpr duration dutyReadDelay{1500};
@@ -128,11 +130,22 @@
     if (m_troubleSince == never) {
         m_troubleSince = systemNow();
     }
-    if (!m_isSurveying) {
+    if (m_tick == 0) {
         scheduleTick({});
     }
 }
 
+bool leader_keeper::isCutOff(time_point now) const
+{
+    if (m_troubleSince == never) {
+        return false;
+    }
+    const auto missing = std::count_if(m_sightings.begin(), m_sightings.end(), [&](const auto &entry) {
+        return entry.second.missingSince != never && now - entry.second.missingSince >= cutOffTime;
+    });
+    return static_cast<std::size_t>(missing) * 2 > m_sightings.size();
+}
+
 void leader_keeper::scheduleTick(duration delay)
 {
     if (m_isStopped) {
@@ -156,32 +169,23 @@
     if (m_isStopped || m_attempt || m_isClaiming || !hasWork(now)) {
         return;
     }
-    if (m_isSurveying) {
-        return;
-    }
     surveyAll();
+    scheduleTick(surveyInterval);
 }
 
 void leader_keeper::surveyAll()
 {
-    const auto &targets = m_group->targets();
-    m_openAnswers = static_cast<int>(targets.size());
-    if (targets.empty()) {
-        scheduleTick(surveyInterval);
-        return;
-    }
-    m_isSurveying = true;
-    const auto pools = targets; // The answers may change the group.
+    const auto pools = m_group->targets(); // The answers may change the group.
     for (const auto &[id, pool] : pools) {
+        if (std::exchange(m_sightings[id].isAsked, true)) {
+            continue;
+        }
         pool->control(control_statement::Status,
                       0,
                       controlLimit,
                       [self = shared_from_this(), id = id](const control_reply &reply) {
                           self->takeSighting(id, reply);
-                          if (--self->m_openAnswers == 0) {
-                              self->m_isSurveying = false;
-                              self->judge();
-                          }
+                          self->judge();
                       });
     }
 }
@@ -193,7 +197,9 @@
     }
     const auto now = systemNow();
     auto &seen = m_sightings[target];
+    seen.isAsked = false;
     seen.isAnswered = reply.isAnswered;
+    seen.answeredAt = now;
     seen.report = reply.report;
     if (reply.isAnswered) {
         seen.missingSince = never;
@@ -239,20 +245,30 @@
         begin(promotion_reason::PrimaryLost);
         return;
     }
-    if (hasWork(now)) {
+    if (hasWork(now) && m_tick == 0) {
         scheduleTick(surveyInterval);
     }
 }
 
+bool leader_keeper::isEveryReplicaAnswering() const
+{
+    return std::all_of(m_sightings.begin(), m_sightings.end(), [&](const auto &entry) {
+        return entry.second.report || entry.first == m_group->leader() || entry.first == m_lastLeader;
+    });
+}
+
 bool leader_keeper::isLeaderLost(time_point now) const
 {
     bool isAnyReplicaSeen = false;
     for (const auto &[id, seen] : m_sightings) {
-        if (seen.isAnswered && !seen.report) {
-            return false; // It lives and may be the primary.
+        if (seen.answeredAt == never || (seen.isAnswered && !seen.report)) {
+            return false; // It may be the primary.
         }
         if (seen.report) {
             isAnyReplicaSeen = true;
+            if (now - seen.answeredAt > sightingUse) {
+                return false;
+            }
             if (now - seen.receivedChangedAt < lostTime) {
                 return false; // A primary that this instance cannot reach still feeds it, or did just now.
             }
@@ -312,7 +328,7 @@
                 self->m_duty.observe({news.holder, news.revision}, systemNow());
             } else if (news.failure == store_failure::NotFound) {
                 self->m_duty.observeAbsent();
-            } else if (self->m_duty.token()) {
+            } else if (self->m_duty.token() && self->isEveryReplicaAnswering()) {
                 // Nobody whom the store turns away as well can have claimed since, and the platform fences the rest.
                 self->startAttempt(reason);
                 return;
--- a/src/libcrocusdealfront/leaderkeeper.h
+++ b/src/libcrocusdealfront/leaderkeeper.h
@@ -37,6 +37,8 @@
     void directoryChanged();
     /** Something suggests that the primary cannot serve. */
     void trouble(const char *why);
+    /** Whether this instance has lost most targets of the service, so that others are more likely to serve it. */
+    bool isCutOff(time_point now) const;
 
 private:
     struct sighting {
@@ -45,6 +47,8 @@
         position received;
         time_point receivedChangedAt = never; ///< When the received position was last seen to grow.
         time_point missingSince = never;
+        time_point answeredAt = never;
+        bool isAsked = false; ///< An answer is awaited.
     };
 
     void scheduleTick(duration delay);
@@ -57,6 +61,7 @@
     bool isLeaderStalled(time_point now) const;
     bool isLeaderDraining() const;
     void learnDuty();
+    bool isEveryReplicaAnswering() const;
     void begin(promotion_reason reason);
     void claimThenStart(promotion_reason reason);
     void startAttempt(promotion_reason reason);
@@ -83,11 +88,9 @@
     time_point m_drainingSince = never;
     time_point m_retryAt = never;
     std::optional<target_id> m_lastLeader;
-    bool m_isSurveying = false;
     bool m_isClaiming = false;
     bool m_isDutyKnown = false;
     bool m_mustSupersede = false; ///< An unanswered order may still be carried out.
-    int m_openAnswers = 0;
     bool m_isStopped = false;
 };
 
--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 
-constexpr int extraPermits = 1; // Keeps a slot busy while an answer travels.
 constexpr double firstAnswerMs = 10;
 constexpr double answerWeight = 0.1;
 constexpr duration laggingTime{150};
@@ -23,7 +22,7 @@
 constexpr std::size_t keptIdle = 1;
 constexpr duration silentTime{250};
 constexpr int openingAtOnce = 2; // Each takes a slot of the target for its start-up.
-constexpr int largestShareDivisor = 2; // No instance takes more than half of the connections of a target.
+constexpr int largestShareDivisor = 3; // No instance takes more than a third of the connections of a target.
 
 }
 
@@ -81,7 +80,7 @@
 
 int target_pool::permits() const
 {
-    return m_entry.slots + extraPermits;
+    return m_entry.slots;
 }
 
 int target_pool::inFlight() const
--- a/src/libcrocusdealpolicy/promotionattempt.cpp
+++ b/src/libcrocusdealpolicy/promotionattempt.cpp
@@ -362,8 +362,9 @@
 
 bool promotion_attempt::isSurveyComplete() const
 {
-    return std::all_of(m_members.begin(), m_members.end(), [](const member_state &state) {
-        return state.status || state.isMissing;
+    return std::all_of(m_members.begin(), m_members.end(), [&](const member_state &state) {
+        const bool isLost = m_reason == promotion_reason::PrimaryLost && state.member.id == m_leader;
+        return state.status || state.isMissing || isLost;
     });
 }
 
