Judge a primary only by what was seen since the trouble began

Ruled out: the store (regained at 35.1 s), the claim (its answer came in 2 ms), the timers (the event log at debug level shows tick with work=0).

--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -129,12 +129,22 @@
     }
     if (m_troubleSince == never) {
         m_troubleSince = systemNow();
+        forgetSightings();
     }
     if (m_tick == 0) {
         scheduleTick({});
     }
 }
 
+void leader_keeper::forgetSightings()
+{
+    for (auto &[id, seen] : m_sightings) {
+        const bool isAsked = seen.isAsked;
+        seen = {};
+        seen.isAsked = isAsked;
+    }
+}
+
 bool leader_keeper::isCutOff(time_point now) const
 {
     if (m_troubleSince == never) {
@@ -223,13 +233,14 @@
 
 void leader_keeper::judge()
 {
-    if (m_isStopped || m_attempt || m_isClaiming) {
+    const auto now = systemNow();
+    if (m_isStopped || m_attempt || m_isClaiming || !hasWork(now)) {
         return;
     }
-    const auto now = systemNow();
     const bool hasLeader = std::any_of(m_sightings.begin(), m_sightings.end(), [](const auto &entry) {
         return entry.second.report && entry.second.report->isPrimary;
     });
+    logSightings(hasLeader, now);
     if (hasLeader && isLeaderDraining() && now >= m_retryAt) {
         begin(promotion_reason::PrimaryDraining);
         return;
@@ -250,6 +261,22 @@
     }
 }
 
+void leader_keeper::logSightings(bool hasLeader, time_point now)
+{
+    std::string text;
+    for (const auto &[id, seen] : m_sightings) {
+        text += id.str();
+        text += seen.report ? (seen.report->isPrimary ? " primary " : " replica ") : (seen.isAnswered ? " refuses " : " missing ");
+        text += toString(seen.received) + " grew " + std::to_string((now - seen.receivedChangedAt).ms) + " ms ago; ";
+    }
+    m_context.log.debug("primary_judged")
+        .field("service", m_group->id().str())
+        .field("has_primary", hasLeader ? 1 : 0)
+        .field("trouble_ms", (now - m_troubleSince).ms)
+        .field("may_claim", m_duty.mayClaim(now, m_troubleSince) ? 1 : 0)
+        .field("seen", text);
+}
+
 bool leader_keeper::isEveryReplicaAnswering() const
 {
     return std::all_of(m_sightings.begin(), m_sightings.end(), [&](const auto &entry) {
@@ -274,7 +301,7 @@
             }
         }
     }
-    return isAnyReplicaSeen && now - m_troubleSince >= lostTime;
+    return isAnyReplicaSeen && m_troubleSince != never && now - m_troubleSince >= lostTime;
 }
 
 bool leader_keeper::isLeaderStalled(time_point now) const
@@ -481,7 +508,7 @@
         .field("chosen", attempt->chosen() ? attempt->chosen()->str() : "none")
         .field("why", attempt->explanation())
         .field("trouble_ms", (systemNow() - m_troubleSince).ms);
-    m_sightings.clear();
+    forgetSightings();
     if (outcome == promotion_outcome::Promoted || outcome == promotion_outcome::LeaderFound) {
         m_lastLeader = attempt->chosen();
         m_group->setLeader(*attempt->chosen(), "promotion");
--- a/src/libcrocusdealfront/leaderkeeper.h
+++ b/src/libcrocusdealfront/leaderkeeper.h
@@ -55,8 +55,11 @@
     void tick();
     bool hasWork(time_point now) const;
     void surveyAll();
+    /** What was seen before the present trouble says nothing about it. */
+    void forgetSightings();
     void takeSighting(const target_id &target, const control_reply &reply);
     void judge();
+    void logSightings(bool hasLeader, time_point now);
     bool isLeaderLost(time_point now) const;
     bool isLeaderStalled(time_point now) const;
     bool isLeaderDraining() const;
