Test the decisions of the front; send the first pause of a stage at once

Cause: the interval between questions also held back the first question of each stage, which cost an attempt 60 ms at the pauses and 60 ms at the catch-up; found by a unit test of the pauses. Ruled out: nothing else delays them. Before: the test choosesTheFurthestPausedReplica failed (no pause in the step after the survey).

--- a/src/libcrocusdealfront/frontsession.cpp
+++ b/src/libcrocusdealfront/frontsession.cpp
@@ -73,7 +73,7 @@
 
 void front_session::takeMessage(const caller_message &message)
 {
-    if (const auto *startup = std::get_if<caller_startup>(&message)) {
+    if (const auto *startup = std::get_if<session_startup>(&message)) {
         takeStartup(*startup);
         return;
     }
@@ -91,7 +91,7 @@
     takeRequest(std::get<caller_request>(message));
 }
 
-void front_session::takeStartup(const caller_startup &startup)
+void front_session::takeStartup(const session_startup &startup)
 {
     const auto configuration = m_surroundings.configuration();
     const bool isKnown = configuration && configuration->routes.contains(startup.database);
--- a/src/libcrocusdealfront/frontsession.h
+++ b/src/libcrocusdealfront/frontsession.h
@@ -49,7 +49,7 @@
 private:
     void takeData(std::string &inbound);
     void takeMessage(const caller_message &message);
-    void takeStartup(const caller_startup &startup);
+    void takeStartup(const session_startup &startup);
     void takeRequest(const caller_request &request);
     void takeInFailedTransaction(const caller_request &request);
     void takeBegin(const statement &what);
--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -467,7 +467,7 @@
     for (const auto &action : actions) {
         perform(action);
     }
-    if (m_attempt && m_attempt->result() != promotion_outcome::Pending) {
+    if (m_attempt && m_attempt->result() != attempt_outcome::Pending) {
         finishAttempt();
         return;
     }
@@ -538,31 +538,31 @@
                         target,
                         m_self,
                         *token,
-                        [self = shared_from_this(), attempt, token = *token](order_answer answer, const std::string &detail) {
+                        [self = shared_from_this(), attempt, token = *token](promotion_answer answer, const std::string &detail) {
                             if (self->m_attempt.get() == attempt && self->m_attempt) {
                                 self->orderAnswered(answer, detail, token);
                             }
                         });
 }
 
-void leader_keeper::orderAnswered(order_answer answer, const std::string &detail, std::uint64_t token)
+void leader_keeper::orderAnswered(promotion_answer answer, const std::string &detail, std::uint64_t token)
 {
     m_context.log.info("promotion_answer")
         .field("service", m_group->id().str())
-        .field("answer", orderAnswerNames.name(answer))
+        .field("answer", promotionAnswerNames.name(answer))
         .field("detail", detail);
     switch (answer) {
-    case order_answer::Accepted:
+    case promotion_answer::Accepted:
         m_attempt->orderAccepted(systemNow());
         break;
-    case order_answer::Refused:
+    case promotion_answer::Refused:
         m_duty.refused(token);
         m_attempt->orderRefused();
         break;
-    case order_answer::TurnedAway:
+    case promotion_answer::TurnedAway:
         m_attempt->orderRefused();
         break;
-    case order_answer::Unanswered:
+    case promotion_answer::Unanswered:
         // It may be carried out at any time; the lead of the chosen target tells.
         m_mustSupersede = true;
         m_attempt->orderAccepted(systemNow());
@@ -578,12 +578,12 @@
     const auto outcome = attempt->result();
     m_context.log.info("promotion_ended")
         .field("service", m_group->id().str())
-        .field("outcome", promotionOutcomeNames.name(outcome))
+        .field("outcome", attemptOutcomeNames.name(outcome))
         .field("chosen", attempt->chosen() ? attempt->chosen()->str() : "none")
         .field("why", attempt->explanation())
         .field("trouble_ms", (systemNow() - m_troubleSince).ms);
     forgetSightings();
-    if (outcome == promotion_outcome::Promoted || outcome == promotion_outcome::LeaderFound) {
+    if (outcome == attempt_outcome::Promoted || outcome == attempt_outcome::LeaderFound) {
         m_lastLeader = attempt->chosen();
         m_leaderTerm = attempt->leaderTerm();
         m_group->setLeader(*attempt->chosen(), "promotion");
--- a/src/libcrocusdealfront/leaderkeeper.h
+++ b/src/libcrocusdealfront/leaderkeeper.h
@@ -50,7 +50,7 @@
 private:
     struct sighting {
         bool isAnswered = false;
-        std::optional<target_report> report;
+        std::optional<replication_report> report;
         position received;
         time_point receivedChangedAt = never; ///< When the received position was last seen to grow.
         time_point missingSince = never;
@@ -82,7 +82,7 @@
     void perform(const promotion_action &action);
     void ask(const target_id &target, control_statement what, std::uint64_t term);
     void order(const target_id &target);
-    void orderAnswered(order_answer answer, const std::string &detail, std::uint64_t token);
+    void orderAnswered(promotion_answer answer, const std::string &detail, std::uint64_t token);
     void finishAttempt();
 
     front_context &m_context;
--- a/src/libcrocusdealfront/metadatastore.h
+++ b/src/libcrocusdealfront/metadatastore.h
@@ -74,14 +74,14 @@
                            std::function<void(duty_news)> done) = 0;
 };
 
-enum class order_answer {
+enum class promotion_answer {
     Accepted,
     Refused, ///< The fencing token is too low, or the target cannot take over.
     TurnedAway, ///< Nothing was done; may be repeated.
     Unanswered, ///< May be carried out, now or later.
 };
 
-inline constexpr auto orderAnswerNames = makeNameTable<order_answer>("accepted", "refused", "turned_away", "unanswered");
+inline constexpr auto promotionAnswerNames = makeNameTable<promotion_answer>("accepted", "refused", "turned_away", "unanswered");
 
 /** Who carries out changes of a primary. */
 class promotion_authority
@@ -93,7 +93,7 @@
                          const target_id &target,
                          const std::string &holder,
                          std::uint64_t fencingToken,
-                         std::function<void(order_answer, std::string detail)> done) = 0;
+                         std::function<void(promotion_answer, std::string detail)> done) = 0;
 };
 
 }
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -3,7 +3,7 @@
 #include "eventlog.h"
 #include "targetentry.h"
 #include "targetlink.h"
-#include "targetreport.h"
+#include "replicationreport.h"
 
 #include <functional>
 #include <memory>
@@ -26,7 +26,7 @@
 
 /** How a status or another control statement ended. */
 struct control_reply {
-    std::optional<target_report> report; ///< Nothing if the target refused or did not answer.
+    std::optional<replication_report> report; ///< Nothing if the target refused or did not answer.
     bool isAnswered = false; ///< The target lives, also if it refused.
     std::string detail;
     time_point askedAt = never;
--- a/src/libcrocusdealfront/wireprotocol.h
+++ b/src/libcrocusdealfront/wireprotocol.h
@@ -3,7 +3,7 @@
 #include "errorcode.h"
 #include "position.h"
 #include "statement.h"
-#include "targetreport.h"
+#include "replicationreport.h"
 
 #include <cstdint>
 #include <optional>
@@ -23,7 +23,7 @@
 
 inline constexpr auto transactionStateNames = makeNameTable<transaction_state>("idle", "open", "failed");
 
-struct caller_startup {
+struct session_startup {
     std::string database;
 };
 struct caller_request {
@@ -32,7 +32,7 @@
 };
 struct caller_goodbye {
 };
-using caller_message = std::variant<caller_startup, caller_request, caller_goodbye>;
+using caller_message = std::variant<session_startup, caller_request, caller_goodbye>;
 
 enum class decode_status {
     Incomplete, ///< More bytes are needed.
@@ -114,7 +114,7 @@
     /** Reads one message; its texts point into @p bytes. */
     virtual decode_status decode(std::string_view bytes, std::size_t &used, target_message &message) const = 0;
     /** Reads the row that answers Status, Pause, Resume and StepDown. */
-    virtual std::optional<target_report> decodeReport(std::string_view row) const = 0;
+    virtual std::optional<replication_report> decodeReport(std::string_view row) const = 0;
 };
 
 }
--- a/src/libcrocusdealpolicy/promotionattempt.cpp
+++ b/src/libcrocusdealpolicy/promotionattempt.cpp
@@ -31,14 +31,14 @@
     , m_stageSince(now)
 {
     for (auto &member : members) {
-        m_members.push_back({std::move(member), {}, never, never, false, false, false, false});
+        m_members.push_back({std::move(member), {}, never, never, false, false, false, false, false});
     }
 }
 
 std::vector<promotion_action> promotion_attempt::step(time_point now)
 {
     std::vector<promotion_action> actions;
-    if (m_stage != stage::Ended && m_result != promotion_outcome::Pending) {
+    if (m_stage != stage::Ended && m_result != attempt_outcome::Pending) {
         end(m_result, actions);
     }
     if (m_stage == stage::Survey) {
@@ -81,7 +81,7 @@
         if (state.status && state.status->isPrimary && !isOld) {
             m_chosen = state.member.id;
             m_explanation = "target answers as primary";
-            end(promotion_outcome::LeaderFound, actions);
+            end(attempt_outcome::LeaderFound, actions);
             return;
         }
     }
@@ -90,10 +90,29 @@
     }
 }
 
-void promotion_attempt::beginPausing(time_point now)
+void promotion_attempt::enter(stage next, time_point now)
 {
-    m_stage = stage::Pausing;
+    m_stage = next;
     m_stageSince = now;
+    // The interval between questions is for repeating them; the first of a stage is sent at once.
+    for (auto &state : m_members) {
+        state.lastAsk = never;
+    }
+}
+
+void promotion_attempt::enterCatchUp(time_point now)
+{
+    enter(stage::CatchingUp, now);
+    // What the old primary said before the others had stopped receiving does not count.
+    auto *leader = m_leader ? find(*m_leader) : nullptr;
+    if (leader != nullptr) {
+        leader->status.reset();
+    }
+}
+
+void promotion_attempt::beginPausing(time_point now)
+{
+    enter(stage::Pausing, now);
     if (isPlanned()) {
         choosePlanned();
     }
@@ -125,7 +144,7 @@
 {
     if (isPlanned() && !m_chosen) {
         m_explanation = "no replica answers that could take over";
-        end(promotion_outcome::NotSafe, actions);
+        end(attempt_outcome::NotSafe, actions);
         return;
     }
     auto *leader = m_leader ? find(*m_leader) : nullptr;
@@ -133,7 +152,7 @@
         if (leader->status && leader->status->isPrimary) {
             m_chosen = m_leader;
             m_explanation = "the primary answers again";
-            end(promotion_outcome::LeaderFound, actions);
+            end(attempt_outcome::LeaderFound, actions);
             return;
         }
         askAgain(*leader, now, actions);
@@ -143,34 +162,33 @@
             continue;
         }
         state.isAskPending = true;
+        state.wasPauseSent = true;
         state.lastAsk = now;
         // A pause is refused at or below a term that the target has heard of.
         actions.emplace_back(pause_target{state.member.id, m_highestTerm + 1});
     }
     if (areAllPaused() || !m_hasSyncReplicas) {
         if (!isPlanned()) {
-            chooseFurthest(now);
+            chooseFurthest();
         }
-        m_stage = stage::CatchingUp;
-        m_stageSince = now;
+        enterCatchUp(now);
         return;
     }
     const auto waited = now - m_stageSince;
     if (isPlanned() && waited >= plannedPauseTime && m_leader && !m_isSteppedDown) {
         // A replica that cannot be stopped may acknowledge for the old primary, so the old primary has to stop instead.
         m_isSteppedDown = true;
-        m_stage = stage::CatchingUp;
-        m_stageSince = now;
+        enterCatchUp(now);
         actions.emplace_back(step_down_target{*m_leader, m_highestTerm + 1});
         return;
     }
     if (waited >= lostPauseTime) {
         m_explanation = "a replica that may hold acknowledged commits does not answer";
-        end(promotion_outcome::NotSafe, actions);
+        end(attempt_outcome::NotSafe, actions);
     }
 }
 
-void promotion_attempt::chooseFurthest(time_point)
+void promotion_attempt::chooseFurthest()
 {
     const member_state *best = nullptr;
     const auto rank = [](const member_state &state) {
@@ -195,7 +213,7 @@
 {
     if (!m_chosen) {
         m_explanation = "no replica answers";
-        end(promotion_outcome::NotSafe, actions);
+        end(attempt_outcome::NotSafe, actions);
         return;
     }
     if (!isPlanned()) {
@@ -206,7 +224,7 @@
     auto *chosen = find(*m_chosen);
     if (chosen == nullptr || now - m_stageSince >= catchUpTime) {
         m_explanation = "the chosen replica does not catch up";
-        end(promotion_outcome::NotSafe, actions);
+        end(attempt_outcome::NotSafe, actions);
         return;
     }
     // The position of the old primary counts only if it was asked for after the others had stopped receiving.
@@ -227,8 +245,7 @@
 
 void promotion_attempt::order(time_point now, std::vector<promotion_action> &actions)
 {
-    m_stage = stage::Ordering;
-    m_stageSince = now;
+    enter(stage::Ordering, now);
     m_explanation = "holds " + toString(m_needed);
     actions.emplace_back(order_promotion{*m_chosen});
 }
@@ -237,29 +254,28 @@
 {
     auto *chosen = find(*m_chosen);
     if (chosen != nullptr && chosen->status && chosen->status->isPrimary && chosen->askedAt >= m_stageSince) {
-        end(promotion_outcome::Promoted, actions);
+        end(attempt_outcome::Promoted, actions);
         return;
     }
     if (chosen == nullptr || now - m_stageSince >= leadTime) {
         m_explanation = "the chosen target does not lead";
-        end(promotion_outcome::Unanswered, actions);
+        end(attempt_outcome::Unanswered, actions);
         return;
     }
     askAgain(*chosen, now, actions);
 }
 
-void promotion_attempt::end(promotion_outcome result, std::vector<promotion_action> &actions)
+void promotion_attempt::end(attempt_outcome result, std::vector<promotion_action> &actions)
 {
     m_result = result;
     m_stage = stage::Ended;
-    if (result == promotion_outcome::Refused) {
+    if (result == attempt_outcome::Refused) {
         // A newer holder may rely on the pauses; it also ends them.
         return;
     }
     for (const auto &state : m_members) {
-        const bool mayBePaused = state.isPauseWanted && state.lastAsk != never;
         const bool wasLeftPaused = state.status && state.status->isPaused();
-        if (mayBePaused || wasLeftPaused) {
+        if (state.wasPauseSent || wasLeftPaused) {
             actions.emplace_back(resume_target{state.member.id});
         }
     }
@@ -276,7 +292,7 @@
 }
 
 void promotion_attempt::statusReceived(const target_id &target,
-                                       const target_report &status,
+                                       const replication_report &status,
                                        time_point askedAt,
                                        time_point)
 {
@@ -309,21 +325,20 @@
 
 void promotion_attempt::orderAccepted(time_point now)
 {
-    m_stage = stage::AwaitingLead;
-    m_stageSince = now;
+    enter(stage::AwaitingLead, now);
 }
 
 void promotion_attempt::orderRefused()
 {
-    m_result = promotion_outcome::Refused;
+    m_result = attempt_outcome::Refused;
 }
 
 void promotion_attempt::orderUnanswered()
 {
-    m_result = promotion_outcome::Unanswered;
+    m_result = attempt_outcome::Unanswered;
 }
 
-promotion_outcome promotion_attempt::result() const
+attempt_outcome promotion_attempt::result() const
 {
     return m_result;
 }
--- a/src/libcrocusdealpolicy/promotionattempt.h
+++ b/src/libcrocusdealpolicy/promotionattempt.h
@@ -4,7 +4,7 @@
 #include "identifiers.h"
 #include "nametable.h"
 #include "position.h"
-#include "targetreport.h"
+#include "replicationreport.h"
 
 #include <map>
 #include <optional>
@@ -51,7 +51,7 @@
 };
 using promotion_action = std::variant<survey_target, pause_target, resume_target, step_down_target, order_promotion>;
 
-enum class promotion_outcome {
+enum class attempt_outcome {
     Pending,
     Promoted,
     LeaderFound, ///< A primary answers; nothing was ordered.
@@ -60,8 +60,8 @@
     Unanswered, ///< The order may still be carried out; a newer one has to fence it.
 };
 
-inline constexpr auto promotionOutcomeNames =
-    makeNameTable<promotion_outcome>("pending", "promoted", "leader_found", "not_safe", "refused", "unanswered");
+inline constexpr auto attemptOutcomeNames =
+    makeNameTable<attempt_outcome>("pending", "promoted", "leader_found", "not_safe", "refused", "unanswered");
 
 /**
  * One change of the primary of a service, from the survey of its targets to the lead of the chosen one.
@@ -85,7 +85,7 @@
     /** Always later than @p now. */
     time_point wakeAt(time_point now) const;
 
-    void statusReceived(const target_id &target, const target_report &status, time_point askedAt, time_point now);
+    void statusReceived(const target_id &target, const replication_report &status, time_point askedAt, time_point now);
     /** The target did not answer, or refused. */
     void statusMissing(const target_id &target, time_point now);
     /** The target's entry is gone from the metadata store. */
@@ -94,7 +94,7 @@
     void orderRefused();
     void orderUnanswered();
 
-    promotion_outcome result() const;
+    attempt_outcome result() const;
     /** The new primary, or the one that was found. */
     const std::optional<target_id> &chosen() const;
     /** The term in which the chosen target answered as primary; 0 if it has not. */
@@ -108,25 +108,28 @@
 
     struct member_state {
         promotion_member member;
-        std::optional<target_report> status;
+        std::optional<replication_report> status;
         time_point askedAt = never; ///< Of the status.
         time_point lastAsk = never;
         bool isAskPending = false;
         bool isPauseWanted = false;
+        bool wasPauseSent = false;
         bool isPaused = false;
         bool isMissing = false;
     };
 
     bool isPlanned() const;
+    void enter(stage next, time_point now);
     void survey(time_point now, std::vector<promotion_action> &actions);
+    void enterCatchUp(time_point now);
     void beginPausing(time_point now);
     void pauseWanted(time_point now, std::vector<promotion_action> &actions);
-    void chooseFurthest(time_point now);
+    void chooseFurthest();
     void choosePlanned();
     void catchUp(time_point now, std::vector<promotion_action> &actions);
     void awaitLead(time_point now, std::vector<promotion_action> &actions);
     void order(time_point now, std::vector<promotion_action> &actions);
-    void end(promotion_outcome result, std::vector<promotion_action> &actions);
+    void end(attempt_outcome result, std::vector<promotion_action> &actions);
     void askAgain(member_state &member, time_point now, std::vector<promotion_action> &actions);
     member_state *find(const target_id &target);
     bool isSurveyComplete() const;
@@ -144,7 +147,7 @@
     position m_needed; ///< What the chosen target has to hold before the order.
     bool m_isSteppedDown = false;
     std::optional<target_id> m_chosen;
-    promotion_outcome m_result = promotion_outcome::Pending;
+    attempt_outcome m_result = attempt_outcome::Pending;
     std::string m_explanation;
 };
 
--- a/src/libcrocusdealpolicy/targetreport.h
+++ b/src/libcrocusdealpolicy/replicationreport.h
@@ -9,7 +9,7 @@
 {
 
 /** What a target says of itself when it is asked for its status. */
-struct target_report {
+struct replication_report {
     bool isPrimary = false;
     std::uint64_t term = 0;
     position received; ///< Of its log, also what it has not applied yet.
--- /dev/null
+++ b/tests/libcrocusdealpolicy/policytest.cpp
@@ -0,0 +1,388 @@
+#include "dutyclaim.h"
+#include "freshness.h"
+#include "placement.h"
+#include "sessionvalues.h"
+#include "targetdirectory.h"
+#include "waitqueue.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <random>
+
+using namespace crocusdeal;
+using namespace crocusdeal::literals;
+
+class freshness_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(freshness_test);
+    CPPUNIT_TEST(coversOnlyWithAnAnswerAskedAfterTheBound);
+    CPPUNIT_TEST(neverGivesAPositionThatMissesAnEarlierCommit);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against STALE: an answer that was asked for before the bound may lack later commits. */
+    void coversOnlyWithAnAnswerAskedAfterTheBound()
+    {
+        position_samples samples;
+        samples.add({1, 10}, {1000});
+        samples.add({1, 20}, {2000});
+        CPPUNIT_ASSERT(samples.covering({1000}) == (position{1, 10}));
+        CPPUNIT_ASSERT(samples.covering({1001}) == (position{1, 20}));
+        CPPUNIT_ASSERT(!samples.covering({2001}));
+    }
+
+    /** Guards against a thinned-out sample standing in for a later one. */
+    void neverGivesAPositionThatMissesAnEarlierCommit()
+    {
+        CPPUNIT_ASSERT(rc::check("covering position", [](std::uint32_t seed) {
+            std::mt19937 random(seed);
+            position_samples samples;
+            std::vector<std::pair<std::int64_t, std::uint64_t>> commits;
+            std::int64_t now = 0;
+            std::uint64_t last = 0;
+            for (int i = 0; i < 300; ++i) {
+                now += random() % 40;
+                if (random() % 2 == 0) {
+                    commits.emplace_back(now, ++last);
+                } else {
+                    samples.add({1, last}, {now});
+                }
+                const time_point bound{now - static_cast<std::int64_t>(random() % 500)};
+                const auto covering = samples.covering(bound);
+                for (const auto &[at, number] : commits) {
+                    RC_ASSERT(!covering || at >= bound.ms || number <= covering->offset);
+                }
+            }
+        }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(freshness_test);
+
+class session_values_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(session_values_test);
+    CPPUNIT_TEST(connectionHoldsExactlyTheValuesOfTheSession);
+    CPPUNIT_TEST(nothingIsDiscardedInATransaction);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against PINNED: a value or name of another session is left on the connection. */
+    void connectionHoldsExactlyTheValuesOfTheSession()
+    {
+        CPPUNIT_ASSERT(rc::check("values follow the session", [](std::uint32_t seed) {
+            std::mt19937 random(seed);
+            std::vector<session_values> sessions(4);
+            connection_values believed;
+            std::map<std::string, std::string> held;
+            std::map<std::string, prepared_shape> names;
+            for (int i = 0; i < 200; ++i) {
+                auto &session = sessions[random() % sessions.size()];
+                const auto name = std::to_string(random() % 3);
+                session.values[name] = std::to_string(random() % 2);
+                const prepared_shape shape{random() % 2 == 0 ? effect::Read : effect::Write,
+                                           std::to_string(random() % 400)};
+                for (const auto &step : believed.prepareFor(session, &shape, false)) {
+                    if (step.kind == preparation_step::Discard) {
+                        held.clear();
+                        names.clear();
+                    } else if (step.kind == preparation_step::Set) {
+                        held[step.name] = step.value;
+                    } else {
+                        names[step.name] = {step.preparedEffect, step.value};
+                    }
+                }
+                RC_ASSERT(held == session.values);
+                RC_ASSERT(names.at(believed.nameOf(shape)) == shape);
+            }
+        }));
+    }
+
+    /** Guards against a DISCARD in the middle of a transaction. */
+    void nothingIsDiscardedInATransaction()
+    {
+        connection_values values;
+        session_values session;
+        for (int i = 0; i < 600; ++i) {
+            const prepared_shape shape{effect::Read, std::to_string(i)};
+            for (const auto &step : values.prepareFor(session, &shape, true)) {
+                CPPUNIT_ASSERT(step.kind != preparation_step::Discard);
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(session_values_test);
+
+class duty_claim_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(duty_claim_test);
+    CPPUNIT_TEST(theHolderGoesFirst);
+    CPPUNIT_TEST(takesOverOnlyAfterTheLease);
+    CPPUNIT_TEST(refusedTokenIsNeverUsedAgain);
+    CPPUNIT_TEST(tokenOfAnEarlierProcessIsNotInHand);
+    CPPUNIT_TEST(claimGoesStaleWhileSuspended);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against holders that take turns. */
+    void theHolderGoesFirst()
+    {
+        duty_claim claim("b");
+        claim.observe({"a", 7}, {0});
+        CPPUNIT_ASSERT(!claim.mayClaim({60000}, {60000}));
+        CPPUNIT_ASSERT(claim.mayClaim({60800}, {60000}));
+        duty_claim own("a");
+        own.observe({"a", 7}, {0});
+        CPPUNIT_ASSERT(own.mayClaim({60000}, {60000}));
+    }
+
+    /** Guards against ONE: two holders that act within one lease. */
+    void takesOverOnlyAfterTheLease()
+    {
+        duty_claim claim("b");
+        claim.observe({"a", 7}, {0});
+        claim.observe({"a", 8}, {10000});
+        CPPUNIT_ASSERT(!claim.mayClaim({12000}, {9000}));
+        CPPUNIT_ASSERT(claim.mayClaim({15000}, {9000}));
+    }
+
+    /** Guards against asking again and again with a fencing token that the platform refuses. */
+    void refusedTokenIsNeverUsedAgain()
+    {
+        duty_claim claim("b");
+        claim.claimed(9, {0});
+        CPPUNIT_ASSERT(claim.token() == 9U);
+        claim.refused(9);
+        CPPUNIT_ASSERT(!claim.token());
+        claim.claimed(12, {100});
+        CPPUNIT_ASSERT(claim.token() == 12U);
+    }
+
+    /** Guards against acting under a claim that a process of the same name made before its restart. */
+    void tokenOfAnEarlierProcessIsNotInHand()
+    {
+        duty_claim claim("b");
+        claim.observe({"b", 5}, {0});
+        CPPUNIT_ASSERT(claim.isHeldHere());
+        CPPUNIT_ASSERT(!claim.token());
+    }
+
+    /** Guards against an order by a machine that was suspended after its claim. */
+    void claimGoesStaleWhileSuspended()
+    {
+        duty_claim claim("b");
+        claim.claimed(9, {0});
+        CPPUNIT_ASSERT(!claim.isClaimStale({900}));
+        CPPUNIT_ASSERT(claim.isClaimStale({4000}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(duty_claim_test);
+
+class target_directory_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(target_directory_test);
+    CPPUNIT_TEST(drainingReplicaGetsNothingNew);
+    CPPUNIT_TEST(drainingPrimaryServesUntilShortlyBeforeItsTime);
+    CPPUNIT_TEST(lapsedEntryServesForAMoment);
+    CPPUNIT_TEST(lapsedTargetIsRememberedForPromotions);
+    CPPUNIT_TEST(anotherLifeIsNotDraining);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against DRAIN: new statements at a target that is leaving. */
+    void drainingReplicaGetsNothingNew()
+    {
+        target_directory directory(7000_ms);
+        directory.put(entry(true), {0});
+        CPPUNIT_ASSERT(!directory.acceptsNewWork(known(directory), false, {1}));
+    }
+
+    /** Guards against a gap before the lead has moved, and against DRAIN after it should have. */
+    void drainingPrimaryServesUntilShortlyBeforeItsTime()
+    {
+        target_directory directory(7000_ms);
+        directory.put(entry(true), {0});
+        CPPUNIT_ASSERT(directory.acceptsNewWork(known(directory), true, {5000}));
+        CPPUNIT_ASSERT(!directory.acceptsNewWork(known(directory), true, {6000}));
+    }
+
+    /** Guards against giving up all targets when the store returns without their entries. */
+    void lapsedEntryServesForAMoment()
+    {
+        target_directory directory(7000_ms);
+        directory.put(entry(false), {0});
+        directory.replaceAll({}, {1000});
+        CPPUNIT_ASSERT(directory.acceptsNewWork(known(directory), false, {3000}));
+        CPPUNIT_ASSERT(!directory.acceptsNewWork(known(directory), false, {4000}));
+    }
+
+    /** Guards against LOST: a target that is cut off with its primary loses its entry and still acknowledges. */
+    void lapsedTargetIsRememberedForPromotions()
+    {
+        target_directory directory(7000_ms);
+        directory.put(entry(true), {0});
+        directory.remove(target_id("t"), {1000});
+        CPPUNIT_ASSERT(directory.forgetGone({20000}).empty());
+        CPPUNIT_ASSERT(directory.find(target_id("t")) != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.forgetGone({40000}).size());
+    }
+
+    /** Guards against keeping a target that has started again under its id out of work. */
+    void anotherLifeIsNotDraining()
+    {
+        target_directory directory(7000_ms);
+        directory.put(entry(true), {0});
+        auto reborn = entry(false);
+        reborn.born = 2;
+        directory.put(reborn, {100});
+        CPPUNIT_ASSERT(directory.acceptsNewWork(known(directory), false, {200}));
+    }
+
+private:
+    static target_entry entry(bool isDraining)
+    {
+        target_entry result;
+        result.id = target_id("t");
+        result.service = service_id("s");
+        result.isDraining = isDraining;
+        result.born = 1;
+        return result;
+    }
+
+    static const known_target &known(const target_directory &directory)
+    {
+        return *directory.find(target_id("t"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(target_directory_test);
+
+class placement_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(placement_test);
+    CPPUNIT_TEST(prefersAReplicaNearby);
+    CPPUNIT_TEST(avoidsASlowOrFullTarget);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against reads that take slots of the primary or cross data centres without need. */
+    void prefersAReplicaNearby()
+    {
+        auto primary = candidate(0);
+        primary.isPrimary = true;
+        primary.isLocal = true;
+        const auto distant = candidate(1);
+        auto nearby = candidate(2);
+        nearby.isLocal = true;
+        CPPUNIT_ASSERT(placeRead({primary, distant, nearby}) == std::size_t{2});
+    }
+
+    /** Guards against queueing behind long work while another target is free. */
+    void avoidsASlowOrFullTarget()
+    {
+        auto full = candidate(0);
+        full.isLocal = true;
+        full.inFlight = full.permits;
+        auto slow = candidate(1);
+        slow.answerMs = 80;
+        const auto free = candidate(2);
+        CPPUNIT_ASSERT(placeRead({full, slow, free}) == std::size_t{2});
+        CPPUNIT_ASSERT(!placeRead({full}));
+    }
+
+private:
+    static read_candidate candidate(std::size_t index)
+    {
+        read_candidate result;
+        result.index = index;
+        result.permits = 2;
+        result.slots = 2;
+        result.answerMs = 10;
+        result.isKnownToCover = true;
+        result.hasIdleConnection = true;
+        return result;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(placement_test);
+
+class wait_queue_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(wait_queue_test);
+    CPPUNIT_TEST(placesByPriorityThenByTime);
+    CPPUNIT_TEST(refusesOnlyWhatIsDue);
+    CPPUNIT_TEST(workMayChangeTheQueueWhileItIsPlaced);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against urgent work that waits behind work that may wait. */
+    void placesByPriorityThenByTime()
+    {
+        wait_queue queue;
+        std::string order;
+        add(queue, 2, {100}, "c", order);
+        add(queue, 1, {300}, "b", order);
+        add(queue, 1, {200}, "a", order);
+        queue.placeAll();
+        CPPUNIT_ASSERT_EQUAL(std::string("abc"), order);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, queue.size());
+    }
+
+    /** Guards against refusing work that can still be served, and against keeping what cannot. */
+    void refusesOnlyWhatIsDue()
+    {
+        wait_queue queue;
+        int refused = 0;
+        for (const std::int64_t at : {100, 200}) {
+            waiting_work work;
+            work.refuseAt = {at};
+            work.tryPlace = [] { return false; };
+            work.refuse = [&refused] { ++refused; };
+            queue.add(std::move(work));
+        }
+        queue.refuseExpired({150});
+        CPPUNIT_ASSERT_EQUAL(1, refused);
+        CPPUNIT_ASSERT(queue.nextRefusal() == time_point{200});
+    }
+
+    /** Guards against iterating over entries that a placement has removed. */
+    void workMayChangeTheQueueWhileItIsPlaced()
+    {
+        wait_queue queue;
+        wait_queue::ticket second = 0;
+        waiting_work first;
+        first.tryPlace = [&] {
+            queue.remove(second);
+            return true;
+        };
+        queue.add(std::move(first));
+        waiting_work other;
+        other.wantedBy = {1};
+        other.tryPlace = [] {
+            CPPUNIT_FAIL("removed work was placed");
+            return true;
+        };
+        second = queue.add(std::move(other));
+        queue.placeAll();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, queue.size());
+    }
+
+private:
+    static void add(wait_queue &queue, int priority, time_point wantedBy, const char *name, std::string &order)
+    {
+        waiting_work work;
+        work.priority = priority;
+        work.wantedBy = wantedBy;
+        work.tryPlace = [name, &order] {
+            order += name;
+            return true;
+        };
+        queue.add(std::move(work));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(wait_queue_test);
--- /dev/null
+++ b/tests/libcrocusdealpolicy/promotionattempttest.cpp
@@ -0,0 +1,259 @@
+#include "promotionattempt.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace crocusdeal;
+using namespace crocusdeal::literals;
+
+namespace
+{
+
+const target_id oldPrimary("a");
+const target_id nearReplica("b");
+const target_id farReplica("c");
+const target_id leaving("d");
+
+std::vector<promotion_member> members(std::initializer_list<target_id> ids)
+{
+    std::vector<promotion_member> list;
+    for (const auto &id : ids) {
+        list.push_back({id, false, false, false});
+    }
+    return list;
+}
+
+replication_report report(bool isPrimary, position received, std::uint64_t pausedAt = 0)
+{
+    replication_report result;
+    result.isPrimary = isPrimary;
+    result.term = 3;
+    result.received = received;
+    result.pausedAt = pausedAt;
+    return result;
+}
+
+template<typename Action>
+std::vector<target_id> targetsOf(const std::vector<promotion_action> &actions)
+{
+    std::vector<target_id> targets;
+    for (const auto &action : actions) {
+        if (const auto *wanted = std::get_if<Action>(&action)) {
+            targets.push_back(wanted->target);
+        }
+    }
+    return targets;
+}
+
+bool isOrdered(const std::vector<promotion_action> &actions)
+{
+    return !targetsOf<order_promotion>(actions).empty();
+}
+
+}
+
+class promotion_attempt_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(promotion_attempt_test);
+    CPPUNIT_TEST(choosesTheFurthestPausedReplica);
+    CPPUNIT_TEST(doesNotOrderBesideAReplicaThatIsNotPaused);
+    CPPUNIT_TEST(ordersOnceTheMissingReplicaIsGone);
+    CPPUNIT_TEST(resumesWhenThePrimaryAnswersAgain);
+    CPPUNIT_TEST(leavesPausesToTheNewerHolderWhenRefused);
+    CPPUNIT_TEST(plannedChangePausesAllButTheChosen);
+    CPPUNIT_TEST(plannedChangeWaitsForThePositionAfterThePauses);
+    CPPUNIT_TEST(plannedChangeStepsDownWhenAReplicaCannotBePaused);
+    CPPUNIT_TEST(plannedChangeWithoutACandidateOrdersNothing);
+    CPPUNIT_TEST(wakesOnlyInTheFuture);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against losing a commit that only the further replica holds. */
+    void choosesTheFurthestPausedReplica()
+    {
+        auto attempt = lostAttempt();
+        attempt.statusReceived(nearReplica, report(false, {3, 10}), m_now, m_now);
+        attempt.statusReceived(farReplica, report(false, {3, 12}), m_now, m_now);
+        const auto pauses = targetsOf<pause_target>(attempt.step(m_now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, pauses.size());
+        attempt.statusReceived(nearReplica, report(false, {3, 14}, 4), m_now, m_now);
+        attempt.statusReceived(farReplica, report(false, {3, 13}, 4), m_now, m_now);
+        const auto ordered = targetsOf<order_promotion>(attempt.step(m_now));
+        CPPUNIT_ASSERT(ordered == std::vector<target_id>{nearReplica});
+    }
+
+    /** Guards against LOST: a replica that this instance cannot reach may go on acknowledging for the primary. */
+    void doesNotOrderBesideAReplicaThatIsNotPaused()
+    {
+        auto attempt = lostAttempt();
+        attempt.statusReceived(nearReplica, report(false, {3, 10}), m_now, m_now);
+        attempt.statusMissing(farReplica, m_now);
+        bool wasOrdered = false;
+        for (int i = 0; i < 100; ++i) {
+            for (const auto &action : attempt.step(m_now)) {
+                wasOrdered = wasOrdered || std::holds_alternative<order_promotion>(action);
+                if (const auto *pause = std::get_if<pause_target>(&action)) {
+                    answerPause(attempt, pause->target);
+                }
+            }
+            m_now = m_now + 100_ms;
+        }
+        CPPUNIT_ASSERT(!wasOrdered);
+    }
+
+    /** Guards against waiting for ever for a target that has left. */
+    void ordersOnceTheMissingReplicaIsGone()
+    {
+        auto attempt = lostAttempt();
+        attempt.statusReceived(nearReplica, report(false, {3, 10}), m_now, m_now);
+        attempt.statusMissing(farReplica, m_now);
+        attempt.step(m_now);
+        attempt.statusReceived(nearReplica, report(false, {3, 10}, 4), m_now, m_now);
+        CPPUNIT_ASSERT(!isOrdered(attempt.step(m_now)));
+        attempt.memberGone(farReplica);
+        CPPUNIT_ASSERT(isOrdered(attempt.step(m_now)));
+    }
+
+    /** Guards against leaving replicas paused, and against replacing a primary that lives. */
+    void resumesWhenThePrimaryAnswersAgain()
+    {
+        auto attempt = lostAttempt();
+        attempt.statusReceived(nearReplica, report(false, {3, 10}), m_now, m_now);
+        attempt.statusMissing(farReplica, m_now);
+        attempt.step(m_now);
+        attempt.statusReceived(oldPrimary, report(true, {3, 15}), m_now, m_now);
+        const auto resumed = targetsOf<resume_target>(attempt.step(m_now));
+        CPPUNIT_ASSERT(attempt.result() == attempt_outcome::LeaderFound);
+        CPPUNIT_ASSERT(std::find(resumed.begin(), resumed.end(), nearReplica) != resumed.end());
+    }
+
+    /** Guards against ending the pauses on which a newer holder of the duty relies. */
+    void leavesPausesToTheNewerHolderWhenRefused()
+    {
+        auto attempt = lostAttempt();
+        attempt.statusReceived(nearReplica, report(false, {3, 10}), m_now, m_now);
+        attempt.statusReceived(farReplica, report(false, {3, 10}), m_now, m_now);
+        attempt.step(m_now);
+        attempt.orderRefused();
+        CPPUNIT_ASSERT(attempt.step(m_now).empty());
+        CPPUNIT_ASSERT(attempt.result() == attempt_outcome::Refused);
+    }
+
+    /** Guards against a gap in a planned change: the old primary serves on with the chosen replica. */
+    void plannedChangePausesAllButTheChosen()
+    {
+        auto attempt = plannedAttempt({oldPrimary, nearReplica, farReplica});
+        answerSurvey(attempt);
+        const auto pauses = targetsOf<pause_target>(attempt.step(m_now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pauses.size());
+        CPPUNIT_ASSERT(attempt.chosen().has_value());
+        CPPUNIT_ASSERT(pauses.front() != *attempt.chosen());
+        CPPUNIT_ASSERT(pauses.front() != oldPrimary);
+    }
+
+    /** Guards against LOST: what the primary committed before the pauses may be on the paused replica only. */
+    void plannedChangeWaitsForThePositionAfterThePauses()
+    {
+        auto attempt = plannedAttempt({oldPrimary, nearReplica, farReplica});
+        answerSurvey(attempt);
+        const auto paused = targetsOf<pause_target>(attempt.step(m_now)).front();
+        m_now = m_now + 5_ms;
+        attempt.statusReceived(paused, report(false, {3, 22}, 4), m_now, m_now);
+        CPPUNIT_ASSERT(!isOrdered(attempt.step(m_now)));
+        m_now = m_now + 100_ms;
+        attempt.statusReceived(oldPrimary, report(true, {3, 25}), m_now, m_now);
+        attempt.statusReceived(*attempt.chosen(), report(false, {3, 24}), m_now, m_now);
+        CPPUNIT_ASSERT(!isOrdered(attempt.step(m_now)));
+        m_now = m_now + 100_ms;
+        attempt.statusReceived(*attempt.chosen(), report(false, {3, 25}), m_now, m_now);
+        CPPUNIT_ASSERT(isOrdered(attempt.step(m_now)));
+    }
+
+    /** Guards against LOST when a replica acknowledges that this instance cannot reach. */
+    void plannedChangeStepsDownWhenAReplicaCannotBePaused()
+    {
+        auto attempt = plannedAttempt({oldPrimary, nearReplica, leaving});
+        attempt.statusReceived(oldPrimary, report(true, {3, 20}), m_now, m_now);
+        attempt.statusReceived(nearReplica, report(false, {3, 20}), m_now, m_now);
+        attempt.statusMissing(leaving, m_now);
+        bool hasSteppedDown = false;
+        for (int i = 0; i < 20 && !hasSteppedDown; ++i) {
+            const auto actions = attempt.step(m_now);
+            CPPUNIT_ASSERT(!isOrdered(actions));
+            hasSteppedDown = !targetsOf<step_down_target>(actions).empty();
+            attempt.statusMissing(leaving, m_now);
+            m_now = m_now + 100_ms;
+        }
+        CPPUNIT_ASSERT(hasSteppedDown);
+        attempt.statusReceived(oldPrimary, report(false, {3, 30}), m_now, m_now);
+        attempt.statusReceived(nearReplica, report(false, {3, 29}), m_now, m_now);
+        CPPUNIT_ASSERT(!isOrdered(attempt.step(m_now)));
+        attempt.statusReceived(nearReplica, report(false, {3, 30}), m_now, m_now);
+        CPPUNIT_ASSERT(isOrdered(attempt.step(m_now)));
+    }
+
+    /** Guards against ordering the primary itself, or a target that is leaving as well. */
+    void plannedChangeWithoutACandidateOrdersNothing()
+    {
+        promotion_attempt attempt(promotion_reason::PrimaryDraining,
+                                  oldPrimary,
+                                  {{oldPrimary, true, false, false}, {leaving, true, false, false}},
+                                  true,
+                                  m_now);
+        attempt.step(m_now);
+        attempt.statusReceived(oldPrimary, report(true, {3, 20}), m_now, m_now);
+        attempt.statusReceived(leaving, report(false, {3, 20}), m_now, m_now);
+        CPPUNIT_ASSERT(!isOrdered(attempt.step(m_now)));
+        CPPUNIT_ASSERT(attempt.result() == attempt_outcome::NotSafe);
+    }
+
+    /** Guards against a busy loop: members that are not asked any more lie far in the past. */
+    void wakesOnlyInTheFuture()
+    {
+        auto attempt = plannedAttempt({oldPrimary, nearReplica, farReplica});
+        answerSurvey(attempt);
+        for (int i = 0; i < 50; ++i) {
+            attempt.step(m_now);
+            CPPUNIT_ASSERT(attempt.wakeAt(m_now) > m_now);
+            m_now = m_now + 100_ms;
+        }
+    }
+
+private:
+    promotion_attempt lostAttempt()
+    {
+        promotion_attempt attempt(
+            promotion_reason::PrimaryLost, oldPrimary, members({oldPrimary, nearReplica, farReplica}), true, m_now);
+        attempt.step(m_now);
+        return attempt;
+    }
+
+    promotion_attempt plannedAttempt(std::initializer_list<target_id> ids)
+    {
+        promotion_attempt attempt(promotion_reason::PrimaryDraining, oldPrimary, members(ids), true, m_now);
+        attempt.step(m_now);
+        return attempt;
+    }
+
+    void answerSurvey(promotion_attempt &attempt)
+    {
+        attempt.statusReceived(oldPrimary, report(true, {3, 20}), m_now, m_now);
+        attempt.statusReceived(nearReplica, report(false, {3, 20}), m_now, m_now);
+        attempt.statusReceived(farReplica, report(false, {3, 20}), m_now, m_now);
+    }
+
+    void answerPause(promotion_attempt &attempt, const target_id &target)
+    {
+        if (target == farReplica) {
+            attempt.statusMissing(target, m_now);
+        } else {
+            attempt.statusReceived(target, report(false, {3, 10}, 4), m_now, m_now);
+        }
+    }
+
+    time_point m_now{1000};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(promotion_attempt_test);
--- /dev/null
+++ b/tests/platform/linecodectest.cpp
@@ -0,0 +1,224 @@
+#include "linecodec.h"
+#include "objectdecoding.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+#include <random>
+
+using namespace crocusdeal;
+using namespace crocusdeal::platform;
+
+class line_codec_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(line_codec_test);
+    CPPUNIT_TEST(readsStatementsOfCallers);
+    CPPUNIT_TEST(refusesWhatCallersMayNotSay);
+    CPPUNIT_TEST(keepsTheTextUnchanged);
+    CPPUNIT_TEST(boundsTheLengthOfAMessage);
+    CPPUNIT_TEST(survivesArbitraryBytes);
+    CPPUNIT_TEST(readsAnswersOfTargets);
+    CPPUNIT_TEST(readsTheReportOfATarget);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against a statement that is taken for one of another kind. */
+    void readsStatementsOfCallers()
+    {
+        CPPUNIT_ASSERT(parseStatement("BEGIN").kind == statement_kind::Begin);
+        CPPUNIT_ASSERT(parseStatement("BEGIN READ").kind == statement_kind::BeginRead);
+        CPPUNIT_ASSERT(parseStatement("READ 1a4").kind == statement_kind::Read);
+        CPPUNIT_ASSERT(parseStatement("WRITE 1a4 x y").kind == statement_kind::Write);
+        const auto prepare = parseStatement("PREPARE s1 WRITE q2c d");
+        CPPUNIT_ASSERT(prepare.kind == statement_kind::Prepare && prepare.preparedEffect == effect::Write);
+        CPPUNIT_ASSERT_EQUAL(std::string("q2c d"), prepare.argument);
+        const auto execute = parseStatement("EXECUTE s1 1a4 data with blanks");
+        CPPUNIT_ASSERT_EQUAL(std::string("s1"), execute.name);
+        CPPUNIT_ASSERT_EQUAL(std::string("1a4 data with blanks"), execute.argument);
+        CPPUNIT_ASSERT(parseStatement("DEALLOCATE s1").kind == statement_kind::Deallocate);
+    }
+
+    /** Guards against callers that reach the control statements of a target, or smuggle a position. */
+    void refusesWhatCallersMayNotSay()
+    {
+        for (const char *text : {"", "STATUS", "PAUSE 9", "RESUME", "STEPDOWN 9", "DISCARD", "AFTER 1.2 READ 1", "READ",
+                                 "COMMIT now", "BEGIN WRITE", "PREPARE s1 DROP x", "SET a", "EXECUTE s1", "read 1"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, parseStatement(text).kind == statement_kind::Malformed);
+        }
+    }
+
+    /** Guards against UNASKED: the text that a target runs is the caller's. */
+    void keepsTheTextUnchanged()
+    {
+        caller_line_codec callers;
+        caller_message message;
+        std::size_t used = 0;
+        const std::string line = "QUERY 5c0e WRITE 1a4  two blanks \r\n";
+        CPPUNIT_ASSERT(callers.decode(line, used, message) == decode_status::Decoded);
+        CPPUNIT_ASSERT_EQUAL(line.size(), used);
+        const auto &request = std::get<caller_request>(message);
+        std::string out;
+        target_line_codec().addStatement(out, request.id, position{3, 1207}, request.what.text);
+        CPPUNIT_ASSERT_EQUAL(std::string("QUERY 5c0e AFTER 3.1207 WRITE 1a4  two blanks \r\n"), out);
+    }
+
+    /** Guards against unbounded memory for a line that never ends. */
+    void boundsTheLengthOfAMessage()
+    {
+        caller_line_codec callers;
+        caller_message message;
+        std::size_t used = 0;
+        const std::string endless(1100U * 1024, 'x');
+        CPPUNIT_ASSERT(callers.decode(endless, used, message) == decode_status::TooLarge);
+        CPPUNIT_ASSERT(callers.decode("QUERY 5c0e REA", used, message) == decode_status::Incomplete);
+    }
+
+    /** Guards against crashes, and against a decoder that takes bytes without making progress. */
+    void survivesArbitraryBytes()
+    {
+        CPPUNIT_ASSERT(rc::check("any bytes", [](std::uint32_t seed) {
+            std::mt19937 random(seed);
+            const std::string alphabet("QUERY STARTUP READY DATAROW ERROR BUSY 1.2 I T E - AFTER\r\n\0\xff", 62);
+            std::string bytes;
+            for (std::size_t i = random() % 300; i > 0; --i) {
+                bytes.push_back(alphabet[random() % alphabet.size()]);
+            }
+            drain(bytes, [](std::string_view rest, std::size_t &used) {
+                caller_message message;
+                return caller_line_codec().decode(rest, used, message);
+            });
+            drain(bytes, [](std::string_view rest, std::size_t &used) {
+                target_message message;
+                return target_line_codec().decode(rest, used, message);
+            });
+            target_line_codec().decodeReport(bytes);
+        }));
+    }
+
+    /** Guards against answers whose code or position is lost. */
+    void readsAnswersOfTargets()
+    {
+        target_line_codec targets;
+        target_message message;
+        std::size_t used = 0;
+        targets.decode("ERROR READONLY i-7f3a91c2\r\n", used, message);
+        CPPUNIT_ASSERT(std::get<target_error>(message).code == error_code::ReadOnly);
+        targets.decode("READY E 3.1209\r\n", used, message);
+        CPPUNIT_ASSERT(std::get<target_ready>(message).state == transaction_state::Failed);
+        CPPUNIT_ASSERT(std::get<target_ready>(message).at == (position{3, 1209}));
+        targets.decode("READY I -\r\n", used, message);
+        CPPUNIT_ASSERT(!std::get<target_ready>(message).at);
+        targets.decode("ERROR NEVERHEARD x\r\n", used, message);
+        CPPUNIT_ASSERT(std::get<target_error>(message).code == error_code::Other);
+    }
+
+    /** Guards against taking the term for which a target is paused for the term of its data. */
+    void readsTheReportOfATarget()
+    {
+        const auto report = target_line_codec().decodeReport("replica 3 3.1209 4 12 2 17");
+        CPPUNIT_ASSERT(report && !report->isPrimary && report->term == 3 && report->isPaused());
+        CPPUNIT_ASSERT(report->received == (position{3, 1209}) && report->pausedAt == 4 && report->connections == 17);
+        CPPUNIT_ASSERT(!target_line_codec().decodeReport("replica 3"));
+    }
+
+private:
+    template<typename Decode>
+    static void drain(std::string_view bytes, const Decode &decode)
+    {
+        while (!bytes.empty()) {
+            std::size_t used = 0;
+            const auto status = decode(bytes, used);
+            if (status == decode_status::Incomplete || status == decode_status::TooLarge) {
+                return;
+            }
+            RC_ASSERT(used > 0 && used <= bytes.size());
+            bytes.remove_prefix(used);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(line_codec_test);
+
+class object_decoding_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(object_decoding_test);
+    CPPUNIT_TEST(readsAnEntry);
+    CPPUNIT_TEST(ignoresEntriesOfOtherWriters);
+    CPPUNIT_TEST(readsTheConfiguration);
+    CPPUNIT_TEST(refusesWhatIsNoConfiguration);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against a field read under another meaning. */
+    void readsAnEntry()
+    {
+        std::string problem;
+        const auto entry = decodeTarget("i-1", good(), problem);
+        CPPUNIT_ASSERT(entry && entry->isDraining && entry->claimsPrimary && !entry->isWarmingUp);
+        CPPUNIT_ASSERT(entry->slots == 3 && entry->born == 17 && entry->dataCentre == data_centre_id("addis-a"));
+    }
+
+    /** Guards against an entry that names no target and still gets work, or ends the process. */
+    void ignoresEntriesOfOtherWriters()
+    {
+        const std::vector<std::pair<const char *, nlohmann::json>> changes{{"service", 7},
+                                                                           {"address", "nowhere"},
+                                                                           {"address", nullptr},
+                                                                           {"state", "resting"},
+                                                                           {"state", 1},
+                                                                           {"db_role", "king"},
+                                                                           {"slots", "3"},
+                                                                           {"slots", 0},
+                                                                           {"slots", 2.5},
+                                                                           {"zone", nlohmann::json::array()},
+                                                                           {"born", "today"}};
+        for (const auto &[key, value] : changes) {
+            auto spec = good();
+            spec[key] = value;
+            std::string problem;
+            CPPUNIT_ASSERT_MESSAGE(key, !decodeTarget("i-1", spec, problem));
+            CPPUNIT_ASSERT(!problem.empty());
+        }
+        std::string problem;
+        CPPUNIT_ASSERT(!decodeTarget("i-1", nullptr, problem));
+        CPPUNIT_ASSERT(!decodeTarget("i-1", "text", problem));
+    }
+
+    /** Guards against routes under the wrong name or with a weaker guarantee than asked for. */
+    void readsTheConfiguration()
+    {
+        const auto spec = nlohmann::json::parse(R"({"config_version": 7, "routes": [
+            {"name": "r", "host": "lepu", "route_type": "bounded_staleness", "timeout_ms": 800, "priority": 1,
+             "target_latency_ms": 150, "service": "huvo", "max_staleness_ms": 1500},
+            {"name": "q", "host": "fiti", "route_type": "something new", "service": "huvo"}],
+            "services": [{"name": "huvo", "max_connections": 46, "sync_replicas": 1}], "limits": {"tx_idle_ms": 2000}})");
+        std::string problem;
+        const auto configuration = decodeConfiguration(spec, problem);
+        CPPUNIT_ASSERT(configuration && configuration->version == 7);
+        CPPUNIT_ASSERT(configuration->routes.at("lepu").reads == consistency::BoundedStaleness);
+        CPPUNIT_ASSERT(configuration->routes.at("fiti").reads == consistency::Primary);
+        CPPUNIT_ASSERT_EQUAL(46, configuration->services.at(service_id("huvo")).maxConnections);
+        CPPUNIT_ASSERT(configuration->transactionIdle == duration{2000});
+    }
+
+    /** Guards against a broken object that replaces the configuration in force. */
+    void refusesWhatIsNoConfiguration()
+    {
+        std::string problem;
+        CPPUNIT_ASSERT(!decodeConfiguration(nullptr, problem));
+        CPPUNIT_ASSERT(!decodeConfiguration({{"config_version", 3}}, problem));
+        CPPUNIT_ASSERT(!decodeConfiguration({{"config_version", "3"}, {"routes", nlohmann::json::array()}}, problem));
+    }
+
+private:
+    static nlohmann::json good()
+    {
+        return nlohmann::json::parse(R"({"service": "huvo", "address": "10.1.0.9:80", "zone": "addis-a", "slots": 3,
+            "config_version": "v1", "state": "draining", "warmup_left_ms": 0, "db_role": "primary", "sequence": 4,
+            "born": 17})");
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(object_decoding_test);
