Play the front against stand-ins for its databases, store and authority

Ruled out: process tests for these, which would need the platform's settings and more time. Before: no test of the session core.

--- a/src/libcrocusdealfront/eventlog.cpp
+++ b/src/libcrocusdealfront/eventlog.cpp
@@ -120,7 +120,6 @@
 }
 
 struct event_log::sink {
-    log4cplus::Initializer initializer;
     log4cplus::helpers::SharedObjectPtr<bounded_appender> appender{new bounded_appender};
     log4cplus::Logger logger = log4cplus::Logger::getInstance("crocusdeal.events");
 };
@@ -173,8 +172,10 @@
 event_log::event_log(std::string instance, log_level level)
     : m_instance(std::move(instance))
     , m_level(level)
-    , m_sink(std::make_unique<sink>())
 {
+    // The library cannot be started again after it was shut down, so it lives as long as the process.
+    static const log4cplus::Initializer library;
+    m_sink = std::make_unique<sink>();
     m_sink->logger.removeAllAppenders();
     m_sink->logger.setAdditivity(false);
     m_sink->logger.addAppender(log4cplus::SharedAppenderPtr(m_sink->appender.get()));
--- a/src/libcrocusdealpolicy/promotionattempt.cpp
+++ b/src/libcrocusdealpolicy/promotionattempt.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr duration askInterval{60};
+constexpr duration recheckInterval{400}; // Another instance may have ended a pause.
 constexpr duration surveyTime{350}; // An answer later than this counts as missing in the survey.
 constexpr duration plannedPauseTime{1200}; // After it the old primary is made to step down instead.
 constexpr duration catchUpTime{1500};
@@ -158,7 +159,13 @@
         askAgain(*leader, now, actions);
     }
     for (auto &state : m_members) {
-        if (!state.isPauseWanted || state.isPaused || state.isAskPending || now - state.lastAsk < askInterval) {
+        if (!state.isPauseWanted || state.isAskPending) {
+            continue;
+        }
+        if (state.isPaused && now - state.lastAsk >= recheckInterval) {
+            askAgain(state, now, actions);
+        }
+        if (state.isPaused || state.isAskPending || now - state.lastAsk < askInterval) {
             continue;
         }
         state.isAskPending = true;
--- /dev/null
+++ b/tests/platform/fronttest.cpp
@@ -0,0 +1,572 @@
+#include "frontworld.h"
+
+#include "systemclock.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace crocusdeal;
+using namespace crocusdeal::test;
+using namespace crocusdeal::literals;
+
+namespace
+{
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+void assertContains(const std::string &part, const std::string &text)
+{
+    CPPUNIT_ASSERT_MESSAGE("\"" + part + "\" expected in: " + text, contains(text, part));
+}
+
+int timesRun(const line_database &database, const std::string &text)
+{
+    return static_cast<int>(std::count(database.statements.begin(), database.statements.end(), text));
+}
+
+bool wasPaused(const line_database &database)
+{
+    return std::any_of(database.controls.begin(), database.controls.end(), [](const std::string &text) {
+        return text.rfind("PAUSE", 0) == 0;
+    });
+}
+
+}
+
+class front_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(front_test);
+    CPPUNIT_TEST(refusesUnknownDatabases);
+    CPPUNIT_TEST(removedRouteIsRefusedFromTheNextStatement);
+    CPPUNIT_TEST(olderConfigurationIsNotPutIntoForce);
+    CPPUNIT_TEST(readsItsOwnWriteFromAReplicaThatLags);
+    CPPUNIT_TEST(freshReadsRunWhereTheLeadIsProved);
+    CPPUNIT_TEST(staleReadsRunAtReplicas);
+    CPPUNIT_TEST(valuesAndPreparedStatementsFollowTheSession);
+    CPPUNIT_TEST(transactionCommitsOnce);
+    CPPUNIT_TEST(failedTransactionIsRolledBack);
+    CPPUNIT_TEST(lostAnswerOfAWriteIsInDoubtAndNotRepeated);
+    CPPUNIT_TEST(lostAnswerOfACommitIsInDoubt);
+    CPPUNIT_TEST(lostAnswerOfAReadIsRepeated);
+    CPPUNIT_TEST(silentReadIsSentElsewhere);
+    CPPUNIT_TEST(transactionWithoutItsTargetIsAborted);
+    CPPUNIT_TEST(busyTargetIsTriedAgain);
+    CPPUNIT_TEST(callerThatLeavesInATransactionLeavesNothing);
+    CPPUNIT_TEST(malformedAndEndlessMessagesAreRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against sessions that wait for a database that does not exist. */
+    void refusesUnknownDatabases()
+    {
+        front_world world;
+        world.start();
+        line_client client(world.io, world.settings.callerAddress);
+        client.send("STARTUP nowhere tester");
+        CPPUNIT_ASSERT(world.runUntil([&] { return client.isClosed(); }));
+        assertContains("ERROR NOSUCHDB", client.takeAnswer());
+    }
+
+    /** Guards against CONFIG: an open session goes on with a route that was dropped. */
+    void removedRouteIsRefusedFromTheNextStatement()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        assertContains("COMPLETE sig", world.ask(*client, "READ 1"));
+        world.configuration.version = 2;
+        world.configuration.routes.erase("fresh");
+        world.store.setConfiguration(world.configuration);
+        world.runFor(150_ms);
+        assertContains("ERROR NOSUCHDB", world.ask(*client, "READ 1"));
+    }
+
+    /** Guards against CONFIG: a configuration reverts. */
+    void olderConfigurationIsNotPutIntoForce()
+    {
+        front_world world;
+        world.configuration.version = 7;
+        world.start();
+        world.configuration.version = 6;
+        world.configuration.routes.clear();
+        world.store.setConfiguration(world.configuration);
+        world.runFor(150_ms);
+        const auto client = world.connect("fresh");
+        assertContains("COMPLETE sig", world.ask(*client, "READ 1"));
+    }
+
+    /** Guards against STALE on read_your_writes: the replicas lack the session's own commit. */
+    void readsItsOwnWriteFromAReplicaThatLags()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("own");
+        world.ask(*client, "WRITE 5 old");
+        world.group.at("c").faults.isDeaf = true;
+        assertContains("COMPLETE sig-a", world.ask(*client, "WRITE 5 new"));
+        for (int i = 0; i < 6; ++i) {
+            assertContains("DATAROW new", world.ask(*client, "READ 5"));
+        }
+    }
+
+    /** Guards against STALE on primary routes: a former primary answers a plain read. */
+    void freshReadsRunWhereTheLeadIsProved()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        assertContains("COMPLETE sig-a", world.ask(*client, "READ 5"));
+        world.group.promote("b");
+        assertContains("COMPLETE sig-b", world.ask(*client, "READ 5"));
+        CPPUNIT_ASSERT_EQUAL(1, timesRun(world.group.at("a"), "READ 5"));
+    }
+
+    /** Guards against reads that load the primary though the age of the replicas' data is permitted. */
+    void staleReadsRunAtReplicas()
+    {
+        front_world world;
+        world.start();
+        const auto writer = world.connect("fresh");
+        world.ask(*writer, "WRITE 5 x");
+        const auto client = world.connect("stale");
+        for (int i = 0; i < 10; ++i) {
+            world.ask(*client, "READ 5");
+        }
+        CPPUNIT_ASSERT(timesRun(world.group.at("a"), "READ 5") <= 1);
+    }
+
+    /** Guards against PINNED: names of callers collide on shared connections. */
+    void valuesAndPreparedStatementsFollowTheSession()
+    {
+        front_world world;
+        world.start();
+        const auto first = world.connect("fresh");
+        const auto second = world.connect("fresh");
+        assertContains("COMPLETE -", world.ask(*first, "SET tz north"));
+        assertContains("COMPLETE -", world.ask(*first, "PREPARE s1 WRITE shape1"));
+        assertContains("COMPLETE -", world.ask(*second, "PREPARE s1 READ shape2"));
+        assertContains("COMPLETE sig", world.ask(*first, "EXECUTE s1 9 data"));
+        assertContains("DATAROW data", world.ask(*second, "EXECUTE s1 9"));
+        assertContains("ERROR NOSUCHSTMT", world.ask(*second, "EXECUTE s2 9"));
+        assertContains("COMPLETE -", world.ask(*second, "DEALLOCATE s1"));
+        assertContains("ERROR NOSUCHSTMT", world.ask(*second, "EXECUTE s1 9"));
+    }
+
+    /** Guards against a transaction that is lost or applied in part. */
+    void transactionCommitsOnce()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        assertContains("READY T", world.ask(*client, "BEGIN"));
+        assertContains("READY T", world.ask(*client, "WRITE 1 x"));
+        assertContains("READY T", world.ask(*client, "WRITE 2 y"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world.group.at("a").received);
+        assertContains("READY I 1.2", world.ask(*client, "COMMIT"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, world.group.at("a").received);
+        assertContains("ERROR MALFORMED", world.ask(*client, "COMMIT"));
+    }
+
+    /** Guards against REFUSED: something is kept of a transaction that failed. */
+    void failedTransactionIsRolledBack()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        world.ask(*client, "BEGIN READ");
+        assertContains("READY T", world.ask(*client, "READ 1"));
+        assertContains("ERROR MALFORMED", world.ask(*client, "NONSENSE"));
+        world.ask(*client, "ROLLBACK");
+        world.ask(*client, "BEGIN");
+        assertContains("READY T", world.ask(*client, "WRITE 1 x"));
+        world.group.promote("b");
+        const auto refused = world.ask(*client, "WRITE 2 y");
+        assertContains("ERROR READONLY", refused);
+        assertContains("READY E", refused);
+        assertContains("ERROR MALFORMED", world.ask(*client, "READ 1"));
+        assertContains("ERROR ABORTED", world.ask(*client, "COMMIT"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world.group.at("b").received);
+    }
+
+    /** Guards against TWICE: a write whose answer is lost is sent again. */
+    void lostAnswerOfAWriteIsInDoubtAndNotRepeated()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        world.group.at("a").faults.loseAnswers = 1;
+        const auto asked = systemNow();
+        const auto answer = world.ask(*client, "WRITE 1 x");
+        assertContains("ERROR INDOUBT", answer);
+        assertContains("READY I", answer);
+        CPPUNIT_ASSERT((systemNow() - asked) < 200_ms);
+        world.runFor(300_ms);
+        CPPUNIT_ASSERT_EQUAL(1, timesRun(world.group.at("a"), "WRITE 1 x"));
+    }
+
+    /** Guards against a promise about a commit whose outcome nobody knows. */
+    void lostAnswerOfACommitIsInDoubt()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        world.ask(*client, "BEGIN");
+        world.ask(*client, "WRITE 1 x");
+        world.group.at("a").faults.loseAnswers = 1;
+        assertContains("ERROR INDOUBT", world.ask(*client, "COMMIT"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.group.at("a").received);
+    }
+
+    /** Guards against callers that see a lost connection though another target could answer. */
+    void lostAnswerOfAReadIsRepeated()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        world.group.at("a").faults.loseAnswers = 1;
+        assertContains("COMPLETE sig", world.ask(*client, "READ 1"));
+    }
+
+    /** Guards against reads that wait for their whole limit behind a cut that drops packets. */
+    void silentReadIsSentElsewhere()
+    {
+        front_world world;
+        world.start();
+        const auto writer = world.connect("fresh");
+        world.ask(*writer, "WRITE 5 x");
+        world.group.at("b").faults.swallowAnswers = 1;
+        world.group.at("c").faults.swallowAnswers = 1;
+        const auto client = world.connect("stale");
+        const auto asked = systemNow();
+        assertContains("DATAROW x", world.ask(*client, "READ 5"));
+        CPPUNIT_ASSERT((systemNow() - asked) < 800_ms);
+    }
+
+    /** Guards against INDOUBT, or silence, where nothing can have been kept. */
+    void transactionWithoutItsTargetIsAborted()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        world.ask(*client, "BEGIN");
+        world.ask(*client, "WRITE 1 x");
+        world.group.at("a").faults.loseAnswers = 1;
+        const auto answer = world.ask(*client, "WRITE 2 y");
+        assertContains("ERROR ABORTED", answer);
+        assertContains("READY E", answer);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world.group.at("a").received);
+    }
+
+    /** Guards against passing on a refusal that a moment's wait would have avoided. */
+    void busyTargetIsTriedAgain()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        world.group.at("a").faults.refuseBusy = 2;
+        assertContains("COMPLETE sig-a", world.ask(*client, "WRITE 1 x"));
+        CPPUNIT_ASSERT_EQUAL(1, timesRun(world.group.at("a"), "WRITE 1 x"));
+    }
+
+    /** Guards against PINNED: a connection with an open transaction goes to the next session. */
+    void callerThatLeavesInATransactionLeavesNothing()
+    {
+        front_world world;
+        world.start();
+        for (int i = 0; i < 5; ++i) {
+            const auto client = world.connect("fresh");
+            world.ask(*client, "BEGIN");
+            world.ask(*client, "WRITE 1 x");
+            client->close();
+            world.runFor(20_ms);
+        }
+        const auto client = world.connect("fresh");
+        assertContains("READY I 1.1", world.ask(*client, "WRITE 2 y"));
+    }
+
+    /** Guards against crashes and unbounded buffers by broken callers. */
+    void malformedAndEndlessMessagesAreRefused()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        assertContains("ERROR MALFORMED", world.ask(*client, "PAUSE 99"));
+        client->send("NONSENSE");
+        CPPUNIT_ASSERT(world.runUntil([&] { return client->hasAnswer(); }));
+        assertContains("ERROR MALFORMED", client->takeAnswer());
+        assertContains("COMPLETE sig", world.ask(*client, "READ 1"));
+        client->send(std::string(1100U * 1024, 'x'));
+        CPPUNIT_ASSERT(world.runUntil([&] { return client->isClosed(); }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(front_test);
+
+class front_failover_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(front_failover_test);
+    CPPUNIT_TEST(crashedPrimaryIsReplacedWithinASecond);
+    CPPUNIT_TEST(secondCrashIsReplacedToo);
+    CPPUNIT_TEST(lostAnswerOfTheOrderIsNoSecondPromotion);
+    CPPUNIT_TEST(drainingPrimaryIsReplacedWithoutARefusal);
+    CPPUNIT_TEST(missingReplicaHoldsThePromotionBack);
+    CPPUNIT_TEST(silentDrainingReplicaWithoutEntryHoldsThePromotionBack);
+    CPPUNIT_TEST(staleInstanceWithoutTheStorePausesNothing);
+    CPPUNIT_TEST(pauseLeftBehindIsEnded);
+    CPPUNIT_TEST(refusedTokenIsNotUsedAgain);
+    CPPUNIT_TEST(writesAreRefusedEarlyWithoutAPrimary);
+    CPPUNIT_TEST(instanceThatReachesNothingTurnsUnready);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against a long gap, and against LOST. */
+    void crashedPrimaryIsReplacedWithinASecond()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        assertContains("COMPLETE", world.ask(*client, "WRITE 1 x"));
+        world.group.at("c").faults.isDeaf = true;
+        assertContains("COMPLETE", world.ask(*client, "WRITE 2 y"));
+        world.group.at("a").crash();
+        const auto crashed = systemNow();
+        CPPUNIT_ASSERT(writesAgain(world, *client));
+        CPPUNIT_ASSERT((systemNow() - crashed) < 1600_ms);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), world.store.orders.front().target);
+        assertContains("DATAROW y", world.ask(*client, "READ 2"));
+    }
+
+    /** Guards against sightings of an earlier search that pass for a primary in place. */
+    void secondCrashIsReplacedToo()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        world.group.at("a").crash();
+        CPPUNIT_ASSERT(writesAgain(world, *client));
+        world.group.at("a").listen();
+        world.runFor(500_ms);
+        const auto leader = world.store.orders.back().target;
+        world.group.at(leader).crash();
+        CPPUNIT_ASSERT(writesAgain(world, *client));
+        CPPUNIT_ASSERT(world.store.orders.back().target != leader);
+    }
+
+    /** Guards against a second change of the primary while the first is carried out. */
+    void lostAnswerOfTheOrderIsNoSecondPromotion()
+    {
+        front_world world;
+        world.start();
+        world.store.loseOrders = true;
+        const auto client = world.connect("fresh");
+        world.group.at("a").crash();
+        CPPUNIT_ASSERT(writesAgain(world, *client));
+        world.runFor(500_ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.store.orders.size());
+    }
+
+    /** Guards against a gap in planned work. */
+    void drainingPrimaryIsReplacedWithoutARefusal()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        world.addDatabase("d");
+        world.publishEntry("a", true);
+        const auto end = systemNow() + 3000_ms;
+        while (world.store.orders.empty() && systemNow() < end) {
+            assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+            world.runFor(5_ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.store.orders.size());
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.group.at("a").isPrimary; }));
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 last"));
+        world.runFor(300_ms);
+        for (const auto &[id, database] : world.group.databases) {
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, database->pausedAt);
+        }
+    }
+
+    /** Guards against LOST: the replica that is out of reach may hold what the other lacks. */
+    void missingReplicaHoldsThePromotionBack()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        world.group.at("c").crash();
+        world.group.at("a").crash();
+        world.ask(*client, "WRITE 1 x");
+        world.runFor(2000_ms);
+        CPPUNIT_ASSERT(world.store.orders.empty());
+        world.group.at("c").listen();
+        CPPUNIT_ASSERT(writesAgain(world, *client));
+    }
+
+    /** Guards against LOST: a draining target cut off with the primary loses its entry and still acknowledges. */
+    void silentDrainingReplicaWithoutEntryHoldsThePromotionBack()
+    {
+        front_world world;
+        world.addDatabase("d", true);
+        world.start();
+        const auto client = world.connect("fresh");
+        // A listener that never answers stands for a machine behind a cut.
+        world.group.at("d").crash();
+        asio::ip::tcp::acceptor silent(world.io);
+        const asio::ip::tcp::endpoint there(asio::ip::make_address("127.0.0.1"), world.group.at("d").address().port);
+        silent.open(there.protocol());
+        silent.set_option(asio::socket_base::reuse_address(true));
+        silent.bind(there);
+        silent.listen();
+        world.store.removeTarget("d");
+        world.group.at("a").crash();
+        world.ask(*client, "WRITE 1 x");
+        world.runFor(2500_ms);
+        CPPUNIT_ASSERT(world.store.orders.empty());
+        // Once nobody listens there and its data centre answers, it is gone.
+        silent.close();
+        CPPUNIT_ASSERT(writesAgain(world, *client));
+    }
+
+    /** Guards against LOST: an instance that the store turns away does not know the new primary and pauses its replicas. */
+    void staleInstanceWithoutTheStorePausesNothing()
+    {
+        front_world world;
+        world.start();
+        world.runFor(2600_ms); // It claims the duty and holds a token.
+        CPPUNIT_ASSERT(!world.store.duties.empty());
+        world.store.isAway = true;
+        world.runFor(100_ms);
+        world.group.add("new");
+        world.group.promote("new");
+        const auto client = world.connect("fresh");
+        world.ask(*client, "WRITE 1 x");
+        world.runFor(1500_ms);
+        CPPUNIT_ASSERT(world.store.orders.empty());
+        CPPUNIT_ASSERT(!wasPaused(world.group.at("b")) && !wasPaused(world.group.at("c")));
+    }
+
+    /** Guards against replicas that receive nothing for good after an attempt that was cut short. */
+    void pauseLeftBehindIsEnded()
+    {
+        front_world world;
+        world.start();
+        world.group.at("b").pausedAt = 9;
+        const auto client = world.connect("fresh");
+        CPPUNIT_ASSERT(world.runUntil(
+            [&] {
+                world.ask(*client, "WRITE 1 x");
+                return world.group.at("b").pausedAt == 0;
+            },
+            14000_ms));
+    }
+
+    /** Guards against calling again with a fencing token that was refused. */
+    void refusedTokenIsNotUsedAgain()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        world.store.promote(service_id("svc"), target_id("a"), "other", 1000, [](promotion_answer, const std::string &) {});
+        world.store.orders.clear();
+        world.group.at("a").crash();
+        world.ask(*client, "WRITE 1 x");
+        world.runFor(2500_ms);
+        CPPUNIT_ASSERT(world.store.orders.empty());
+        CPPUNIT_ASSERT(world.store.refusedOrders > 0);
+        CPPUNIT_ASSERT(static_cast<std::size_t>(world.store.refusedOrders) <= world.store.duties.at("svc").revision);
+    }
+
+    /** Guards against holding what cannot be served until the caller has no time to go elsewhere. */
+    void writesAreRefusedEarlyWithoutAPrimary()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        for (const char *id : {"a", "b", "c"}) {
+            world.group.at(id).crash();
+        }
+        world.ask(*client, "WRITE 1 x");
+        world.runFor(300_ms);
+        const auto asked = systemNow();
+        assertContains("ERROR BUSY", world.ask(*client, "WRITE 1 y"));
+        CPPUNIT_ASSERT((systemNow() - asked) < 100_ms);
+    }
+
+    /** Guards against an instance that keeps taking sessions that it can only refuse. */
+    void instanceThatReachesNothingTurnsUnready()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        CPPUNIT_ASSERT(world.isReady());
+        for (const char *id : {"a", "b", "c"}) {
+            world.group.at(id).crash();
+        }
+        world.ask(*client, "WRITE 1 x");
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.isReady(); }, 2000_ms));
+        CPPUNIT_ASSERT(world.runUntil([&] { return client->isClosed(); }, 4000_ms));
+        for (const char *id : {"a", "b", "c"}) {
+            world.group.at(id).listen();
+        }
+        CPPUNIT_ASSERT(world.runUntil([&] { return world.isReady(); }, 3000_ms));
+    }
+
+private:
+    static bool writesAgain(front_world &world, line_client &client)
+    {
+        return world.runUntil([&] { return contains(world.ask(client, "WRITE 7 again"), "COMPLETE sig"); }, 6000_ms);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(front_failover_test);
+
+class front_shutdown_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(front_shutdown_test);
+    CPPUNIT_TEST(answersWhatWasReadBeforeItEnds);
+    CPPUNIT_TEST(idleSessionsAreClosedAndTransactionsGetTime);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against LOST: the process ends in the turn in which its last answer is handed to the connection. */
+    void answersWhatWasReadBeforeItEnds()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        world.group.at("a").faults.answerDelay = 700_ms;
+        bool hasEnded = false;
+        world.node->shutdown([&] { hasEnded = true; });
+        CPPUNIT_ASSERT(!world.isReady());
+        world.runFor(1000_ms);
+        client->send("QUERY q WRITE 1 x");
+        // The loop stops as the process would.
+        CPPUNIT_ASSERT(world.runUntil([&] { return hasEnded; }, 6000_ms));
+        CPPUNIT_ASSERT(client->hasAnswer());
+        assertContains("COMPLETE sig", client->takeAnswer());
+    }
+
+    /** Guards against requests that a shutdown cuts. */
+    void idleSessionsAreClosedAndTransactionsGetTime()
+    {
+        front_world world;
+        world.start();
+        const auto idle = world.connect("fresh");
+        const auto busy = world.connect("fresh");
+        world.ask(*busy, "BEGIN");
+        world.ask(*busy, "WRITE 1 x");
+        bool hasEnded = false;
+        world.node->shutdown([&] { hasEnded = true; });
+        CPPUNIT_ASSERT(world.runUntil([&] { return idle->isClosed(); }, 3000_ms));
+        CPPUNIT_ASSERT(!hasEnded && !busy->isClosed());
+        assertContains("COMPLETE sig", world.ask(*busy, "COMMIT"));
+        CPPUNIT_ASSERT(world.runUntil([&] { return hasEnded; }, 4000_ms));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(front_shutdown_test);
--- /dev/null
+++ b/tests/platform/frontworld.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "eventlog.h"
+#include "front.h"
+#include "linecodec.h"
+#include "linedatabase.h"
+#include "memorystore.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace crocusdeal::test
+{
+
+/** A caller of the platform, driven by the world's loop. */
+class line_client
+{
+public:
+    line_client(asio::io_context &io, const host_port &address);
+
+    void send(const std::string &line);
+    bool hasAnswer() const;
+    /** All lines up to the next READY, without line ends, joined by '|'. */
+    std::string takeAnswer();
+    bool isClosed() const;
+    void close();
+
+private:
+    std::shared_ptr<byte_stream> m_stream;
+    std::shared_ptr<std::string> m_received = std::make_shared<std::string>();
+    std::shared_ptr<bool> m_isClosed = std::make_shared<bool>(false);
+};
+
+/** One front with a service of three databases "a" (primary), "b" and "c", all in one process and on loopback. */
+class front_world
+{
+public:
+    front_world();
+    ~front_world();
+
+    /** Adds a database with its entry. */
+    line_database &addDatabase(const std::string &id, bool isDraining = false);
+    void publishEntry(const std::string &id, bool isDraining);
+    void start();
+    /** Runs the loop until @p isDone holds; false if it does not within @p limit. */
+    bool runUntil(const std::function<bool()> &isDone, duration limit = duration{5000});
+    void runFor(duration time);
+
+    std::unique_ptr<line_client> connect(const std::string &database);
+    /** Sends a statement and gives the whole answer. */
+    std::string ask(line_client &client, const std::string &text);
+    /** The number of leading databases that the front has found is complete. */
+    bool isReady();
+
+    routing_configuration configuration;
+    asio::io_context io;
+    deadline_queue deadlines;
+    event_log log;
+    platform::target_line_codec targetProtocol;
+    platform::caller_line_codec callerProtocol;
+    front_context context;
+    memory_store store;
+    line_database_group group;
+    front_settings settings;
+    std::shared_ptr<front> node;
+
+private:
+    int m_nextId = 1;
+};
+
+}
--- /dev/null
+++ b/tests/platform/memorystore.cpp
@@ -0,0 +1,154 @@
+#include "memorystore.h"
+
+#include <asio/post.hpp>
+
+#include <utility>
+
+namespace crocusdeal::test
+{
+
+namespace
+{
+
+constexpr duration pollTime{20}; // A watch of this store answers by looking again.
+constexpr duration promotionTime{100};
+
+}
+
+memory_store::memory_store(asio::io_context &io, deadline_queue &deadlines)
+    : m_io(io)
+    , m_deadlines(deadlines)
+{
+}
+
+template<typename News>
+void memory_store::answer(std::function<void(News)> done, News news)
+{
+    if (isAway) {
+        news = {};
+        news.failure = store_failure::TurnedAway;
+    }
+    asio::post(m_io, [done = std::move(done), news = std::move(news)] { done(news); });
+}
+
+void memory_store::setConfiguration(const routing_configuration &configuration)
+{
+    m_configuration = configuration;
+    m_configurationRevision = ++m_revision;
+}
+
+void memory_store::putTarget(const target_entry &entry)
+{
+    m_targets[entry.id.str()] = entry;
+    m_targetRevision = ++m_revision;
+}
+
+void memory_store::removeTarget(const std::string &id)
+{
+    m_targets.erase(id);
+    m_targetRevision = ++m_revision;
+}
+
+void memory_store::readConfiguration(std::function<void(configuration_news)> done)
+{
+    configuration_news news;
+    news.revision = m_revision;
+    if (m_configurationRevision > 0) {
+        news.configuration = m_configuration;
+    }
+    answer(std::move(done), std::move(news));
+}
+
+void memory_store::watchConfiguration(std::uint64_t revision,
+                                      duration,
+                                      std::function<void(configuration_news)> done)
+{
+    m_deadlines.scheduleAfter(pollTime, [this, revision, done = std::move(done)] {
+        configuration_news news;
+        news.revision = m_revision;
+        if (m_configurationRevision > revision) {
+            news.configuration = m_configuration;
+        }
+        answer(done, std::move(news));
+    });
+}
+
+void memory_store::listTargets(std::function<void(target_news)> done)
+{
+    target_news news;
+    news.isComplete = true;
+    news.revision = m_revision;
+    for (const auto &[id, entry] : m_targets) {
+        news.entries.push_back(entry);
+    }
+    answer(std::move(done), std::move(news));
+}
+
+void memory_store::watchTargets(std::uint64_t revision, duration, std::function<void(target_news)> done)
+{
+    m_deadlines.scheduleAfter(pollTime, [this, revision, done = std::move(done)] {
+        if (m_targetRevision > revision) {
+            listTargets(done);
+            return;
+        }
+        target_news news;
+        news.revision = m_revision;
+        answer(done, std::move(news));
+    });
+}
+
+void memory_store::readDuty(const service_id &service, std::function<void(duty_news)> done)
+{
+    const auto found = duties.find(service.str());
+    duty_news news;
+    if (found == duties.end()) {
+        news.failure = store_failure::NotFound;
+    } else {
+        news = found->second;
+    }
+    answer(std::move(done), std::move(news));
+}
+
+void memory_store::claimDuty(const service_id &service,
+                             const std::string &holder,
+                             std::optional<std::uint64_t> replaces,
+                             std::function<void(duty_news)> done)
+{
+    const auto found = duties.find(service.str());
+    const bool isFirst = found == duties.end();
+    const bool isAllowed = isFirst ? !replaces : replaces == found->second.revision;
+    duty_news news;
+    if (isAway) {
+        answer(std::move(done), std::move(news));
+        return;
+    }
+    if (!isAllowed) {
+        news = found->second;
+        news.failure = store_failure::Conflict;
+    } else {
+        news.holder = holder;
+        news.revision = ++m_revision;
+        duties[service.str()] = news;
+    }
+    answer(std::move(done), std::move(news));
+}
+
+void memory_store::promote(const service_id &,
+                           const target_id &target,
+                           const std::string &,
+                           std::uint64_t fencingToken,
+                           std::function<void(promotion_answer, std::string)> done)
+{
+    if (fencingToken < m_highestToken) {
+        ++refusedOrders;
+        asio::post(m_io, [done = std::move(done)] { done(promotion_answer::Refused, "409"); });
+        return;
+    }
+    m_highestToken = fencingToken;
+    orders.push_back({target.str(), fencingToken});
+    m_deadlines.scheduleAfter(promotionTime, [this, target] { group->promote(target.str()); });
+    const auto answer = loseOrders ? promotion_answer::Unanswered : promotion_answer::Accepted;
+    asio::post(m_io, [done = std::move(done), answer] { done(answer, "test"); });
+}
+
+}
--- /dev/null
+++ b/tests/platform/memorystore.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "deadlinequeue.h"
+#include "linedatabase.h"
+#include "metadatastore.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace crocusdeal::test
+{
+
+/** A metadata store and a promotion authority in memory. Answers come in a later turn of the loop. */
+class memory_store : public metadata_store, public promotion_authority
+{
+public:
+    memory_store(asio::io_context &io, deadline_queue &deadlines);
+
+    void setConfiguration(const routing_configuration &configuration);
+    void putTarget(const target_entry &entry);
+    void removeTarget(const std::string &id);
+
+    bool isAway = false; ///< Turns every call away.
+    bool loseOrders = false; ///< Orders are carried out and not answered.
+    std::map<std::string, duty_news> duties;
+    struct order {
+        std::string target;
+        std::uint64_t token = 0;
+    };
+    std::vector<order> orders; ///< Accepted ones.
+    int refusedOrders = 0;
+    line_database_group *group = nullptr;
+
+    void readConfiguration(std::function<void(configuration_news)> done) override;
+    void
+    watchConfiguration(std::uint64_t revision, duration wait, std::function<void(configuration_news)> done) override;
+    void listTargets(std::function<void(target_news)> done) override;
+    void watchTargets(std::uint64_t revision, duration wait, std::function<void(target_news)> done) override;
+    void readDuty(const service_id &service, std::function<void(duty_news)> done) override;
+    void claimDuty(const service_id &service,
+                   const std::string &holder,
+                   std::optional<std::uint64_t> replaces,
+                   std::function<void(duty_news)> done) override;
+    void promote(const service_id &service,
+                 const target_id &target,
+                 const std::string &holder,
+                 std::uint64_t fencingToken,
+                 std::function<void(promotion_answer, std::string)> done) override;
+
+private:
+    template<typename News>
+    void answer(std::function<void(News)> done, News news);
+
+    asio::io_context &m_io;
+    deadline_queue &m_deadlines;
+    std::uint64_t m_revision = 1;
+    routing_configuration m_configuration;
+    std::uint64_t m_configurationRevision = 0;
+    std::map<std::string, target_entry> m_targets;
+    std::uint64_t m_targetRevision = 0;
+    std::uint64_t m_highestToken = 0;
+};
+
+}
