--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -53,6 +53,7 @@
     m_feed = std::make_shared<store_feed>(m_context, m_store, m_settings.configurationApply);
     m_feed->onConfiguration = [this](const routing_configuration &configuration) { applyConfiguration(configuration); };
     m_feed->onTargets = [this](const target_news &news) { applyTargets(news); };
+    m_feed->onDuties = [this](const duty_list_news &news, time_point askedAt) { applyDuties(news, askedAt); };
     m_feed->start();
     housekeep();
     m_context.log.info("started")
@@ -145,6 +146,9 @@
     keeper->isAnswering = [this](const data_centre_id &dataCentre) { return isAnswering(dataCentre); };
     m_keepers[service] = keeper;
     keeper->start();
+    if (m_areDutiesKnown) {
+        tellDuty(service, *keeper);
+    }
 }
 
 void front::applyTargets(const target_news &news)
@@ -177,6 +181,24 @@
     }
 }
 
+void front::applyDuties(const duty_list_news &news, time_point askedAt)
+{
+    m_areDutiesKnown = true;
+    m_dutiesAskedAt = askedAt;
+    for (const auto &entry : news.entries) {
+        m_duties[entry.service] = {entry.holder, entry.revision};
+    }
+    for (const auto &[service, keeper] : m_keepers) {
+        tellDuty(service, *keeper);
+    }
+}
+
+void front::tellDuty(const service_id &service, leader_keeper &keeper) const
+{
+    const auto found = m_duties.find(service);
+    keeper.dutyKnown(found == m_duties.end() ? std::nullopt : std::optional(found->second), m_dutiesAskedAt);
+}
+
 void front::refreshGroups()
 {
     for (const auto &[service, group] : m_groups) {
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -36,6 +36,8 @@
     void addSession(asio::ip::tcp::socket socket);
     void applyConfiguration(const routing_configuration &configuration);
     void applyTargets(const target_news &news);
+    void applyDuties(const duty_list_news &news, time_point askedAt);
+    void tellDuty(const service_id &service, leader_keeper &keeper) const;
     void refreshGroups();
     std::shared_ptr<service_group> groupOf(const service_id &service) const;
     void ensureGroup(const service_id &service, const service_policy &policy);
@@ -58,6 +60,9 @@
     std::shared_ptr<const routing_configuration> m_configuration;
     target_directory m_directory;
     bool m_areTargetsKnown = false;
+    bool m_areDutiesKnown = false;
+    std::map<service_id, duty_record> m_duties;
+    time_point m_dutiesAskedAt = never;
     std::map<service_id, std::shared_ptr<service_group>> m_groups;
     std::map<service_id, std::shared_ptr<leader_keeper>> m_keepers;
     std::set<std::shared_ptr<front_session>> m_sessions;
--- a/src/libcrocusdealfront/frontsession.cpp
+++ b/src/libcrocusdealfront/frontsession.cpp
@@ -120,8 +120,7 @@
     m_context.deadlines.cancel(m_idleLimit);
     if (std::exchange(m_wasAborted, false)) {
         m_state = transaction_state::Failed;
-        const bool isEnd =
-            request.what.kind == statement_kind::Commit || request.what.kind == statement_kind::Rollback;
+        const bool isEnd = request.what.kind == statement_kind::Commit || request.what.kind == statement_kind::Rollback;
         if (!isEnd) {
             answerError(error_code::Aborted, "the transaction was rolled back");
             return;
--- a/src/libcrocusdealfront/frontsession.h
+++ b/src/libcrocusdealfront/frontsession.h
@@ -26,8 +26,8 @@
 /**
  * The session of one caller.
  *
- * It answers what needs no target itself and begins a transaction at a target with its first statement, so that a caller
- * that pauses after its BEGIN holds no connection.
+ * It answers what needs no target itself and begins a transaction at a target with its first statement, so that a
+ * caller that pauses after its BEGIN holds no connection.
  */
 class front_session : public std::enable_shared_from_this<front_session>
 {
--- a/src/libcrocusdealfront/httpmessage.cpp
+++ b/src/libcrocusdealfront/httpmessage.cpp
@@ -26,8 +26,7 @@
     std::size_t used = 0;
     while (used < inbound.size() && !parser.is_done()) {
         boost::system::error_code error;
-        const auto count =
-            parser.put(boost::asio::const_buffer(inbound.data() + used, inbound.size() - used), error);
+        const auto count = parser.put(boost::asio::const_buffer(inbound.data() + used, inbound.size() - used), error);
         used += count;
         if (error == http::error::need_more) {
             break;
@@ -247,10 +246,9 @@
             const auto message = (*parser)->release();
             parser->reset();
             const auto response = self->m_answer(std::string(message.target()));
-            connection->send("HTTP/1.1 " + std::to_string(response.status)
-                             + (response.status < 300 ? " OK" : " Error") + "\r\nContent-Type: text/plain\r\nContent-Length: "
-                             + std::to_string(response.body.size()) + "\r\n"
-                             + (message.keep_alive() ? "" : "Connection: close\r\n") + "\r\n" + response.body);
+            connection->send("HTTP/1.1 " + std::to_string(response.status) + (response.status < 300 ? " OK" : " Error")
+                             + "\r\nContent-Type: text/plain\r\nContent-Length: " + std::to_string(response.body.size())
+                             + "\r\n" + (message.keep_alive() ? "" : "Connection: close\r\n") + "\r\n" + response.body);
             if (!message.keep_alive()) {
                 connection->closeAfterSending();
                 return;
--- a/src/libcrocusdealfront/httpmessage.h
+++ b/src/libcrocusdealfront/httpmessage.h
@@ -31,7 +31,8 @@
 public:
     http_client(asio::io_context &io, deadline_queue &deadlines, host_port address);
 
-    /** @p limit is the time for the whole call. A call that fails closes the connection, so the next opens a new one. */
+    /** @p limit is the time for the whole call. A call that fails closes the connection, so the next opens a new one.
+     */
     void call(http_request request, duration limit, std::function<void(http_response)> done);
     void close();
 
--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -22,8 +22,8 @@
 constexpr duration cutOffTime{250};
 constexpr duration stallTime{1000}; // Longer than a write waits in a busy target.
 constexpr duration retryTime{300};
-constexpr duration dutyReadDelay{1500};
-constexpr duration dutyReadSpread{1000};
+constexpr duration idleClaimDelay{1000};
+constexpr duration idleClaimSpread{1500};
 
 }
 
@@ -52,10 +52,6 @@
             self->trouble(why);
         }
     };
-    // Spread by name, so that the instances do not all ask and claim at once.
-    const auto spread = static_cast<std::int64_t>(std::hash<std::string>()(m_self + m_group->id().str()) % 1000);
-    const auto delay = dutyReadDelay + duration{spread * dutyReadSpread.ms / 1000};
-    m_context.deadlines.scheduleAfter(delay, [self = shared_from_this()] { self->learnDuty(); });
     trouble("start");
 }
 
@@ -67,34 +63,39 @@
     m_context.deadlines.cancel(m_wake);
 }
 
-void leader_keeper::learnDuty()
+void leader_keeper::dutyKnown(const std::optional<duty_record> &record, time_point askedAt)
 {
-    if (m_isStopped || m_isDutyKnown) {
+    if (record) {
+        m_duty.observe(*record, askedAt);
+    }
+    if (std::exchange(m_isDutyKnown, true)) {
         return;
     }
-    const auto askedAt = systemNow();
-    m_store.readDuty(m_group->id(), [self = shared_from_this(), askedAt](const duty_news &news) {
-        if (news.failure == store_failure::None) {
-            self->m_isDutyKnown = true;
-            self->m_duty.observe({news.holder, news.revision}, askedAt);
-            if (news.holder != self->m_self) {
-                return;
+    if (record && record->holder != m_self) {
+        return;
+    }
+    // Spread by name, so that the instances do not all claim at once.
+    const auto spread = static_cast<std::int64_t>(std::hash<std::string>()(m_self + m_group->id().str()) % 1000);
+    const auto delay = idleClaimDelay + duration{spread * idleClaimSpread.ms / 1000};
+    m_context.deadlines.scheduleAfter(delay, [self = shared_from_this()] { self->claimIdleDuty(); });
+}
+
+void leader_keeper::claimIdleDuty()
+{
+    const bool isFree = !m_duty.replaces() || m_duty.isHeldHere();
+    if (m_isStopped || m_isClaiming || m_attempt || !isFree || m_duty.token()) {
+        return;
+    }
+    // A token in hand allows to act while the store is away; one of an earlier process is not in hand.
+    const auto sentAt = systemNow();
+    m_store.claimDuty(
+        m_group->id(), m_self, m_duty.replaces(), [self = shared_from_this(), sentAt](const duty_news &news) {
+            if (news.failure == store_failure::None) {
+                self->m_duty.claimed(news.revision, sentAt);
+            } else if (news.failure == store_failure::Conflict) {
+                self->m_duty.observe({news.holder, news.revision}, sentAt);
             }
-        } else if (news.failure != store_failure::NotFound) {
-            self->m_context.deadlines.scheduleAfter(duration{1000}, [self] { self->learnDuty(); });
-            return;
-        }
-        // A token in hand allows to act while the store is away; one of an earlier process is not in hand.
-        self->m_isDutyKnown = true;
-        self->m_store.claimDuty(
-            self->m_group->id(), self->m_self, self->m_duty.replaces(), [self, askedAt](const duty_news &claim) {
-                if (claim.failure == store_failure::None) {
-                    self->m_duty.claimed(claim.revision, askedAt);
-                } else if (claim.failure == store_failure::Conflict) {
-                    self->m_duty.observe({claim.holder, claim.revision}, askedAt);
-                }
-            });
-    });
+        });
 }
 
 void leader_keeper::directoryChanged()
@@ -262,7 +263,8 @@
     std::string text;
     for (const auto &[id, seen] : m_sightings) {
         text += id.str();
-        text += seen.report ? (seen.report->isPrimary ? " primary " : " replica ") : (seen.isAnswered ? " refuses " : " missing ");
+        text += seen.report ? (seen.report->isPrimary ? " primary " : " replica ")
+                            : (seen.isAnswered ? " refuses " : " missing ");
         text += toString(seen.received) + " grew " + std::to_string((now - seen.receivedChangedAt).ms) + " ms ago; ";
     }
     m_context.log.debug("primary_judged")
@@ -312,12 +314,11 @@
         if (id == m_group->leader()) {
             continue;
         }
-        pool->control(control_statement::Status,
-                      0,
-                      controlLimit,
-                      [self = shared_from_this(), id = id](const control_reply &reply) {
-                          self->takePauseSighting(id, reply);
-                      });
+        pool->control(
+            control_statement::Status,
+            0,
+            controlLimit,
+            [self = shared_from_this(), id = id](const control_reply &reply) { self->takePauseSighting(id, reply); });
     }
 }
 
@@ -534,15 +535,16 @@
         .field("token", static_cast<std::int64_t>(*token))
         .field("why", m_attempt->explanation());
     const auto *attempt = m_attempt.get();
-    m_authority.promote(m_group->id(),
-                        target,
-                        m_self,
-                        *token,
-                        [self = shared_from_this(), attempt, token = *token](promotion_answer answer, const std::string &detail) {
-                            if (self->m_attempt.get() == attempt && self->m_attempt) {
-                                self->orderAnswered(answer, detail, token);
-                            }
-                        });
+    m_authority.promote(
+        m_group->id(),
+        target,
+        m_self,
+        *token,
+        [self = shared_from_this(), attempt, token = *token](promotion_answer answer, const std::string &detail) {
+            if (self->m_attempt.get() == attempt && self->m_attempt) {
+                self->orderAnswered(answer, detail, token);
+            }
+        });
 }
 
 void leader_keeper::orderAnswered(promotion_answer answer, const std::string &detail, std::uint64_t token)
--- a/src/libcrocusdealfront/leaderkeeper.h
+++ b/src/libcrocusdealfront/leaderkeeper.h
@@ -17,8 +17,8 @@
 /**
  * Finds the primary of one service again after trouble, and changes it if it is lost or leaves.
  *
- * Whether a primary is lost is judged by what its replicas receive as well: one that only this instance cannot reach goes
- * on feeding them and is left alone.
+ * Whether a primary is lost is judged by what its replicas receive as well: one that only this instance cannot reach
+ * goes on feeding them and is left alone.
  */
 class leader_keeper : public std::enable_shared_from_this<leader_keeper>
 {
@@ -38,6 +38,8 @@
 
     void start();
     void stop();
+    /** The record of the duty, or none, as the store has it. */
+    void dutyKnown(const std::optional<duty_record> &record, time_point askedAt);
     /** Looks for replicas that an attempt has left paused, while the primary serves. */
     void checkPauses();
     /** The directory has changed. */
@@ -70,7 +72,7 @@
     bool isLeaderLost(time_point now) const;
     bool isLeaderStalled(time_point now) const;
     bool isLeaderDraining() const;
-    void learnDuty();
+    void claimIdleDuty();
     bool mayActWithoutStore() const;
     bool isKnownGone(const target_id &target) const;
     void takePauseSighting(const target_id &target, const control_reply &reply);
--- a/src/libcrocusdealfront/metadatastore.h
+++ b/src/libcrocusdealfront/metadatastore.h
@@ -24,8 +24,13 @@
     BadAnswer,
 };
 
-inline constexpr auto storeFailureNames = makeNameTable<store_failure>(
-    "none", "unreachable", "turned_away", "conflict", "not_found", "history_gone", "bad_answer");
+inline constexpr auto storeFailureNames = makeNameTable<store_failure>("none",
+                                                                       "unreachable",
+                                                                       "turned_away",
+                                                                       "conflict",
+                                                                       "not_found",
+                                                                       "history_gone",
+                                                                       "bad_answer");
 
 /** The latest configuration, or none if there is none or it cannot be read. */
 struct configuration_news {
@@ -46,7 +51,7 @@
     std::uint64_t revision = 0;
 };
 
-/** A record of who promotes. */
+/** The answer to a claim: the record as it is now. */
 struct duty_news {
     store_failure failure = store_failure::None;
     std::string detail;
@@ -54,6 +59,21 @@
     std::uint64_t revision = 0;
 };
 
+/** Who promotes for which services. */
+struct duty_entry {
+    service_id service;
+    std::string holder;
+    std::uint64_t revision = 0; ///< Of the record.
+};
+
+/** All records, or those that have changed since a revision. */
+struct duty_list_news {
+    store_failure failure = store_failure::None;
+    std::string detail;
+    std::vector<duty_entry> entries;
+    std::uint64_t revision = 0; ///< Of the store.
+};
+
 /** What the product needs of the store that outlives it. Hooks are called from the loop, once a call. */
 class metadata_store
 {
@@ -62,11 +82,13 @@
 
     virtual void readConfiguration(std::function<void(configuration_news)> done) = 0;
     /** Waits up to @p wait for a change after @p revision; without one there is no configuration in the answer. */
-    virtual void
-    watchConfiguration(std::uint64_t revision, duration wait, std::function<void(configuration_news)> done) = 0;
+    virtual void watchConfiguration(std::uint64_t revision,
+                                    duration wait,
+                                    std::function<void(configuration_news)> done) = 0;
     virtual void listTargets(std::function<void(target_news)> done) = 0;
     virtual void watchTargets(std::uint64_t revision, duration wait, std::function<void(target_news)> done) = 0;
-    virtual void readDuty(const service_id &service, std::function<void(duty_news)> done) = 0;
+    virtual void listDuties(std::function<void(duty_list_news)> done) = 0;
+    virtual void watchDuties(std::uint64_t revision, duration wait, std::function<void(duty_list_news)> done) = 0;
     /** Creates the record, or replaces it if its revision is still @p replaces. */
     virtual void claimDuty(const service_id &service,
                            const std::string &holder,
@@ -81,7 +103,8 @@
     Unanswered, ///< May be carried out, now or later.
 };
 
-inline constexpr auto promotionAnswerNames = makeNameTable<promotion_answer>("accepted", "refused", "turned_away", "unanswered");
+inline constexpr auto promotionAnswerNames =
+    makeNameTable<promotion_answer>("accepted", "refused", "turned_away", "unanswered");
 
 /** Who carries out changes of a primary. */
 class promotion_authority
--- a/src/libcrocusdealfront/statementrun.cpp
+++ b/src/libcrocusdealfront/statementrun.cpp
@@ -229,9 +229,8 @@
         std::string rollback;
         m_context.targets.addControl(rollback, control_statement::Rollback);
         const auto grant = *m_grant;
-        link->send(rollback, [group = m_group, grant](const target_reply &reply) {
-            group->release(grant, reply.isSuccess());
-        });
+        link->send(rollback,
+                   [group = m_group, grant](const target_reply &reply) { group->release(grant, reply.isSuccess()); });
     }
 }
 
@@ -247,8 +246,9 @@
 
 void statement_run::takeOrphanReply(int generation, const target_reply &reply)
 {
-    const auto found = std::find_if(
-        m_orphans.begin(), m_orphans.end(), [&](const orphan_grant &orphan) { return orphan.generation == generation; });
+    const auto found = std::find_if(m_orphans.begin(), m_orphans.end(), [&](const orphan_grant &orphan) {
+        return orphan.generation == generation;
+    });
     if (found == m_orphans.end()) {
         return;
     }
--- a/src/libcrocusdealfront/storefeed.cpp
+++ b/src/libcrocusdealfront/storefeed.cpp
@@ -14,6 +14,7 @@
 
 constexpr duration retryTime{250};
 constexpr duration targetWait{4000};
+constexpr duration dutyWait{10000}; // Records change seldom, and a claim finds out in any case.
 constexpr duration shortestWait{500};
 
 }
@@ -30,6 +31,7 @@
 {
     readConfiguration();
     listTargets();
+    listDuties();
 }
 
 void store_feed::stop()
@@ -53,9 +55,8 @@
 
 void store_feed::readConfiguration()
 {
-    m_store.readConfiguration([self = shared_from_this()](const configuration_news &news) {
-        self->takeConfiguration(news, false);
-    });
+    m_store.readConfiguration(
+        [self = shared_from_this()](const configuration_news &news) { self->takeConfiguration(news, false); });
 }
 
 void store_feed::watchConfiguration()
@@ -138,6 +139,39 @@
     });
 }
 
+void store_feed::listDuties()
+{
+    m_store.listDuties([self = shared_from_this(), askedAt = systemNow()](const duty_list_news &news) {
+        self->takeDuties(news, askedAt);
+    });
+}
+
+void store_feed::watchDuties()
+{
+    m_store.watchDuties(m_dutyRevision, dutyWait, [self = shared_from_this()](const duty_list_news &news) {
+        // An event is as new as its answer.
+        self->takeDuties(news, systemNow());
+    });
+}
+
+void store_feed::takeDuties(const duty_list_news &news, time_point askedAt)
+{
+    if (m_isStopped) {
+        return;
+    }
+    if (news.failure == store_failure::HistoryGone) {
+        listDuties();
+        return;
+    }
+    if (news.failure != store_failure::None) {
+        later(&store_feed::listDuties);
+        return;
+    }
+    m_dutyRevision = news.revision;
+    onDuties(news, askedAt);
+    watchDuties();
+}
+
 void store_feed::noteStore(const char *what, bool isReachable, const std::string &detail)
 {
     if (isReachable == m_isStoreReachable) {
--- a/src/libcrocusdealfront/storefeed.h
+++ b/src/libcrocusdealfront/storefeed.h
@@ -18,6 +18,8 @@
     std::function<void(routing_configuration)> onConfiguration;
     std::function<void(const target_news &)> onTargets;
 
+    std::function<void(const duty_list_news &, time_point askedAt)> onDuties;
+
     void start();
     void stop();
     /** Reads the list of targets at once, beside the watch; tells whether it could. */
@@ -32,6 +34,9 @@
     void listTargets();
     void watchTargets();
     void takeTargets(const target_news &news);
+    void listDuties();
+    void watchDuties();
+    void takeDuties(const duty_list_news &news, time_point askedAt);
     void noteStore(const char *what, bool isReachable, const std::string &detail);
     void later(void (store_feed::*step)());
 
@@ -40,6 +45,7 @@
     duration m_configurationWait;
     std::uint64_t m_configurationRevision = 0;
     std::uint64_t m_targetRevision = 0;
+    std::uint64_t m_dutyRevision = 0;
     time_point m_configurationHeardAt = never;
     bool m_isStoreReachable = true;
     bool m_isStopped = false;
--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -17,7 +17,8 @@
 constexpr duration firstRetry{100};
 constexpr duration longestRetry{800};
 constexpr duration limitRetry{250}; // After the target refused a connection by its limit.
-// Extra connections go soon: those of an instance that loses power stay counted for seconds, and its successor needs room.
+// Extra connections go soon: those of an instance that loses power stay counted for seconds, and its successor needs
+// room.
 constexpr duration unusedTime{800};
 constexpr std::size_t keptIdle = 1;
 constexpr duration silentTime{250};
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "eventlog.h"
+#include "replicationreport.h"
 #include "targetentry.h"
 #include "targetlink.h"
-#include "replicationreport.h"
 
 #include <functional>
 #include <memory>
--- a/src/libcrocusdealfront/wireprotocol.h
+++ b/src/libcrocusdealfront/wireprotocol.h
@@ -2,8 +2,8 @@
 
 #include "errorcode.h"
 #include "position.h"
-#include "statement.h"
 #include "replicationreport.h"
+#include "statement.h"
 
 #include <cstdint>
 #include <optional>
@@ -108,8 +108,7 @@
                             std::optional<position> after = std::nullopt,
                             std::uint64_t term = 0) const = 0;
     virtual void addSet(std::string &out, std::string_view name, std::string_view value) const = 0;
-    virtual void
-    addPrepare(std::string &out, std::string_view name, effect kind, std::string_view shape) const = 0;
+    virtual void addPrepare(std::string &out, std::string_view name, effect kind, std::string_view shape) const = 0;
 
     /** Reads one message; its texts point into @p bytes. */
     virtual decode_status decode(std::string_view bytes, std::size_t &used, target_message &message) const = 0;
--- a/src/libcrocusdealpolicy/promotionattempt.h
+++ b/src/libcrocusdealpolicy/promotionattempt.h
@@ -66,9 +66,9 @@
 /**
  * One change of the primary of a service, from the survey of its targets to the lead of the chosen one.
  *
- * With a synchronous replica an acknowledged commit is held by the primary and at least one replica, and nobody tells by
- * which. After the primary is lost, every replica is therefore stopped from receiving before the furthest is chosen. If
- * the primary still leads, every replica but the chosen one is stopped instead: from then on only the chosen one can
+ * With a synchronous replica an acknowledged commit is held by the primary and at least one replica, and nobody tells
+ * by which. After the primary is lost, every replica is therefore stopped from receiving before the furthest is chosen.
+ * If the primary still leads, every replica but the chosen one is stopped instead: from then on only the chosen one can
  * acknowledge, so it holds all that is acknowledged once it has caught up, and the old primary serves until the change.
  */
 class promotion_attempt
--- a/src/libcrocusdealpolicy/sessionvalues.h
+++ b/src/libcrocusdealpolicy/sessionvalues.h
@@ -32,8 +32,8 @@
 public:
     /**
      * The steps that give the connection the values of @p session and, if there is one, the statement @p needed; they
-     * count as done at once. Within a transaction nothing is discarded: the connection serves that session only, and the
-     * values of a session only grow.
+     * count as done at once. Within a transaction nothing is discarded: the connection serves that session only, and
+     * the values of a session only grow.
      */
     std::vector<preparation_step> prepareFor(const session_values &session,
                                              const prepared_shape *needed,
--- a/tests/libcrocusdealpolicy/promotionmodeltest.cpp
+++ b/tests/libcrocusdealpolicy/promotionmodeltest.cpp
@@ -27,8 +27,8 @@
 };
 
 /**
- * A service whose primary acknowledges a commit once one replica has received it, with one attempt to change the primary,
- * in random order. Control statements and the order are carried out late and in any order.
+ * A service whose primary acknowledges a commit once one replica has received it, with one attempt to change the
+ * primary, in random order. Control statements and the order are carried out late and in any order.
  */
 class model_group
 {
@@ -178,9 +178,8 @@
 
     model_database &find(const target_id &id)
     {
-        return *std::find_if(m_databases.begin(), m_databases.end(), [&](const model_database &database) {
-            return database.id == id;
-        });
+        return *std::find_if(
+            m_databases.begin(), m_databases.end(), [&](const model_database &database) { return database.id == id; });
     }
 
     struct sent_action {
@@ -222,9 +221,8 @@
         for (int seed = 0; seed < historyCount(); ++seed) {
             for (const auto reason : {promotion_reason::PrimaryLost, promotion_reason::PrimaryDraining}) {
                 model_group group(static_cast<std::uint32_t>(seed), reason);
-                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + " "
-                                           + std::string(promotionReasonNames.name(reason)),
-                                       group.run());
+                CPPUNIT_ASSERT_MESSAGE(
+                    "seed " + std::to_string(seed) + " " + std::string(promotionReasonNames.name(reason)), group.run());
                 promoted += group.hasPromoted() ? 1 : 0;
             }
         }
--- a/tests/platform/fronttest.cpp
+++ b/tests/platform/fronttest.cpp
@@ -432,7 +432,8 @@
         CPPUNIT_ASSERT(writesAgain(world, *client));
     }
 
-    /** Guards against LOST: an instance that the store turns away does not know the new primary and pauses its replicas. */
+    /** Guards against LOST: an instance that the store turns away does not know the new primary and pauses its
+     * replicas. */
     void staleInstanceWithoutTheStorePausesNothing()
     {
         front_world world;
@@ -471,7 +472,8 @@
         front_world world;
         world.start();
         const auto client = world.connect("fresh");
-        world.store.promote(service_id("svc"), target_id("a"), "other", 1000, [](promotion_answer, const std::string &) {});
+        world.store.promote(
+            service_id("svc"), target_id("a"), "other", 1000, [](promotion_answer, const std::string &) {});
         world.store.orders.clear();
         world.group.at("a").crash();
         world.ask(*client, "WRITE 1 x");
--- a/tests/platform/linecodectest.cpp
+++ b/tests/platform/linecodectest.cpp
@@ -43,8 +43,20 @@
     /** Guards against callers that reach the control statements of a target, or smuggle a position. */
     void refusesWhatCallersMayNotSay()
     {
-        for (const char *text : {"", "STATUS", "PAUSE 9", "RESUME", "STEPDOWN 9", "DISCARD", "AFTER 1.2 READ 1", "READ",
-                                 "COMMIT now", "BEGIN WRITE", "PREPARE s1 DROP x", "SET a", "EXECUTE s1", "read 1"}) {
+        for (const char *text : {"",
+                                 "STATUS",
+                                 "PAUSE 9",
+                                 "RESUME",
+                                 "STEPDOWN 9",
+                                 "DISCARD",
+                                 "AFTER 1.2 READ 1",
+                                 "READ",
+                                 "COMMIT now",
+                                 "BEGIN WRITE",
+                                 "PREPARE s1 DROP x",
+                                 "SET a",
+                                 "EXECUTE s1",
+                                 "read 1"}) {
             CPPUNIT_ASSERT_MESSAGE(text, parseStatement(text).kind == statement_kind::Malformed);
         }
     }
--- a/tests/platform/linedatabase.cpp
+++ b/tests/platform/linedatabase.cpp
@@ -94,7 +94,8 @@
         std::string expected;
         fields >> who >> expected;
         const bool isRight = first == m_group.service && (expected.empty() || expected == m_id);
-        connection->stream->send(isRight ? "READY I " + ready(*connection).substr(8) : "ERROR WRONGNODE " + m_id + "\r\n");
+        connection->stream->send(isRight ? "READY I " + ready(*connection).substr(8)
+                                         : "ERROR WRONGNODE " + m_id + "\r\n");
         if (!isRight) {
             connection->stream->closeAfterSending();
         }
@@ -245,13 +246,15 @@
 
 std::string line_database::ready(const session &connection) const
 {
-    return std::string("READY ") + connection.state + " " + std::to_string(term) + "." + std::to_string(received) + "\r\n";
+    return std::string("READY ") + connection.state + " " + std::to_string(term) + "." + std::to_string(received)
+        + "\r\n";
 }
 
 std::string line_database::report() const
 {
     std::ostringstream row;
-    row << (isPrimary ? "primary " : "replica ") << term << ' ' << term << '.' << received << ' ' << pausedAt << " 0 0 1";
+    row << (isPrimary ? "primary " : "replica ") << term << ' ' << term << '.' << received << ' ' << pausedAt
+        << " 0 0 1";
     return row.str();
 }
 
--- a/tests/platform/linedatabase.h
+++ b/tests/platform/linedatabase.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "deadlinequeue.h"
 #include "bytestream.h"
+#include "deadlinequeue.h"
 #include "position.h"
 
 #include <asio/io_context.hpp>
--- a/tests/platform/memorystore.cpp
+++ b/tests/platform/memorystore.cpp
@@ -59,9 +59,7 @@
     answer(std::move(done), std::move(news));
 }
 
-void memory_store::watchConfiguration(std::uint64_t revision,
-                                      duration,
-                                      std::function<void(configuration_news)> done)
+void memory_store::watchConfiguration(std::uint64_t revision, duration, std::function<void(configuration_news)> done)
 {
     m_deadlines.scheduleAfter(pollTime, [this, revision, done = std::move(done)] {
         configuration_news news;
@@ -97,18 +95,21 @@
     });
 }
 
-void memory_store::readDuty(const service_id &service, std::function<void(duty_news)> done)
+void memory_store::listDuties(std::function<void(duty_list_news)> done)
 {
-    const auto found = duties.find(service.str());
-    duty_news news;
-    if (found == duties.end()) {
-        news.failure = store_failure::NotFound;
-    } else {
-        news = found->second;
+    duty_list_news news;
+    news.revision = m_revision;
+    for (const auto &[service, duty] : duties) {
+        news.entries.push_back({service_id(service), duty.holder, duty.revision});
     }
     answer(std::move(done), std::move(news));
 }
 
+void memory_store::watchDuties(std::uint64_t, duration, std::function<void(duty_list_news)> done)
+{
+    m_deadlines.scheduleAfter(pollTime, [this, done = std::move(done)] { listDuties(done); });
+}
+
 void memory_store::claimDuty(const service_id &service,
                              const std::string &holder,
                              std::optional<std::uint64_t> replaces,
--- a/tests/platform/memorystore.h
+++ b/tests/platform/memorystore.h
@@ -33,11 +33,13 @@
     line_database_group *group = nullptr;
 
     void readConfiguration(std::function<void(configuration_news)> done) override;
-    void
-    watchConfiguration(std::uint64_t revision, duration wait, std::function<void(configuration_news)> done) override;
+    void watchConfiguration(std::uint64_t revision,
+                            duration wait,
+                            std::function<void(configuration_news)> done) override;
     void listTargets(std::function<void(target_news)> done) override;
     void watchTargets(std::uint64_t revision, duration wait, std::function<void(target_news)> done) override;
-    void readDuty(const service_id &service, std::function<void(duty_news)> done) override;
+    void listDuties(std::function<void(duty_list_news)> done) override;
+    void watchDuties(std::uint64_t revision, duration wait, std::function<void(duty_list_news)> done) override;
     void claimDuty(const service_id &service,
                    const std::string &holder,
                    std::optional<std::uint64_t> replaces,
