--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -96,7 +96,13 @@
         refused(refusal_reason::QueueFull);
         return 0;
     }
+    const bool isForLeader = needsLeader(need);
+    if (isHopeless(need, isForLeader)) {
+        refused(refusal_reason::ExpectedWait);
+        return 0;
+    }
     waiting_work work;
+    work.isForPrimary = isForLeader;
     work.priority = need.priority;
     work.wantedBy = need.wantedBy;
     work.refuseAt = need.refuseAt;
@@ -108,6 +114,17 @@
     return number;
 }
 
+bool service_group::isHopeless(const target_need &need, bool isForLeader) const
+{
+    const auto found = m_leader ? m_targets.find(*m_leader) : m_targets.end();
+    if (!isForLeader || found == m_targets.end()) {
+        return false;
+    }
+    const auto &pool = *found->second;
+    const double wait = expectedWaitMs(m_queue.aheadAtPrimary(need.priority), pool.answerMs(), pool.permits());
+    return wait > static_cast<double>((need.refuseAt - systemNow()).ms);
+}
+
 void service_group::abandon(ticket number)
 {
     m_queue.remove(number);
--- a/src/libcrocusdealfront/servicegroup.h
+++ b/src/libcrocusdealfront/servicegroup.h
@@ -45,11 +45,12 @@
     NoTarget,
     QueueTime,
     QueueFull,
+    ExpectedWait,
     Shutdown,
 };
 
 inline constexpr auto refusalReasonNames =
-    makeNameTable<refusal_reason>("no_primary", "no_target", "queue_time", "queue_full", "shutdown");
+    makeNameTable<refusal_reason>("no_primary", "no_target", "queue_time", "queue_full", "expected_wait", "shutdown");
 
 /** The targets of one service as this instance sees them, and the work that waits for them. */
 class service_group : public std::enable_shared_from_this<service_group>
@@ -112,6 +113,8 @@
                  const std::function<void(target_grant)> &granted);
     std::optional<position> requiredPosition(const target_need &need) const;
     refusal_reason whyNotPlaced(const target_need &need) const;
+    /** Whether the queue is too long for @p need to be placed before it is refused. */
+    bool isHopeless(const target_need &need, bool isForLeader) const;
     bool isUsable(const target_pool &pool, time_point now) const;
     void armRefusals();
     void openWhereNeeded(target_pool &pool);
--- a/src/libcrocusdealpolicy/placement.cpp
+++ b/src/libcrocusdealpolicy/placement.cpp
@@ -31,6 +31,11 @@
 
 }
 
+double expectedWaitMs(std::size_t ahead, double answerMs, int permits)
+{
+    return static_cast<double>(ahead + 1) * answerMs / std::max(1, permits);
+}
+
 std::optional<std::size_t> placeRead(const std::vector<read_candidate> &candidates)
 {
     std::optional<std::size_t> best;
--- a/src/libcrocusdealpolicy/placement.h
+++ b/src/libcrocusdealpolicy/placement.h
@@ -21,6 +21,9 @@
     bool hasIdleConnection = false;
 };
 
+/** How long new work is expected to wait behind @p ahead others at a target that runs @p permits at a time. */
+double expectedWaitMs(std::size_t ahead, double answerMs, int permits);
+
 /** The candidate that is expected to answer soonest; nothing if none has a permit free. */
 std::optional<std::size_t> placeRead(const std::vector<read_candidate> &candidates);
 
--- a/src/libcrocusdealpolicy/waitqueue.cpp
+++ b/src/libcrocusdealpolicy/waitqueue.cpp
@@ -75,6 +75,18 @@
     return next;
 }
 
+std::size_t wait_queue::aheadAtPrimary(int priority) const
+{
+    std::size_t ahead = 0;
+    for (const auto &[key, work] : m_work) {
+        if (key.priority > priority) {
+            break;
+        }
+        ahead += work.isForPrimary ? 1 : 0;
+    }
+    return ahead;
+}
+
 std::size_t wait_queue::size() const
 {
     return m_work.size();
--- a/src/libcrocusdealpolicy/waitqueue.h
+++ b/src/libcrocusdealpolicy/waitqueue.h
@@ -16,6 +16,7 @@
     int priority = 0; ///< 0 goes first.
     time_point wantedBy; ///< Within a priority the earliest goes first.
     time_point refuseAt; ///< When it is refused if it has not been placed.
+    bool isForPrimary = false; ///< Only the primary could run it when it was added.
     std::function<bool()> tryPlace; ///< Places the work if a target can take it now.
     std::function<void()> refuse;
 };
@@ -34,6 +35,8 @@
     void refuseExpired(time_point now);
     std::optional<time_point> nextRefusal() const;
     std::size_t size() const;
+    /** How much work for the primary goes before new work of this priority. */
+    std::size_t aheadAtPrimary(int priority) const;
 
 private:
     struct order {
--- a/tests/libcrocusdealpolicy/policytest.cpp
+++ b/tests/libcrocusdealpolicy/policytest.cpp
@@ -316,6 +316,7 @@
     CPPUNIT_TEST(placesByPriorityThenByTime);
     CPPUNIT_TEST(refusesOnlyWhatIsDue);
     CPPUNIT_TEST(workMayChangeTheQueueWhileItIsPlaced);
+    CPPUNIT_TEST(countsTheWorkForThePrimaryThatGoesFirst);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -371,6 +372,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, queue.size());
     }
 
+    /** Guards against refusing urgent work for the length of a queue that it passes. */
+    void countsTheWorkForThePrimaryThatGoesFirst()
+    {
+        wait_queue queue;
+        for (const int priority : {1, 1, 2}) {
+            waiting_work work;
+            work.priority = priority;
+            work.isForPrimary = true;
+            queue.add(std::move(work));
+        }
+        waiting_work read;
+        read.priority = 1;
+        queue.add(std::move(read));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, queue.aheadAtPrimary(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, queue.aheadAtPrimary(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, queue.aheadAtPrimary(2));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(20.0, expectedWaitMs(3, 10, 2), 0.001);
+    }
+
 private:
     static void add(wait_queue &queue, int priority, time_point wantedBy, const char *name, std::string &order)
     {
--- a/tests/platform/fronttest.cpp
+++ b/tests/platform/fronttest.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(callerThatLeavesInATransactionLeavesNothing);
     CPPUNIT_TEST(malformedAndEndlessMessagesAreRefused);
     CPPUNIT_TEST(countsStatementsByOutcome);
+    CPPUNIT_TEST(workBeyondWhatThePrimaryCanDoIsRefusedAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -307,6 +308,32 @@
         CPPUNIT_ASSERT(world.runUntil([&] { return client->isClosed(); }));
     }
 
+    /** Guards against callers that wait half of their time for a refusal that could be known at once. */
+    void workBeyondWhatThePrimaryCanDoIsRefusedAtOnce()
+    {
+        front_world world;
+        world.start();
+        world.group.at("a").faults.answerDelay = 100_ms;
+        const auto first = world.connect("fresh");
+        for (int i = 0; i < 20; ++i) {
+            world.ask(*first, "WRITE 1 x"); // The time of an answer is learnt.
+        }
+        std::vector<std::unique_ptr<line_client>> clients;
+        for (int i = 0; i < 30; ++i) {
+            clients.push_back(world.connect("fresh"));
+        }
+        for (const auto &client : clients) {
+            client->send("QUERY q WRITE 2 y");
+        }
+        world.runFor(60_ms);
+        const auto refused = std::count_if(clients.begin(), clients.end(), [](const auto &client) {
+            return client->hasAnswer() && contains(client->takeAnswer(), "ERROR BUSY");
+        });
+        CPPUNIT_ASSERT(refused >= 15);
+        world.runFor(1000_ms);
+        CPPUNIT_ASSERT(timesRun(world.group.at("a"), "WRITE 2 y") >= 4);
+    }
+
     /** Guards against operators who see no trace of what callers got. */
     void countsStatementsByOutcome()
     {
