--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -173,7 +173,8 @@
 void leader_keeper::tick()
 {
     const auto now = systemNow();
-    if (m_isStopped || m_attempt || m_isClaiming || !hasWork(now)) {
+    // While a claim waits for the store, another instance may change the primary.
+    if (m_isStopped || m_attempt || !hasWork(now)) {
         return;
     }
     surveyAll();
