--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -20,6 +20,8 @@
 constexpr duration leftOutInterval{1000};
 constexpr duration answeringTime{1000};
 constexpr duration pauseCheckInterval{4000};
+constexpr duration missingCheckInterval{500};
+constexpr duration missingAnswerLimit{250};
 // The balancer needs two missed probes to notice; sessions that it still sends here are served.
 constexpr duration idleCloseDelay{1200};
 constexpr duration balancerTime{2200}; // The balancer probes once a second and acts on two misses.
@@ -194,7 +196,7 @@
     m_areDutiesKnown = true;
     m_dutiesAskedAt = askedAt;
     for (const auto &entry : news.entries) {
-        m_duties[entry.service] = {entry.holder, entry.revision};
+        m_duties[entry.service] = {entry.holder, entry.revision, entry.isForOrder};
     }
     for (const auto &[service, keeper] : m_keepers) {
         tellDuty(service, *keeper);
@@ -221,6 +223,31 @@
     return found == m_groups.end() ? nullptr : found->second;
 }
 
+void front::checkMissingTargets()
+{
+    std::vector<target_id> gone;
+    for (const auto &[service, group] : m_groups) {
+        for (const auto &[id, pool] : group->targets()) {
+            const auto *known = m_directory.find(id);
+            if (known == nullptr || !known->missingSince) {
+                continue;
+            }
+            if (m_keepers.at(service)->isKnownGone(id)) {
+                gone.push_back(id);
+                continue;
+            }
+            pool->control(control_statement::Status, 0, missingAnswerLimit, [](const control_reply &) {});
+        }
+    }
+    for (const auto &id : gone) {
+        m_context.log.info("target_gone").field("target", id.str());
+        m_directory.forget(id);
+    }
+    if (!gone.empty()) {
+        refreshGroups();
+    }
+}
+
 void front::housekeep()
 {
     const auto now = systemNow();
@@ -241,6 +268,10 @@
         updateMetrics();
         m_context.log.reportLeftOut();
     }
+    if (now - m_missingCheckedAt >= missingCheckInterval) {
+        m_missingCheckedAt = now;
+        checkMissingTargets();
+    }
     if (now - m_pausesCheckedAt >= pauseCheckInterval) {
         m_pausesCheckedAt = now;
         for (const auto &[service, keeper] : m_keepers) {
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -42,6 +42,8 @@
     std::shared_ptr<service_group> groupOf(const service_id &service) const;
     void ensureGroup(const service_id &service, const service_policy &policy);
     bool isAnswering(const data_centre_id &dataCentre) const;
+    /** Asks at the addresses of targets whose entries are gone, while their data centres can be reached. */
+    void checkMissingTargets();
     void housekeep();
     void watchSilence(time_point now);
     void watchIsolation(time_point now);
@@ -75,6 +77,7 @@
     time_point m_startedAt = never;
     time_point m_leftOutToldAt = never;
     time_point m_pausesCheckedAt = never;
+    time_point m_missingCheckedAt = never;
     time_point m_isolatedSince = never; ///< Most targets of most services do not answer here.
 };
 
--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -90,11 +90,11 @@
     // A token in hand allows to act while the store is away; one of an earlier process is not in hand.
     const auto sentAt = systemNow();
     m_store.claimDuty(
-        m_group->id(), m_self, m_duty.replaces(), [self = shared_from_this(), sentAt](const duty_news &news) {
+        m_group->id(), m_self, false, m_duty.replaces(), [self = shared_from_this(), sentAt](const duty_news &news) {
             if (news.failure == store_failure::None) {
-                self->m_duty.claimed(news.revision, sentAt);
+                self->m_duty.claimed(news.revision, false, sentAt);
             } else if (news.failure == store_failure::Conflict) {
-                self->m_duty.observe({news.holder, news.revision}, sentAt);
+                self->m_duty.observe({news.holder, news.revision, news.isForOrder}, sentAt);
             }
         });
 }
@@ -301,8 +301,12 @@
         return false;
     }
     const auto &pool = *found->second;
-    // A cut may answer for everything behind it, so that nobody listening tells only where others are reached.
-    return pool.isReplaced() || (pool.isNobodyListening() && isAnswering(known->entry.dataCentre));
+    if (pool.isReplaced()) {
+        return true;
+    }
+    // One that crashed comes back with its log. A cut may answer for everything behind it, so that nobody listening tells
+    // only where others are reached.
+    return known->drainingSince && pool.isNobodyListening() && isAnswering(known->entry.dataCentre);
 }
 
 void leader_keeper::checkPauses()
@@ -405,30 +409,33 @@
 {
     m_isClaiming = true;
     const auto sentAt = systemNow();
-    m_store.claimDuty(
-        m_group->id(), m_self, m_duty.replaces(), [self = shared_from_this(), sentAt, reason](const duty_news &news) {
-            self->m_isClaiming = false;
-            self->m_context.log.info("duty_claim")
-                .field("service", self->m_group->id().str())
-                .field("reason", promotionReasonNames.name(reason))
-                .field("outcome", storeFailureNames.name(news.failure))
-                .field("holder", news.holder)
-                .field("revision", static_cast<std::int64_t>(news.revision));
-            if (news.failure == store_failure::None) {
-                self->m_duty.claimed(news.revision, sentAt);
-                self->refreshThenStart(reason);
-                return;
-            }
-            if (news.failure == store_failure::Conflict) {
-                self->m_duty.observe({news.holder, news.revision}, systemNow());
-            } else if (news.failure == store_failure::NotFound) {
-                self->m_duty.observeAbsent();
-            } else if (self->mayActWithoutStore()) {
-                self->startAttempt(reason);
-                return;
-            }
-            self->scheduleTick(surveyInterval);
-        });
+    m_store.claimDuty(m_group->id(),
+                      m_self,
+                      true,
+                      m_duty.replaces(),
+                      [self = shared_from_this(), sentAt, reason](const duty_news &news) {
+                          self->m_isClaiming = false;
+                          self->m_context.log.info("duty_claim")
+                              .field("service", self->m_group->id().str())
+                              .field("reason", promotionReasonNames.name(reason))
+                              .field("outcome", storeFailureNames.name(news.failure))
+                              .field("holder", news.holder)
+                              .field("revision", static_cast<std::int64_t>(news.revision));
+                          if (news.failure == store_failure::None) {
+                              self->m_duty.claimed(news.revision, true, sentAt);
+                              self->refreshThenStart(reason);
+                              return;
+                          }
+                          if (news.failure == store_failure::Conflict) {
+                              self->m_duty.observe({news.holder, news.revision, news.isForOrder}, systemNow());
+                          } else if (news.failure == store_failure::NotFound) {
+                              self->m_duty.observeAbsent();
+                          } else if (self->mayActWithoutStore()) {
+                              self->startAttempt(reason);
+                              return;
+                          }
+                          self->scheduleTick(surveyInterval);
+                      });
 }
 
 void leader_keeper::refreshThenStart(promotion_reason reason)
--- a/src/libcrocusdealfront/leaderkeeper.h
+++ b/src/libcrocusdealfront/leaderkeeper.h
@@ -48,6 +48,8 @@
     void trouble(const char *why);
     /** Whether this instance has lost most targets of the service, so that others are more likely to serve it. */
     bool isCutOff(time_point now) const;
+    /** Whether a target whose entry is gone can be told to have left, rather than to be out of reach. */
+    bool isKnownGone(const target_id &target) const;
 
 private:
     struct sighting {
@@ -74,7 +76,6 @@
     bool isLeaderDraining() const;
     void claimIdleDuty();
     bool mayActWithoutStore() const;
-    bool isKnownGone(const target_id &target) const;
     void takePauseSighting(const target_id &target, const control_reply &reply);
     void begin(promotion_reason reason);
     void claimThenStart(promotion_reason reason);
--- a/src/libcrocusdealfront/metadatastore.h
+++ b/src/libcrocusdealfront/metadatastore.h
@@ -57,6 +57,7 @@
     std::string detail;
     std::string holder;
     std::uint64_t revision = 0;
+    bool isForOrder = true;
 };
 
 /** Who promotes for which services. */
@@ -64,6 +65,7 @@
     service_id service;
     std::string holder;
     std::uint64_t revision = 0; ///< Of the record.
+    bool isForOrder = true;
 };
 
 /** All records, or those that have changed since a revision. */
@@ -92,6 +94,7 @@
     /** Creates the record, or replaces it if its revision is still @p replaces. */
     virtual void claimDuty(const service_id &service,
                            const std::string &holder,
+                           bool isForOrder,
                            std::optional<std::uint64_t> replaces,
                            std::function<void(duty_news)> done) = 0;
 };
--- a/src/libcrocusdealpolicy/dutyclaim.cpp
+++ b/src/libcrocusdealpolicy/dutyclaim.cpp
@@ -48,7 +48,8 @@
     if (!m_record || isHeldHere()) {
         return true;
     }
-    return now - m_changedAt >= assumedLease + longestOrder && now - troubleSince >= standby;
+    const auto wait = m_record->isForOrder ? assumedLease + longestOrder : duration{};
+    return now - m_changedAt >= wait && now - troubleSince >= standby;
 }
 
 std::optional<std::uint64_t> duty_claim::replaces() const
@@ -56,9 +57,9 @@
     return m_record ? std::optional(m_record->revision) : std::nullopt;
 }
 
-void duty_claim::claimed(std::uint64_t revision, time_point sentAt)
+void duty_claim::claimed(std::uint64_t revision, bool isForOrder, time_point sentAt)
 {
-    m_record = duty_record{m_self, revision};
+    m_record = duty_record{m_self, revision, isForOrder};
     m_changedAt = sentAt;
     m_token = revision;
     m_claimedAt = sentAt;
--- a/src/libcrocusdealpolicy/dutyclaim.h
+++ b/src/libcrocusdealpolicy/dutyclaim.h
@@ -13,6 +13,7 @@
 struct duty_record {
     std::string holder;
     std::uint64_t revision = 0; ///< Grows with each claim; the holder's fencing token.
+    bool isForOrder = true; ///< Claimed to act at once; otherwise only to have a token in hand.
 
     friend bool operator==(const duty_record &, const duty_record &) = default;
 };
@@ -39,7 +40,7 @@
     std::optional<std::uint64_t> replaces() const;
 
     /** A claim of this process was accepted. @p sentAt is when it was sent. */
-    void claimed(std::uint64_t revision, time_point sentAt);
+    void claimed(std::uint64_t revision, bool isForOrder, time_point sentAt);
     /** The platform refused the token. */
     void refused(std::uint64_t token);
     /** The token to act with; nothing without a claim of this process, or after the token was refused. */
--- a/src/libcrocusdealpolicy/targetdirectory.cpp
+++ b/src/libcrocusdealpolicy/targetdirectory.cpp
@@ -71,6 +71,11 @@
     return gone;
 }
 
+void target_directory::forget(const target_id &id)
+{
+    m_targets.erase(id);
+}
+
 const known_target *target_directory::find(const target_id &id) const
 {
     const auto found = m_targets.find(id);
--- a/src/libcrocusdealpolicy/targetdirectory.h
+++ b/src/libcrocusdealpolicy/targetdirectory.h
@@ -31,6 +31,9 @@
     /** Forgets the targets whose entries have been gone for so long that nothing waits for them; returns their ids. */
     std::vector<target_id> forgetGone(time_point now);
 
+    /** The target has left for certain. */
+    void forget(const target_id &id);
+
     const known_target *find(const target_id &id) const;
     const std::map<target_id, known_target> &targets() const;
 
--- a/tests/libcrocusdealpolicy/policytest.cpp
+++ b/tests/libcrocusdealpolicy/policytest.cpp
@@ -121,6 +121,7 @@
     CPPUNIT_TEST_SUITE(duty_claim_test);
     CPPUNIT_TEST(theHolderGoesFirst);
     CPPUNIT_TEST(takesOverOnlyAfterTheLease);
+    CPPUNIT_TEST(doesNotWaitForAHolderThatOnlyHoldsAToken);
     CPPUNIT_TEST(refusedTokenIsNeverUsedAgain);
     CPPUNIT_TEST(tokenOfAnEarlierProcessIsNotInHand);
     CPPUNIT_TEST(claimGoesStaleWhileSuspended);
@@ -149,15 +150,24 @@
         CPPUNIT_ASSERT(claim.mayClaim({15000}, {9000}));
     }
 
+    /** Guards against a gap of a whole lease after the holder has started again and died with the primary. */
+    void doesNotWaitForAHolderThatOnlyHoldsAToken()
+    {
+        duty_claim claim("b");
+        claim.observe({"a", 7, false}, {9900});
+        CPPUNIT_ASSERT(!claim.mayClaim({10600}, {10000}));
+        CPPUNIT_ASSERT(claim.mayClaim({10800}, {10000}));
+    }
+
     /** Guards against asking again and again with a fencing token that the platform refuses. */
     void refusedTokenIsNeverUsedAgain()
     {
         duty_claim claim("b");
-        claim.claimed(9, {0});
+        claim.claimed(9, true, {0});
         CPPUNIT_ASSERT(claim.token() == 9U);
         claim.refused(9);
         CPPUNIT_ASSERT(!claim.token());
-        claim.claimed(12, {100});
+        claim.claimed(12, true, {100});
         CPPUNIT_ASSERT(claim.token() == 12U);
     }
 
@@ -174,7 +184,7 @@
     void claimGoesStaleWhileSuspended()
     {
         duty_claim claim("b");
-        claim.claimed(9, {0});
+        claim.claimed(9, true, {0});
         CPPUNIT_ASSERT(!claim.isClaimStale({900}));
         CPPUNIT_ASSERT(claim.isClaimStale({4000}));
     }
--- a/tests/platform/memorystore.cpp
+++ b/tests/platform/memorystore.cpp
@@ -100,7 +100,7 @@
     duty_list_news news;
     news.revision = m_revision;
     for (const auto &[service, duty] : duties) {
-        news.entries.push_back({service_id(service), duty.holder, duty.revision});
+        news.entries.push_back({service_id(service), duty.holder, duty.revision, duty.isForOrder});
     }
     answer(std::move(done), std::move(news));
 }
@@ -112,6 +112,7 @@
 
 void memory_store::claimDuty(const service_id &service,
                              const std::string &holder,
+                             bool isForOrder,
                              std::optional<std::uint64_t> replaces,
                              std::function<void(duty_news)> done)
 {
@@ -129,6 +130,7 @@
     } else {
         news.holder = holder;
         news.revision = ++m_revision;
+        news.isForOrder = isForOrder;
         duties[service.str()] = news;
     }
     answer(std::move(done), std::move(news));
