Test the settings and the event log of the front

Cause: both had no tests: bad settings, a flood of one event, a reader that stops reading. Ruled out: nothing. Before: no test. After: 6 tests pass; 5,000 lines of one event leave room for others, a full pipe costs no time.

--- /dev/null
+++ b/tests/libcrocusdealfront/eventlogtest.cpp
@@ -0,0 +1,122 @@
+#include "eventlog.h"
+
+#include "systemclock.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <string>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+using namespace crocusdeal;
+
+namespace
+{
+
+/** Standard output of this process goes into a pipe while it lives. */
+class captured_output
+{
+public:
+    captured_output()
+        : m_saved(::dup(STDOUT_FILENO))
+    {
+        CPPUNIT_ASSERT(::pipe(m_pipe.data()) == 0);
+        ::dup2(m_pipe[1], STDOUT_FILENO);
+        ::fcntl(m_pipe[0], F_SETFL, O_NONBLOCK);
+    }
+
+    ~captured_output()
+    {
+        ::dup2(m_saved, STDOUT_FILENO);
+        ::close(m_saved);
+        ::close(m_pipe[0]);
+        ::close(m_pipe[1]);
+    }
+
+    captured_output(const captured_output &) = delete;
+    captured_output &operator=(const captured_output &) = delete;
+
+    std::string read() const
+    {
+        std::string text;
+        std::array<char, 4096> chunk{};
+        for (auto count = ::read(m_pipe[0], chunk.data(), chunk.size()); count > 0;
+             count = ::read(m_pipe[0], chunk.data(), chunk.size())) {
+            text.append(chunk.data(), static_cast<std::size_t>(count));
+        }
+        return text;
+    }
+
+private:
+    int m_saved;
+    std::array<int, 2> m_pipe{};
+};
+
+}
+
+class event_log_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(event_log_test);
+    CPPUNIT_TEST(writesOneLineAnEvent);
+    CPPUNIT_TEST(floodOfOneEventLeavesRoomForOthers);
+    CPPUNIT_TEST(stoppedReaderCostsNoTime);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against values that break a line in two or pass for other fields. */
+    void writesOneLineAnEvent()
+    {
+        const captured_output output;
+        event_log log("i-1", log_level::Info);
+        log.info("statement_refused").field("id", "q1").field("text", "two\nlines level=error").field("waited_ms", 7);
+        log.debug("hidden");
+        log.flush();
+        const auto text = output.read();
+        CPPUNIT_ASSERT_MESSAGE(text,
+                               text.find("event=statement_refused id=q1 text=\"two lines level=error\" waited_ms=7\n")
+                                   != std::string::npos);
+        CPPUNIT_ASSERT(text.find("hidden") == std::string::npos);
+    }
+
+    /** Guards against the line that matters being lost behind thousands of others. */
+    void floodOfOneEventLeavesRoomForOthers()
+    {
+        const captured_output output;
+        event_log log("i-1", log_level::Info);
+        for (int i = 0; i < 5000; ++i) {
+            log.info("flood").field("i", i);
+        }
+        log.warn("primary_lost").field("service", "s");
+        log.reportLeftOut();
+        log.flush();
+        const auto text = output.read();
+        CPPUNIT_ASSERT(text.find("event=primary_lost") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(text, text.find("event=lines_left_out of=flood count=49") != std::string::npos);
+        CPPUNIT_ASSERT(log.leftOut() >= 4900);
+    }
+
+    /** Guards against a daemon that stands still because nobody reads its standard output. */
+    void stoppedReaderCostsNoTime()
+    {
+        const captured_output output;
+        event_log log("i-1", log_level::Info);
+        const auto before = systemNow();
+        const std::string padding(2000, 'x');
+        for (int i = 0; i < 40; ++i) {
+            for (int kind = 0; kind < 20; ++kind) {
+                log.info("event" + std::to_string(kind)).field("padding", padding);
+            }
+            log.flush();
+        }
+        CPPUNIT_ASSERT((systemNow() - before) < duration{1000});
+        CPPUNIT_ASSERT(log.leftOut() > 0);
+        output.read();
+        log.flush();
+        CPPUNIT_ASSERT(output.read().find("event=") != std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(event_log_test);
--- /dev/null
+++ b/tests/libcrocusdealfront/frontsettingstest.cpp
@@ -0,0 +1,59 @@
+#include "frontsettings.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fstream>
+#include <sstream>
+
+using namespace crocusdeal;
+
+class front_settings_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(front_settings_test);
+    CPPUNIT_TEST(exampleIsValid);
+    CPPUNIT_TEST(namesFileKeyAndExpectation);
+    CPPUNIT_TEST(reportsAllProblemsAtOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against an example that operators copy and the daemon refuses. */
+    void exampleIsValid()
+    {
+        std::ifstream file(std::string(CROCUSDEAL_BINARY_DIR) + "/../docs/examples/crocusdealfront.json");
+        std::ostringstream text;
+        text << file.rdbuf();
+        const auto result = parseFrontSettings(text.str(), "crocusdealfront.json");
+        CPPUNIT_ASSERT_MESSAGE(result.problems.empty() ? "" : toString(result.problems.front()), result.value);
+        CPPUNIT_ASSERT(result.value->grace == duration{6000});
+        CPPUNIT_ASSERT(result.value->metricsAddress.has_value());
+    }
+
+    /** Guards against an operator who is left to guess what is wrong. */
+    void namesFileKeyAndExpectation()
+    {
+        const auto result = parseFrontSettings(R"({"instance": "a", "data_centre": "b", "caller_address": "here",
+            "readiness": {"address": "1.2.3.4:5", "path": "ready"}, "store_address": "1.2.3.4:6",
+            "authority_address": "1.2.3.4:7", "drain_ms": 1})",
+                                               "f.json");
+        CPPUNIT_ASSERT(!result.value);
+        std::string all;
+        for (const auto &problem : result.problems) {
+            all += toString(problem) + "\n";
+        }
+        for (const char *part : {"f.json: caller_address:",
+                                 "f.json: readiness.path: path that begins with",
+                                 "f.json: drain_ms: whole number from 100 to 600000 expected, got 1"}) {
+            CPPUNIT_ASSERT_MESSAGE(all, all.find(part) != std::string::npos);
+        }
+    }
+
+    /** Guards against one run for each problem, and against keys that are silently ignored. */
+    void reportsAllProblemsAtOnce()
+    {
+        const auto result = parseFrontSettings(R"({"instanse": "a"})", "f.json");
+        CPPUNIT_ASSERT(result.problems.size() >= 6);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(front_settings_test);
