--- a/src/libcrocusdealfront/frontsession.cpp
+++ b/src/libcrocusdealfront/frontsession.cpp
@@ -361,7 +361,9 @@
     countStatement(reply.isLost ? std::optional(error_code::Aborted) : reply.error);
     m_group->endPermit(*m_grant);
     const bool isPlain = m_begunBy == statement_kind::Begin || m_grant->needsProof;
-    if (isPlain && reply.isSuccess()) {
+    // A commit that has nothing to write succeeds also where the lead is lost.
+    const bool isProof = isPlain && (request.what.kind != statement_kind::Commit || m_hasWritten);
+    if (isProof && reply.isSuccess()) {
         m_group->noteLead(m_grant->target->entry().id, reply.at, reply.sentAt);
     }
     if (reply.error == error_code::ReadOnly && m_grant->isLeader) {
--- a/src/libcrocusdealfront/statementrun.cpp
+++ b/src/libcrocusdealfront/statementrun.cpp
@@ -308,7 +308,9 @@
 void statement_run::takeSuccess(target_reply reply)
 {
     const auto target = m_grant->target->entry().id;
-    const bool isProof = m_grant->needsProof || opensPlain() || m_order.kind == effect::Write;
+    // A commit that has nothing to write succeeds also where the lead is lost.
+    const bool isEmptyCommit = m_order.request.what.kind == statement_kind::Commit;
+    const bool isProof = !isEmptyCommit && (m_grant->needsProof || opensPlain() || m_order.kind == effect::Write);
     if (isProof) {
         m_group->noteLead(target, reply.at, reply.sentAt);
     }
--- a/src/libcrocusdealpolicy/promotionattempt.cpp
+++ b/src/libcrocusdealpolicy/promotionattempt.cpp
@@ -117,6 +117,11 @@
     if (isPlanned()) {
         choosePlanned();
     }
+    const auto *leader = m_leader ? find(*m_leader) : nullptr;
+    if (!isPlanned() && leader != nullptr && leader->status && !leader->status->isPrimary) {
+        // It has stepped down or lost the lead, and may hold what no other does.
+        m_leader.reset();
+    }
     for (auto &state : m_members) {
         state.isPauseWanted = state.member.id != m_leader && state.member.id != m_chosen;
     }
@@ -156,7 +161,11 @@
             end(attempt_outcome::LeaderFound, actions);
             return;
         }
-        askAgain(*leader, now, actions);
+        if (leader->status) {
+            leader->isPauseWanted = true;
+        } else {
+            askAgain(*leader, now, actions);
+        }
     }
     for (auto &state : m_members) {
         if (!state.isPauseWanted || state.isAskPending) {
@@ -247,6 +256,13 @@
     if (leader != nullptr && !isLeaderKnown) {
         askAgain(*leader, now, actions);
     }
+    if (chosen->status && chosen->status->isPaused() && !chosen->isAskPending) {
+        // An attempt that was cut short has left it so.
+        chosen->isAskPending = true;
+        chosen->lastAsk = now;
+        actions.emplace_back(resume_target{m_chosen.value()});
+        return;
+    }
     askAgain(*chosen, now, actions);
 }
 
--- a/tests/libcrocusdealpolicy/promotionattempttest.cpp
+++ b/tests/libcrocusdealpolicy/promotionattempttest.cpp
@@ -61,6 +61,8 @@
     CPPUNIT_TEST(doesNotOrderBesideAReplicaThatIsNotPaused);
     CPPUNIT_TEST(ordersOnceTheMissingReplicaIsGone);
     CPPUNIT_TEST(resumesWhenThePrimaryAnswersAgain);
+    CPPUNIT_TEST(primaryThatSteppedDownIsAMemberLikeTheOthers);
+    CPPUNIT_TEST(plannedChangeResumesTheChosenReplica);
     CPPUNIT_TEST(leavesPausesToTheNewerHolderWhenRefused);
     CPPUNIT_TEST(plannedChangePausesAllButTheChosen);
     CPPUNIT_TEST(plannedChangeWaitsForThePositionAfterThePauses);
@@ -129,6 +131,40 @@
         CPPUNIT_ASSERT(std::find(resumed.begin(), resumed.end(), nearReplica) != resumed.end());
     }
 
+    /** Guards against LOST: the old primary has stepped down for an attempt that failed, and alone holds the last
+     * commits. */
+    void primaryThatSteppedDownIsAMemberLikeTheOthers()
+    {
+        auto attempt = lostAttempt();
+        attempt.statusReceived(oldPrimary, report(false, {3, 30}), m_now, m_now);
+        attempt.statusReceived(nearReplica, report(false, {3, 10}), m_now, m_now);
+        attempt.statusReceived(farReplica, report(false, {3, 10}), m_now, m_now);
+        const auto pauses = targetsOf<pause_target>(attempt.step(m_now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, pauses.size());
+        attempt.statusReceived(oldPrimary, report(false, {3, 30}, 4), m_now, m_now);
+        attempt.statusReceived(nearReplica, report(false, {3, 10}, 4), m_now, m_now);
+        attempt.statusReceived(farReplica, report(false, {3, 10}, 4), m_now, m_now);
+        CPPUNIT_ASSERT(targetsOf<order_promotion>(attempt.step(m_now)) == std::vector<target_id>{oldPrimary});
+    }
+
+    /** Guards against waiting for a replica that an earlier attempt has left paused. */
+    void plannedChangeResumesTheChosenReplica()
+    {
+        auto attempt = plannedAttempt({oldPrimary, nearReplica, farReplica});
+        attempt.statusReceived(oldPrimary, report(true, {3, 20}), m_now, m_now);
+        attempt.statusReceived(nearReplica, report(false, {3, 20}, 4), m_now, m_now);
+        attempt.statusReceived(farReplica, report(false, {3, 20}, 4), m_now, m_now);
+        const auto paused = targetsOf<pause_target>(attempt.step(m_now)).front();
+        attempt.statusReceived(paused, report(false, {3, 20}, 5), m_now, m_now);
+        bool isResumed = false;
+        for (int i = 0; i < 5 && !isResumed; ++i) {
+            const auto resumed = targetsOf<resume_target>(attempt.step(m_now));
+            isResumed = resumed == std::vector<target_id>{*attempt.chosen()};
+            m_now = m_now + 100_ms;
+        }
+        CPPUNIT_ASSERT(isResumed);
+    }
+
     /** Guards against ending the pauses on which a newer holder of the duty relies. */
     void leavesPausesToTheNewerHolderWhenRefused()
     {
--- a/tests/libcrocusdealpolicy/promotionmodeltest.cpp
+++ b/tests/libcrocusdealpolicy/promotionmodeltest.cpp
@@ -53,8 +53,10 @@
         }
         if (m_reason == promotion_reason::PrimaryLost) {
             // Whether it is dead or only out of reach is what the instance cannot tell.
-            m_databases[0].isReachable = false;
-            m_databases[0].isRunning = m_random() % 2 == 0;
+            const auto fate = m_random() % 3;
+            m_databases[0].isReachable = fate == 2;
+            m_databases[0].isRunning = fate != 0;
+            m_databases[0].isPrimary = fate != 2; // It has stepped down for an attempt that failed.
         }
         if (m_random() % 3 == 0) {
             m_databases.back().isReachable = false;
--- a/tests/platform/fronttest.cpp
+++ b/tests/platform/fronttest.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(readsItsOwnWriteFromAReplicaThatLags);
     CPPUNIT_TEST(freshReadsRunWhereTheLeadIsProved);
     CPPUNIT_TEST(staleReadsRunAtReplicas);
+    CPPUNIT_TEST(emptyCommitProvesNoLead);
     CPPUNIT_TEST(valuesAndPreparedStatementsFollowTheSession);
     CPPUNIT_TEST(transactionCommitsOnce);
     CPPUNIT_TEST(failedTransactionIsRolledBack);
@@ -144,6 +145,28 @@
         CPPUNIT_ASSERT(timesRun(world.group.at("a"), "READ 5") <= 1);
     }
 
+    /** Guards against STALE: a former primary acknowledges the commit of a transaction that wrote nothing. */
+    void emptyCommitProvesNoLead()
+    {
+        front_world world;
+        world.start();
+        const auto reader = world.connect("fresh");
+        const auto stale = world.connect("stale");
+        world.ask(*reader, "BEGIN");
+        assertContains("READY T", world.ask(*reader, "READ 5"));
+        world.group.promote("b");
+        world.group.at("a").faults.isDeaf = true;
+        auto &primary = world.group.at("b");
+        primary.items["5"] = "new";
+        ++primary.received;
+        world.runFor(600_ms);
+        assertContains("COMPLETE sig-a", world.ask(*reader, "COMMIT"));
+        world.runFor(1200_ms);
+        for (int i = 0; i < 4; ++i) {
+            assertContains("DATAROW new", world.ask(*stale, "READ 5"));
+        }
+    }
+
     /** Guards against PINNED: names of callers collide on shared connections. */
     void valuesAndPreparedStatementsFollowTheSession()
     {
--- a/tests/platform/linedatabase.cpp
+++ b/tests/platform/linedatabase.cpp
@@ -192,7 +192,8 @@
     }
     fields >> data;
     const bool isInPlain = connection->state == 'T' && !connection->isReadOnly;
-    if ((kind == "WRITE" || isInPlain) && !isPrimary) {
+    const bool isEmptyCommit = kind == "COMMIT" && connection->writes.empty();
+    if ((kind == "WRITE" || isInPlain) && !isPrimary && !isEmptyCommit) {
         connection->state = connection->state == 'T' ? 'E' : 'I';
         answer(connection, "ERROR READONLY " + m_id + "\r\n", false);
         return;
