Make the test of empty commits fail without its protection

Ruled out: a position that is not used (the log of the stand-in shows AFTER 1.0). Before: passed without the protection. After: the replica nearby lacks the commit; without the protection '0 passed, 1 failed' ("DATAROW new" expected, got an empty row from c), with it '1 passed, 0 failed'.

--- a/tests/platform/fronttest.cpp
+++ b/tests/platform/fronttest.cpp
@@ -149,6 +149,9 @@
     void emptyCommitProvesNoLead()
     {
         front_world world;
+        // The replica nearby, which lacks the commit, is where a read with a false position would go.
+        world.dataCentres = {{"b", "there"}};
+        world.publishEntry("b", false);
         world.start();
         const auto reader = world.connect("fresh");
         const auto stale = world.connect("stale");
