Fence an unanswered order once the old primary serves again

Cause: found on reading: an order without an answer may be carried out seconds later. If the old primary came back meanwhile, nothing fenced it, and the replicas had been resumed, so the late change could lose what was acknowledged since. The member meant for it was set and never read. Ruled out: the next attempt, which has a higher token; there is none while a primary serves. Before: lateOrderIsFencedOnceThePrimaryIsBack failed (no refused order within 12 s). After: it passes; 14 failover tests pass. A newer order that names the primary in place changes nothing and raises the token that the platform has seen; an order seen carried out needs none.

--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -168,7 +168,7 @@
 
 bool leader_keeper::hasWork(time_point) const
 {
-    return m_troubleSince != never || m_drainingSince != never;
+    return m_troubleSince != never || m_drainingSince != never || m_isOrderOpen;
 }
 
 void leader_keeper::tick()
@@ -241,6 +241,10 @@
         return entry.second.report && entry.second.report->isPrimary;
     });
     logSightings(hasLeader, now);
+    if (hasLeader && m_isOrderOpen && m_group->leader() && now >= m_retryAt) {
+        supersedeOrder(*m_group->leader());
+        return;
+    }
     if (hasLeader && isLeaderDraining() && now >= m_retryAt) {
         begin(promotion_reason::PrimaryDraining);
         return;
@@ -613,6 +617,7 @@
         .field("detail", detail);
     switch (answer) {
     case promotion_answer::Accepted:
+        m_isOrderOpen = false; // The authority has seen a newer token than that of any order before.
         m_attempt->orderAccepted(systemNow());
         break;
     case promotion_answer::Refused:
@@ -624,13 +629,62 @@
         break;
     case promotion_answer::Unanswered:
         // It may be carried out at any time; the lead of the chosen target tells.
-        m_mustSupersede = true;
+        m_isOrderOpen = true;
         m_attempt->orderAccepted(systemNow());
         break;
     }
     runAttempt();
 }
 
+void leader_keeper::supersedeOrder(const target_id &leader)
+{
+    m_isClaiming = true;
+    const auto sentAt = systemNow();
+    m_store.claimDuty(m_group->id(),
+                      m_self,
+                      true,
+                      m_duty.replaces(),
+                      [self = shared_from_this(), sentAt, leader](const duty_news &news) {
+                          self->takeSupersedingClaim(news, sentAt, leader);
+                      });
+}
+
+void leader_keeper::takeSupersedingClaim(const duty_news &news, time_point sentAt, const target_id &leader)
+{
+    if (news.failure == store_failure::Conflict) {
+        // The orders of the newer holder fence it.
+        m_isOrderOpen = false;
+        m_duty.observe({news.holder, news.revision, news.isForOrder}, systemNow());
+    }
+    if (news.failure == store_failure::None) {
+        m_duty.claimed(news.revision, true, sentAt);
+    }
+    if (news.failure != store_failure::None || m_group->leader() != leader) {
+        endSuperseding();
+        return;
+    }
+    m_authority.promote(m_group->id(),
+                        leader,
+                        m_self,
+                        news.revision,
+                        [self = shared_from_this(), leader](promotion_answer answer, const std::string &detail) {
+                            self->m_isOrderOpen = answer != promotion_answer::Accepted;
+                            self->m_context.log.info("promotion_superseded")
+                                .field("service", self->m_group->id().str())
+                                .field("leader", leader.str())
+                                .field("answer", promotionAnswerNames.name(answer))
+                                .field("detail", detail);
+                            self->endSuperseding();
+                        });
+}
+
+void leader_keeper::endSuperseding()
+{
+    m_isClaiming = false;
+    m_retryAt = systemNow() + retryTime;
+    scheduleTick(surveyInterval);
+}
+
 void leader_keeper::finishAttempt()
 {
     const auto attempt = std::move(m_attempt);
@@ -651,6 +705,9 @@
         m_group->noteLead(*attempt->chosen(), std::nullopt, systemNow());
         m_troubleSince = never;
     }
+    if (outcome == attempt_outcome::Promoted) {
+        m_isOrderOpen = false; // It has been carried out.
+    }
     m_drainingSince = isLeaderDraining() ? systemNow() : never;
     m_retryAt = systemNow() + retryTime;
     scheduleTick(retryTime);
--- a/src/libcrocusdealfront/leaderkeeper.h
+++ b/src/libcrocusdealfront/leaderkeeper.h
@@ -92,6 +92,10 @@
     void sendOrder(const target_id &target);
     void orderAnswered(promotion_answer answer, const std::string &detail, std::uint64_t token);
     void finishAttempt();
+    /** Fences an unanswered order with a newer one that names the primary in place and so changes nothing. */
+    void supersedeOrder(const target_id &leader);
+    void takeSupersedingClaim(const duty_news &news, time_point sentAt, const target_id &leader);
+    void endSuperseding();
 
     front_context &m_context;
     std::shared_ptr<service_group> m_group;
@@ -114,7 +118,7 @@
     std::map<target_id, time_point> m_pausedSince; ///< Seen outside of attempts of this instance.
     bool m_isClaiming = false;
     bool m_isDutyKnown = false;
-    bool m_mustSupersede = false; ///< An unanswered order may still be carried out.
+    bool m_isOrderOpen = false; ///< An unanswered order may still be carried out.
     bool m_isStopped = false;
 };
 
--- a/tests/platform/fronttest.cpp
+++ b/tests/platform/fronttest.cpp
@@ -391,6 +391,7 @@
     CPPUNIT_TEST(silentPrimaryIsReplaced);
     CPPUNIT_TEST(secondCrashIsReplacedToo);
     CPPUNIT_TEST(lostAnswerOfTheOrderIsNoSecondPromotion);
+    CPPUNIT_TEST(lateOrderIsFencedOnceThePrimaryIsBack);
     CPPUNIT_TEST(drainingPrimaryIsReplacedWithoutARefusal);
     CPPUNIT_TEST(missingReplicaHoldsThePromotionBack);
     CPPUNIT_TEST(silentDrainingReplicaWithoutEntryHoldsThePromotionBack);
@@ -462,6 +463,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.store.orders.size());
     }
 
+    /** Guards against LOST: an order without an answer is carried out after the primary has come back and gone on. */
+    void lateOrderIsFencedOnceThePrimaryIsBack()
+    {
+        front_world world;
+        world.start();
+        world.store.loseOrders = true;
+        world.store.orderDelay = 9000_ms;
+        const auto client = world.connect("fresh");
+        world.group.at("a").crash();
+        world.ask(*client, "WRITE 1 x");
+        world.runFor(1000_ms);
+        CPPUNIT_ASSERT(world.store.orders.empty());
+        world.store.loseOrders = false;
+        world.group.at("a").listen();
+        CPPUNIT_ASSERT(world.runUntil([&] { return world.store.refusedOrders > 0; }, 12000_ms));
+        CPPUNIT_ASSERT(world.group.at("a").isPrimary);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), world.store.orders.back().target);
+    }
+
     /** Guards against a gap in planned work. */
     void drainingPrimaryIsReplacedWithoutARefusal()
     {
--- a/tests/platform/memorystore.cpp
+++ b/tests/platform/memorystore.cpp
@@ -141,17 +141,32 @@
                            const std::string &,
                            std::uint64_t fencingToken,
                            std::function<void(promotion_answer, std::string)> done)
+{
+    const bool isLate = loseOrders && orderDelay > duration{};
+    if (isLate) {
+        m_deadlines.scheduleAfter(orderDelay, [this, target, fencingToken] { carryOut(target, fencingToken); });
+        asio::post(m_io, [done = std::move(done)] { done(promotion_answer::Unanswered, "late"); });
+        return;
+    }
+    const bool isAccepted = carryOut(target, fencingToken);
+    const auto answer = loseOrders ? promotion_answer::Unanswered
+        : isAccepted               ? promotion_answer::Accepted
+                                   : promotion_answer::Refused;
+    asio::post(m_io, [done = std::move(done), answer] { done(answer, "test"); });
+}
+
+bool memory_store::carryOut(const target_id &target, std::uint64_t fencingToken)
 {
     if (fencingToken < m_highestToken) {
         ++refusedOrders;
-        asio::post(m_io, [done = std::move(done)] { done(promotion_answer::Refused, "409"); });
-        return;
+        return false;
     }
     m_highestToken = fencingToken;
     orders.push_back({target.str(), fencingToken});
-    m_deadlines.scheduleAfter(promotionTime, [this, target] { group->promote(target.str()); });
-    const auto answer = loseOrders ? promotion_answer::Unanswered : promotion_answer::Accepted;
-    asio::post(m_io, [done = std::move(done), answer] { done(answer, "test"); });
+    if (!group->at(target.str()).isPrimary) {
+        m_deadlines.scheduleAfter(promotionTime, [this, target] { group->promote(target.str()); });
+    }
+    return true;
 }
 
 }
--- a/tests/platform/memorystore.h
+++ b/tests/platform/memorystore.h
@@ -23,6 +23,7 @@
 
     bool isAway = false; ///< Turns every call away.
     bool loseOrders = false; ///< Orders are carried out and not answered.
+    duration orderDelay{0}; ///< Orders that are not answered reach the authority so much later.
     std::map<std::string, duty_news> duties;
     struct order {
         std::string target;
@@ -52,6 +53,9 @@
                  std::function<void(promotion_answer, std::string)> done) override;
 
 private:
+    /** False if the token is lower than one that was seen. */
+    bool carryOut(const target_id &target, std::uint64_t fencingToken);
+
     template<typename News>
     void answer(std::function<void(News)> done, News news);
 
