--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -409,6 +409,29 @@
     }
 }
 
+void front::close()
+{
+    std::error_code ignored; // Nothing depends on how a listener closes.
+    m_acceptor.close(ignored);
+    m_readiness->close();
+    if (m_metrics) {
+        m_metrics->close();
+    }
+    m_feed->stop();
+    const std::vector<std::shared_ptr<front_session>> sessions(m_sessions.begin(), m_sessions.end());
+    for (const auto &session : sessions) {
+        session->close();
+    }
+    for (const auto &[service, keeper] : m_keepers) {
+        keeper->stop();
+    }
+    for (const auto &[service, group] : m_groups) {
+        for (const auto &[id, pool] : group->targets()) {
+            pool->close();
+        }
+    }
+}
+
 void front::finishShutdown(const char *why)
 {
     const auto done = std::exchange(m_whenShutDown, nullptr);
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -29,6 +29,8 @@
     /** Ends gracefully; @p done is called when nothing is left, at the latest when the grace is over. */
     void shutdown(std::function<void()> done);
     bool isReady() const;
+    /** Ends everything at once; connections and their owners let go of each other in the next turn of the loop. */
+    void close();
 
 private:
     std::string listenForCallers();
--- a/src/libcrocusdealfront/frontsession.cpp
+++ b/src/libcrocusdealfront/frontsession.cpp
@@ -44,6 +44,12 @@
     closed("shutdown");
 }
 
+void front_session::close()
+{
+    m_stream->close();
+    closed("closed");
+}
+
 void front_session::takeData(std::string &inbound)
 {
     std::size_t taken = 0;
--- a/src/libcrocusdealfront/frontsession.h
+++ b/src/libcrocusdealfront/frontsession.h
@@ -43,6 +43,7 @@
     bool isInTransaction() const;
     /** Ends an idle session without cutting a request that is on its way here. */
     void closeIfIdle();
+    void close();
     /** Rolls back the open transaction; its next statement is told so. */
     void abortTransaction(const char *why);
 
--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -79,6 +79,15 @@
     }
 }
 
+void target_pool::close()
+{
+    retire();
+    const auto links = m_links;
+    for (const auto &link : links) {
+        link->close("closed");
+    }
+}
+
 int target_pool::permits() const
 {
     return m_entry.slots;
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -48,6 +48,8 @@
     void update(const target_entry &entry, int maxConnections);
     /** Ends idle connections now and the others when their work ends. */
     void retire();
+    /** Ends all connections now. */
+    void close();
 
     /** Statements that this instance may have in flight, and has. */
     int permits() const;
--- a/tests/platform/frontworld.cpp
+++ b/tests/platform/frontworld.cpp
@@ -35,6 +35,11 @@
     m_stream->connect(address, [] {});
 }
 
+line_client::~line_client()
+{
+    m_stream->close();
+}
+
 void line_client::send(const std::string &line)
 {
     m_stream->send(line + "\r\n");
@@ -108,10 +113,15 @@
 front_world::~front_world()
 {
     // Connections hold their sessions and the other way round; ending both sides lets go of them.
+    if (node) {
+        node->close();
+    }
     for (const auto &[id, database] : group.databases) {
         database->crash();
     }
     deadlines.cancelAll();
+    runFor(duration{20});
+    deadlines.cancelAll();
 }
 
 line_database &front_world::addDatabase(const std::string &id, bool isDraining)
--- a/tests/platform/frontworld.h
+++ b/tests/platform/frontworld.h
@@ -19,6 +19,10 @@
 public:
     line_client(asio::io_context &io, const host_port &address);
 
+    ~line_client();
+    line_client(const line_client &) = delete;
+    line_client &operator=(const line_client &) = delete;
+
     void send(const std::string &line);
     bool hasAnswer() const;
     /** All lines up to the next READY, without line ends, joined by '|'. */
