End an attempt once the duty is lost, and watch the store cheaply

After: an attempt renews only its own claim, ends when the record names another holder and when a member answers as primary; an instance that does not know the lost primary lets others go first for 2.5 s. Targets and duties are watched with readings that may be old, the configuration by a long current watch and a short cheap one; one cheap probe asks for a store that is away. Conclusion: claims stay safe under old readings, as they replace the revision that was read; a list of targets before an attempt stays current, and one follows every 20 s beside the watch.

--- a/src/libcrocusdealfront/httpmessage.cpp
+++ b/src/libcrocusdealfront/httpmessage.cpp
@@ -141,6 +141,13 @@
     m_stream->send(text);
 }
 
+void http_client::abandonCall()
+{
+    if (m_current) {
+        finish({0, {}, "abandoned"}, false);
+    }
+}
+
 void http_client::takeData(std::string &inbound)
 {
     if (!m_current) {
--- a/src/libcrocusdealfront/httpmessage.h
+++ b/src/libcrocusdealfront/httpmessage.h
@@ -34,6 +34,8 @@
     /** @p limit is the time for the whole call. A call that fails closes the connection, so the next opens a new one.
      */
     void call(http_request request, duration limit, std::function<void(http_response)> done);
+    /** Ends the call that is under way without a response, and its connection; the calls behind it go on. */
+    void abandonCall();
     void close();
 
 private:
--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -24,6 +24,7 @@
 constexpr duration cutOffTime{250};
 constexpr duration stallTime{1000}; // Longer than a write waits in a busy target.
 constexpr duration retryTime{300};
+constexpr duration uninformedStandby{2500}; // The others need less for a change of the primary.
 constexpr duration idleClaimDelay{1000};
 constexpr duration idleClaimSpread{1500};
 
@@ -70,6 +71,10 @@
     if (record) {
         m_duty.observe(*record, askedAt);
     }
+    if (m_attempt && m_duty.token() != m_attemptToken) {
+        m_attempt->dutyLost();
+        runAttempt();
+    }
     if (std::exchange(m_isDutyKnown, true)) {
         return;
     }
@@ -405,13 +410,20 @@
 {
     const auto now = systemNow();
     const auto since = reason == promotion_reason::PrimaryDraining ? m_drainingSince : m_troubleSince;
-    if (!m_duty.mayClaim(now, since)) {
+    if (!m_duty.mayClaim(now, since) || isOthersTurn(reason, now)) {
         scheduleTick(surveyInterval);
         return;
     }
     claimThenStart(reason);
 }
 
+bool leader_keeper::isOthersTurn(promotion_reason reason, time_point now) const
+{
+    // Without knowing the lost primary every target has to be seen, also the one that is lost.
+    const bool isLeaderKnown = m_group->leader() || m_lastLeader;
+    return reason == promotion_reason::PrimaryLost && !isLeaderKnown && now - m_troubleSince < uninformedStandby;
+}
+
 void leader_keeper::claimThenStart(promotion_reason reason)
 {
     m_isClaiming = true;
@@ -440,6 +452,8 @@
                           } else if (self->mayActWithoutStore()) {
                               self->startAttempt(reason);
                               return;
+                          } else {
+                              self->m_retryAt = systemNow() + retryTime;
                           }
                           self->scheduleTick(surveyInterval);
                       });
@@ -454,6 +468,7 @@
             self->startAttempt(reason);
             return;
         }
+        self->m_retryAt = systemNow() + retryTime;
         self->scheduleTick(surveyInterval);
     });
 }
@@ -476,6 +491,7 @@
         .field("members", static_cast<std::int64_t>(members.size()))
         .field("token", static_cast<std::int64_t>(m_duty.token().value_or(0)))
         .field("trouble_ms", (systemNow() - m_troubleSince).ms);
+    m_attemptToken = m_duty.token();
     m_attempt = std::make_unique<promotion_attempt>(
         reason, leader, std::move(members), m_group->policy().syncReplicas > 0, systemNow());
     runAttempt();
@@ -546,6 +562,10 @@
 
 void leader_keeper::order(const target_id &target)
 {
+    if (m_duty.token() != m_attemptToken) {
+        m_attempt->orderRefused();
+        return;
+    }
     if (!m_duty.isClaimStale(systemNow())) {
         sendOrder(target);
         return;
@@ -556,7 +576,7 @@
     m_store.claimDuty(m_group->id(),
                       m_self,
                       true,
-                      m_duty.replaces(),
+                      m_attemptToken,
                       [self = shared_from_this(), attempt, sentAt, target](const duty_news &news) {
                           self->takeRenewal(attempt, news, sentAt, target);
                       });
@@ -575,6 +595,9 @@
     if (!m_attempt || m_attempt.get() != attempt) {
         return;
     }
+    if (news.failure == store_failure::None) {
+        m_attemptToken = news.revision;
+    }
     const bool isAway = news.failure == store_failure::TurnedAway || news.failure == store_failure::Unreachable;
     if (news.failure == store_failure::None || (isAway && m_duty.token() && mayActWithoutStore())) {
         sendOrder(target);
--- a/src/libcrocusdealfront/leaderkeeper.h
+++ b/src/libcrocusdealfront/leaderkeeper.h
@@ -78,6 +78,8 @@
     bool mayActWithoutStore() const;
     void takePauseSighting(const target_id &target, const control_reply &reply);
     void begin(promotion_reason reason);
+    /** Whether another instance, which may know more of the service, is to try first. */
+    bool isOthersTurn(promotion_reason reason, time_point now) const;
     void claimThenStart(promotion_reason reason);
     void refreshThenStart(promotion_reason reason);
     void startAttempt(promotion_reason reason);
@@ -107,6 +109,8 @@
     duty_claim m_duty;
     std::map<target_id, sighting> m_sightings;
     std::unique_ptr<promotion_attempt> m_attempt;
+    /** What the attempt has seen counts only while nobody else has held the duty since this token was claimed. */
+    std::optional<std::uint64_t> m_attemptToken;
     deadline_queue::handle m_tick = 0;
     deadline_queue::handle m_wake = 0;
     time_point m_troubleSince = never;
--- a/src/libcrocusdealfront/metadatastore.h
+++ b/src/libcrocusdealfront/metadatastore.h
@@ -76,20 +76,33 @@
     std::uint64_t revision = 0; ///< Of the store.
 };
 
+/** How new an answer of the store has to be. */
+enum class store_reading {
+    Current,
+    MayBeOld, ///< By seconds at worst, for a tenth of the cost.
+};
+
 /** What the product needs of the store that outlives it. Hooks are called from the loop, once a call. */
 class metadata_store
 {
 public:
     virtual ~metadata_store() = default;
 
-    virtual void readConfiguration(std::function<void(configuration_news)> done) = 0;
-    /** Waits up to @p wait for a change after @p revision; without one there is no configuration in the answer. */
+    /** A current read ends the watches that are under way. */
+    virtual void readConfiguration(store_reading reading, std::function<void(configuration_news)> done) = 0;
+    /**
+     * Waits up to @p wait for a change after @p revision; without one there is no configuration in the answer. There
+     * may be one watch of each reading at a time.
+     */
     virtual void watchConfiguration(std::uint64_t revision,
                                     duration wait,
+                                    store_reading reading,
                                     std::function<void(configuration_news)> done) = 0;
     virtual void listTargets(std::function<void(target_news)> done) = 0;
+    /** May tell of a change seconds late. */
     virtual void watchTargets(std::uint64_t revision, duration wait, std::function<void(target_news)> done) = 0;
     virtual void listDuties(std::function<void(duty_list_news)> done) = 0;
+    /** May tell of a change seconds late; a claim finds out in any case. */
     virtual void watchDuties(std::uint64_t revision, duration wait, std::function<void(duty_list_news)> done) = 0;
     /** Creates the record, or replaces it if its revision is still @p replaces. */
     virtual void claimDuty(const service_id &service,
--- a/src/libcrocusdealfront/storefeed.cpp
+++ b/src/libcrocusdealfront/storefeed.cpp
@@ -13,7 +13,10 @@
 {
 
 constexpr duration retryTime{250};
+constexpr duration longestRetry{500}; // The configuration has to be in force soon after the store is back.
+constexpr duration configurationWait{10000};
 constexpr duration targetWait{4000};
+constexpr duration targetListAge{20000}; // The watch may be old, so a current list follows now and then.
 constexpr duration dutyWait{10000}; // Records change seldom, and a claim finds out in any case.
 constexpr duration shortestWait{500};
 
@@ -23,7 +26,8 @@
     : m_context(context)
     , m_store(store)
     // A watch that has gone silent is noticed when its time is over, which leaves as much again to read afresh.
-    , m_configurationWait(std::max(shortestWait, configurationApply / 2))
+    , m_checkWait(std::max(shortestWait, configurationApply / 2))
+    , m_probeDelay(retryTime)
 {
 }
 
@@ -44,26 +48,65 @@
     return m_configurationHeardAt;
 }
 
-void store_feed::later(void (store_feed::*step)())
+void store_feed::later(step next)
 {
-    m_context.deadlines.scheduleAfter(retryTime, [self = shared_from_this(), step] {
+    m_context.deadlines.scheduleAfter(retryTime, [self = shared_from_this(), next] {
         if (!self->m_isStopped) {
-            ((*self).*step)();
+            ((*self).*next)();
+        }
+    });
+}
+
+void store_feed::waitForStore(step next)
+{
+    if (std::find(m_waitingSteps.begin(), m_waitingSteps.end(), next) == m_waitingSteps.end()) {
+        m_waitingSteps.push_back(next);
+    }
+    if (!std::exchange(m_isProbing, true)) {
+        m_probeDelay = retryTime;
+        later(&store_feed::probe);
+    }
+}
+
+void store_feed::probe()
+{
+    m_store.readConfiguration(store_reading::MayBeOld, [self = shared_from_this()](const configuration_news &news) {
+        if (self->m_isStopped) {
+            return;
+        }
+        if (news.failure != store_failure::None) {
+            self->m_probeDelay = std::min(longestRetry, self->m_probeDelay * 2);
+            self->m_context.deadlines.scheduleAfter(self->m_probeDelay, [self] { self->probe(); });
+            return;
+        }
+        self->m_isProbing = false;
+        for (const auto next : std::exchange(self->m_waitingSteps, {})) {
+            ((*self).*next)();
         }
     });
 }
 
 void store_feed::readConfiguration()
 {
-    m_store.readConfiguration(
-        [self = shared_from_this()](const configuration_news &news) { self->takeConfiguration(news, false); });
+    ++m_configurationReads;
+    m_store.readConfiguration(store_reading::Current,
+                              [self = shared_from_this(), read = m_configurationReads](const configuration_news &news) {
+                                  if (read == self->m_configurationReads) {
+                                      self->takeConfiguration(news, false);
+                                  }
+                              });
 }
 
 void store_feed::watchConfiguration()
 {
     m_store.watchConfiguration(
-        m_configurationRevision, m_configurationWait, [self = shared_from_this()](const configuration_news &news) {
-            self->takeConfiguration(news, true);
+        m_configurationRevision,
+        configurationWait,
+        store_reading::Current,
+        [self = shared_from_this(), read = m_configurationReads](const configuration_news &news) {
+            if (read == self->m_configurationReads) {
+                self->takeConfiguration(news, true);
+            }
         });
 }
 
@@ -79,7 +122,7 @@
     noteStore("configuration", news.failure == store_failure::None, news.detail);
     if (news.failure != store_failure::None) {
         // A watch may have missed changes while it failed, so it starts from what is there now.
-        later(&store_feed::readConfiguration);
+        waitForStore(&store_feed::readConfiguration);
         return;
     }
     m_configurationHeardAt = systemNow();
@@ -91,6 +134,39 @@
         return;
     }
     watchConfiguration();
+    if (!isWatch) {
+        m_checkRevision = news.revision;
+        checkConfiguration();
+    }
+}
+
+void store_feed::checkConfiguration()
+{
+    m_store.watchConfiguration(
+        m_checkRevision,
+        m_checkWait,
+        store_reading::MayBeOld,
+        [self = shared_from_this(), read = m_configurationReads](const configuration_news &news) {
+            if (read == self->m_configurationReads && !self->m_isStopped) {
+                self->takeConfigurationCheck(news);
+            }
+        });
+}
+
+void store_feed::takeConfigurationCheck(const configuration_news &news)
+{
+    const bool isGood = news.failure == store_failure::None;
+    noteStore("configuration", isGood || news.failure == store_failure::HistoryGone, news.detail);
+    if (!isGood) {
+        // The other watch may be as silent.
+        waitForStore(&store_feed::readConfiguration);
+        return;
+    }
+    if (news.configuration) {
+        onConfiguration(*news.configuration);
+    }
+    m_checkRevision = news.revision;
+    checkConfiguration();
 }
 
 void store_feed::listTargets()
@@ -116,14 +192,22 @@
     }
     noteStore("targets", news.failure == store_failure::None, news.detail);
     if (news.failure != store_failure::None) {
-        later(&store_feed::listTargets);
+        waitForStore(&store_feed::listTargets);
         return;
     }
     for (const auto &entry : news.ignored) {
         m_context.log.warn("target_entry_ignored").field("entry", entry);
     }
     m_targetRevision = news.revision;
+    const auto now = systemNow();
+    if (news.isComplete) {
+        m_targetsListedAt = now;
+    }
     onTargets(news);
+    if (now - m_targetsListedAt > targetListAge) {
+        listTargets();
+        return;
+    }
     watchTargets();
 }
 
@@ -164,7 +248,7 @@
         return;
     }
     if (news.failure != store_failure::None) {
-        later(&store_feed::listDuties);
+        waitForStore(&store_feed::listDuties);
         return;
     }
     m_dutyRevision = news.revision;
--- a/src/libcrocusdealfront/storefeed.h
+++ b/src/libcrocusdealfront/storefeed.h
@@ -5,6 +5,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace crocusdeal
 {
@@ -31,6 +33,9 @@
     void readConfiguration();
     void watchConfiguration();
     void takeConfiguration(const configuration_news &news, bool isWatch);
+    /** A cheap second watch with a short wait finds out soon if the first has gone silent. */
+    void checkConfiguration();
+    void takeConfigurationCheck(const configuration_news &news);
     void listTargets();
     void watchTargets();
     void takeTargets(const target_news &news);
@@ -38,11 +43,21 @@
     void watchDuties();
     void takeDuties(const duty_list_news &news, time_point askedAt);
     void noteStore(const char *what, bool isReachable, const std::string &detail);
-    void later(void (store_feed::*step)());
+    using step = void (store_feed::*)();
+    void later(step next);
+    /** Keeps @p next until the store answers a probe. */
+    void waitForStore(step next);
+    void probe();
 
     front_context &m_context;
     metadata_store &m_store;
-    duration m_configurationWait;
+    duration m_checkWait;
+    std::uint64_t m_checkRevision = 0;
+    time_point m_targetsListedAt = never;
+    int m_configurationReads = 0; ///< Answers to watches from before the last read are ignored.
+    std::vector<step> m_waitingSteps; ///< Each once.
+    duration m_probeDelay;
+    bool m_isProbing = false;
     std::uint64_t m_configurationRevision = 0;
     std::uint64_t m_targetRevision = 0;
     std::uint64_t m_dutyRevision = 0;
--- a/src/libcrocusdealpolicy/promotionattempt.cpp
+++ b/src/libcrocusdealpolicy/promotionattempt.cpp
@@ -42,6 +42,13 @@
     if (m_stage != stage::Ended && m_result != attempt_outcome::Pending) {
         end(m_result, actions);
     }
+    const bool isBeforeOrder = m_stage == stage::Survey || m_stage == stage::Pausing || m_stage == stage::CatchingUp;
+    if (const auto *leader = isBeforeOrder ? foundLeader() : nullptr) {
+        m_chosen = leader->member.id;
+        m_explanation = "target answers as primary";
+        end(attempt_outcome::LeaderFound, actions);
+        return actions;
+    }
     if (m_stage == stage::Survey) {
         survey(now, actions);
     }
@@ -77,20 +84,20 @@
             askAgain(state, now, actions);
         }
     }
-    for (const auto &state : m_members) {
-        const bool isOld = state.member.id == m_leader && m_reason != promotion_reason::PrimaryLost;
-        if (state.status && state.status->isPrimary && !isOld) {
-            m_chosen = state.member.id;
-            m_explanation = "target answers as primary";
-            end(attempt_outcome::LeaderFound, actions);
-            return;
-        }
-    }
     if (isSurveyComplete() || now - m_stageSince >= surveyTime) {
         beginPausing(now);
     }
 }
 
+const promotion_attempt::member_state *promotion_attempt::foundLeader() const
+{
+    const auto found = std::find_if(m_members.begin(), m_members.end(), [&](const member_state &state) {
+        const bool isToBeReplaced = state.member.id == m_leader && m_reason != promotion_reason::PrimaryLost;
+        return state.status && state.status->isPrimary && !isToBeReplaced;
+    });
+    return found == m_members.end() ? nullptr : &*found;
+}
+
 void promotion_attempt::enter(stage next, time_point now)
 {
     m_stage = next;
@@ -155,12 +162,6 @@
     }
     auto *leader = m_leader ? find(*m_leader) : nullptr;
     if (m_reason == promotion_reason::PrimaryLost && leader != nullptr) {
-        if (leader->status && leader->status->isPrimary) {
-            m_chosen = m_leader;
-            m_explanation = "the primary answers again";
-            end(attempt_outcome::LeaderFound, actions);
-            return;
-        }
         if (leader->status) {
             leader->isPauseWanted = true;
         } else {
@@ -361,6 +362,14 @@
     m_result = attempt_outcome::Unanswered;
 }
 
+void promotion_attempt::dutyLost()
+{
+    if (m_stage == stage::Survey || m_stage == stage::Pausing || m_stage == stage::CatchingUp) {
+        m_explanation = "another instance holds the duty";
+        m_result = attempt_outcome::Refused;
+    }
+}
+
 attempt_outcome promotion_attempt::result() const
 {
     return m_result;
--- a/src/libcrocusdealpolicy/promotionattempt.h
+++ b/src/libcrocusdealpolicy/promotionattempt.h
@@ -93,6 +93,8 @@
     void orderAccepted(time_point now);
     void orderRefused();
     void orderUnanswered();
+    /** Another instance holds the duty: nothing may be ordered any more, but an order that is sent is followed up. */
+    void dutyLost();
 
     attempt_outcome result() const;
     /** The new primary, or the one that was found. */
@@ -121,6 +123,8 @@
     bool isPlanned() const;
     void enter(stage next, time_point now);
     void survey(time_point now, std::vector<promotion_action> &actions);
+    /** A member that answers as primary and is not the one to be replaced. */
+    const member_state *foundLeader() const;
     void enterCatchUp(time_point now);
     void beginPausing(time_point now);
     void pauseWanted(time_point now, std::vector<promotion_action> &actions);
--- a/tests/libcrocusdealpolicy/promotionattempttest.cpp
+++ b/tests/libcrocusdealpolicy/promotionattempttest.cpp
@@ -68,6 +68,8 @@
     CPPUNIT_TEST(plannedChangeWaitsForThePositionAfterThePauses);
     CPPUNIT_TEST(plannedChangeStepsDownWhenAReplicaCannotBePaused);
     CPPUNIT_TEST(plannedChangeWithoutACandidateOrdersNothing);
+    CPPUNIT_TEST(endsWhenAnotherTargetLeadsMeanwhile);
+    CPPUNIT_TEST(endsBeforeTheOrderWhenTheDutyIsLost);
     CPPUNIT_TEST(wakesOnlyInTheFuture);
     CPPUNIT_TEST_SUITE_END();
 
@@ -245,6 +247,43 @@
         CPPUNIT_ASSERT(attempt.result() == attempt_outcome::NotSafe);
     }
 
+    /** Guards against LOST: another instance has promoted a member while this attempt waited for a missing one. */
+    void endsWhenAnotherTargetLeadsMeanwhile()
+    {
+        promotion_attempt attempt(
+            promotion_reason::PrimaryLost, std::nullopt, members({oldPrimary, nearReplica, farReplica}), true, m_now);
+        pauseBothReplicas(attempt);
+        m_now = m_now + 5000_ms;
+        attempt.step(m_now);
+        attempt.statusReceived(nearReplica, report(true, {4, 12}), m_now, m_now);
+        attempt.statusReceived(farReplica, report(false, {4, 12}, 5), m_now, m_now);
+        attempt.statusReceived(oldPrimary, report(false, {4, 13}, 5), m_now, m_now);
+        CPPUNIT_ASSERT(!isOrdered(attempt.step(m_now)));
+        CPPUNIT_ASSERT(attempt.result() == attempt_outcome::LeaderFound);
+        CPPUNIT_ASSERT(attempt.chosen() == nearReplica);
+    }
+
+    /** Guards against ordering from what was seen before another instance held the duty. */
+    void endsBeforeTheOrderWhenTheDutyIsLost()
+    {
+        auto waiting = lostAttempt();
+        pauseBothReplicas(waiting);
+        waiting.dutyLost();
+        CPPUNIT_ASSERT(waiting.step(m_now).empty());
+        CPPUNIT_ASSERT(waiting.result() == attempt_outcome::Refused);
+
+        auto ordered = lostAttempt();
+        ordered.statusReceived(nearReplica, report(false, {3, 10}), m_now, m_now);
+        ordered.statusReceived(farReplica, report(false, {3, 10}), m_now, m_now);
+        ordered.step(m_now);
+        ordered.statusReceived(nearReplica, report(false, {3, 10}, 4), m_now, m_now);
+        ordered.statusReceived(farReplica, report(false, {3, 10}, 4), m_now, m_now);
+        CPPUNIT_ASSERT(isOrdered(ordered.step(m_now)));
+        ordered.orderAccepted(m_now);
+        ordered.dutyLost();
+        CPPUNIT_ASSERT(ordered.result() == attempt_outcome::Pending);
+    }
+
     /** Guards against a busy loop: members that are not asked any more lie far in the past. */
     void wakesOnlyInTheFuture()
     {
@@ -266,6 +305,17 @@
         return attempt;
     }
 
+    /** The old primary does not answer. */
+    void pauseBothReplicas(promotion_attempt &attempt)
+    {
+        attempt.step(m_now);
+        attempt.statusReceived(nearReplica, report(false, {3, 10}), m_now, m_now);
+        attempt.statusReceived(farReplica, report(false, {3, 10}), m_now, m_now);
+        attempt.statusMissing(oldPrimary, m_now);
+        attempt.step(m_now);
+        attempt.statusReceived(nearReplica, report(false, {3, 10}, 4), m_now, m_now);
+    }
+
     promotion_attempt plannedAttempt(std::initializer_list<target_id> ids)
     {
         promotion_attempt attempt(promotion_reason::PrimaryDraining, oldPrimary, members(ids), true, m_now);
--- a/tests/platform/fronttest.cpp
+++ b/tests/platform/fronttest.cpp
@@ -59,6 +59,9 @@
     CPPUNIT_TEST(silentReadIsSentElsewhere);
     CPPUNIT_TEST(transactionWithoutItsTargetIsAborted);
     CPPUNIT_TEST(busyTargetIsTriedAgain);
+    CPPUNIT_TEST(busyTargetDoesNotEndATransaction);
+    CPPUNIT_TEST(silentConfigurationWatchIsNoticed);
+    CPPUNIT_TEST(storeThatIsAwayIsAskedSparingly);
     CPPUNIT_TEST(callerThatLeavesInATransactionLeavesNothing);
     CPPUNIT_TEST(malformedAndEndlessMessagesAreRefused);
     CPPUNIT_TEST(countsStatementsByOutcome);
@@ -303,6 +306,57 @@
         CPPUNIT_ASSERT_EQUAL(1, timesRun(world.group.at("a"), "WRITE 1 x"));
     }
 
+    /** Guards against losing the work of a whole transaction to a refusal that a moment's wait would have avoided. */
+    void busyTargetDoesNotEndATransaction()
+    {
+        front_world world;
+        world.start();
+        auto &primary = world.group.at("a");
+        const auto client = world.connect("fresh");
+        assertContains("READY T", world.ask(*client, "BEGIN"));
+        assertContains("COMPLETE sig-a", world.ask(*client, "WRITE 1 x"));
+        primary.faults.refuseBusy = 2;
+        assertContains("COMPLETE sig-a", world.ask(*client, "WRITE 2 y"));
+        primary.faults.refuseBusy = 2;
+        assertContains("COMPLETE sig-a", world.ask(*client, "COMMIT"));
+        CPPUNIT_ASSERT_EQUAL(1, timesRun(primary, "WRITE 2 y"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, primary.items.size());
+    }
+
+    /** Guards against CONFIG: a watch whose connection has gone silent without a reset hears of nothing. */
+    void silentConfigurationWatchIsNoticed()
+    {
+        front_world world;
+        world.start();
+        world.store.isWatchSilent = true;
+        world.runFor(100_ms);
+        ++world.configuration.version;
+        world.configuration.routes.clear();
+        world.store.setConfiguration(world.configuration);
+        world.runFor(world.settings.configurationApply);
+        const auto client = world.connect("fresh");
+        world.runUntil([&] { return client->hasAnswer(); }, 1000_ms);
+        assertContains("NOSUCHDB", client->takeAnswer());
+    }
+
+    /** Guards against a flood of calls, each of which is refused and paid for, while the store is down. */
+    void storeThatIsAwayIsAskedSparingly()
+    {
+        front_world world;
+        world.start();
+        world.store.isAway = true;
+        world.runFor(200_ms);
+        world.store.calls.clear();
+        world.runFor(3000_ms);
+        int calls = 0;
+        for (const auto &[name, count] : world.store.calls) {
+            calls += count;
+        }
+        CPPUNIT_ASSERT(calls <= 8);
+        world.store.isAway = false;
+        CPPUNIT_ASSERT(world.runUntil([&] { return world.store.calls["list"] > 0; }, 1000_ms));
+    }
+
     /** Guards against PINNED: a connection with an open transaction goes to the next session. */
     void callerThatLeavesInATransactionLeavesNothing()
     {
@@ -394,6 +448,7 @@
     CPPUNIT_TEST(lateOrderIsFencedOnceThePrimaryIsBack);
     CPPUNIT_TEST(drainingPrimaryIsReplacedWithoutARefusal);
     CPPUNIT_TEST(missingReplicaHoldsThePromotionBack);
+    CPPUNIT_TEST(attemptEndsWhenAnotherInstanceTakesTheDuty);
     CPPUNIT_TEST(silentDrainingReplicaWithoutEntryHoldsThePromotionBack);
     CPPUNIT_TEST(crashedReplicaWithoutEntryHoldsThePromotionBack);
     CPPUNIT_TEST(staleInstanceWithoutTheStorePausesNothing);
@@ -519,6 +574,29 @@
         CPPUNIT_ASSERT(writesAgain(world));
     }
 
+    /** Guards against LOST: what an attempt saw before another instance held the duty says nothing of the present. */
+    void attemptEndsWhenAnotherInstanceTakesTheDuty()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        auto &missing = world.group.at("c");
+        missing.crash();
+        world.group.at("a").crash();
+        world.ask(*client, "WRITE 1 x");
+        CPPUNIT_ASSERT(world.runUntil([&] { return world.group.at("b").pausedAt > 0; }, 2000_ms));
+        world.runFor(1200_ms); // The claim is too old by now to order under it without a new one.
+        bool isTaken = false;
+        world.store.claimDuty(
+            service_id("svc"), "other", true, world.store.duties.at("svc").revision, [&](const duty_news &news) {
+                isTaken = news.failure == store_failure::None;
+            });
+        missing.listen();
+        world.runFor(1500_ms);
+        CPPUNIT_ASSERT(isTaken);
+        CPPUNIT_ASSERT(world.store.orders.empty());
+    }
+
     /** Guards against LOST: a draining target cut off with the primary loses its entry and still acknowledges. */
     void silentDrainingReplicaWithoutEntryHoldsThePromotionBack()
     {
--- a/tests/platform/memorystore.cpp
+++ b/tests/platform/memorystore.cpp
@@ -49,8 +49,9 @@
     m_targetRevision = ++m_revision;
 }
 
-void memory_store::readConfiguration(std::function<void(configuration_news)> done)
+void memory_store::readConfiguration(store_reading reading, std::function<void(configuration_news)> done)
 {
+    ++calls[reading == store_reading::Current ? "read" : "probe"];
     configuration_news news;
     news.revision = m_revision;
     if (m_configurationRevision > 0) {
@@ -59,8 +60,14 @@
     answer(std::move(done), std::move(news));
 }
 
-void memory_store::watchConfiguration(std::uint64_t revision, duration, std::function<void(configuration_news)> done)
+void memory_store::watchConfiguration(std::uint64_t revision,
+                                      duration,
+                                      store_reading reading,
+                                      std::function<void(configuration_news)> done)
 {
+    if (isWatchSilent && reading == store_reading::Current) {
+        return;
+    }
     m_deadlines.scheduleAfter(pollTime, [this, revision, done = std::move(done)] {
         configuration_news news;
         news.revision = m_revision;
@@ -73,6 +80,7 @@
 
 void memory_store::listTargets(std::function<void(target_news)> done)
 {
+    ++calls["list"];
     target_news news;
     news.isComplete = true;
     news.revision = m_revision;
@@ -97,6 +105,7 @@
 
 void memory_store::listDuties(std::function<void(duty_list_news)> done)
 {
+    ++calls["duties"];
     duty_list_news news;
     news.revision = m_revision;
     for (const auto &[service, duty] : duties) {
@@ -120,6 +129,7 @@
     const bool isFirst = found == duties.end();
     const bool isAllowed = isFirst ? !replaces : replaces == found->second.revision;
     duty_news news;
+    ++calls["claim"];
     if (isAway) {
         answer(std::move(done), std::move(news));
         return;
--- a/tests/platform/memorystore.h
+++ b/tests/platform/memorystore.h
@@ -22,6 +22,8 @@
     void removeTarget(const std::string &id);
 
     bool isAway = false; ///< Turns every call away.
+    bool isWatchSilent = false; ///< Current watches of the configuration hear nothing and do not end.
+    std::map<std::string, int> calls; ///< By name, answered or not.
     bool loseOrders = false; ///< Orders are carried out and not answered.
     duration orderDelay{0}; ///< Orders that are not answered reach the authority so much later.
     std::map<std::string, duty_news> duties;
@@ -33,9 +35,10 @@
     int refusedOrders = 0;
     line_database_group *group = nullptr;
 
-    void readConfiguration(std::function<void(configuration_news)> done) override;
+    void readConfiguration(store_reading reading, std::function<void(configuration_news)> done) override;
     void watchConfiguration(std::uint64_t revision,
                             duration wait,
+                            store_reading reading,
                             std::function<void(configuration_news)> done) override;
     void listTargets(std::function<void(target_news)> done) override;
     void watchTargets(std::uint64_t revision, duration wait, std::function<void(target_news)> done) override;
