Send a statement of a transaction again when its target is busy

Before: busyTargetDoesNotEndATransaction fails without the repeat. After: the statement, or the commit, goes to the same connection again after 10 to 40 ms for up to half of its time limit; the limit and the caller's leaving end the wait. A commit that was never accepted ends as ABORTED, not INDOUBT. The line of a lagging target names the position that was required and the one that the target holds.

--- a/src/libcrocusdealfront/frontsession.cpp
+++ b/src/libcrocusdealfront/frontsession.cpp
@@ -8,6 +8,15 @@
 namespace crocusdeal
 {
 
+namespace
+{
+
+constexpr duration busyDelay{10};
+constexpr duration longestBusyDelay{40};
+constexpr int busyShareOfTimeout = 2; // The rest is left for the answer.
+
+}
+
 front_session::front_session(front_context &context,
                              std::shared_ptr<byte_stream> stream,
                              session_surroundings surroundings)
@@ -333,39 +342,91 @@
 
 void front_session::sendInTransaction(const caller_request &request, std::optional<prepared_shape> prepared)
 {
-    const auto link = m_grant->link;
     m_isBusy = true;
     m_arrivedAt = systemNow();
     m_sent = request;
-    m_sentAt = systemNow();
-    sendPreparation(m_context.targets, link, m_values, prepared ? &*prepared : nullptr, true);
-    std::string encoded;
-    encodeStatement(m_context.targets, encoded, link->values, request, prepared, std::nullopt);
-    m_group->addPermit(*m_grant);
-    const bool isCommitOfWrite = request.what.kind == statement_kind::Commit && m_hasWritten;
-    if (isCommitOfWrite) {
-        m_group->writeSent(m_sentAt);
-    }
+    m_sentPrepared = std::move(prepared);
+    m_busyAnswers = 0;
     const auto self = shared_from_this();
     m_limit = m_context.deadlines.scheduleAfter(m_transactionRoute->statementTimeout, [self] {
         self->m_limit = 0;
         self->hitTransactionLimit();
     });
+    sendToTarget();
+}
+
+void front_session::sendToTarget()
+{
+    const auto link = m_grant->link;
+    const auto *prepared = m_sentPrepared ? &*m_sentPrepared : nullptr;
+    m_sentAt = systemNow();
+    m_isWithTarget = true;
+    sendPreparation(m_context.targets, link, m_values, prepared, true);
+    std::string encoded;
+    encodeStatement(m_context.targets, encoded, link->values, *m_sent, m_sentPrepared, std::nullopt);
+    m_group->addPermit(*m_grant);
+    if (isCommitOfWrite(*m_sent)) {
+        m_group->writeSent(m_sentAt);
+    }
     const auto generation = ++m_generation;
-    link->send(encoded, [self, request, sentAt = m_sentAt, generation](target_reply reply) {
+    link->send(encoded, [self = shared_from_this(), generation](target_reply reply) {
         if (generation == self->m_generation) {
-            self->finishInTransaction(request, std::move(reply), sentAt);
+            self->takeTransactionReply(std::move(reply));
         }
     });
 }
 
-void front_session::finishInTransaction(const caller_request &request, target_reply reply, time_point sentAt)
+bool front_session::isCommitOfWrite(const caller_request &request) const
+{
+    return request.what.kind == statement_kind::Commit && m_hasWritten;
+}
+
+void front_session::endSending(bool isAcknowledged)
+{
+    if (!std::exchange(m_isWithTarget, false)) {
+        return;
+    }
+    m_group->endPermit(*m_grant);
+    if (isCommitOfWrite(*m_sent)) {
+        m_group->writeEnded(m_sentAt, isAcknowledged);
+    }
+}
+
+bool front_session::isWorthAnotherTry(const target_reply &reply) const
+{
+    // A target that is busy has run nothing, and with the transaction all that it has done so far would be lost.
+    const bool isRefusedOnly = reply.error == error_code::Busy && reply.state == transaction_state::Open;
+    return isRefusedOnly && systemNow() - m_arrivedAt < m_transactionRoute->statementTimeout / busyShareOfTimeout;
+}
+
+void front_session::takeTransactionReply(target_reply reply)
 {
-    m_context.deadlines.cancel(m_limit);
-    m_sent.reset();
     m_grant->target->recordAnswer(reply);
+    endSending(reply.isSuccess());
+    if (!isWorthAnotherTry(reply)) {
+        m_context.deadlines.cancel(m_limit);
+        const auto request = *std::exchange(m_sent, std::nullopt);
+        finishInTransaction(request, reply);
+        return;
+    }
+    ++m_busyAnswers;
+    m_context.metrics.statementRetried("busy in a transaction");
+    m_context.log.info("statement_retried")
+        .field("id", m_sent->id)
+        .field("database", m_database)
+        .field("why", "busy in a transaction")
+        .field("attempts", m_busyAnswers)
+        .field("ms", (systemNow() - m_arrivedAt).ms);
+    const auto delay = std::min(busyDelay * m_busyAnswers, longestBusyDelay);
+    m_busyTimer = m_context.deadlines.scheduleAfter(delay, [self = shared_from_this()] {
+        self->m_busyTimer = 0;
+        self->sendToTarget();
+    });
+}
+
+void front_session::finishInTransaction(const caller_request &request, const target_reply &reply)
+{
     countStatement(reply.isLost ? std::optional(error_code::Aborted) : reply.error);
-    m_group->endPermit(*m_grant);
     const bool isPlain = m_begunBy == statement_kind::Begin || m_grant->needsProof;
     // A commit that has nothing to write succeeds also where the lead is lost.
     const bool isProof = isPlain && (request.what.kind != statement_kind::Commit || m_hasWritten);
@@ -376,9 +437,6 @@
         m_group->noteNotLeading(m_grant->target->entry().id, "it refused as read only");
     }
     if (request.what.kind == statement_kind::Commit) {
-        if (m_hasWritten) {
-            m_group->writeEnded(sentAt, reply.isSuccess());
-        }
         finishCommit(request, reply);
         return;
     }
@@ -399,7 +457,8 @@
             .field("id", request.id)
             .field("database", m_database)
             .field("target", m_grant->target->entry().id.str())
-            .field("code", errorCodeNames.name(*reply.error));
+            .field("code", errorCodeNames.name(*reply.error))
+            .field("state", transactionStateNames.name(reply.state));
         rollBackTransaction();
         m_state = transaction_state::Failed;
         answerReply(reply);
@@ -434,22 +493,22 @@
 
 void front_session::hitTransactionLimit()
 {
-    const auto request = *std::exchange(m_sent, std::nullopt);
+    const bool isSent = m_isWithTarget;
+    m_context.deadlines.cancel(m_busyTimer);
     ++m_generation;
+    endSending(false);
+    const auto request = *std::exchange(m_sent, std::nullopt);
     const bool isCommit = request.what.kind == statement_kind::Commit;
     m_context.log.warn("statement_timed_out")
         .field("id", request.id)
         .field("database", m_database)
         .field("target", m_grant->target->entry().id.str())
-        .field("sent", 1)
+        .field("sent", isSent ? 1 : 0)
         .field("in_transaction", 1);
-    m_group->endPermit(*m_grant);
-    if (isCommit && m_hasWritten) {
-        m_group->writeEnded(m_sentAt, false);
-    }
     endTransaction(false);
     m_state = isCommit ? transaction_state::Idle : transaction_state::Failed;
-    answerError(isCommit && m_hasWritten ? error_code::InDoubt : error_code::Aborted, "the statement timed out");
+    answerError(isSent && isCommit && m_hasWritten ? error_code::InDoubt : error_code::Aborted,
+                "the statement timed out");
 }
 
 void front_session::countStatement(std::optional<error_code> error)
@@ -577,11 +636,9 @@
     if (m_sent) {
         // What was sent is rolled back with its connection, unless it is a commit, which runs to its end.
         m_context.deadlines.cancel(m_limit);
+        m_context.deadlines.cancel(m_busyTimer);
         ++m_generation;
-        m_group->endPermit(*m_grant);
-        if (m_sent->what.kind == statement_kind::Commit && m_hasWritten) {
-            m_group->writeEnded(m_sentAt, false);
-        }
+        endSending(false);
         m_sent.reset();
         endTransaction(false);
     } else {
--- a/src/libcrocusdealfront/frontsession.h
+++ b/src/libcrocusdealfront/frontsession.h
@@ -63,7 +63,14 @@
     void runFirst(const caller_request &request, effect kind, std::optional<prepared_shape> prepared);
     void sendInTransaction(const caller_request &request, std::optional<prepared_shape> prepared);
     void finishRun(const caller_request &request, statement_outcome outcome);
-    void finishInTransaction(const caller_request &request, target_reply reply, time_point sentAt);
+    /** Sends m_sent over the connection of the transaction. */
+    void sendToTarget();
+    bool isCommitOfWrite(const caller_request &request) const;
+    /** The target does not work on m_sent any more. */
+    void endSending(bool isAcknowledged);
+    bool isWorthAnotherTry(const target_reply &reply) const;
+    void takeTransactionReply(target_reply reply);
+    void finishInTransaction(const caller_request &request, const target_reply &reply);
     void finishCommit(const caller_request &request, const target_reply &reply);
     void hitTransactionLimit();
     void countStatement(std::optional<error_code> error);
@@ -96,7 +103,12 @@
     std::optional<target_grant> m_grant; ///< Of the open transaction, from its first statement.
     bool m_hasWritten = false;
     bool m_wasAborted = false; ///< By the product; the caller has not been told.
-    std::optional<caller_request> m_sent; ///< The statement that the target of the transaction is working on.
+    /** The statement that the target of the transaction is working on, or has refused and is to get again. */
+    std::optional<caller_request> m_sent;
+    std::optional<prepared_shape> m_sentPrepared;
+    bool m_isWithTarget = false; ///< m_sent has not been answered.
+    int m_busyAnswers = 0; ///< To m_sent.
+    deadline_queue::handle m_busyTimer = 0;
     time_point m_sentAt = never;
     time_point m_arrivedAt = never; ///< Of the statement that is running.
     int m_generation = 0;
--- a/src/libcrocusdealfront/statementrun.cpp
+++ b/src/libcrocusdealfront/statementrun.cpp
@@ -341,6 +341,7 @@
     const auto target = m_grant->target->entry().id;
     const bool isAtLeader = m_grant->isLeader;
     const auto pool = m_grant->target;
+    const auto required = m_grant->after;
     if (code == error_code::ReadOnly) {
         m_group->noteNotLeading(target, "it refused as read only");
     }
@@ -361,6 +362,11 @@
     }
     m_isSent = false;
     if (code == error_code::Lagging) {
+        m_context.log.info("target_lagging")
+            .field("id", m_order.request.id)
+            .field("target", target.str())
+            .field("required", required ? toString(*required) : "none")
+            .field("holds", reply.at ? toString(*reply.at) : "unknown");
         pool->noteLagging(systemNow());
         m_need.mustBeLeader = m_need.mustBeLeader || isAtLeader || m_attempts >= 2;
         m_need.avoid.insert(target);
