Size what an instance has in flight by the target's refusals

A window per target halves when the target refuses and grows while it serves; a refused statement waits in the instance's queue up to its time and counts as no attempt. A failed read goes elsewhere; the share of failed answers, fading with a half-life of 2 s, counts in the placement of reads.

--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -183,7 +183,7 @@
         read_candidate candidate;
         candidate.index = pools.size();
         candidate.inFlight = pool->inFlight();
-        candidate.permits = pool->permits();
+        candidate.permits = pool->hasRoom(now) ? pool->permits() : 0;
         candidate.slots = pool->entry().slots;
         candidate.answerMs = pool->answerMs();
         candidate.isLocal = pool->entry().dataCentre == m_dataCentre;
@@ -191,6 +191,7 @@
         candidate.isKnownToCover = isCovering;
         candidate.isWarmingUp = pool->entry().isWarmingUp;
         candidate.hasIdleConnection = pool->hasIdle();
+        candidate.failureShare = pool->failureShare(now);
         candidates.push_back(candidate);
         pools.push_back(pool);
     }
@@ -215,7 +216,7 @@
         noteTrouble("the primary cannot be used");
         return false;
     }
-    if (pool->inFlight() >= pool->permits()) {
+    if (!pool->hasRoom(systemNow())) {
         return false;
     }
     return grantAt(pool, std::nullopt, !need.isWrite, granted);
--- a/src/libcrocusdealfront/statementrun.cpp
+++ b/src/libcrocusdealfront/statementrun.cpp
@@ -12,7 +12,6 @@
 {
 
 constexpr int maxAttempts = 5;
-constexpr duration busyDelay{15};
 constexpr int waitShareOfTimeout = 2; // Work that will be served may wait half of its time.
 constexpr int waitShareOfLatency = 4; // Work that nobody can serve yet is refused early, so that it can go elsewhere.
 constexpr duration shortestWait{20};
@@ -181,7 +180,7 @@
         m_need.avoid.insert(m_grant->target->entry().id);
         m_group->noteTrouble("connection lost");
         dropGrant(false);
-        retry("connection lost before the statement was sent", {});
+        retry("connection lost before the statement was sent");
         return;
     }
     if (reply.error) {
@@ -283,7 +282,7 @@
     if (!std::exchange(m_isRollbackSent, false)) {
         m_orphans.push_back({orphan, m_generation});
     }
-    retry(isTargetSilent ? "target is silent" : "answer is late", {});
+    retry(isTargetSilent ? "target is silent" : "answer is late");
 }
 
 void statement_run::takeReply(target_reply reply)
@@ -346,7 +345,10 @@
         m_group->noteNotLeading(target, "it refused as read only");
     }
     rollBackGrant();
-    if (!hasNotRun(code) || m_attempts >= maxAttempts) {
+    const bool isBusy = code == error_code::Busy;
+    const bool isReadFailed = code == error_code::Failed && m_order.kind == effect::Read;
+    const bool mayRepeat = isBusy ? systemNow() < m_need.refuseAt : m_attempts < maxAttempts;
+    if (!(hasNotRun(code) || isReadFailed) || !mayRepeat) {
         m_context.log.info("statement_failed")
             .field("id", m_order.request.id)
             .field("database", m_order.route.database)
@@ -360,7 +362,14 @@
         finish(std::move(outcome));
         return;
     }
-    m_isSent = false;
+    m_isSent = isReadFailed;
+    if (isReadFailed) {
+        m_need.avoid.insert(target);
+    }
+    if (isBusy) {
+        // The target's window decides when the next may be sent, and the time of the statement how often.
+        --m_attempts;
+    }
     if (code == error_code::Lagging) {
         m_context.log.info("target_lagging")
             .field("id", m_order.request.id)
@@ -371,8 +380,7 @@
         m_need.mustBeLeader = m_need.mustBeLeader || isAtLeader || m_attempts >= 2;
         m_need.avoid.insert(target);
     }
-    const bool isBusy = code == error_code::Busy;
-    retry(errorCodeNames.name(code).data(), isBusy ? busyDelay * m_attempts : duration{});
+    retry(errorCodeNames.name(code).data());
 }
 
 void statement_run::takeLoss(const target_reply &reply)
@@ -395,10 +403,10 @@
         return;
     }
     m_need.avoid.insert(target);
-    retry("connection lost", {});
+    retry("connection lost");
 }
 
-void statement_run::retry(const char *why, duration delay)
+void statement_run::retry(const char *why)
 {
     m_context.metrics.statementRetried(why);
     m_context.log.info("statement_retried")
@@ -412,14 +420,7 @@
         fail(unkeptCode(), why);
         return;
     }
-    if (delay == duration{}) {
-        acquire();
-        return;
-    }
-    m_retryTimer = m_context.deadlines.scheduleAfter(delay, [self = shared_from_this()] {
-        self->m_retryTimer = 0;
-        self->acquire();
-    });
+    acquire();
 }
 
 void statement_run::dropGrant(bool isReusable)
@@ -496,7 +497,6 @@
 void statement_run::finish(statement_outcome outcome)
 {
     m_context.deadlines.cancel(m_limit);
-    m_context.deadlines.cancel(m_retryTimer);
     m_context.deadlines.cancel(m_hedgeTimer);
     if (m_ticket != 0) {
         m_group->abandon(std::exchange(m_ticket, 0));
--- a/src/libcrocusdealfront/statementrun.h
+++ b/src/libcrocusdealfront/statementrun.h
@@ -81,7 +81,7 @@
     void takeOrphanReply(int generation, const target_reply &reply);
     void takeError(target_reply reply);
     void takeLoss(const target_reply &reply);
-    void retry(const char *why, duration delay);
+    void retry(const char *why);
     void dropGrant(bool isReusable);
     void rollBackGrant();
     void hitLimit();
@@ -107,7 +107,6 @@
     std::vector<orphan_grant> m_orphans; ///< Of reads that were sent elsewhere meanwhile.
     service_group::ticket m_ticket = 0;
     deadline_queue::handle m_limit = 0;
-    deadline_queue::handle m_retryTimer = 0;
     deadline_queue::handle m_hedgeTimer = 0;
     bool m_isRollbackSent = false; ///< Its answer releases the grant.
     int m_attempts = 0;
--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -40,6 +40,7 @@
     : m_context(context)
     , m_entry(std::move(entry))
     , m_maxConnections(maxConnections)
+    , m_window(m_entry.slots)
     , m_answerMs(firstAnswerMs)
 {
 }
@@ -54,6 +55,7 @@
     m_maxConnections = maxConnections;
     const bool isAnotherLife = entry.born != m_entry.born || entry.address != m_entry.address;
     m_entry = entry;
+    m_window.setMost(entry.slots);
     if (!isAnotherLife) {
         return;
     }
@@ -90,7 +92,18 @@
 
 int target_pool::permits() const
 {
-    return m_entry.slots;
+    return m_window.permits();
+}
+
+bool target_pool::hasRoom(time_point now) const
+{
+    const auto held = m_window.heldUntil();
+    return m_inFlight < permits() && (held == never || now >= held);
+}
+
+double target_pool::failureShare(time_point now) const
+{
+    return m_failureShare.at(now);
 }
 
 int target_pool::inFlight() const
@@ -110,16 +123,43 @@
 
 void target_pool::recordAnswer(const target_reply &reply)
 {
+    const auto now = systemNow();
     if (reply.isLost) {
+        m_failureShare.record(true, now);
         return;
     }
-    const auto now = systemNow();
     noteAnswer(reply);
+    if (reply.error == error_code::Busy) {
+        noteRefused(reply, now);
+    }
+    if (reply.error == error_code::Failed || reply.error == error_code::Timeout) {
+        m_failureShare.record(true, now);
+    }
     if (reply.isSuccess()) {
+        m_failureShare.record(false, now);
+        m_window.served();
         m_answerMs += answerWeight * (static_cast<double>((now - reply.sentAt).ms) - m_answerMs);
     }
 }
 
+void target_pool::noteRefused(const target_reply &reply, time_point now)
+{
+    m_window.refused(reply.sentAt, now);
+    if (m_holdTimer != 0) {
+        return;
+    }
+    m_holdTimer = m_context.deadlines.schedule(m_window.heldUntil(), [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        self->m_holdTimer = 0;
+        if (self->onCapacity) {
+            self->onCapacity();
+        }
+    });
+}
+
 void target_pool::noteAnswer(const target_reply &reply)
 {
     if (reply.isLost) {
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "admissionwindow.h"
 #include "eventlog.h"
+#include "failureshare.h"
 #include "frontmetrics.h"
 #include "replicationreport.h"
 #include "targetentry.h"
@@ -54,6 +56,9 @@
     /** Statements that this instance may have in flight, and has. */
     int permits() const;
     int inFlight() const;
+    /** Whether one more may be sent now. */
+    bool hasRoom(time_point now) const;
+    double failureShare(time_point now) const;
     void addInFlight(int difference);
     double answerMs() const;
     void recordAnswer(const target_reply &reply);
@@ -95,6 +100,7 @@
 private:
     struct control_call;
 
+    void noteRefused(const target_reply &reply, time_point now);
     void openLink(std::function<void(std::shared_ptr<target_link>, const link_opening &)> done);
     void noteOpened(const link_opening &opening);
     void sendControl(const std::shared_ptr<control_call> &call);
@@ -109,6 +115,9 @@
     std::shared_ptr<target_link> m_controlLink;
     std::multiset<time_point> m_openings; ///< When those that are being opened were begun.
     int m_inFlight = 0;
+    admission_window m_window;
+    failure_share m_failureShare;
+    deadline_queue::handle m_holdTimer = 0;
     double m_answerMs;
     position m_known;
     time_point m_laggingUntil = never;
--- a/src/libcrocusdealpolicy/placement.cpp
+++ b/src/libcrocusdealpolicy/placement.cpp
@@ -14,6 +14,7 @@
 constexpr double uncoveredCost = 6; // The read may be refused there and be sent again.
 constexpr double warmingCost = 15;
 constexpr double connectCost = 10;
+constexpr double failureCost = 250; // A failed read is sent again elsewhere, or by its caller.
 
 double expectedMs(const read_candidate &candidate)
 {
@@ -25,6 +26,7 @@
     cost += candidate.isKnownToCover ? 0 : uncoveredCost;
     cost += candidate.isWarmingUp ? warmingCost : 0;
     cost += candidate.hasIdleConnection ? 0 : connectCost;
+    cost += candidate.failureShare * failureCost;
     // Spreads simultaneous reads over targets of equal load.
     return cost + candidate.inFlight;
 }
--- a/src/libcrocusdealpolicy/placement.h
+++ b/src/libcrocusdealpolicy/placement.h
@@ -19,6 +19,7 @@
     bool isKnownToCover = false; ///< Its log is known to hold the position that the read needs.
     bool isWarmingUp = false;
     bool hasIdleConnection = false;
+    double failureShare = 0; ///< Of its latest answers.
 };
 
 /** How long new work is expected to wait behind @p ahead others at a target that runs @p permits at a time. */
--- a/tests/libcrocusdealpolicy/policytest.cpp
+++ b/tests/libcrocusdealpolicy/policytest.cpp
@@ -1,4 +1,6 @@
+#include "admissionwindow.h"
 #include "dutyclaim.h"
+#include "failureshare.h"
 #include "freshness.h"
 #include "placement.h"
 #include "sessionvalues.h"
@@ -320,6 +322,90 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(placement_test);
 
+class admission_window_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(admission_window_test);
+    CPPUNIT_TEST(narrowsOnceForWhatWasSentTogether);
+    CPPUNIT_TEST(alwaysLeavesOnePermit);
+    CPPUNIT_TEST(opensAgainWhileTheTargetServes);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against giving up a target for one full moment: the refusals of one batch count once. */
+    void narrowsOnceForWhatWasSentTogether()
+    {
+        admission_window window(8);
+        window.refused({1000}, {1003});
+        window.refused({1001}, {1004});
+        window.refused({1002}, {1004});
+        CPPUNIT_ASSERT_EQUAL(4, window.permits());
+        window.refused({1005}, {1008});
+        CPPUNIT_ASSERT_EQUAL(2, window.permits());
+        CPPUNIT_ASSERT(window.heldUntil() > (time_point{1008}));
+    }
+
+    /** Guards against starving a service whose target sheds for long. */
+    void alwaysLeavesOnePermit()
+    {
+        admission_window window(4);
+        for (int i = 0; i < 100; ++i) {
+            window.refused({1000 + i * 10}, {1005 + i * 10});
+            CPPUNIT_ASSERT(window.permits() >= 1);
+        }
+        CPPUNIT_ASSERT((window.heldUntil() - time_point{1995}).ms <= 100);
+    }
+
+    /** Guards against a window that stays narrow, or grows over what the target offers. */
+    void opensAgainWhileTheTargetServes()
+    {
+        admission_window window(4);
+        window.refused({1000}, {1005});
+        window.refused({1010}, {1015});
+        CPPUNIT_ASSERT_EQUAL(1, window.permits());
+        for (int i = 0; i < 100; ++i) {
+            window.served();
+        }
+        CPPUNIT_ASSERT_EQUAL(4, window.permits());
+        window.setMost(2);
+        CPPUNIT_ASSERT_EQUAL(2, window.permits());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(admission_window_test);
+
+class failure_share_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(failure_share_test);
+    CPPUNIT_TEST(failingTargetIsPassedOverAndTriedAgainLater);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against reading on at a target that fails two reads in five while its health check is good. */
+    void failingTargetIsPassedOverAndTriedAgainLater()
+    {
+        failure_share failing;
+        for (int i = 0; i < 20; ++i) {
+            failing.record(i % 5 < 2, {1000 + i * 10});
+        }
+        std::vector<read_candidate> candidates(2);
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            candidates[i].index = i;
+            candidates[i].answerMs = 20;
+            candidates[i].permits = 4;
+            candidates[i].slots = 4;
+            candidates[i].hasIdleConnection = true;
+            candidates[i].isKnownToCover = true;
+        }
+        candidates[1].inFlight = 3;
+        candidates[0].failureShare = failing.at({1200});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, *placeRead(candidates));
+        candidates[0].failureShare = failing.at({15000});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, *placeRead(candidates));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(failure_share_test);
+
 class wait_queue_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(wait_queue_test);
--- a/tests/platform/fronttest.cpp
+++ b/tests/platform/fronttest.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(silentReadIsSentElsewhere);
     CPPUNIT_TEST(transactionWithoutItsTargetIsAborted);
     CPPUNIT_TEST(busyTargetIsTriedAgain);
+    CPPUNIT_TEST(failedReadIsSentAgain);
     CPPUNIT_TEST(busyTargetDoesNotEndATransaction);
     CPPUNIT_TEST(silentConfigurationWatchIsNoticed);
     CPPUNIT_TEST(storeThatIsAwayIsAskedSparingly);
@@ -306,6 +307,20 @@
         CPPUNIT_ASSERT_EQUAL(1, timesRun(world.group.at("a"), "WRITE 1 x"));
     }
 
+    /** Guards against passing on the failures of a target whose health check is good. */
+    void failedReadIsSentAgain()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        assertContains("COMPLETE sig-a", world.ask(*client, "WRITE 1 x"));
+        world.group.at("a").faults.failReads = 1;
+        assertContains("DATAROW x", world.ask(*client, "READ 1"));
+        world.group.at("a").faults.failReads = 1;
+        assertContains("READY T", world.ask(*client, "BEGIN READ"));
+        assertContains("DATAROW x", world.ask(*client, "READ 1"));
+    }
+
     /** Guards against losing the work of a whole transaction to a refusal that a moment's wait would have avoided. */
     void busyTargetDoesNotEndATransaction()
     {
--- a/tests/platform/linedatabase.cpp
+++ b/tests/platform/linedatabase.cpp
@@ -213,6 +213,11 @@
         answer(connection, "COMPLETE sig-" + m_id + "-" + id + "\r\n", true);
         return;
     }
+    if (faults.failReads > 0) {
+        --faults.failReads;
+        answer(connection, "ERROR FAILED " + m_id + "\r\n", true);
+        return;
+    }
     answer(connection, "DATAROW " + items[item] + "\r\nCOMPLETE sig-" + m_id + "-" + id + "\r\n", true);
 }
 
--- a/tests/platform/linedatabase.h
+++ b/tests/platform/linedatabase.h
@@ -24,6 +24,7 @@
     int loseAnswers = 0; ///< So many reads, writes and commits run and are not answered; the connection ends.
     int swallowAnswers = 0; ///< As loseAnswers, but the connection stays open and silent.
     int refuseBusy = 0;
+    int failReads = 0; ///< So many are run and answered with a failure.
     bool isDeaf = false; ///< Does not receive commits.
     duration answerDelay{0}; ///< Of reads, writes and commits.
 };
