Move the judgement of a primary and the opening of listeners out

Ruled out: a change of behaviour; the code moved as it was, but for the primary's own sighting, which now says itself that nothing is lost. Before: no test of the judgement without sockets.

--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -1,9 +1,8 @@
 #include "front.h"
 
+#include "listener.h"
 #include "systemclock.h"
 
-#include <asio/ip/address.hpp>
-
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -73,23 +72,9 @@
 
 std::string front::listenForCallers()
 {
-    std::error_code error;
-    const auto ip = asio::ip::make_address(m_settings.callerAddress.host, error);
-    const asio::ip::tcp::endpoint endpoint(ip, m_settings.callerAddress.port);
-    if (!error) {
-        m_acceptor.open(endpoint.protocol(), error);
-    }
-    if (!error) {
-        m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-        m_acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        return toString(m_settings.callerAddress) + ": " + error.message();
+    auto problem = openListener(m_acceptor, m_settings.callerAddress);
+    if (!problem.empty()) {
+        return problem;
     }
     acceptNext();
     return {};
--- a/src/libcrocusdealfront/frontsession.cpp
+++ b/src/libcrocusdealfront/frontsession.cpp
@@ -369,9 +369,9 @@
         m_group->writeSent(m_sentAt);
     }
     const auto generation = ++m_generation;
-    link->send(encoded, [self = shared_from_this(), generation](target_reply reply) {
+    link->send(encoded, [self = shared_from_this(), generation](const target_reply &reply) {
         if (generation == self->m_generation) {
-            self->takeTransactionReply(std::move(reply));
+            self->takeTransactionReply(reply);
         }
     });
 }
@@ -399,7 +399,7 @@
     return isRefusedOnly && systemNow() - m_arrivedAt < m_transactionRoute->statementTimeout / busyShareOfTimeout;
 }
 
-void front_session::takeTransactionReply(target_reply reply)
+void front_session::takeTransactionReply(const target_reply &reply)
 {
     m_grant->target->recordAnswer(reply);
     endSending(reply.isSuccess());
--- a/src/libcrocusdealfront/frontsession.h
+++ b/src/libcrocusdealfront/frontsession.h
@@ -69,7 +69,7 @@
     /** The target does not work on m_sent any more. */
     void endSending(bool isAcknowledged);
     bool isWorthAnotherTry(const target_reply &reply) const;
-    void takeTransactionReply(target_reply reply);
+    void takeTransactionReply(const target_reply &reply);
     void finishInTransaction(const caller_request &request, const target_reply &reply);
     void finishCommit(const caller_request &request, const target_reply &reply);
     void hitTransactionLimit();
--- a/src/libcrocusdealfront/httpmessage.cpp
+++ b/src/libcrocusdealfront/httpmessage.cpp
@@ -1,6 +1,6 @@
 #include "httpmessage.h"
 
-#include <asio/ip/address.hpp>
+#include "listener.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -190,23 +190,9 @@
 
 std::string http_server::listen(const host_port &address)
 {
-    std::error_code error;
-    const auto ip = asio::ip::make_address(address.host, error);
-    const asio::ip::tcp::endpoint endpoint(ip, address.port);
-    if (!error) {
-        m_acceptor.open(endpoint.protocol(), error);
-    }
-    if (!error) {
-        m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-        m_acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        return toString(address) + ": " + error.message();
+    auto problem = openListener(m_acceptor, address);
+    if (!problem.empty()) {
+        return problem;
     }
     acceptNext();
     return {};
--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -14,14 +14,11 @@
 
 constexpr duration surveyInterval{80};
 constexpr duration controlLimit{250};
-constexpr duration lostTime{220}; // The primary and the growth of its replicas' logs are missed for this long.
-constexpr duration sightingUse{250}; // An older answer of a replica tells nothing of the present.
 // An attempt with a primary that serves takes less; a longer pause was left behind.
 constexpr duration longestPause{5000};
 constexpr int standbyCheckShare = 4;
 constexpr duration servingTime{1000};
 constexpr duration leftTime{2000};
-constexpr duration cutOffTime{250};
 constexpr duration stallTime{1000}; // Longer than a write waits in a busy target.
 constexpr duration retryTime{300};
 constexpr duration uninformedStandby{2500}; // The others need less for a change of the primary.
@@ -107,7 +104,7 @@
 
 void leader_keeper::directoryChanged()
 {
-    std::erase_if(m_sightings, [&](const auto &entry) { return !m_group->targets().contains(entry.first); });
+    m_sightings.keepOnly([&](const target_id &id) { return m_group->targets().contains(id); });
     const auto now = systemNow();
     if (isLeaderDraining()) {
         if (m_drainingSince == never) {
@@ -132,31 +129,16 @@
     }
     if (m_troubleSince == never) {
         m_troubleSince = systemNow();
-        forgetSightings();
+        m_sightings.forget();
     }
     if (m_tick == 0) {
         scheduleTick({});
     }
 }
 
-void leader_keeper::forgetSightings()
-{
-    for (auto &[id, seen] : m_sightings) {
-        const bool isAsked = seen.isAsked;
-        seen = {};
-        seen.isAsked = isAsked;
-    }
-}
-
 bool leader_keeper::isCutOff(time_point now) const
 {
-    if (m_troubleSince == never) {
-        return false;
-    }
-    const auto missing = std::count_if(m_sightings.begin(), m_sightings.end(), [&](const auto &entry) {
-        return entry.second.missingSince != never && now - entry.second.missingSince >= cutOffTime;
-    });
-    return static_cast<std::size_t>(missing) * 2 > m_sightings.size();
+    return m_troubleSince != never && m_sightings.isCutOff(now);
 }
 
 void leader_keeper::scheduleTick(duration delay)
@@ -191,7 +173,7 @@
 {
     const auto pools = m_group->targets(); // The answers may change the group.
     for (const auto &[id, pool] : pools) {
-        if (std::exchange(m_sightings[id].isAsked, true)) {
+        if (!m_sightings.beginAsking(id)) {
             continue;
         }
         pool->control(control_statement::Status,
@@ -209,24 +191,10 @@
     if (!m_group->targets().contains(target)) {
         return;
     }
-    const auto now = systemNow();
-    auto &seen = m_sightings[target];
-    seen.isAsked = false;
-    seen.isAnswered = reply.isAnswered;
-    seen.answeredAt = now;
-    seen.report = reply.report;
-    if (reply.isAnswered) {
-        seen.missingSince = never;
-    } else if (seen.missingSince == never) {
-        seen.missingSince = now;
-    }
+    m_sightings.take(target, reply.isAnswered, reply.report, systemNow());
     if (!reply.report) {
         return;
     }
-    if (reply.report->received > seen.received) {
-        seen.received = reply.report->received;
-        seen.receivedChangedAt = now;
-    }
     if (reply.report->isPrimary) {
         m_lastLeader = target;
         m_leaderTerm = reply.report->term;
@@ -242,10 +210,13 @@
     if (m_isStopped || m_attempt || m_isClaiming || !hasWork(now)) {
         return;
     }
-    const bool hasLeader = std::any_of(m_sightings.begin(), m_sightings.end(), [](const auto &entry) {
-        return entry.second.report && entry.second.report->isPrimary;
-    });
-    logSightings(hasLeader, now);
+    const bool hasLeader = m_sightings.hasLeader();
+    m_context.log.debug("primary_judged")
+        .field("service", m_group->id().str())
+        .field("has_primary", hasLeader ? 1 : 0)
+        .field("trouble_ms", (now - m_troubleSince).ms)
+        .field("may_claim", m_duty.mayClaim(now, m_troubleSince) ? 1 : 0)
+        .field("seen", m_sightings.describe(now));
     if (hasLeader && m_isOrderOpen && m_group->leader() && now >= m_retryAt) {
         supersedeOrder(*m_group->leader());
         return;
@@ -261,7 +232,7 @@
     if (hasLeader && !isLeaderStalled(now)) {
         m_troubleSince = never;
     }
-    if (!hasLeader && isLeaderLost(now) && now >= m_retryAt) {
+    if (!hasLeader && m_sightings.isLeaderLost(now, m_troubleSince) && now >= m_retryAt) {
         begin(promotion_reason::PrimaryLost);
         return;
     }
@@ -270,34 +241,13 @@
     }
 }
 
-void leader_keeper::logSightings(bool hasLeader, time_point now)
-{
-    std::string text;
-    for (const auto &[id, seen] : m_sightings) {
-        text += id.str();
-        text += seen.report ? (seen.report->isPrimary ? " primary " : " replica ")
-                            : (seen.isAnswered ? " refuses " : " missing ");
-        text += toString(seen.received) + " grew " + std::to_string((now - seen.receivedChangedAt).ms) + " ms ago; ";
-    }
-    m_context.log.debug("primary_judged")
-        .field("service", m_group->id().str())
-        .field("has_primary", hasLeader ? 1 : 0)
-        .field("trouble_ms", (now - m_troubleSince).ms)
-        .field("may_claim", m_duty.mayClaim(now, m_troubleSince) ? 1 : 0)
-        .field("seen", text);
-}
-
 bool leader_keeper::mayActWithoutStore() const
 {
     if (!m_duty.token() || !m_lastLeader || m_leaderTerm == 0) {
         return false;
     }
     // Others may have acted with targets that this instance has not heard of; a newer term would show it.
-    return std::all_of(m_sightings.begin(), m_sightings.end(), [&](const auto &entry) {
-        const auto &report = entry.second.report;
-        return entry.first == *m_lastLeader ? !report.has_value()
-                                            : report && report->term == m_leaderTerm && !report->isPaused();
-    });
+    return m_sightings.isUnchangedBut(*m_lastLeader, m_leaderTerm);
 }
 
 bool leader_keeper::isKnownGone(const target_id &target) const
@@ -368,26 +318,6 @@
     found->second->control(control_statement::Resume, 0, controlLimit, [](const control_reply &) {});
 }
 
-bool leader_keeper::isLeaderLost(time_point now) const
-{
-    bool isAnyReplicaSeen = false;
-    for (const auto &[id, seen] : m_sightings) {
-        if (seen.answeredAt == never || (seen.isAnswered && !seen.report)) {
-            return false; // It may be the primary.
-        }
-        if (seen.report) {
-            isAnyReplicaSeen = true;
-            if (now - seen.answeredAt > sightingUse) {
-                return false;
-            }
-            if (now - seen.receivedChangedAt < lostTime) {
-                return false; // A primary that this instance cannot reach still feeds it, or did just now.
-            }
-        }
-    }
-    return isAnyReplicaSeen && m_troubleSince != never && now - m_troubleSince >= lostTime;
-}
-
 bool leader_keeper::isLeaderStalled(time_point now) const
 {
     const auto &leader = m_group->leader();
@@ -720,7 +650,7 @@
         .field("chosen", attempt->chosen() ? attempt->chosen()->str() : "none")
         .field("why", attempt->explanation())
         .field("trouble_ms", (systemNow() - m_troubleSince).ms);
-    forgetSightings();
+    m_sightings.forget();
     if (outcome == attempt_outcome::Promoted || outcome == attempt_outcome::LeaderFound) {
         m_lastLeader = attempt->chosen();
         m_leaderTerm = attempt->leaderTerm();
--- a/src/libcrocusdealfront/leaderkeeper.h
+++ b/src/libcrocusdealfront/leaderkeeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dutyclaim.h"
+#include "leadersightings.h"
 #include "metadatastore.h"
 #include "promotionattempt.h"
 #include "servicegroup.h"
@@ -52,26 +53,12 @@
     bool isKnownGone(const target_id &target) const;
 
 private:
-    struct sighting {
-        bool isAnswered = false;
-        std::optional<replication_report> report;
-        position received;
-        time_point receivedChangedAt = never; ///< When the received position was last seen to grow.
-        time_point missingSince = never;
-        time_point answeredAt = never;
-        bool isAsked = false; ///< An answer is awaited.
-    };
-
     void scheduleTick(duration delay);
     void tick();
     bool hasWork(time_point now) const;
     void surveyAll();
-    /** What was seen before the present trouble says nothing about it. */
-    void forgetSightings();
     void takeSighting(const target_id &target, const control_reply &reply);
     void judge();
-    void logSightings(bool hasLeader, time_point now);
-    bool isLeaderLost(time_point now) const;
     bool isLeaderStalled(time_point now) const;
     bool isLeaderDraining() const;
     void claimIdleDuty();
@@ -107,7 +94,7 @@
     std::string m_self;
     data_centre_id m_dataCentre;
     duty_claim m_duty;
-    std::map<target_id, sighting> m_sightings;
+    leader_sightings m_sightings;
     std::unique_ptr<promotion_attempt> m_attempt;
     /** What the attempt has seen counts only while nobody else has held the duty since this token was claimed. */
     std::optional<std::uint64_t> m_attemptToken;
