Turn unready as soon as all other data centres are silent

A statement without an answer, or failing connections, in each other data centre and no answer from any of them within 250 ms make the instance unready; one answer makes it ready. Conclusion: the survey of services stays for an instance that has lost most targets without a cut of data centres.

--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -299,14 +299,28 @@
     }
 }
 
+std::vector<reach_sighting> front::reachOfTargets(time_point now) const
+{
+    std::vector<reach_sighting> targets;
+    for (const auto &[service, group] : m_groups) {
+        for (const auto &[id, pool] : group->targets()) {
+            const bool isWithoutAnswer = pool->isSilent(now) || pool->unreachableSince() != never;
+            targets.push_back({pool->entry().dataCentre, isWithoutAnswer, pool->lastAnswerAt()});
+        }
+    }
+    return targets;
+}
+
 void front::watchIsolation(time_point now)
 {
     const auto cutOff = std::count_if(
         m_keepers.begin(), m_keepers.end(), [&](const auto &entry) { return entry.second->isCutOff(now); });
-    const bool isIsolated = static_cast<std::size_t>(cutOff) * 2 > m_keepers.size();
+    const bool areOthersSilent = areOtherDataCentresSilent(reachOfTargets(now), m_settings.dataCentre, now);
+    const bool isIsolated = areOthersSilent || static_cast<std::size_t>(cutOff) * 2 > m_keepers.size();
     if (isIsolated != (m_isolatedSince != never)) {
         m_isolatedSince = isIsolated ? now : never;
         m_context.log.warn(isIsolated ? "targets_out_of_reach" : "targets_within_reach")
+            .field("other_data_centres_silent", areOthersSilent ? 1 : 0)
             .field("services_cut_off", static_cast<std::int64_t>(cutOff))
             .field("services", static_cast<std::int64_t>(m_keepers.size()));
     }
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -3,6 +3,7 @@
 #include "frontsession.h"
 #include "frontsettings.h"
 #include "httpmessage.h"
+#include "isolation.h"
 #include "leaderkeeper.h"
 #include "metadatastore.h"
 #include "servicegroup.h"
@@ -48,6 +49,7 @@
     void checkMissingTargets();
     void housekeep();
     void watchSilence(time_point now);
+    std::vector<reach_sighting> reachOfTargets(time_point now) const;
     void watchIsolation(time_point now);
     void closeIdleSessions();
     void endTransactions();
--- a/tests/libcrocusdealpolicy/policytest.cpp
+++ b/tests/libcrocusdealpolicy/policytest.cpp
@@ -2,6 +2,7 @@
 #include "dutyclaim.h"
 #include "failureshare.h"
 #include "freshness.h"
+#include "isolation.h"
 #include "placement.h"
 #include "sessionvalues.h"
 #include "targetdirectory.h"
@@ -406,6 +407,31 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(failure_share_test);
 
+class isolation_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(isolation_test);
+    CPPUNIT_TEST(onlySilenceOfAllOthersCounts);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against turning unready for the loss of one other data centre, or for want of work. */
+    void onlySilenceOfAllOthersCounts()
+    {
+        const data_centre_id own("here");
+        const time_point now{5000};
+        std::vector<reach_sighting> targets{
+            {own, false, {4990}}, {data_centre_id("b"), true, {4600}}, {data_centre_id("c"), false, {4600}}};
+        CPPUNIT_ASSERT(!areOtherDataCentresSilent(targets, own, now));
+        targets[2].isWithoutAnswer = true;
+        CPPUNIT_ASSERT(areOtherDataCentresSilent(targets, own, now));
+        targets.push_back({data_centre_id("c"), false, {4900}});
+        CPPUNIT_ASSERT(!areOtherDataCentresSilent(targets, own, now));
+        CPPUNIT_ASSERT(!areOtherDataCentresSilent({{own, true, never}}, own, now));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(isolation_test);
+
 class wait_queue_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(wait_queue_test);
--- a/tests/platform/fronttest.cpp
+++ b/tests/platform/fronttest.cpp
@@ -471,6 +471,7 @@
     CPPUNIT_TEST(refusedTokenIsNotUsedAgain);
     CPPUNIT_TEST(writesAreRefusedEarlyWithoutAPrimary);
     CPPUNIT_TEST(instanceThatReachesNothingTurnsUnready);
+    CPPUNIT_TEST(instanceOfACutOffDataCentreTurnsUnreadySoon);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -741,6 +742,26 @@
         CPPUNIT_ASSERT(world.runUntil([&] { return world.isReady(); }, 3000_ms));
     }
 
+    /** Guards against a long time in which callers of a data centre that is cut off get refusals only. */
+    void instanceOfACutOffDataCentreTurnsUnreadySoon()
+    {
+        front_world world;
+        world.dataCentres = {{"a", "there"}, {"b", "there"}, {"c", "elsewhere"}};
+        for (const char *id : {"a", "b", "c"}) {
+            world.publishEntry(id, false);
+        }
+        world.start();
+        const auto client = world.connect("fresh");
+        const auto reader = world.connect("stale");
+        CPPUNIT_ASSERT(world.isReady());
+        const auto a = silence(world, "a");
+        const auto b = silence(world, "b");
+        const auto c = silence(world, "c");
+        client->send("QUERY 1 WRITE 1 x");
+        reader->send("QUERY 2 READ 1");
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.isReady(); }, 600_ms));
+    }
+
 private:
     /** A listener that never answers stands for a machine behind a cut. */
     static std::unique_ptr<asio::ip::tcp::acceptor> silence(front_world &world, const std::string &id)
