Let a large response of the store take its time while bytes arrive

Cause: each call had one second for the whole response. The list of all targets and the configuration grow with the deployment, the links do not; an instance whose link needs longer read both again and again and never started. After: the limit counts from the last bytes that arrived, ten times the limit at most; silence still ends a call within its limit.

--- a/src/libcrocusdealfront/httpmessage.cpp
+++ b/src/libcrocusdealfront/httpmessage.cpp
@@ -1,11 +1,13 @@
 #include "httpmessage.h"
 
 #include "listener.h"
+#include "systemclock.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <optional>
 
 namespace crocusdeal
@@ -17,6 +19,7 @@
 namespace http = boost::beast::http;
 
 constexpr std::uint64_t maxResponse = 8388608;
+constexpr int longestInLimits = 10; // A response that trickles in is given up after so many times its limit.
 constexpr std::uint64_t maxRequest = 65536;
 
 /** Feeds @p inbound to the parser and erases what it has used; false if the message is malformed. */
@@ -47,8 +50,9 @@
 struct http_client::pending_call {
     http_request request;
     std::function<void(http_response)> done;
+    duration progressLimit;
+    time_point endsAt = never; ///< Whatever the progress.
     deadline_queue::handle limit = 0;
-    bool isFinished = false;
 };
 
 class http_client::reader
@@ -75,7 +79,17 @@
     auto call = std::make_shared<pending_call>();
     call->request = std::move(request);
     call->done = std::move(done);
-    call->limit = m_deadlines.scheduleAfter(limit, [self = shared_from_this(), call] {
+    call->progressLimit = limit;
+    call->endsAt = systemNow() + limit * longestInLimits;
+    armLimit(call);
+    m_waiting.push_back(std::move(call));
+    begin();
+}
+
+void http_client::armLimit(const std::shared_ptr<pending_call> &call)
+{
+    const auto limit = std::min(systemNow() + call->progressLimit, call->endsAt);
+    call->limit = m_deadlines.schedule(limit, [self = shared_from_this(), call] {
         if (self->m_current == call) {
             self->finish({0, {}, "timed out"}, false);
             return;
@@ -83,8 +97,6 @@
         std::erase(self->m_waiting, call);
         call->done({0, {}, "timed out before it was sent"});
     });
-    m_waiting.push_back(std::move(call));
-    begin();
 }
 
 void http_client::close()
@@ -155,6 +167,8 @@
         finish({0, {}, "response to nothing"}, false);
         return;
     }
+    m_deadlines.cancel(m_current->limit);
+    armLimit(m_current);
     auto &parser = m_reader->parser;
     if (!feed(parser, inbound)) {
         finish({0, {}, "response cannot be read"}, false);
--- a/src/libcrocusdealfront/httpmessage.h
+++ b/src/libcrocusdealfront/httpmessage.h
@@ -31,7 +31,9 @@
 public:
     http_client(asio::io_context &io, deadline_queue &deadlines, host_port address);
 
-    /** @p limit is the time for the whole call. A call that fails closes the connection, so the next opens a new one.
+    /**
+     * @p limit is the time without progress: a large response may take longer on a slow link. A call that fails closes
+     * the connection, so the next opens a new one.
      */
     void call(http_request request, duration limit, std::function<void(http_response)> done);
     /** Ends the call that is under way without a response, and its connection; the calls behind it go on. */
@@ -42,6 +44,7 @@
     struct pending_call;
     class reader;
 
+    void armLimit(const std::shared_ptr<pending_call> &call);
     void begin();
     void sendRequest();
     void takeData(std::string &inbound);
