Do not displace a newer holder of the duty to fence a late order

An instance whose order was not answered claimed again as soon as a primary served, over the record of another instance that had claimed and ordered meanwhile. Ruled out: the claims of attempts, which wait for the lease. Before: newerHolderIsNotDisplacedToFenceALateOrder fails without the check (holder front-1 instead of other). Conclusion: the orders of the newer holder have the higher token; if it orders nothing, the open order is fenced after the lease.

--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -217,7 +217,9 @@
         .field("trouble_ms", (now - m_troubleSince).ms)
         .field("may_claim", m_duty.mayClaim(now, m_troubleSince) ? 1 : 0)
         .field("seen", m_sightings.describe(now));
-    if (hasLeader && m_isOrderOpen && m_group->leader() && now >= m_retryAt) {
+    // Another instance that has claimed since may order as well; its orders fence the open one.
+    const bool mayFence = now >= m_retryAt && m_duty.mayClaim(now, m_troubleSince);
+    if (hasLeader && m_isOrderOpen && m_group->leader() && mayFence) {
         supersedeOrder(*m_group->leader());
         return;
     }
--- a/tests/platform/fronttest.cpp
+++ b/tests/platform/fronttest.cpp
@@ -461,6 +461,7 @@
     CPPUNIT_TEST(secondCrashIsReplacedToo);
     CPPUNIT_TEST(lostAnswerOfTheOrderIsNoSecondPromotion);
     CPPUNIT_TEST(lateOrderIsFencedOnceThePrimaryIsBack);
+    CPPUNIT_TEST(newerHolderIsNotDisplacedToFenceALateOrder);
     CPPUNIT_TEST(drainingPrimaryIsReplacedWithoutARefusal);
     CPPUNIT_TEST(missingReplicaHoldsThePromotionBack);
     CPPUNIT_TEST(attemptEndsWhenAnotherInstanceTakesTheDuty);
@@ -553,6 +554,27 @@
         CPPUNIT_ASSERT_EQUAL(std::string("a"), world.store.orders.back().target);
     }
 
+    /** Guards against ONE: two instances that take turns in ordering within the lease. */
+    void newerHolderIsNotDisplacedToFenceALateOrder()
+    {
+        front_world world;
+        world.start();
+        world.store.loseOrders = true;
+        world.store.orderDelay = 20000_ms;
+        const auto client = world.connect("fresh");
+        world.group.at("a").crash();
+        world.ask(*client, "WRITE 1 x");
+        CPPUNIT_ASSERT(world.runUntil([&] { return world.store.duties.contains("svc"); }));
+        world.runFor(1000_ms);
+        world.store.claimDuty(
+            service_id("svc"), "other", true, world.store.duties.at("svc").revision, [](const duty_news &) {});
+        world.store.loseOrders = false;
+        world.group.at("a").listen();
+        world.runFor(4500_ms);
+        CPPUNIT_ASSERT_EQUAL(std::string("other"), world.store.duties.at("svc").holder);
+        CPPUNIT_ASSERT(world.store.orders.empty());
+    }
+
     /** Guards against a gap in planned work. */
     void drainingPrimaryIsReplacedWithoutARefusal()
     {
