Repeat an unanswered order of a planned change before anything else

Ruled out: a wrong choice; both attempts held what their choice needed. Conclusion: an instance that dies between such an order and its repeat leaves the hazard to the next holder, who does not know the ordered target: open, the record of the duty should name it. After a lost primary the order is not repeated: nothing is acknowledged while it is away.

--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -308,7 +308,9 @@
     const auto since = m_pausedSince.emplace(target, now).first->second;
     const bool isLeaderServing = m_group->leader() && now - m_group->leaderProvedAt() < servingTime;
     const auto found = m_group->targets().find(target);
-    if (m_attempt || now - since < longestPause || !isLeaderServing || found == m_group->targets().end()) {
+    // While another instance has claimed just now, its attempt may rely on the pause.
+    const bool isAttemptPossible = m_attempt || !m_duty.mayClaim(now, never);
+    if (isAttemptPossible || now - since < longestPause || !isLeaderServing || found == m_group->targets().end()) {
         return;
     }
     m_context.log.warn("pause_ended")
@@ -585,7 +587,7 @@
     case promotion_answer::Unanswered:
         // It may be carried out at any time; the lead of the chosen target tells.
         m_isOrderOpen = true;
-        m_attempt->orderAccepted(systemNow());
+        m_attempt->orderUnanswered(systemNow());
         break;
     }
     runAttempt();
--- a/src/libcrocusdealpolicy/promotionattempt.cpp
+++ b/src/libcrocusdealpolicy/promotionattempt.cpp
@@ -17,6 +17,8 @@
 constexpr duration catchUpTime{1500};
 constexpr duration lostPauseTime{20000}; // How long a missing replica is waited for.
 constexpr duration leadTime{4000}; // From the order to the lead of the chosen target.
+constexpr duration reorderTime{300}; // From one unanswered order to the next.
+constexpr int mostOrders = 15; // With their time-outs longer than the 12 s by which a call may be late.
 
 }
 
@@ -270,6 +272,7 @@
 void promotion_attempt::order(time_point now, std::vector<promotion_action> &actions)
 {
     enter(stage::Ordering, now);
+    ++m_orders;
     m_explanation = "holds " + toString(m_needed);
     actions.emplace_back(order_promotion{*m_chosen});
 }
@@ -281,6 +284,14 @@
         end(attempt_outcome::Promoted, actions);
         return;
     }
+    // While the old primary serves, others than the chosen target could acknowledge without the pauses what a late
+    // order then loses.
+    const bool isToBeRepeated =
+        m_isOrderUnanswered && m_reason != promotion_reason::PrimaryLost && m_orders < mostOrders;
+    if (chosen != nullptr && isToBeRepeated && now - m_stageSince >= reorderTime) {
+        order(now, actions);
+        return;
+    }
     if (chosen == nullptr || now - m_stageSince >= leadTime) {
         m_explanation = "the chosen target does not lead";
         end(attempt_outcome::Unanswered, actions);
@@ -349,6 +360,7 @@
 
 void promotion_attempt::orderAccepted(time_point now)
 {
+    m_isOrderUnanswered = false;
     enter(stage::AwaitingLead, now);
 }
 
@@ -357,9 +369,10 @@
     m_result = attempt_outcome::Refused;
 }
 
-void promotion_attempt::orderUnanswered()
+void promotion_attempt::orderUnanswered(time_point now)
 {
-    m_result = attempt_outcome::Unanswered;
+    m_isOrderUnanswered = true;
+    enter(stage::AwaitingLead, now);
 }
 
 void promotion_attempt::dutyLost()
--- a/src/libcrocusdealpolicy/promotionattempt.h
+++ b/src/libcrocusdealpolicy/promotionattempt.h
@@ -92,7 +92,8 @@
     void memberGone(const target_id &target);
     void orderAccepted(time_point now);
     void orderRefused();
-    void orderUnanswered();
+    /** It may be carried out at any time; while the old primary serves, the same order follows under a newer token. */
+    void orderUnanswered(time_point now);
     /** Another instance holds the duty: nothing may be ordered any more, but an order that is sent is followed up. */
     void dutyLost();
 
@@ -150,6 +151,8 @@
     std::uint64_t m_highestTerm = 0;
     position m_needed; ///< What the chosen target has to hold before the order.
     bool m_isSteppedDown = false;
+    bool m_isOrderUnanswered = false; ///< The last one.
+    int m_orders = 0;
     std::optional<target_id> m_chosen;
     attempt_outcome m_result = attempt_outcome::Pending;
     std::string m_explanation;
--- a/tests/libcrocusdealpolicy/promotionattempttest.cpp
+++ b/tests/libcrocusdealpolicy/promotionattempttest.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(plannedChangeWithoutACandidateOrdersNothing);
     CPPUNIT_TEST(endsWhenAnotherTargetLeadsMeanwhile);
     CPPUNIT_TEST(endsBeforeTheOrderWhenTheDutyIsLost);
+    CPPUNIT_TEST(unansweredOrderIsRepeatedForTheSameTarget);
     CPPUNIT_TEST(wakesOnlyInTheFuture);
     CPPUNIT_TEST_SUITE_END();
 
@@ -284,6 +285,38 @@
         CPPUNIT_ASSERT(ordered.result() == attempt_outcome::Pending);
     }
 
+    /** Guards against LOST: a late order names a target that lacks what others have acknowledged since. */
+    void unansweredOrderIsRepeatedForTheSameTarget()
+    {
+        auto attempt = plannedAttempt({oldPrimary, nearReplica, farReplica});
+        answerSurvey(attempt);
+        const auto paused = targetsOf<pause_target>(attempt.step(m_now)).front();
+        attempt.statusReceived(paused, report(false, {3, 20}, 4), m_now, m_now);
+        attempt.step(m_now);
+        m_now = m_now + 100_ms;
+        attempt.statusReceived(oldPrimary, report(true, {3, 20}), m_now, m_now);
+        attempt.statusReceived(*attempt.chosen(), report(false, {3, 20}), m_now, m_now);
+        CPPUNIT_ASSERT(isOrdered(attempt.step(m_now)));
+        const auto chosen = *attempt.chosen();
+        for (int i = 0; i < 10; ++i) {
+            m_now = m_now + 800_ms;
+            attempt.orderUnanswered(m_now);
+            bool isRepeated = false;
+            for (int j = 0; j < 5 && !isRepeated; ++j) {
+                const auto actions = attempt.step(m_now);
+                CPPUNIT_ASSERT(targetsOf<resume_target>(actions).empty());
+                isRepeated = targetsOf<order_promotion>(actions) == std::vector<target_id>{chosen};
+                m_now = m_now + 100_ms;
+            }
+            CPPUNIT_ASSERT(isRepeated);
+            CPPUNIT_ASSERT(attempt.result() == attempt_outcome::Pending);
+        }
+        attempt.orderAccepted(m_now);
+        attempt.statusReceived(chosen, report(true, {4, 20}), m_now, m_now);
+        CPPUNIT_ASSERT(!targetsOf<resume_target>(attempt.step(m_now)).empty());
+        CPPUNIT_ASSERT(attempt.result() == attempt_outcome::Promoted);
+    }
+
     /** Guards against a busy loop: members that are not asked any more lie far in the past. */
     void wakesOnlyInTheFuture()
     {
