Judge the isolation of an instance as soon as a survey is missed

Not load: with logs and an idle machine the instance turned unready after exactly 600 ms. The silence of the primary is seen by the housekeeping (300 ms), the survey that follows is not answered for 250 ms, and the next housekeeping comes 50 ms later. The last step only waits for a tick. Ruled out: load. 24 runs beside 12 busy processes and 5 alone did not fail; one ms more in any step does. Before: trouble at 300 ms, targets_out_of_reach at 600 ms (CROCUSDEAL_TEST_LOG=1 build/tests/test_platform instanceOfACutOffDataCentreTurnsUnreadySoon). After: 560 ms in three runs of the same command: 300 ms, and 260 ms for the survey. Conclusion: a missed survey plans a check 10 ms later, one for all services together. The bound of the test stays.

--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr duration housekeepingInterval{100};
+constexpr duration isolationCheckDelay{10};
 constexpr duration silenceLimit{220}; // A statement unanswered for so long is reason to ask for the target's status.
 constexpr duration stallLimit{1000};
 constexpr duration leftOutInterval{1000};
@@ -138,6 +139,7 @@
     auto keeper = std::make_shared<leader_keeper>(
         m_context, group, m_directory, m_store, m_authority, m_settings.instance.str(), m_settings.dataCentre);
     keeper->refreshDirectory = [this](std::function<void(bool)> done) { m_feed->refreshTargets(std::move(done)); };
+    keeper->onMissed = [this] { watchIsolationSoon(); };
     keeper->isAnswering = [this](const data_centre_id &dataCentre) { return isAnswering(dataCentre); };
     m_keepers[service] = keeper;
     keeper->start();
@@ -311,6 +313,17 @@
     return targets;
 }
 
+void front::watchIsolationSoon()
+{
+    if (std::exchange(m_isIsolationCheckPlanned, true)) {
+        return;
+    }
+    m_context.deadlines.scheduleAfter(isolationCheckDelay, [self = shared_from_this()] {
+        self->m_isIsolationCheckPlanned = false;
+        self->watchIsolation(systemNow());
+    });
+}
+
 void front::watchIsolation(time_point now)
 {
     const auto cutOff = std::count_if(
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -51,6 +51,8 @@
     void watchSilence(time_point now);
     std::vector<reach_sighting> reachOfTargets(time_point now) const;
     void watchIsolation(time_point now);
+    /** Together for all that is missed at about the same time, without waiting for the next housekeeping. */
+    void watchIsolationSoon();
     void closeIdleSessions();
     void endTransactions();
     void finishShutdown(const char *why);
@@ -82,6 +84,7 @@
     time_point m_leftOutToldAt = never;
     time_point m_pausesCheckedAt = never;
     time_point m_missingCheckedAt = never;
+    bool m_isIsolationCheckPlanned = false;
     time_point m_isolatedSince = never; ///< Most targets of most services do not answer here.
 };
 
--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -192,6 +192,9 @@
         return;
     }
     m_sightings.take(target, reply.isAnswered, reply.report, systemNow());
+    if (!reply.isAnswered) {
+        onMissed();
+    }
     if (!reply.report) {
         return;
     }
