Move claiming the duty and sending orders out of leader_keeper

Ruled out: a change of behaviour, but for one case: a renewal that finds no record now forgets the record that is gone.

--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -37,11 +37,9 @@
     : m_context(context)
     , m_group(std::move(group))
     , m_directory(directory)
-    , m_store(store)
-    , m_authority(authority)
     , m_self(std::move(self))
     , m_dataCentre(std::move(dataCentre))
-    , m_duty(m_self)
+    , m_orders(std::make_shared<promotion_orders>(context, store, authority, m_group->id(), m_self))
 {
 }
 
@@ -65,10 +63,8 @@
 
 void leader_keeper::dutyKnown(const std::optional<duty_record> &record, time_point askedAt)
 {
-    if (record) {
-        m_duty.observe(*record, askedAt);
-    }
-    if (m_attempt && m_duty.token() != m_attemptToken) {
+    m_orders->observe(record, askedAt);
+    if (m_attempt && m_orders->token() != m_attemptToken) {
         m_attempt->dutyLost();
         runAttempt();
     }
@@ -86,20 +82,15 @@
 
 void leader_keeper::claimIdleDuty()
 {
-    const bool isFree = !m_duty.replaces() || m_duty.isHeldHere();
-    if (m_isStopped || m_isClaiming || m_attempt || !isFree || m_duty.token()) {
+    if (m_isStopped || isClaiming() || m_attempt || !m_orders->isFree() || m_orders->token()) {
         return;
     }
-    // A token in hand allows to act while the store is away; one of an earlier process is not in hand.
-    const auto sentAt = systemNow();
-    m_store.claimDuty(
-        m_group->id(), m_self, false, m_duty.replaces(), [self = shared_from_this(), sentAt](const duty_news &news) {
-            if (news.failure == store_failure::None) {
-                self->m_duty.claimed(news.revision, false, sentAt);
-            } else if (news.failure == store_failure::Conflict) {
-                self->m_duty.observe({news.holder, news.revision, news.isForOrder}, sentAt);
-            }
-        });
+    m_orders->claimInAdvance();
+}
+
+bool leader_keeper::isClaiming() const
+{
+    return m_isRefreshing || m_orders->isBusy();
 }
 
 void leader_keeper::directoryChanged()
@@ -155,7 +146,7 @@
 
 bool leader_keeper::hasWork(time_point) const
 {
-    return m_troubleSince != never || m_drainingSince != never || m_isOrderOpen;
+    return m_troubleSince != never || m_drainingSince != never || m_orders->isOrderOpen();
 }
 
 void leader_keeper::tick()
@@ -210,7 +201,7 @@
 void leader_keeper::judge()
 {
     const auto now = systemNow();
-    if (m_isStopped || m_attempt || m_isClaiming || !hasWork(now)) {
+    if (m_isStopped || m_attempt || isClaiming() || !hasWork(now)) {
         return;
     }
     const bool hasLeader = m_sightings.hasLeader();
@@ -218,12 +209,12 @@
         .field("service", m_group->id().str())
         .field("has_primary", hasLeader ? 1 : 0)
         .field("trouble_ms", (now - m_troubleSince).ms)
-        .field("may_claim", m_duty.mayClaim(now, m_troubleSince) ? 1 : 0)
+        .field("may_claim", m_orders->mayClaim(now, m_troubleSince) ? 1 : 0)
         .field("seen", m_sightings.describe(now));
     // Another instance that has claimed since may order as well; its orders fence the open one.
-    const bool mayFence = now >= m_retryAt && m_duty.mayClaim(now, m_troubleSince);
-    if (hasLeader && m_isOrderOpen && m_group->leader() && mayFence) {
-        supersedeOrder(*m_group->leader());
+    const bool mayFence = now >= m_retryAt && m_orders->mayClaim(now, m_troubleSince);
+    if (hasLeader && m_orders->isOrderOpen() && m_group->leader() && mayFence) {
+        fenceOpenOrder(*m_group->leader());
         return;
     }
     if (hasLeader && isLeaderDraining() && now >= m_retryAt) {
@@ -248,7 +239,7 @@
 
 bool leader_keeper::mayActWithoutStore() const
 {
-    if (!m_duty.token() || !m_lastLeader || m_leaderTerm == 0) {
+    if (!m_orders->token() || !m_lastLeader || m_leaderTerm == 0) {
         return false;
     }
     // Others may have acted with targets that this instance has not heard of; a newer term would show it.
@@ -283,7 +274,7 @@
         return;
     }
     // Each check takes a slot of a target, so that others than the holder of the duty check only now and then.
-    const bool isTurn = m_duty.isHeldHere() || m_pauseChecks % standbyCheckShare == 0;
+    const bool isTurn = m_orders->isHeldHere() || m_pauseChecks % standbyCheckShare == 0;
     ++m_pauseChecks;
     if (!isTurn) {
         return;
@@ -312,7 +303,7 @@
     const bool isLeaderServing = m_group->leader() && now - m_group->leaderProvedAt() < servingTime;
     const auto found = m_group->targets().find(target);
     // While another instance has claimed just now, its attempt may rely on the pause.
-    const bool isAttemptPossible = m_attempt || !m_duty.mayClaim(now, never);
+    const bool isAttemptPossible = m_attempt || !m_orders->mayClaim(now, never);
     if (isAttemptPossible || now - since < longestPause || !isLeaderServing || found == m_group->targets().end()) {
         return;
     }
@@ -347,7 +338,7 @@
 {
     const auto now = systemNow();
     const auto since = reason == promotion_reason::PrimaryDraining ? m_drainingSince : m_troubleSince;
-    if (!m_duty.mayClaim(now, since) || isOthersTurn(reason, now)) {
+    if (!m_orders->mayClaim(now, since) || isOthersTurn(reason, now)) {
         scheduleTick(surveyInterval);
         return;
     }
@@ -363,45 +354,32 @@
 
 void leader_keeper::claimThenStart(promotion_reason reason)
 {
-    m_isClaiming = true;
-    const auto sentAt = systemNow();
-    m_store.claimDuty(m_group->id(),
-                      m_self,
-                      true,
-                      m_duty.replaces(),
-                      [self = shared_from_this(), sentAt, reason](const duty_news &news) {
-                          self->m_isClaiming = false;
-                          self->m_context.log.info("duty_claim")
-                              .field("service", self->m_group->id().str())
-                              .field("reason", promotionReasonNames.name(reason))
-                              .field("outcome", storeFailureNames.name(news.failure))
-                              .field("holder", news.holder)
-                              .field("revision", static_cast<std::int64_t>(news.revision));
-                          if (news.failure == store_failure::None) {
-                              self->m_duty.claimed(news.revision, true, sentAt);
-                              self->refreshThenStart(reason);
-                              return;
-                          }
-                          if (news.failure == store_failure::Conflict) {
-                              self->m_duty.observe({news.holder, news.revision, news.isForOrder}, systemNow());
-                          } else if (news.failure == store_failure::NotFound) {
-                              self->m_duty.observeAbsent();
-                          } else if (self->mayActWithoutStore()) {
-                              self->startAttempt(reason);
-                              return;
-                          } else {
-                              self->m_retryAt = systemNow() + retryTime;
-                          }
-                          self->scheduleTick(surveyInterval);
-                      });
+    m_orders->claim(promotionReasonNames.name(reason).data(),
+                    [self = shared_from_this(), reason](claim_result result) { self->takeClaim(result, reason); });
+}
+
+void leader_keeper::takeClaim(claim_result result, promotion_reason reason)
+{
+    if (result == claim_result::Claimed) {
+        refreshThenStart(reason);
+        return;
+    }
+    if (result == claim_result::StoreAway) {
+        if (mayActWithoutStore()) {
+            startAttempt(reason);
+            return;
+        }
+        m_retryAt = systemNow() + retryTime;
+    }
+    scheduleTick(surveyInterval);
 }
 
 void leader_keeper::refreshThenStart(promotion_reason reason)
 {
-    m_isClaiming = true;
+    m_isRefreshing = true;
     refreshDirectory([self = shared_from_this(), reason](bool isFresh) {
-        self->m_isClaiming = false;
-        if (isFresh && !self->m_duty.isClaimStale(systemNow())) {
+        self->m_isRefreshing = false;
+        if (isFresh && !self->m_orders->isClaimStale(systemNow())) {
             self->startAttempt(reason);
             return;
         }
@@ -426,9 +404,9 @@
         .field("reason", promotionReasonNames.name(reason))
         .field("leader", leader ? leader->str() : "none")
         .field("members", static_cast<std::int64_t>(members.size()))
-        .field("token", static_cast<std::int64_t>(m_duty.token().value_or(0)))
+        .field("token", static_cast<std::int64_t>(m_orders->token().value_or(0)))
         .field("trouble_ms", (systemNow() - m_troubleSince).ms);
-    m_attemptToken = m_duty.token();
+    m_attemptToken = m_orders->token();
     m_attempt = std::make_unique<promotion_attempt>(
         reason, leader, std::move(members), m_group->policy().syncReplicas > 0, systemNow());
     runAttempt();
@@ -499,44 +477,31 @@
 
 void leader_keeper::order(const target_id &target)
 {
-    if (m_duty.token() != m_attemptToken) {
+    if (m_orders->token() != m_attemptToken) {
         m_attempt->orderRefused();
         return;
     }
-    if (!m_duty.isClaimStale(systemNow())) {
+    if (!m_orders->isClaimStale(systemNow())) {
         sendOrder(target);
         return;
     }
     // The attempt has waited, or the machine was suspended: another instance may hold the duty by now.
-    const auto sentAt = systemNow();
     const auto *attempt = m_attempt.get();
-    m_store.claimDuty(m_group->id(),
-                      m_self,
-                      true,
-                      m_attemptToken,
-                      [self = shared_from_this(), attempt, sentAt, target](const duty_news &news) {
-                          self->takeRenewal(attempt, news, sentAt, target);
-                      });
+    m_orders->renew(m_attemptToken, [self = shared_from_this(), attempt, target](claim_result result) {
+        if (self->m_attempt && self->m_attempt.get() == attempt) {
+            self->takeRenewal(result, target);
+        }
+    });
 }
 
-void leader_keeper::takeRenewal(const promotion_attempt *attempt,
-                                const duty_news &news,
-                                time_point sentAt,
-                                const target_id &target)
+void leader_keeper::takeRenewal(claim_result result, const target_id &target)
 {
-    if (news.failure == store_failure::None) {
-        m_duty.claimed(news.revision, true, sentAt);
-    } else if (news.failure == store_failure::Conflict) {
-        m_duty.observe({news.holder, news.revision, news.isForOrder}, systemNow());
-    }
-    if (!m_attempt || m_attempt.get() != attempt) {
-        return;
+    if (result == claim_result::Claimed) {
+        m_attemptToken = m_orders->token();
     }
-    if (news.failure == store_failure::None) {
-        m_attemptToken = news.revision;
-    }
-    const bool isAway = news.failure == store_failure::TurnedAway || news.failure == store_failure::Unreachable;
-    if (news.failure == store_failure::None || (isAway && m_duty.token() && mayActWithoutStore())) {
+    const bool mayOrder = result == claim_result::Claimed
+        || (result == claim_result::StoreAway && m_orders->token() && mayActWithoutStore());
+    if (mayOrder) {
         sendOrder(target);
         return;
     }
@@ -546,103 +511,45 @@
 
 void leader_keeper::sendOrder(const target_id &target)
 {
-    const auto token = m_duty.token();
-    if (!token) {
+    if (!m_orders->token()) {
         m_attempt->orderRefused();
         return;
     }
-    m_context.log.info("promotion_ordered")
-        .field("service", m_group->id().str())
-        .field("target", target.str())
-        .field("token", static_cast<std::int64_t>(*token))
-        .field("why", m_attempt->explanation());
     const auto *attempt = m_attempt.get();
-    m_authority.promote(
-        m_group->id(),
-        target,
-        m_self,
-        *token,
-        [self = shared_from_this(), attempt, token = *token](promotion_answer answer, const std::string &detail) {
-            if (self->m_attempt.get() == attempt && self->m_attempt) {
-                self->orderAnswered(answer, detail, token);
-            }
-        });
+    m_orders->send(target, m_attempt->explanation(), [self = shared_from_this(), attempt](promotion_answer answer) {
+        if (self->m_attempt && self->m_attempt.get() == attempt) {
+            self->orderAnswered(answer);
+        }
+    });
 }
 
-void leader_keeper::orderAnswered(promotion_answer answer, const std::string &detail, std::uint64_t token)
+void leader_keeper::orderAnswered(promotion_answer answer)
 {
-    m_context.log.info("promotion_answer")
-        .field("service", m_group->id().str())
-        .field("answer", promotionAnswerNames.name(answer))
-        .field("detail", detail);
     switch (answer) {
     case promotion_answer::Accepted:
-        m_isOrderOpen = false; // The authority has seen a newer token than that of any order before.
         m_attempt->orderAccepted(systemNow());
         break;
     case promotion_answer::Refused:
-        m_duty.refused(token);
-        m_attempt->orderRefused();
-        break;
     case promotion_answer::TurnedAway:
         m_attempt->orderRefused();
         break;
     case promotion_answer::Unanswered:
         // It may be carried out at any time; the lead of the chosen target tells.
-        m_isOrderOpen = true;
         m_attempt->orderUnanswered(systemNow());
         break;
     }
     runAttempt();
 }
 
-void leader_keeper::supersedeOrder(const target_id &leader)
-{
-    m_isClaiming = true;
-    const auto sentAt = systemNow();
-    m_store.claimDuty(m_group->id(),
-                      m_self,
-                      true,
-                      m_duty.replaces(),
-                      [self = shared_from_this(), sentAt, leader](const duty_news &news) {
-                          self->takeSupersedingClaim(news, sentAt, leader);
-                      });
-}
-
-void leader_keeper::takeSupersedingClaim(const duty_news &news, time_point sentAt, const target_id &leader)
+void leader_keeper::fenceOpenOrder(const target_id &leader)
 {
-    if (news.failure == store_failure::Conflict) {
-        // The orders of the newer holder fence it.
-        m_isOrderOpen = false;
-        m_duty.observe({news.holder, news.revision, news.isForOrder}, systemNow());
-    }
-    if (news.failure == store_failure::None) {
-        m_duty.claimed(news.revision, true, sentAt);
-    }
-    if (news.failure != store_failure::None || m_group->leader() != leader) {
-        endSuperseding();
-        return;
-    }
-    m_authority.promote(m_group->id(),
-                        leader,
-                        m_self,
-                        news.revision,
-                        [self = shared_from_this(), leader](promotion_answer answer, const std::string &detail) {
-                            self->m_isOrderOpen = answer != promotion_answer::Accepted;
-                            self->m_context.log.info("promotion_superseded")
-                                .field("service", self->m_group->id().str())
-                                .field("leader", leader.str())
-                                .field("answer", promotionAnswerNames.name(answer))
-                                .field("detail", detail);
-                            self->endSuperseding();
-                        });
-}
-
-void leader_keeper::endSuperseding()
-{
-    m_isClaiming = false;
-    m_retryAt = systemNow() + retryTime;
-    scheduleTick(surveyInterval);
+    m_orders->fence(
+        leader,
+        [group = m_group, leader] { return group->leader() == leader; },
+        [self = shared_from_this()](bool) {
+            self->m_retryAt = systemNow() + retryTime;
+            self->scheduleTick(surveyInterval);
+        });
 }
 
 void leader_keeper::finishAttempt()
@@ -666,7 +573,7 @@
         m_troubleSince = never;
     }
     if (outcome == attempt_outcome::Promoted) {
-        m_isOrderOpen = false; // It has been carried out.
+        m_orders->orderCarriedOut();
     }
     m_drainingSince = isLeaderDraining() ? systemNow() : never;
     m_retryAt = systemNow() + retryTime;
--- a/src/libcrocusdealfront/leaderkeeper.h
+++ b/src/libcrocusdealfront/leaderkeeper.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "dutyclaim.h"
 #include "leadersightings.h"
 #include "metadatastore.h"
 #include "promotionattempt.h"
+#include "promotionorders.h"
 #include "servicegroup.h"
 
 #include <functional>
@@ -64,38 +64,33 @@
     bool isLeaderStalled(time_point now) const;
     bool isLeaderDraining() const;
     void claimIdleDuty();
+    bool isClaiming() const;
     bool mayActWithoutStore() const;
     void takePauseSighting(const target_id &target, const control_reply &reply);
     void begin(promotion_reason reason);
     /** Whether another instance, which may know more of the service, is to try first. */
     bool isOthersTurn(promotion_reason reason, time_point now) const;
     void claimThenStart(promotion_reason reason);
+    void takeClaim(claim_result result, promotion_reason reason);
     void refreshThenStart(promotion_reason reason);
     void startAttempt(promotion_reason reason);
     void runAttempt();
     void perform(const promotion_action &action);
     void ask(const target_id &target, control_statement what, std::uint64_t term);
     void order(const target_id &target);
-    void takeRenewal(const promotion_attempt *attempt,
-                     const duty_news &news,
-                     time_point sentAt,
-                     const target_id &target);
+    void takeRenewal(claim_result result, const target_id &target);
     void sendOrder(const target_id &target);
-    void orderAnswered(promotion_answer answer, const std::string &detail, std::uint64_t token);
+    void orderAnswered(promotion_answer answer);
     void finishAttempt();
-    /** Fences an unanswered order with a newer one that names the primary in place and so changes nothing. */
-    void supersedeOrder(const target_id &leader);
-    void takeSupersedingClaim(const duty_news &news, time_point sentAt, const target_id &leader);
-    void endSuperseding();
+    /** With the primary in place, so that what is open is not carried out behind its back. */
+    void fenceOpenOrder(const target_id &leader);
 
     front_context &m_context;
     std::shared_ptr<service_group> m_group;
     const target_directory &m_directory;
-    metadata_store &m_store;
-    promotion_authority &m_authority;
     std::string m_self;
     data_centre_id m_dataCentre;
-    duty_claim m_duty;
+    std::shared_ptr<promotion_orders> m_orders;
     leader_sightings m_sightings;
     std::unique_ptr<promotion_attempt> m_attempt;
     /** What the attempt has seen counts only while nobody else has held the duty since this token was claimed. */
@@ -109,9 +104,8 @@
     std::uint64_t m_leaderTerm = 0; ///< Of m_lastLeader.
     int m_pauseChecks = 0;
     std::map<target_id, time_point> m_pausedSince; ///< Seen outside of attempts of this instance.
-    bool m_isClaiming = false;
+    bool m_isRefreshing = false; ///< The list of targets, under a claim.
     bool m_isDutyKnown = false;
-    bool m_isOrderOpen = false; ///< An unanswered order may still be carried out.
     bool m_isStopped = false;
 };
 
--- /dev/null
+++ b/src/libcrocusdealfront/promotionorders.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "dutyclaim.h"
+#include "metadatastore.h"
+#include "targetpool.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace crocusdeal
+{
+
+enum class claim_result {
+    Claimed,
+    TakenByAnother, ///< Another change of the record came first.
+    StoreAway, ///< It may have been claimed, now or later.
+};
+
+inline constexpr auto claimResultNames = makeNameTable<claim_result>("claimed", "taken_by_another", "store_away");
+
+/** Claims the duty of promoting for one service, and sends orders under its fencing token. */
+class promotion_orders : public std::enable_shared_from_this<promotion_orders>
+{
+public:
+    promotion_orders(front_context &context,
+                     metadata_store &store,
+                     promotion_authority &authority,
+                     service_id service,
+                     std::string self);
+
+    /** The record of the duty, or none, as the store has it. */
+    void observe(const std::optional<duty_record> &record, time_point askedAt);
+    bool isHeldHere() const;
+    /** Whether the record names nobody else. */
+    bool isFree() const;
+    bool mayClaim(time_point now, time_point troubleSince) const;
+    /** The token to act with; nothing without a claim of this process, or after it was refused. */
+    std::optional<std::uint64_t> token() const;
+    bool isClaimStale(time_point now) const;
+    /** Whether a claim or a fence is under way. */
+    bool isBusy() const;
+    /** Whether an unanswered order may still be carried out. */
+    bool isOrderOpen() const;
+    /** An order has been carried out, so that none before it can be. */
+    void orderCarriedOut();
+
+    /** For a token in hand, which allows to act while the store is away. */
+    void claimInAdvance();
+    /** Claims to act at once. */
+    void claim(const char *reason, std::function<void(claim_result)> done);
+    /** Claims again, unless anybody else has claimed since @p replaces. */
+    void renew(std::optional<std::uint64_t> replaces, std::function<void(claim_result)> done);
+    /** Needs a token. */
+    void send(const target_id &target, const std::string &why, std::function<void(promotion_answer)> done);
+    /**
+     * Fences what is open with a newer order that names the primary in place and so changes nothing, provided that
+     * @p isStillLeader says that it is; @p done is told whether it could.
+     */
+    void fence(const target_id &leader, std::function<bool()> isStillLeader, std::function<void(bool)> done);
+
+private:
+    void claimForOrder(std::optional<std::uint64_t> replaces,
+                       std::function<void(claim_result, const duty_news &)> done);
+    void sendFence(const target_id &leader, std::function<void(bool)> done);
+
+    front_context &m_context;
+    metadata_store &m_store;
+    promotion_authority &m_authority;
+    service_id m_service;
+    std::string m_self;
+    duty_claim m_duty;
+    bool m_isBusy = false;
+    bool m_isOrderOpen = false;
+};
+
+}
