Fence what a promoting instance that has died may have left open

Cause: an order without an answer may be carried out seconds later. While its sender lives it repeats or fences it; if it dies, the record of the duty did not say that an order may be open. The next holder planned a change of its own for another target, or ended the pauses after 5 s, and the late order then led without what was acknowledged since (LOST). An attempt that ended unanswered also ended its own pauses at once. Ruled out: naming the ordered target in the record, which needs a further put before each order, in the gap. A second fault found on the way: a holder that starts again claimed a token in hand over its own record, which took the lease off. After: the record says standby, order or settled; the holder notes settled after the change, off the gap. Conclusion: one more put a promotion; open is only an order of an instance without the store (it holds a token in hand).

--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -183,7 +183,7 @@
     m_areDutiesKnown = true;
     m_dutiesAskedAt = askedAt;
     for (const auto &entry : news.entries) {
-        m_duties[entry.service] = {entry.holder, entry.revision, entry.isForOrder};
+        m_duties[entry.service] = {entry.holder, entry.revision, entry.purpose};
     }
     for (const auto &[service, keeper] : m_keepers) {
         tellDuty(service, *keeper);
--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -24,6 +24,7 @@
 constexpr duration uninformedStandby{2500}; // The others need less for a change of the primary.
 constexpr duration idleClaimDelay{1000};
 constexpr duration idleClaimSpread{1500};
+constexpr duration fenceSpread{1500};
 
 }
 
@@ -59,6 +60,13 @@
     m_group->onLeaderTrouble = nullptr;
     m_context.deadlines.cancel(m_tick);
     m_context.deadlines.cancel(m_wake);
+    m_context.deadlines.cancel(m_fenceCheck);
+}
+
+duration leader_keeper::shareOf(duration spread) const
+{
+    const auto share = static_cast<std::int64_t>(std::hash<std::string>()(m_self + m_group->id().str()) % 1000);
+    return {share * spread.ms / 1000};
 }
 
 void leader_keeper::dutyKnown(const std::optional<duty_record> &record, time_point askedAt)
@@ -68,26 +76,51 @@
         m_attempt->dutyLost();
         runAttempt();
     }
+    watchOpenOrder();
     if (std::exchange(m_isDutyKnown, true)) {
         return;
     }
     if (record && record->holder != m_self) {
         return;
     }
-    // Spread by name, so that the instances do not all claim at once.
-    const auto spread = static_cast<std::int64_t>(std::hash<std::string>()(m_self + m_group->id().str()) % 1000);
-    const auto delay = idleClaimDelay + duration{spread * idleClaimSpread.ms / 1000};
-    m_context.deadlines.scheduleAfter(delay, [self = shared_from_this()] { self->claimIdleDuty(); });
+    m_context.deadlines.scheduleAfter(idleClaimDelay + shareOf(idleClaimSpread),
+                                      [self = shared_from_this()] { self->claimIdleDuty(); });
 }
 
 void leader_keeper::claimIdleDuty()
 {
-    if (m_isStopped || isClaiming() || m_attempt || !m_orders->isFree() || m_orders->token()) {
+    const bool isTaken = !m_orders->isFree() || m_orders->token() || m_orders->isOrderLeftOpen();
+    if (m_isStopped || isClaiming() || m_attempt || isTaken) {
         return;
     }
     m_orders->claimInAdvance();
 }
 
+void leader_keeper::watchOpenOrder()
+{
+    m_context.deadlines.cancel(m_fenceCheck);
+    if (m_isStopped || !m_orders->isOrderLeftOpen()) {
+        m_isFenceDue = false;
+        return;
+    }
+    const auto at = m_orders->leaseEndsAt() + shareOf(fenceSpread);
+    m_fenceCheck = m_context.deadlines.schedule(at, [self = shared_from_this()] {
+        self->m_fenceCheck = 0;
+        self->m_isFenceDue = self->m_orders->isOrderLeftOpen();
+        self->scheduleTick({});
+    });
+}
+
+void leader_keeper::resumePaused()
+{
+    for (const auto &id : m_sightings.paused()) {
+        const auto found = m_group->targets().find(id);
+        if (found != m_group->targets().end()) {
+            found->second->control(control_statement::Resume, 0, controlLimit, [](const control_reply &) {});
+        }
+    }
+}
+
 bool leader_keeper::isClaiming() const
 {
     return m_isRefreshing || m_orders->isBusy();
@@ -146,7 +179,7 @@
 
 bool leader_keeper::hasWork(time_point) const
 {
-    return m_troubleSince != never || m_drainingSince != never || m_orders->isOrderOpen();
+    return m_troubleSince != never || m_drainingSince != never || m_orders->hasOwnOrderOpen() || m_isFenceDue;
 }
 
 void leader_keeper::tick()
@@ -303,7 +336,7 @@
     const bool isLeaderServing = m_group->leader() && now - m_group->leaderProvedAt() < servingTime;
     const auto found = m_group->targets().find(target);
     // While another instance has claimed just now, its attempt may rely on the pause.
-    const bool isAttemptPossible = m_attempt || !m_orders->mayClaim(now, never);
+    const bool isAttemptPossible = m_attempt || !m_orders->mayClaim(now, never) || m_orders->isOrderOpen();
     if (isAttemptPossible || now - since < longestPause || !isLeaderServing || found == m_group->targets().end()) {
         return;
     }
@@ -546,7 +579,11 @@
     m_orders->fence(
         leader,
         [group = m_group, leader] { return group->leader() == leader; },
-        [self = shared_from_this()](bool) {
+        [self = shared_from_this()](bool isFenced) {
+            if (isFenced) {
+                self->resumePaused();
+            }
+            self->watchOpenOrder();
             self->m_retryAt = systemNow() + retryTime;
             self->scheduleTick(surveyInterval);
         });
@@ -575,6 +612,7 @@
     if (outcome == attempt_outcome::Promoted) {
         m_orders->orderCarriedOut();
     }
+    m_orders->settle();
     m_drainingSince = isLeaderDraining() ? systemNow() : never;
     m_retryAt = systemNow() + retryTime;
     scheduleTick(retryTime);
--- a/src/libcrocusdealfront/leaderkeeper.h
+++ b/src/libcrocusdealfront/leaderkeeper.h
@@ -56,6 +56,8 @@
 
 private:
     void scheduleTick(duration delay);
+    /** A part of @p spread by name, so that the instances do not all act at once. */
+    duration shareOf(duration spread) const;
     void tick();
     bool hasWork(time_point now) const;
     void surveyAll();
@@ -65,6 +67,9 @@
     bool isLeaderDraining() const;
     void claimIdleDuty();
     bool isClaiming() const;
+    /** Plans to fence what a holder that does not act any more may have left open. */
+    void watchOpenOrder();
+    void resumePaused();
     bool mayActWithoutStore() const;
     void takePauseSighting(const target_id &target, const control_reply &reply);
     void begin(promotion_reason reason);
@@ -103,6 +108,8 @@
     std::optional<target_id> m_lastLeader;
     std::uint64_t m_leaderTerm = 0; ///< Of m_lastLeader.
     int m_pauseChecks = 0;
+    deadline_queue::handle m_fenceCheck = 0;
+    bool m_isFenceDue = false;
     std::map<target_id, time_point> m_pausedSince; ///< Seen outside of attempts of this instance.
     bool m_isRefreshing = false; ///< The list of targets, under a claim.
     bool m_isDutyKnown = false;
--- a/src/libcrocusdealfront/metadatastore.h
+++ b/src/libcrocusdealfront/metadatastore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clock.h"
+#include "dutyclaim.h"
 #include "nametable.h"
 #include "routingconfiguration.h"
 #include "targetentry.h"
@@ -57,7 +58,7 @@
     std::string detail;
     std::string holder;
     std::uint64_t revision = 0;
-    bool isForOrder = true;
+    duty_purpose purpose = duty_purpose::Order;
 };
 
 /** Who promotes for which services. */
@@ -65,7 +66,7 @@
     service_id service;
     std::string holder;
     std::uint64_t revision = 0; ///< Of the record.
-    bool isForOrder = true;
+    duty_purpose purpose = duty_purpose::Order;
 };
 
 /** All records, or those that have changed since a revision. */
@@ -107,7 +108,7 @@
     /** Creates the record, or replaces it if its revision is still @p replaces. */
     virtual void claimDuty(const service_id &service,
                            const std::string &holder,
-                           bool isForOrder,
+                           duty_purpose purpose,
                            std::optional<std::uint64_t> replaces,
                            std::function<void(duty_news)> done) = 0;
 };
--- a/src/libcrocusdealfront/promotionorders.cpp
+++ b/src/libcrocusdealfront/promotionorders.cpp
@@ -59,10 +59,25 @@
 }
 
 bool promotion_orders::isOrderOpen() const
+{
+    return m_isOrderOpen || m_duty.isOrderLeftOpen();
+}
+
+bool promotion_orders::hasOwnOrderOpen() const
 {
     return m_isOrderOpen;
 }
 
+bool promotion_orders::isOrderLeftOpen() const
+{
+    return m_duty.isOrderLeftOpen();
+}
+
+time_point promotion_orders::leaseEndsAt() const
+{
+    return m_duty.leaseEndsAt();
+}
+
 void promotion_orders::orderCarriedOut()
 {
     m_isOrderOpen = false;
@@ -71,14 +86,18 @@
 void promotion_orders::claimInAdvance()
 {
     const auto sentAt = systemNow();
-    m_store.claimDuty(
-        m_service, m_self, false, m_duty.replaces(), [self = shared_from_this(), sentAt](const duty_news &news) {
-            if (news.failure == store_failure::None) {
-                self->m_duty.claimed(news.revision, false, sentAt);
-            } else if (news.failure == store_failure::Conflict) {
-                self->m_duty.observe({news.holder, news.revision, news.isForOrder}, sentAt);
-            }
-        });
+    const auto purpose = m_duty.purposeInAdvance();
+    m_store.claimDuty(m_service,
+                      m_self,
+                      purpose,
+                      m_duty.replaces(),
+                      [self = shared_from_this(), sentAt, purpose](const duty_news &news) {
+                          if (news.failure == store_failure::None) {
+                              self->m_duty.claimed(news.revision, purpose, sentAt);
+                          } else if (news.failure == store_failure::Conflict) {
+                              self->m_duty.observe({news.holder, news.revision, news.purpose}, sentAt);
+                          }
+                      });
 }
 
 void promotion_orders::claim(const char *reason, std::function<void(claim_result)> done)
@@ -107,18 +126,20 @@
                                      std::function<void(claim_result, const duty_news &)> done)
 {
     const auto sentAt = systemNow();
+    const bool isTakingOver = m_duty.isOrderLeftOpen();
     m_store.claimDuty(m_service,
                       m_self,
-                      true,
+                      duty_purpose::Order,
                       replaces,
-                      [self = shared_from_this(), sentAt, done = std::move(done)](const duty_news &news) {
+                      [self = shared_from_this(), sentAt, isTakingOver, done = std::move(done)](const duty_news &news) {
                           switch (news.failure) {
                           case store_failure::None:
-                              self->m_duty.claimed(news.revision, true, sentAt);
+                              self->m_isOrderOpen = self->m_isOrderOpen || isTakingOver;
+                              self->m_duty.claimed(news.revision, duty_purpose::Order, sentAt);
                               done(claim_result::Claimed, news);
                               return;
                           case store_failure::Conflict:
-                              self->m_duty.observe({news.holder, news.revision, news.isForOrder}, systemNow());
+                              self->m_duty.observe({news.holder, news.revision, news.purpose}, systemNow());
                               done(claim_result::TakenByAnother, news);
                               return;
                           case store_failure::NotFound:
@@ -132,6 +153,26 @@
                       });
 }
 
+void promotion_orders::settle()
+{
+    if (!m_duty.token() || m_isOrderOpen) {
+        return;
+    }
+    m_store.claimDuty(
+        m_service, m_self, duty_purpose::Settled, m_duty.token(), [self = shared_from_this()](const duty_news &news) {
+            self->m_context.log.info("duty_settled")
+                .field("service", self->m_service.str())
+                .field("outcome", storeFailureNames.name(news.failure))
+                .field("revision", static_cast<std::int64_t>(news.revision));
+            if (news.failure == store_failure::None) {
+                self->m_duty.settled(news.revision);
+            } else if (news.failure == store_failure::Conflict) {
+                self->m_duty.observe({news.holder, news.revision, news.purpose}, systemNow());
+            }
+            // Without an answer others fence what they must take for open, which changes nothing.
+        });
+}
+
 void promotion_orders::send(const target_id &target, const std::string &why, std::function<void(promotion_answer)> done)
 {
     const auto token = *m_duty.token();
@@ -194,6 +235,9 @@
                             const bool isFenced = answer == promotion_answer::Accepted;
                             self->m_isBusy = false;
                             self->m_isOrderOpen = !isFenced;
+                            if (isFenced) {
+                                self->settle();
+                            }
                             self->m_context.log.info("promotion_superseded")
                                 .field("service", self->m_service.str())
                                 .field("leader", leader.str())
--- a/src/libcrocusdealfront/promotionorders.h
+++ b/src/libcrocusdealfront/promotionorders.h
@@ -41,8 +41,13 @@
     bool isClaimStale(time_point now) const;
     /** Whether a claim or a fence is under way. */
     bool isBusy() const;
-    /** Whether an unanswered order may still be carried out. */
+    /** Whether an unanswered order, of this process or of another holder, may still be carried out. */
     bool isOrderOpen() const;
+    bool hasOwnOrderOpen() const;
+    /** Whether it is another process that may have left one. */
+    bool isOrderLeftOpen() const;
+    /** When no order under the record can be new any more. */
+    time_point leaseEndsAt() const;
     /** An order has been carried out, so that none before it can be. */
     void orderCarriedOut();
 
@@ -54,6 +59,8 @@
     void renew(std::optional<std::uint64_t> replaces, std::function<void(claim_result)> done);
     /** Needs a token. */
     void send(const target_id &target, const std::string &why, std::function<void(promotion_answer)> done);
+    /** Tells the other instances that no order is open, unless one is. */
+    void settle();
     /**
      * Fences what is open with a newer order that names the primary in place and so changes nothing, provided that
      * @p isStillLeader says that it is; @p done is told whether it could.
--- a/src/libcrocusdealpolicy/dutyclaim.cpp
+++ b/src/libcrocusdealpolicy/dutyclaim.cpp
@@ -25,8 +25,11 @@
     if (m_record && record.revision <= m_record->revision) {
         return;
     }
+    // The lease counts from the claim under which was ordered, not from the note that it is settled.
+    const bool isNoteOfHolder =
+        record.purpose == duty_purpose::Settled && m_record && m_record->holder == record.holder;
     m_record = record;
-    m_changedAt = askedAt;
+    m_changedAt = isNoteOfHolder ? m_changedAt : askedAt;
     if (m_token && record.revision > *m_token) {
         m_token.reset();
     }
@@ -48,8 +51,7 @@
     if (!m_record || isHeldHere()) {
         return true;
     }
-    const auto wait = m_record->isForOrder ? assumedLease + longestOrder : duration{};
-    return now - m_changedAt >= wait && now - troubleSince >= standby;
+    return now >= leaseEndsAt() && now - troubleSince >= standby;
 }
 
 std::optional<std::uint64_t> duty_claim::replaces() const
@@ -57,9 +59,32 @@
     return m_record ? std::optional(m_record->revision) : std::nullopt;
 }
 
-void duty_claim::claimed(std::uint64_t revision, bool isForOrder, time_point sentAt)
+bool duty_claim::isOrderLeftOpen() const
 {
-    m_record = duty_record{m_self, revision, isForOrder};
+    return m_record && m_record->purpose == duty_purpose::Order && !m_token;
+}
+
+time_point duty_claim::leaseEndsAt() const
+{
+    const bool isForOrder = m_record && m_record->purpose != duty_purpose::Standby;
+    return m_changedAt + (isForOrder ? assumedLease + longestOrder : duration{});
+}
+
+duty_purpose duty_claim::purposeInAdvance() const
+{
+    const bool isLeaseKept = m_record && m_record->purpose != duty_purpose::Standby;
+    return isLeaseKept ? duty_purpose::Settled : duty_purpose::Standby;
+}
+
+void duty_claim::settled(std::uint64_t revision)
+{
+    m_record = duty_record{m_self, revision, duty_purpose::Settled};
+    m_token = revision;
+}
+
+void duty_claim::claimed(std::uint64_t revision, duty_purpose purpose, time_point sentAt)
+{
+    m_record = duty_record{m_self, revision, purpose};
     m_changedAt = sentAt;
     m_token = revision;
     m_claimedAt = sentAt;
--- a/src/libcrocusdealpolicy/leadersightings.cpp
+++ b/src/libcrocusdealpolicy/leadersightings.cpp
@@ -100,6 +100,17 @@
     });
 }
 
+std::vector<target_id> leader_sightings::paused() const
+{
+    std::vector<target_id> found;
+    for (const auto &[id, seen] : m_targets) {
+        if (seen.report && seen.report->isPaused()) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
 std::string leader_sightings::describe(time_point now) const
 {
     std::string text;
--- a/src/libcrocusdealpolicy/leadersightings.h
+++ b/src/libcrocusdealpolicy/leadersightings.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace crocusdeal
 {
@@ -43,6 +44,8 @@
      * since. @p leader itself must not report.
      */
     bool isUnchangedBut(const target_id &leader, std::uint64_t leaderTerm) const;
+    /** The targets that receive nothing until they are resumed. */
+    std::vector<target_id> paused() const;
     /** For the log. */
     std::string describe(time_point now) const;
 
--- a/src/libcrocusdealpolicy/promotionattempt.cpp
+++ b/src/libcrocusdealpolicy/promotionattempt.cpp
@@ -304,8 +304,8 @@
 {
     m_result = result;
     m_stage = stage::Ended;
-    if (result == attempt_outcome::Refused) {
-        // A newer holder may rely on the pauses; it also ends them.
+    if (result == attempt_outcome::Refused || result == attempt_outcome::Unanswered) {
+        // A newer holder may rely on the pauses, or an order that is still carried out; who fences it ends them.
         return;
     }
     for (const auto &state : m_members) {
--- a/tests/libcrocusdealpolicy/policytest.cpp
+++ b/tests/libcrocusdealpolicy/policytest.cpp
@@ -128,6 +128,9 @@
     CPPUNIT_TEST(refusedTokenIsNeverUsedAgain);
     CPPUNIT_TEST(tokenOfAnEarlierProcessIsNotInHand);
     CPPUNIT_TEST(claimGoesStaleWhileSuspended);
+    CPPUNIT_TEST(orderOfAnotherProcessIsOpenUntilItIsSettled);
+    CPPUNIT_TEST(settledRecordKeepsTheLease);
+    CPPUNIT_TEST(restartedHolderKeepsTheLease);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -157,7 +160,7 @@
     void doesNotWaitForAHolderThatOnlyHoldsAToken()
     {
         duty_claim claim("b");
-        claim.observe({"a", 7, false}, {9900});
+        claim.observe({"a", 7, duty_purpose::Standby}, {9900});
         CPPUNIT_ASSERT(!claim.mayClaim({10600}, {10000}));
         CPPUNIT_ASSERT(claim.mayClaim({10800}, {10000}));
     }
@@ -166,11 +169,11 @@
     void refusedTokenIsNeverUsedAgain()
     {
         duty_claim claim("b");
-        claim.claimed(9, true, {0});
+        claim.claimed(9, duty_purpose::Order, {0});
         CPPUNIT_ASSERT(claim.token() == 9U);
         claim.refused(9);
         CPPUNIT_ASSERT(!claim.token());
-        claim.claimed(12, true, {100});
+        claim.claimed(12, duty_purpose::Order, {100});
         CPPUNIT_ASSERT(claim.token() == 12U);
     }
 
@@ -187,10 +190,47 @@
     void claimGoesStaleWhileSuspended()
     {
         duty_claim claim("b");
-        claim.claimed(9, true, {0});
+        claim.claimed(9, duty_purpose::Order, {0});
         CPPUNIT_ASSERT(!claim.isClaimStale({900}));
         CPPUNIT_ASSERT(claim.isClaimStale({4000}));
     }
+
+    /** Guards against LOST: an order of an instance that has died is carried out late. */
+    void orderOfAnotherProcessIsOpenUntilItIsSettled()
+    {
+        duty_claim claim("b");
+        claim.observe({"a", 7, duty_purpose::Order}, {0});
+        CPPUNIT_ASSERT(claim.isOrderLeftOpen());
+        claim.observe({"a", 8, duty_purpose::Settled}, {700});
+        CPPUNIT_ASSERT(!claim.isOrderLeftOpen());
+        duty_claim restarted("a");
+        restarted.observe({"a", 7, duty_purpose::Order}, {0});
+        CPPUNIT_ASSERT(restarted.isOrderLeftOpen());
+        restarted.claimed(9, duty_purpose::Order, {100});
+        CPPUNIT_ASSERT(!restarted.isOrderLeftOpen());
+    }
+
+    /** Guards against ONE, and against a lease that grows with the note that nothing is open. */
+    void settledRecordKeepsTheLease()
+    {
+        duty_claim claim("b");
+        claim.observe({"a", 7, duty_purpose::Order}, {0});
+        claim.observe({"a", 8, duty_purpose::Settled}, {3000});
+        CPPUNIT_ASSERT(!claim.mayClaim({4900}, {0}));
+        CPPUNIT_ASSERT(claim.mayClaim({5000}, {0}));
+        duty_claim uninformed("c");
+        uninformed.observe({"a", 8, duty_purpose::Settled}, {3000});
+        CPPUNIT_ASSERT(!uninformed.mayClaim({7900}, {0}));
+    }
+
+    /** Guards against ONE: a holder that starts again hides by its claim in advance that it has ordered just now. */
+    void restartedHolderKeepsTheLease()
+    {
+        duty_claim restarted("a");
+        CPPUNIT_ASSERT(restarted.purposeInAdvance() == duty_purpose::Standby);
+        restarted.observe({"a", 8, duty_purpose::Settled}, {0});
+        CPPUNIT_ASSERT(restarted.purposeInAdvance() == duty_purpose::Settled);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(duty_claim_test);
--- a/tests/libcrocusdealpolicy/promotionattempttest.cpp
+++ b/tests/libcrocusdealpolicy/promotionattempttest.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(endsWhenAnotherTargetLeadsMeanwhile);
     CPPUNIT_TEST(endsBeforeTheOrderWhenTheDutyIsLost);
     CPPUNIT_TEST(unansweredOrderIsRepeatedForTheSameTarget);
+    CPPUNIT_TEST(unansweredOrderLeavesThePauses);
     CPPUNIT_TEST(wakesOnlyInTheFuture);
     CPPUNIT_TEST_SUITE_END();
 
@@ -317,6 +318,27 @@
         CPPUNIT_ASSERT(attempt.result() == attempt_outcome::Promoted);
     }
 
+    /** Guards against LOST: without the pauses others acknowledge what an order that is still open then loses. */
+    void unansweredOrderLeavesThePauses()
+    {
+        auto attempt = plannedAttempt({oldPrimary, nearReplica, farReplica});
+        answerSurvey(attempt);
+        const auto paused = targetsOf<pause_target>(attempt.step(m_now)).front();
+        attempt.statusReceived(paused, report(false, {3, 20}, 4), m_now, m_now);
+        attempt.step(m_now);
+        m_now = m_now + 100_ms;
+        attempt.statusReceived(oldPrimary, report(true, {3, 20}), m_now, m_now);
+        attempt.statusReceived(*attempt.chosen(), report(false, {3, 20}), m_now, m_now);
+        CPPUNIT_ASSERT(isOrdered(attempt.step(m_now)));
+        while (attempt.result() == attempt_outcome::Pending) {
+            m_now = m_now + 100_ms;
+            attempt.orderUnanswered(m_now);
+            m_now = m_now + 5000_ms;
+            CPPUNIT_ASSERT(targetsOf<resume_target>(attempt.step(m_now)).empty());
+        }
+        CPPUNIT_ASSERT(attempt.result() == attempt_outcome::Unanswered);
+    }
+
     /** Guards against a busy loop: members that are not asked any more lie far in the past. */
     void wakesOnlyInTheFuture()
     {
--- a/tests/platform/fronttest.cpp
+++ b/tests/platform/fronttest.cpp
@@ -461,6 +461,7 @@
     CPPUNIT_TEST(secondCrashIsReplacedToo);
     CPPUNIT_TEST(lostAnswerOfTheOrderIsNoSecondPromotion);
     CPPUNIT_TEST(lateOrderIsFencedOnceThePrimaryIsBack);
+    CPPUNIT_TEST(orderLeftOpenByADeadInstanceIsFenced);
     CPPUNIT_TEST(newerHolderIsNotDisplacedToFenceALateOrder);
     CPPUNIT_TEST(drainingPrimaryIsReplacedWithoutARefusal);
     CPPUNIT_TEST(missingReplicaHoldsThePromotionBack);
@@ -554,6 +555,33 @@
         CPPUNIT_ASSERT_EQUAL(std::string("a"), world.store.orders.back().target);
     }
 
+    /** Guards against LOST: an instance dies after an unanswered order, which is carried out once its pauses have
+     * ended. */
+    void orderLeftOpenByADeadInstanceIsFenced()
+    {
+        front_world world;
+        world.group.at("b").pausedAt = 2;
+        world.store.claimDuty(service_id("svc"), "dead", duty_purpose::Order, std::nullopt, [](const duty_news &) {});
+        const auto token = world.store.duties.at("svc").revision;
+        world.store.loseOrders = true;
+        world.store.orderDelay = 9000_ms;
+        world.store.promote(
+            service_id("svc"), target_id("c"), "dead", token, [](promotion_answer, const std::string &) {});
+        world.store.loseOrders = false;
+        world.start();
+        const auto client = world.connect("fresh");
+        CPPUNIT_ASSERT(world.runUntil(
+            [&] {
+                assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+                world.runFor(50_ms);
+                return world.store.refusedOrders > 0 || world.group.at("c").isPrimary;
+            },
+            11000_ms));
+        CPPUNIT_ASSERT(world.group.at("a").isPrimary);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world.group.at("b").pausedAt);
+        CPPUNIT_ASSERT(world.store.duties.at("svc").purpose == duty_purpose::Settled);
+    }
+
     /** Guards against ONE: two instances that take turns in ordering within the lease. */
     void newerHolderIsNotDisplacedToFenceALateOrder()
     {
@@ -566,8 +594,11 @@
         world.ask(*client, "WRITE 1 x");
         CPPUNIT_ASSERT(world.runUntil([&] { return world.store.duties.contains("svc"); }));
         world.runFor(1000_ms);
-        world.store.claimDuty(
-            service_id("svc"), "other", true, world.store.duties.at("svc").revision, [](const duty_news &) {});
+        world.store.claimDuty(service_id("svc"),
+                              "other",
+                              duty_purpose::Order,
+                              world.store.duties.at("svc").revision,
+                              [](const duty_news &) {});
         world.store.loseOrders = false;
         world.group.at("a").listen();
         world.runFor(4500_ms);
@@ -625,10 +656,11 @@
         CPPUNIT_ASSERT(world.runUntil([&] { return world.group.at("b").pausedAt > 0; }, 2000_ms));
         world.runFor(1200_ms); // The claim is too old by now to order under it without a new one.
         bool isTaken = false;
-        world.store.claimDuty(
-            service_id("svc"), "other", true, world.store.duties.at("svc").revision, [&](const duty_news &news) {
-                isTaken = news.failure == store_failure::None;
-            });
+        world.store.claimDuty(service_id("svc"),
+                              "other",
+                              duty_purpose::Order,
+                              world.store.duties.at("svc").revision,
+                              [&](const duty_news &news) { isTaken = news.failure == store_failure::None; });
         missing.listen();
         world.runFor(1500_ms);
         CPPUNIT_ASSERT(isTaken);
--- a/tests/platform/memorystore.cpp
+++ b/tests/platform/memorystore.cpp
@@ -109,7 +109,7 @@
     duty_list_news news;
     news.revision = m_revision;
     for (const auto &[service, duty] : duties) {
-        news.entries.push_back({service_id(service), duty.holder, duty.revision, duty.isForOrder});
+        news.entries.push_back({service_id(service), duty.holder, duty.revision, duty.purpose});
     }
     answer(std::move(done), std::move(news));
 }
@@ -121,7 +121,7 @@
 
 void memory_store::claimDuty(const service_id &service,
                              const std::string &holder,
-                             bool isForOrder,
+                             duty_purpose purpose,
                              std::optional<std::uint64_t> replaces,
                              std::function<void(duty_news)> done)
 {
@@ -140,7 +140,7 @@
     } else {
         news.holder = holder;
         news.revision = ++m_revision;
-        news.isForOrder = isForOrder;
+        news.purpose = purpose;
         duties[service.str()] = news;
     }
     answer(std::move(done), std::move(news));
