Change a draining primary before fencing, and date late news of targets

(2) An instance that started again 4 s after the report took the draining primary for one that drains since now, and sent to it for 8.2 s. Ruled out: (2) as a fault of the new record; the time counted from the start of the process in all earlier code. After: the planned change goes first, to the replica that an attempt cut short left unpaused, so that a late order names the same one; where all are paused the fence stays first.

--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -61,7 +61,7 @@
     }
     m_feed = std::make_shared<store_feed>(m_context, m_store, m_settings.configurationApply);
     m_feed->onConfiguration = [this](const routing_configuration &configuration) { applyConfiguration(configuration); };
-    m_feed->onTargets = [this](const target_news &news) { applyTargets(news); };
+    m_feed->onTargets = [this](const target_news &news, time_point changedAfter) { applyTargets(news, changedAfter); };
     m_feed->onDuties = [this](const duty_list_news &news, time_point askedAt) { applyDuties(news, askedAt); };
     m_feed->start();
     housekeep();
@@ -148,17 +148,17 @@
     }
 }
 
-void front::applyTargets(const target_news &news)
+void front::applyTargets(const target_news &news, time_point changedAfter)
 {
-    const auto now = systemNow();
+    const news_time at{systemNow(), changedAfter};
     if (news.isComplete) {
-        m_directory.replaceAll(news.entries, now);
+        m_directory.replaceAll(news.entries, at);
         m_areTargetsKnown = true;
     }
     for (const auto &entry : news.entries) {
         const auto *known = m_directory.find(entry.id);
         const bool isChanged = known == nullptr || known->entry != entry || known->missingSince;
-        m_directory.put(entry, now);
+        m_directory.put(entry, at);
         if (isChanged || news.isComplete) {
             m_context.log.info("target_known")
                 .field("target", entry.id.str())
@@ -171,7 +171,7 @@
     }
     for (const auto &id : news.removed) {
         m_context.log.info("target_entry_removed").field("target", id.str());
-        m_directory.remove(id, now);
+        m_directory.remove(id, at);
     }
     if (news.isComplete || !news.entries.empty() || !news.removed.empty()) {
         refreshGroups();
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -38,7 +38,7 @@
     void acceptNext();
     void addSession(asio::ip::tcp::socket socket);
     void applyConfiguration(const routing_configuration &configuration);
-    void applyTargets(const target_news &news);
+    void applyTargets(const target_news &news, time_point changedAfter);
     void applyDuties(const duty_list_news &news, time_point askedAt);
     void tellDuty(const service_id &service, leader_keeper &keeper) const;
     void refreshGroups();
--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -244,16 +244,19 @@
         .field("trouble_ms", (now - m_troubleSince).ms)
         .field("may_claim", m_orders->mayClaim(now, m_troubleSince) ? 1 : 0)
         .field("seen", m_sightings.describe(now));
+    // What a planned change of another instance has left open names the replica that is not paused, and so does this
+    // instance's. Where all are paused, it may name any.
+    const bool isFencedFirst = m_orders->isOrderOpen() && m_sightings.areAllReplicasPaused();
+    if (hasLeader && isLeaderDraining() && !isFencedFirst && now >= m_retryAt) {
+        begin(promotion_reason::PrimaryDraining);
+        return;
+    }
     // Another instance that has claimed since may order as well; its orders fence the open one.
     const bool mayFence = now >= m_retryAt && m_orders->mayClaim(now, m_troubleSince);
     if (hasLeader && m_orders->isOrderOpen() && m_group->leader() && mayFence) {
         fenceOpenOrder(*m_group->leader());
         return;
     }
-    if (hasLeader && isLeaderDraining() && now >= m_retryAt) {
-        begin(promotion_reason::PrimaryDraining);
-        return;
-    }
     if (hasLeader && isLeaderStalled(now) && now >= m_retryAt) {
         begin(promotion_reason::PrimaryStalled);
         return;
--- a/src/libcrocusdealfront/storefeed.cpp
+++ b/src/libcrocusdealfront/storefeed.cpp
@@ -15,7 +15,9 @@
 constexpr duration retryTime{250};
 constexpr duration longestRetry{500}; // The configuration has to be in force soon after the store is back.
 constexpr duration configurationWait{10000};
-constexpr duration targetWait{4000};
+constexpr duration targetWait{2000};
+constexpr duration promptAnswer{
+    300}; // A later answer was held up, and says nothing of the time since it was asked for.
 constexpr duration targetListAge{20000}; // The watch may be old, so a current list follows now and then.
 constexpr duration dutyWait{10000}; // Records change seldom, and a claim finds out in any case.
 constexpr duration shortestWait{500};
@@ -171,17 +173,20 @@
 
 void store_feed::listTargets()
 {
-    m_store.listTargets([self = shared_from_this()](const target_news &news) { self->takeTargets(news); });
+    m_store.listTargets([self = shared_from_this(), askedAt = systemNow()](const target_news &news) {
+        self->takeTargets(news, askedAt, {});
+    });
 }
 
 void store_feed::watchTargets()
 {
-    m_store.watchTargets(m_targetRevision, targetWait, [self = shared_from_this()](const target_news &news) {
-        self->takeTargets(news);
-    });
+    m_store.watchTargets(
+        m_targetRevision, targetWait, [self = shared_from_this(), askedAt = systemNow()](const target_news &news) {
+            self->takeTargets(news, askedAt, targetWait);
+        });
 }
 
-void store_feed::takeTargets(const target_news &news)
+void store_feed::takeTargets(const target_news &news, time_point askedAt, duration wait)
 {
     if (m_isStopped) {
         return;
@@ -203,7 +208,8 @@
     if (news.isComplete) {
         m_targetsListedAt = now;
     }
-    onTargets(news);
+    onTargets(news, m_targetsCurrentAt);
+    m_targetsCurrentAt = now - askedAt <= wait + promptAnswer ? now : askedAt;
     if (now - m_targetsListedAt > targetListAge) {
         listTargets();
         return;
@@ -217,7 +223,7 @@
         const bool isRead = news.failure == store_failure::None;
         // The watch may have told of later changes already.
         if (isRead && news.revision >= self->m_targetRevision) {
-            self->onTargets(news);
+            self->onTargets(news, self->m_targetsCurrentAt);
         }
         done(isRead);
     });
--- a/src/libcrocusdealfront/storefeed.h
+++ b/src/libcrocusdealfront/storefeed.h
@@ -18,7 +18,8 @@
     store_feed(front_context &context, metadata_store &store, duration configurationApply);
 
     std::function<void(routing_configuration)> onConfiguration;
-    std::function<void(const target_news &)> onTargets;
+    /** With the time of the last answer that would have told of a change before. */
+    std::function<void(const target_news &, time_point changedAfter)> onTargets;
 
     std::function<void(const duty_list_news &, time_point askedAt)> onDuties;
 
@@ -38,7 +39,7 @@
     void takeConfigurationCheck(const configuration_news &news);
     void listTargets();
     void watchTargets();
-    void takeTargets(const target_news &news);
+    void takeTargets(const target_news &news, time_point askedAt, duration wait);
     void listDuties();
     void watchDuties();
     void takeDuties(const duty_list_news &news, time_point askedAt);
@@ -54,6 +55,7 @@
     duration m_checkWait;
     std::uint64_t m_checkRevision = 0;
     time_point m_targetsListedAt = never;
+    time_point m_targetsCurrentAt = never; ///< The targets are known as they were then, at least.
     int m_configurationReads = 0; ///< Answers to watches from before the last read are ignored.
     std::vector<step> m_waitingSteps; ///< Each once.
     duration m_probeDelay;
--- a/src/libcrocusdealpolicy/leadersightings.cpp
+++ b/src/libcrocusdealpolicy/leadersightings.cpp
@@ -111,6 +111,14 @@
     return found;
 }
 
+bool leader_sightings::areAllReplicasPaused() const
+{
+    return std::all_of(m_targets.begin(), m_targets.end(), [](const auto &entry) {
+        const auto &report = entry.second.report;
+        return !report || report->isPrimary || report->isPaused();
+    });
+}
+
 std::string leader_sightings::describe(time_point now) const
 {
     std::string text;
--- a/src/libcrocusdealpolicy/leadersightings.h
+++ b/src/libcrocusdealpolicy/leadersightings.h
@@ -46,6 +46,8 @@
     bool isUnchangedBut(const target_id &leader, std::uint64_t leaderTerm) const;
     /** The targets that receive nothing until they are resumed. */
     std::vector<target_id> paused() const;
+    /** Whether every replica that reports receives nothing, so that no commit can be acknowledged. */
+    bool areAllReplicasPaused() const;
     /** For the log. */
     std::string describe(time_point now) const;
 
--- a/src/libcrocusdealpolicy/promotionattempt.cpp
+++ b/src/libcrocusdealpolicy/promotionattempt.cpp
@@ -139,8 +139,10 @@
 void promotion_attempt::choosePlanned()
 {
     const member_state *best = nullptr;
+    // An attempt that was cut short may have ordered the one that it left unpaused, and may still be carried out.
     const auto rank = [](const member_state &state) {
-        return std::tuple(!state.member.isWarmingUp, state.member.isLocal, state.status->received);
+        return std::tuple(
+            !state.status->isPaused(), !state.member.isWarmingUp, state.member.isLocal, state.status->received);
     };
     for (const auto &state : m_members) {
         if (state.member.id == m_leader || state.member.isDraining || !state.status) {
--- a/src/libcrocusdealpolicy/targetdirectory.cpp
+++ b/src/libcrocusdealpolicy/targetdirectory.cpp
@@ -1,5 +1,6 @@
 #include "targetdirectory.h"
 
+#include <algorithm>
 #include <set>
 
 namespace crocusdeal
@@ -11,6 +12,8 @@
 // A target that is cut off with the primary may go on acknowledging for it, though its entry lapses.
 constexpr duration forgetTime{30000};
 constexpr duration drainMargin{1500}; // For statements that are on their way when the time ends.
+// An instance that starts, or was cut off, learns of a change late. It is not held to the time for stable_window_ms.
+constexpr duration useAfterLateNews{2500};
 
 }
 
@@ -19,7 +22,7 @@
 {
 }
 
-void target_directory::put(const target_entry &entry, time_point now)
+void target_directory::put(const target_entry &entry, const news_time &at)
 {
     auto &target = m_targets[entry.id];
     const bool isAnotherLife = !target.entry.id.empty() && target.entry.born != entry.born;
@@ -29,28 +32,37 @@
         target.drainingSince.reset();
     }
     if (entry.isDraining && !target.drainingSince) {
-        target.drainingSince = now;
+        target.drainingSince = at.heardAt;
+        target.newWorkUntil = newWorkUntil(at);
     }
 }
 
-void target_directory::remove(const target_id &id, time_point now)
+time_point target_directory::newWorkUntil(const news_time &at) const
+{
+    return std::max(at.changedAfter + (m_drainTime - drainMargin), at.heardAt + useAfterLateNews);
+}
+
+void target_directory::remove(const target_id &id, const news_time &at)
 {
     const auto found = m_targets.find(id);
     if (found != m_targets.end() && !found->second.missingSince) {
-        found->second.missingSince = now;
+        found->second.missingSince = at.heardAt;
+        if (!found->second.drainingSince) {
+            found->second.newWorkUntil = newWorkUntil(at);
+        }
     }
 }
 
-void target_directory::replaceAll(const std::vector<target_entry> &entries, time_point now)
+void target_directory::replaceAll(const std::vector<target_entry> &entries, const news_time &at)
 {
     std::set<target_id> listed;
     for (const auto &entry : entries) {
         listed.insert(entry.id);
-        put(entry, now);
+        put(entry, at);
     }
     for (const auto &[id, target] : m_targets) {
         if (!listed.contains(id)) {
-            remove(id, now);
+            remove(id, at);
         }
     }
 }
@@ -89,13 +101,13 @@
 {
     if (target.missingSince) {
         // Its entry may have lapsed beside a store or a cut that is over now; a target that is gone does not answer.
-        return !target.drainingSince && now - *target.missingSince < m_drainTime - drainMargin;
+        return !target.drainingSince && now < target.newWorkUntil;
     }
     if (!target.drainingSince) {
         return true;
     }
     // Nobody else accepts writes until the lead has moved.
-    return isLeader && now - *target.drainingSince < m_drainTime - drainMargin;
+    return isLeader && now < target.newWorkUntil;
 }
 
 }
--- a/tests/libcrocusdealpolicy/policytest.cpp
+++ b/tests/libcrocusdealpolicy/policytest.cpp
@@ -240,6 +240,8 @@
     CPPUNIT_TEST_SUITE(target_directory_test);
     CPPUNIT_TEST(drainingReplicaGetsNothingNew);
     CPPUNIT_TEST(drainingPrimaryServesUntilShortlyBeforeItsTime);
+    CPPUNIT_TEST(drainingPrimaryServesShortlyAfterLateNews);
+    CPPUNIT_TEST(lapseDoesNotProlongTheTimeOfADrainingPrimary);
     CPPUNIT_TEST(lapsedEntryServesForAMoment);
     CPPUNIT_TEST(lapsedTargetIsRememberedForPromotions);
     CPPUNIT_TEST(anotherLifeIsNotDraining);
@@ -250,7 +252,7 @@
     void drainingReplicaGetsNothingNew()
     {
         target_directory directory(7000_ms);
-        directory.put(entry(true), {0});
+        directory.put(entry(true), at(0));
         CPPUNIT_ASSERT(!directory.acceptsNewWork(known(directory), false, {1}));
     }
 
@@ -258,17 +260,39 @@
     void drainingPrimaryServesUntilShortlyBeforeItsTime()
     {
         target_directory directory(7000_ms);
-        directory.put(entry(true), {0});
+        directory.put(entry(true), at(0));
         CPPUNIT_ASSERT(directory.acceptsNewWork(known(directory), true, {5000}));
         CPPUNIT_ASSERT(!directory.acceptsNewWork(known(directory), true, {6000}));
     }
 
+    /** Guards against DRAIN: an instance that starts, or was cut off, takes an old report for a new one. */
+    void drainingPrimaryServesShortlyAfterLateNews()
+    {
+        target_directory directory(7000_ms);
+        directory.put(entry(true), {{20000}, never});
+        CPPUNIT_ASSERT(directory.acceptsNewWork(known(directory), true, {22000}));
+        CPPUNIT_ASSERT(!directory.acceptsNewWork(known(directory), true, {22600}));
+        target_directory cutOff(7000_ms);
+        cutOff.put(entry(true), {{20000}, {16000}});
+        CPPUNIT_ASSERT(!cutOff.acceptsNewWork(known(cutOff), true, {22600}));
+    }
+
+    /** Guards against DRAIN: an entry that lapses and comes back is no new report. */
+    void lapseDoesNotProlongTheTimeOfADrainingPrimary()
+    {
+        target_directory directory(7000_ms);
+        directory.put(entry(true), at(0));
+        directory.remove(target_id("t"), at(4000));
+        directory.put(entry(true), at(5000));
+        CPPUNIT_ASSERT(!directory.acceptsNewWork(known(directory), true, {6000}));
+    }
+
     /** Guards against giving up all targets when the store returns without their entries. */
     void lapsedEntryServesForAMoment()
     {
         target_directory directory(7000_ms);
-        directory.put(entry(false), {0});
-        directory.replaceAll({}, {1000});
+        directory.put(entry(false), at(0));
+        directory.replaceAll({}, at(1000));
         CPPUNIT_ASSERT(directory.acceptsNewWork(known(directory), false, {6000}));
         CPPUNIT_ASSERT(!directory.acceptsNewWork(known(directory), false, {6600}));
     }
@@ -277,8 +301,8 @@
     void lapsedTargetIsRememberedForPromotions()
     {
         target_directory directory(7000_ms);
-        directory.put(entry(true), {0});
-        directory.remove(target_id("t"), {1000});
+        directory.put(entry(true), at(0));
+        directory.remove(target_id("t"), at(1000));
         CPPUNIT_ASSERT(directory.forgetGone({20000}).empty());
         CPPUNIT_ASSERT(directory.find(target_id("t")) != nullptr);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.forgetGone({40000}).size());
@@ -288,14 +312,20 @@
     void anotherLifeIsNotDraining()
     {
         target_directory directory(7000_ms);
-        directory.put(entry(true), {0});
+        directory.put(entry(true), at(0));
         auto reborn = entry(false);
         reborn.born = 2;
-        directory.put(reborn, {100});
+        directory.put(reborn, at(100));
         CPPUNIT_ASSERT(directory.acceptsNewWork(known(directory), false, {200}));
     }
 
 private:
+    /** News without a gap before it. */
+    static news_time at(std::int64_t ms)
+    {
+        return {{ms}, {ms}};
+    }
+
     static target_entry entry(bool isDraining)
     {
         target_entry result;
--- a/tests/libcrocusdealpolicy/promotionattempttest.cpp
+++ b/tests/libcrocusdealpolicy/promotionattempttest.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(endsBeforeTheOrderWhenTheDutyIsLost);
     CPPUNIT_TEST(unansweredOrderIsRepeatedForTheSameTarget);
     CPPUNIT_TEST(unansweredOrderLeavesThePauses);
+    CPPUNIT_TEST(plannedChangeTakesTheReplicaThatWasLeftUnpaused);
     CPPUNIT_TEST(wakesOnlyInTheFuture);
     CPPUNIT_TEST_SUITE_END();
 
@@ -318,6 +319,17 @@
         CPPUNIT_ASSERT(attempt.result() == attempt_outcome::Promoted);
     }
 
+    /** Guards against LOST: the order of an instance that has died names the replica that it has left unpaused. */
+    void plannedChangeTakesTheReplicaThatWasLeftUnpaused()
+    {
+        auto attempt = plannedAttempt({oldPrimary, nearReplica, farReplica});
+        attempt.statusReceived(oldPrimary, report(true, {3, 20}), m_now, m_now);
+        attempt.statusReceived(nearReplica, report(false, {3, 15}, 4), m_now, m_now);
+        attempt.statusReceived(farReplica, report(false, {3, 20}), m_now, m_now);
+        attempt.step(m_now);
+        CPPUNIT_ASSERT(attempt.chosen() == farReplica);
+    }
+
     /** Guards against LOST: without the pauses others acknowledge what an order that is still open then loses. */
     void unansweredOrderLeavesThePauses()
     {
