Serve a service from its first session on, and let go of what is not used

Every instance opened a connection to every target of every service and asked each for its status every 80 ms; a target accepts 170 of the 300, so the others were refused and asked again with a new connection. After: a service begins with its first session, with the primary that the entries name, proved by one status. A read opens a connection only where it would go. An unused connection is closed after 4 s, a service after service_keep_ms. A primary that is only claimed does not count as known in an attempt. Surveys of lasting trouble are 240 ms apart.

--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -22,6 +22,7 @@
 constexpr duration pauseCheckInterval{4000};
 constexpr duration missingCheckInterval{500};
 constexpr duration missingAnswerLimit{250};
+constexpr int askedInDataCentre = 4; // Some may have crashed.
 // The balancer needs two missed probes to notice; sessions that it still sends here are served.
 constexpr duration idleCloseDelay{1200};
 constexpr duration balancerTime{2200}; // The balancer probes once a second and acts on two misses.
@@ -122,20 +123,20 @@
         .field("routes", static_cast<std::int64_t>(configuration.routes.size()));
     m_configuration = std::make_shared<const routing_configuration>(configuration);
     m_context.metrics.setConfigurationVersion(configuration.version);
-    for (const auto &[service, policy] : m_configuration->services) {
-        ensureGroup(service, policy);
+    for (const auto &[service, group] : m_groups) {
+        const auto policy = m_configuration->services.find(service);
+        if (policy != m_configuration->services.end()) {
+            group->setPolicy(policy->second);
+        }
     }
 }
 
-void front::ensureGroup(const service_id &service, const service_policy &policy)
+std::shared_ptr<service_group> front::beginToServe(const service_id &service, const service_policy &policy)
 {
-    auto &group = m_groups[service];
-    if (group) {
-        group->setPolicy(policy);
-        return;
-    }
-    group = std::make_shared<service_group>(m_context, service, m_settings.dataCentre, m_directory);
+    const auto group = std::make_shared<service_group>(m_context, service, m_settings.dataCentre, m_directory);
+    m_groups[service] = group;
     group->setPolicy(policy);
+    group->adoptClaimedLeader();
     auto keeper = std::make_shared<leader_keeper>(
         m_context, group, m_directory, m_store, m_authority, m_settings.instance.str(), m_settings.dataCentre);
     keeper->refreshDirectory = [this](std::function<void(bool)> done) { m_feed->refreshTargets(std::move(done)); };
@@ -146,6 +147,31 @@
     if (m_areDutiesKnown) {
         tellDuty(service, *keeper);
     }
+    m_context.log.info("service_begun")
+        .field("service", service.str())
+        .field("targets", static_cast<std::int64_t>(group->targets().size()))
+        .field("primary", group->leader() ? group->leader()->str() : "none")
+        .field("services", static_cast<std::int64_t>(m_groups.size()));
+    return group;
+}
+
+void front::retireUnusedServices(time_point now)
+{
+    for (auto it = m_groups.begin(); it != m_groups.end();) {
+        const auto &[service, group] = *it;
+        const auto keeper = m_keepers.at(service);
+        if (group->isInUse() || now - group->lastUsedAt() < m_settings.serviceKeep || !keeper->isIdle()) {
+            ++it;
+            continue;
+        }
+        m_context.log.info("service_retired")
+            .field("service", service.str())
+            .field("unused_ms", (now - group->lastUsedAt()).ms);
+        keeper->stop();
+        m_keepers.erase(service);
+        group->retire();
+        it = m_groups.erase(it);
+    }
 }
 
 void front::applyTargets(const target_news &news, time_point changedAfter)
@@ -204,10 +230,14 @@
     }
 }
 
-std::shared_ptr<service_group> front::groupOf(const service_id &service) const
+std::shared_ptr<service_group> front::groupOf(const service_id &service)
 {
     const auto found = m_groups.find(service);
-    return found == m_groups.end() ? nullptr : found->second;
+    if (found != m_groups.end()) {
+        return found->second;
+    }
+    const auto policy = m_configuration->services.find(service);
+    return policy == m_configuration->services.end() ? nullptr : beginToServe(service, policy->second);
 }
 
 void front::checkMissingTargets()
@@ -224,6 +254,9 @@
                 continue;
             }
             pool->control(control_statement::Status, 0, missingAnswerLimit, [](const control_reply &) {});
+            if (!isAnswering(known->entry.dataCentre)) {
+                askIn(known->entry.dataCentre);
+            }
         }
     }
     for (const auto &id : gone) {
@@ -235,6 +268,24 @@
     }
 }
 
+void front::askIn(const data_centre_id &dataCentre)
+{
+    int asked = 0;
+    for (const auto &[service, group] : m_groups) {
+        for (const auto &[id, pool] : group->targets()) {
+            const auto *known = m_directory.find(id);
+            const bool isPresent = known != nullptr && !known->missingSince;
+            if (isPresent && known->entry.dataCentre == dataCentre && !pool->isSilent(systemNow())) {
+                pool->control(control_statement::Status, 0, missingAnswerLimit, [](const control_reply &) {});
+                ++asked;
+            }
+            if (asked == askedInDataCentre) {
+                return;
+            }
+        }
+    }
+}
+
 void front::housekeep()
 {
     const auto now = systemNow();
@@ -253,6 +304,7 @@
     if (now - m_leftOutToldAt >= leftOutInterval) {
         m_leftOutToldAt = now;
         updateMetrics();
+        retireUnusedServices(now);
         m_context.log.reportLeftOut();
     }
     if (now - m_missingCheckedAt >= missingCheckInterval) {
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -42,11 +42,16 @@
     void applyDuties(const duty_list_news &news, time_point askedAt);
     void tellDuty(const service_id &service, leader_keeper &keeper) const;
     void refreshGroups();
-    std::shared_ptr<service_group> groupOf(const service_id &service) const;
-    void ensureGroup(const service_id &service, const service_policy &policy);
+    /** Begins to serve the service if it does not yet; null if it is not configured. */
+    std::shared_ptr<service_group> groupOf(const service_id &service);
+    std::shared_ptr<service_group> beginToServe(const service_id &service, const service_policy &policy);
+    /** Lets go of services that no caller has used for long, with their connections. */
+    void retireUnusedServices(time_point now);
     bool isAnswering(const data_centre_id &dataCentre) const;
     /** Asks at the addresses of targets whose entries are gone, while their data centres can be reached. */
     void checkMissingTargets();
+    /** Asks some targets of the data centre, so that isAnswering() can tell. */
+    void askIn(const data_centre_id &dataCentre);
     void housekeep();
     void watchSilence(time_point now);
     std::vector<reach_sighting> reachOfTargets(time_point now) const;
--- a/src/libcrocusdealfront/frontsession.cpp
+++ b/src/libcrocusdealfront/frontsession.cpp
@@ -128,6 +128,7 @@
     m_context.metrics.sessionOpened();
     m_database = startup.database;
     m_isStarted = true;
+    m_surroundings.group(configuration->routes.at(startup.database).service);
     finishAnswer(std::nullopt);
 }
 
--- a/src/libcrocusdealfront/frontsettings.cpp
+++ b/src/libcrocusdealfront/frontsettings.cpp
@@ -48,6 +48,8 @@
     settings.grace = duration{grace ? *grace * msPerSecond : settings.grace.ms};
     const auto apply = top.integer("configuration_apply_ms", presence::Optional, millisecondRange);
     settings.configurationApply = duration{apply.value_or(settings.configurationApply.ms)};
+    const auto keep = top.integer("service_keep_ms", presence::Optional, millisecondRange);
+    settings.serviceKeep = duration{keep.value_or(settings.serviceKeep.ms)};
     const auto level = top.choice("log_level", presence::Optional, {"trace", "debug", "info", "warn", "error"});
     settings.logLevel = level ? static_cast<log_level>(*level) : settings.logLevel;
     top.finish();
--- a/src/libcrocusdealfront/frontsettings.h
+++ b/src/libcrocusdealfront/frontsettings.h
@@ -26,6 +26,7 @@
     duration drainTime{7000}; ///< A target serves for this long after it has reported that it drains.
     duration grace{6000}; ///< From SIGTERM to the end.
     duration configurationApply{3000}; ///< A change has to be in force everywhere by then.
+    duration serviceKeep{30000}; ///< A service that no caller has used for so long is let go of.
     log_level logLevel = log_level::Info;
 };
 
--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -13,10 +13,12 @@
 {
 
 constexpr duration surveyInterval{80};
+constexpr duration urgentTime{5000};
+constexpr duration lastingSurveyInterval{240};
 constexpr duration controlLimit{250};
 // An attempt with a primary that serves takes less; a longer pause was left behind.
 constexpr duration longestPause{5000};
-constexpr int standbyCheckShare = 4;
+constexpr int standbyCheckShare = 16; // What a holder leaves paused is found by its record.
 constexpr duration servingTime{1000};
 constexpr duration leftTime{2000};
 constexpr duration stallTime{1000}; // Longer than a write waits in a busy target.
@@ -51,7 +53,28 @@
             self->trouble(why);
         }
     };
-    trouble("start");
+    if (m_group->leader()) {
+        askClaimedLeader();
+    } else {
+        trouble("start");
+    }
+}
+
+void leader_keeper::askClaimedLeader()
+{
+    const auto leader = *m_group->leader();
+    m_group->targets().at(leader)->control(
+        control_statement::Status, 0, controlLimit, [self = shared_from_this(), leader](const control_reply &reply) {
+            self->takeSighting(leader, reply);
+            if (!reply.isAnswered) {
+                self->trouble("the claimed primary does not answer");
+            }
+        });
+}
+
+bool leader_keeper::isIdle() const
+{
+    return !m_attempt && !isClaiming() && !hasWork(systemNow()) && !m_orders->isOrderOpen();
 }
 
 void leader_keeper::stop()
@@ -190,7 +213,9 @@
         return;
     }
     surveyAll();
-    scheduleTick(surveyInterval);
+    // Trouble that lasts is a cut or a replica that is waited for; both end without a hurry to notice.
+    const bool isLasting = m_troubleSince != never && now - m_troubleSince > urgentTime;
+    scheduleTick(isLasting ? lastingSurveyInterval : surveyInterval);
 }
 
 void leader_keeper::surveyAll()
@@ -384,7 +409,7 @@
 bool leader_keeper::isOthersTurn(promotion_reason reason, time_point now) const
 {
     // Without knowing the lost primary every target has to be seen, also the one that is lost.
-    const bool isLeaderKnown = m_group->leader() || m_lastLeader;
+    const bool isLeaderKnown = m_group->provedLeader() || m_lastLeader;
     return reason == promotion_reason::PrimaryLost && !isLeaderKnown && now - m_troubleSince < uninformedStandby;
 }
 
@@ -434,7 +459,7 @@
         members.push_back(
             {id, known.drainingSince.has_value(), known.entry.isWarmingUp, known.entry.dataCentre == m_dataCentre});
     }
-    const auto leader = m_group->leader() ? m_group->leader() : m_lastLeader;
+    const auto leader = m_group->provedLeader() ? m_group->provedLeader() : m_lastLeader;
     m_context.log.info("promotion_started")
         .field("service", m_group->id().str())
         .field("reason", promotionReasonNames.name(reason))
--- a/src/libcrocusdealfront/leaderkeeper.h
+++ b/src/libcrocusdealfront/leaderkeeper.h
@@ -41,6 +41,8 @@
 
     void start();
     void stop();
+    /** Whether it has nothing to find out, to change or to follow up. */
+    bool isIdle() const;
     /** The record of the duty, or none, as the store has it. */
     void dutyKnown(const std::optional<duty_record> &record, time_point askedAt);
     /** Looks for replicas that an attempt has left paused, while the primary serves. */
@@ -55,6 +57,8 @@
     bool isKnownGone(const target_id &target) const;
 
 private:
+    /** Asks the target that says of itself that it leads. */
+    void askClaimedLeader();
     void scheduleTick(duration delay);
     /** A part of @p spread by name, so that the instances do not all act at once. */
     duration shareOf(duration spread) const;
--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -1,6 +1,5 @@
 #include "servicegroup.h"
 
-#include "placement.h"
 #include "systemclock.h"
 
 #include <algorithm>
@@ -27,6 +26,7 @@
     , m_id(std::move(id))
     , m_dataCentre(std::move(dataCentre))
     , m_directory(directory)
+    , m_lastUsedAt(systemNow())
 {
 }
 
@@ -60,7 +60,6 @@
                     self->pump();
                 }
             };
-            pool->openMore();
             continue;
         }
         pool->update(known.entry, m_policy.maxConnections);
@@ -85,10 +84,49 @@
     return m_targets;
 }
 
+void service_group::adoptClaimedLeader()
+{
+    std::optional<target_id> claimed;
+    for (const auto &[id, pool] : m_targets) {
+        if (!pool->entry().claimsPrimary) {
+            continue;
+        }
+        if (claimed) {
+            return; // One of them has not heard yet; a survey tells which.
+        }
+        claimed = id;
+    }
+    if (claimed) {
+        setLeader(*claimed, "entry");
+        m_isLeaderProved = false;
+    }
+}
+
+time_point service_group::lastUsedAt() const
+{
+    return m_lastUsedAt;
+}
+
+bool service_group::isInUse() const
+{
+    return m_queue.size() > 0 || std::any_of(m_targets.begin(), m_targets.end(), [](const auto &entry) {
+               return entry.second->inFlight() > 0;
+           });
+}
+
+void service_group::retire()
+{
+    onLeaderTrouble = nullptr;
+    for (const auto &[id, pool] : m_targets) {
+        pool->retire();
+    }
+}
+
 service_group::ticket service_group::acquire(const target_need &need,
                                              std::function<void(target_grant)> granted,
                                              std::function<void(refusal_reason)> refused)
 {
+    m_lastUsedAt = systemNow();
     if (m_queue.size() == 0 && tryPlace(need, granted)) {
         return 0;
     }
@@ -195,6 +233,7 @@
         candidates.push_back(candidate);
         pools.push_back(pool);
     }
+    warmUpFor(candidates, pools);
     while (const auto best = placeRead(candidates)) {
         if (grantAt(pools[*best], required, false, granted)) {
             return true;
@@ -204,6 +243,22 @@
     return candidates.empty() && pools.empty() && tryPlaceAtLeader(need, granted);
 }
 
+void service_group::warmUpFor(std::vector<read_candidate> candidates,
+                              const std::vector<std::shared_ptr<target_pool>> &pools)
+{
+    for (auto &candidate : candidates) {
+        candidate.hasIdleConnection = true;
+    }
+    const auto preferred = placeRead(candidates);
+    if (!preferred) {
+        return;
+    }
+    auto &pool = *pools[*preferred];
+    if (pool.connections() == 0 && pool.canOpen(systemNow())) {
+        pool.openMore();
+    }
+}
+
 bool service_group::tryPlaceAtLeader(const target_need &need, const std::function<void(target_grant)> &granted)
 {
     const auto found = m_leader ? m_targets.find(*m_leader) : m_targets.end();
@@ -239,11 +294,21 @@
 
 void service_group::openWhereNeeded(target_pool &pool)
 {
-    if (static_cast<std::size_t>(pool.opening()) <= m_queue.size() && pool.canOpen(systemNow())) {
+    // One for each statement that waits; a statement is tried once before it does.
+    if (static_cast<std::size_t>(opening()) < m_queue.size() && pool.canOpen(systemNow())) {
         pool.openMore();
     }
 }
 
+int service_group::opening() const
+{
+    int sum = 0;
+    for (const auto &[id, pool] : m_targets) {
+        sum += pool->opening();
+    }
+    return sum;
+}
+
 std::optional<position> service_group::requiredPosition(const target_need &need) const
 {
     if (need.isWrite || need.mustBeLeader || need.reads == consistency::Primary) {
@@ -298,6 +363,11 @@
     return m_leader;
 }
 
+std::optional<target_id> service_group::provedLeader() const
+{
+    return m_isLeaderProved ? m_leader : std::nullopt;
+}
+
 bool service_group::isLeaderMissing(time_point now) const
 {
     return !m_leader || (m_troubleSince != never && now - m_troubleSince > passingTrouble);
@@ -315,6 +385,7 @@
     if (m_leader != target) {
         setLeader(target, "proof");
     }
+    m_isLeaderProved = true;
     if (at) {
         m_samples.add(*at, askedAt);
     }
--- a/src/libcrocusdealfront/servicegroup.h
+++ b/src/libcrocusdealfront/servicegroup.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "freshness.h"
+#include "placement.h"
 #include "routingconfiguration.h"
 #include "targetdirectory.h"
 #include "targetpool.h"
@@ -69,6 +70,12 @@
     /** Takes over what the directory holds now. */
     void refreshTargets();
     const std::map<target_id, std::shared_ptr<target_pool>> &targets() const;
+    /** Until something proves or refutes it, takes the target for the primary that says so of itself. */
+    void adoptClaimedLeader();
+    /** When a statement last asked for a target, or since when the service is served. */
+    time_point lastUsedAt() const;
+    bool isInUse() const;
+    void retire();
 
     /** Gives a target now or later, or refuses; one of the hooks is called once, @p granted possibly at once. */
     ticket acquire(const target_need &need,
@@ -83,6 +90,8 @@
     std::size_t queued() const;
 
     const std::optional<target_id> &leader() const;
+    /** The primary, unless it is only said to be. */
+    std::optional<target_id> provedLeader() const;
     /** Whether statements for the primary cannot be expected to be served soon. */
     bool isLeaderMissing(time_point now) const;
     /** Whether only the primary can serve @p need, as things are known now. */
@@ -105,6 +114,9 @@
     time_point lastWriteAckedAt() const;
 
 private:
+    int opening() const;
+    /** Opens a connection to the target that a read would go to if all had one. */
+    void warmUpFor(std::vector<read_candidate> candidates, const std::vector<std::shared_ptr<target_pool>> &pools);
     bool tryPlace(const target_need &need, const std::function<void(target_grant)> &granted);
     bool tryPlaceAtLeader(const target_need &need, const std::function<void(target_grant)> &granted);
     bool grantAt(const std::shared_ptr<target_pool> &pool,
@@ -129,6 +141,8 @@
     position_samples m_samples;
     std::optional<target_id> m_leader;
     time_point m_leaderProvedAt = never;
+    bool m_isLeaderProved = false;
+    time_point m_lastUsedAt;
     time_point m_troubleSince = never;
     std::multiset<time_point> m_openWrites;
     time_point m_lastWriteAckedAt = never;
--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -21,6 +21,8 @@
 // room.
 constexpr duration unusedTime{800};
 constexpr std::size_t keptIdle = 1;
+// More instances than a target has connections can share them only if each lets go of what it hardly uses.
+constexpr duration lastUnusedTime{4000};
 constexpr duration silentTime{250};
 constexpr int openingAtOnce = 2; // Each takes a slot of the target for its start-up.
 constexpr int largestShareDivisor = 3; // No instance takes more than a third of the connections of a target.
@@ -351,8 +353,11 @@
     if (m_controlLink && m_controlLink->isIdle() && now - m_controlLink->lastAnswerAt > unusedTime) {
         giveBack(std::exchange(m_controlLink, nullptr));
     }
-    while (m_idle.size() > keptIdle && now - m_idle.front()->idleSince > unusedTime) {
+    while (!m_idle.empty()) {
         const auto link = m_idle.front();
+        if (now - link->idleSince <= (m_idle.size() > keptIdle ? unusedTime : lastUnusedTime)) {
+            return;
+        }
         link->close("not needed");
     }
 }
--- a/tests/platform/frontworld.cpp
+++ b/tests/platform/frontworld.cpp
@@ -156,7 +156,8 @@
         throw std::runtime_error(problem);
     }
     runUntil([this] { return node->isReady(); });
-    // The first survey finds the primary.
+    // A service is served from its first session on.
+    connect("fresh")->close();
     runFor(duration{200});
 }
 
--- a/tests/platform/linedatabase.cpp
+++ b/tests/platform/linedatabase.cpp
@@ -58,6 +58,14 @@
     return m_acceptor != nullptr;
 }
 
+int line_database::openConnections() const
+{
+    return static_cast<int>(std::count_if(m_sessions.begin(), m_sessions.end(), [](const auto &weak) {
+        const auto connection = weak.lock();
+        return connection && connection->stream->isOpen();
+    }));
+}
+
 void line_database::acceptNext()
 {
     m_acceptor->async_accept([self = shared_from_this()](std::error_code error, asio::ip::tcp::socket socket) {
--- a/tests/platform/linedatabase.h
+++ b/tests/platform/linedatabase.h
@@ -42,6 +42,7 @@
     const std::string &id() const;
     host_port address() const;
     bool isRunning() const;
+    int openConnections() const;
 
     line_faults faults;
     bool isPrimary = false;
