Open connections only where they save time; offer reads to a lagging replica ever more seldom

Ruled out: the start of the instances (20 ms); for (2) a way to make the replicas catch up: they apply in order. Conclusion: one more connection is opened if what waits would wait longer for the working ones than its start-up takes.

--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -295,7 +295,10 @@
 void service_group::openWhereNeeded(target_pool &pool)
 {
     // One for each statement that waits; a statement is tried once before it does.
-    if (static_cast<std::size_t>(opening()) < m_queue.size() && pool.canOpen(systemNow())) {
+    // Connections of transactions that rest are neither idle nor soon free.
+    const int working = pool.inFlight() + pool.opening();
+    const bool isWorth = isConnectionWorthOpening(m_queue.size(), working, pool.answerMs(), pool.openingMs());
+    if (isWorth && static_cast<std::size_t>(opening()) < m_queue.size() && pool.canOpen(systemNow())) {
         pool.openMore();
     }
 }
--- a/src/libcrocusdealfront/statementrun.cpp
+++ b/src/libcrocusdealfront/statementrun.cpp
@@ -313,6 +313,9 @@
     if (isProof) {
         m_group->noteLead(target, reply.at, reply.sentAt);
     }
+    if (m_grant->after) {
+        m_grant->target->lag().held();
+    }
     m_context.log.debug("statement_served")
         .field("id", m_order.request.id)
         .field("database", m_order.route.database)
@@ -376,7 +379,7 @@
             .field("target", target.str())
             .field("required", required ? toString(*required) : "none")
             .field("holds", reply.at ? toString(*reply.at) : "unknown");
-        pool->noteLagging(systemNow());
+        pool->lag().refused(reply.sentAt, systemNow());
         m_need.mustBeLeader = m_need.mustBeLeader || isAtLeader || m_attempts >= 2;
         m_need.avoid.insert(target);
     }
--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -13,7 +13,8 @@
 
 constexpr double firstAnswerMs = 10;
 constexpr double answerWeight = 0.1;
-constexpr duration laggingTime{150};
+constexpr double firstOpeningMs = 20;
+constexpr double openingWeight = 0.2;
 constexpr duration firstRetry{100};
 constexpr duration longestRetry{800};
 constexpr duration limitRetry{250}; // After the target refused a connection by its limit.
@@ -44,6 +45,7 @@
     , m_maxConnections(maxConnections)
     , m_window(m_entry.slots)
     , m_answerMs(firstAnswerMs)
+    , m_openingMs(firstOpeningMs)
 {
 }
 
@@ -178,14 +180,14 @@
     return m_known;
 }
 
-void target_pool::noteLagging(time_point now)
+replica_lag &target_pool::lag()
 {
-    m_laggingUntil = now + laggingTime;
+    return m_lag;
 }
 
 bool target_pool::isLagging(time_point now) const
 {
-    return now < m_laggingUntil;
+    return m_lag.isLagging(now);
 }
 
 bool target_pool::isFailing(time_point now) const
@@ -265,6 +267,11 @@
     });
 }
 
+double target_pool::openingMs() const
+{
+    return m_openingMs;
+}
+
 int target_pool::opening() const
 {
     return static_cast<int>(m_openings.size());
@@ -280,7 +287,7 @@
                m_entry.id.str(),
                [self = shared_from_this(), link, begunAt, done = std::move(done)](const link_opening &opening) {
                    self->m_openings.extract(begunAt);
-                   self->noteOpened(opening);
+                   self->noteOpened(opening, begunAt);
                    if (opening.isOpen) {
                        self->trackLink(link);
                    }
@@ -304,7 +311,7 @@
     };
 }
 
-void target_pool::noteOpened(const link_opening &opening)
+void target_pool::noteOpened(const link_opening &opening, time_point begunAt)
 {
     const auto now = systemNow();
     m_isReplaced = opening.refusal == error_code::WrongTarget;
@@ -314,6 +321,7 @@
         m_retryAt = never;
         m_unreachableSince = never;
         m_lastAnswerAt = now;
+        m_openingMs += openingWeight * (static_cast<double>((now - begunAt).ms) - m_openingMs);
         return;
     }
     ++m_failures;
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -4,6 +4,7 @@
 #include "eventlog.h"
 #include "failureshare.h"
 #include "frontmetrics.h"
+#include "replicalag.h"
 #include "replicationreport.h"
 #include "targetentry.h"
 #include "targetlink.h"
@@ -66,7 +67,7 @@
     void noteAnswer(const target_reply &reply);
     /** The highest position that its log was seen to hold. */
     position knownPosition() const;
-    void noteLagging(time_point now);
+    replica_lag &lag();
     bool isLagging(time_point now) const;
     /** Whether connections to it fail at the moment. */
     bool isFailing(time_point now) const;
@@ -87,6 +88,8 @@
     std::shared_ptr<target_link> takeIdle();
     /** Opens one more connection; onCapacity tells when it can be used. */
     void openMore();
+    /** How long opening a connection usually takes. */
+    double openingMs() const;
     /** Connections that are being opened. */
     int opening() const;
     void giveBack(const std::shared_ptr<target_link> &link);
@@ -102,7 +105,7 @@
 
     void noteRefused(const target_reply &reply, time_point now);
     void openLink(std::function<void(std::shared_ptr<target_link>, const link_opening &)> done);
-    void noteOpened(const link_opening &opening);
+    void noteOpened(const link_opening &opening, time_point begunAt);
     void sendControl(const std::shared_ptr<control_call> &call);
     void finishControl(const std::shared_ptr<control_call> &call, control_reply reply);
     void trackLink(const std::shared_ptr<target_link> &link);
@@ -119,8 +122,9 @@
     failure_share m_failureShare;
     deadline_queue::handle m_holdTimer = 0;
     double m_answerMs;
+    double m_openingMs;
     position m_known;
-    time_point m_laggingUntil = never;
+    replica_lag m_lag;
     time_point m_retryAt = never;
     int m_failures = 0;
     time_point m_unreachableSince = never;
--- a/src/libcrocusdealpolicy/placement.cpp
+++ b/src/libcrocusdealpolicy/placement.cpp
@@ -38,6 +38,11 @@
     return static_cast<double>(ahead + 1) * answerMs / std::max(1, permits);
 }
 
+bool isConnectionWorthOpening(std::size_t waiting, int working, double answerMs, double openingMs)
+{
+    return working == 0 || static_cast<double>(waiting) * answerMs / working > openingMs;
+}
+
 std::optional<std::size_t> placeRead(const std::vector<read_candidate> &candidates)
 {
     std::optional<std::size_t> best;
--- a/src/libcrocusdealpolicy/placement.h
+++ b/src/libcrocusdealpolicy/placement.h
@@ -25,6 +25,12 @@
 /** How long new work is expected to wait behind @p ahead others at a target that runs @p permits at a time. */
 double expectedWaitMs(std::size_t ahead, double answerMs, int permits);
 
+/**
+ * Whether one more connection serves the statements that wait sooner than the @p working ones, which will be free for
+ * them. Answers a crest, or the return of all callers at once: opening one takes a slot of the target from statements.
+ */
+bool isConnectionWorthOpening(std::size_t waiting, int working, double answerMs, double openingMs);
+
 /** The candidate that is expected to answer soonest; nothing if none has a permit free. */
 std::optional<std::size_t> placeRead(const std::vector<read_candidate> &candidates);
 
--- a/tests/libcrocusdealpolicy/policytest.cpp
+++ b/tests/libcrocusdealpolicy/policytest.cpp
@@ -4,6 +4,7 @@
 #include "freshness.h"
 #include "isolation.h"
 #include "placement.h"
+#include "replicalag.h"
 #include "sessionvalues.h"
 #include "targetdirectory.h"
 #include "waitqueue.h"
@@ -344,14 +345,66 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(target_directory_test);
 
+class replica_lag_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(replica_lag_test);
+    CPPUNIT_TEST(pausesGrowWhileItStaysBehind);
+    CPPUNIT_TEST(oneBurstOfRefusalsCountsOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against reads that are sent for seconds to a replica that can only refuse them. */
+    void pausesGrowWhileItStaysBehind()
+    {
+        replica_lag lag;
+        lag.refused({0}, {10});
+        CPPUNIT_ASSERT(lag.isLagging({159}));
+        CPPUNIT_ASSERT(!lag.isLagging({160}));
+        lag.refused({160}, {165});
+        CPPUNIT_ASSERT(lag.isLagging({464}));
+        for (std::int64_t at = 1000; at < 20000; at += 2000) {
+            lag.refused({at}, {at});
+        }
+        CPPUNIT_ASSERT(lag.isLagging({20199}));
+        CPPUNIT_ASSERT(!lag.isLagging({20201}));
+        lag.held();
+        CPPUNIT_ASSERT(!lag.isLagging({20100}));
+        lag.refused({21000}, {21000});
+        CPPUNIT_ASSERT(!lag.isLagging({21150}));
+    }
+
+    /** Guards against giving up a replica that was behind for a moment. */
+    void oneBurstOfRefusalsCountsOnce()
+    {
+        replica_lag lag;
+        for (std::int64_t at = 0; at < 10; ++at) {
+            lag.refused({at}, {10 + at});
+        }
+        CPPUNIT_ASSERT(!lag.isLagging({160}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(replica_lag_test);
+
 class placement_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(placement_test);
     CPPUNIT_TEST(prefersAReplicaNearby);
     CPPUNIT_TEST(avoidsASlowOrFullTarget);
+    CPPUNIT_TEST(opensAConnectionOnlyIfItSavesTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /** Guards against start-ups that keep the slots of a target from the statements of all who come back at once. */
+    void opensAConnectionOnlyIfItSavesTime()
+    {
+        CPPUNIT_ASSERT(isConnectionWorthOpening(1, 0, 15, 27));
+        CPPUNIT_ASSERT(!isConnectionWorthOpening(1, 1, 15, 27));
+        CPPUNIT_ASSERT(isConnectionWorthOpening(2, 1, 15, 27));
+        CPPUNIT_ASSERT(!isConnectionWorthOpening(3, 2, 15, 27));
+        CPPUNIT_ASSERT(!isConnectionWorthOpening(4, 1, 40, 400));
+    }
+
     /** Guards against reads that take slots of the primary or cross data centres without need. */
     void prefersAReplicaNearby()
     {
