Spend fewer calls on the store, and refuse at once what only the primary can serve

Ruled out: a store that is only said to be away after one failed watch; a probe has to fail as well, as a holder that acts without the store while others have it could take turns with them.

--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -140,6 +140,7 @@
     auto keeper = std::make_shared<leader_keeper>(
         m_context, group, m_directory, m_store, m_authority, m_settings.instance.str(), m_settings.dataCentre);
     keeper->refreshDirectory = [this](std::function<void(bool)> done) { m_feed->refreshTargets(std::move(done)); };
+    keeper->isStoreAway = [this] { return m_feed->isStoreAway(); };
     keeper->onMissed = [this] { watchIsolationSoon(); };
     keeper->isAnswering = [this](const data_centre_id &dataCentre) { return isAnswering(dataCentre); };
     m_keepers[service] = keeper;
--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -25,7 +25,7 @@
 constexpr duration retryTime{300};
 constexpr duration uninformedStandby{2500}; // The others need less for a change of the primary.
 constexpr duration idleClaimDelay{1000};
-constexpr duration idleClaimSpread{1500};
+constexpr duration idleClaimSpread{8000}; // Longer than a watch is late, so that few claims meet a record.
 constexpr duration fenceSpread{1500};
 
 }
@@ -415,6 +415,11 @@
 
 void leader_keeper::claimThenStart(promotion_reason reason)
 {
+    if (isStoreAway()) {
+        // A claim would only find out again what the feed has just found out.
+        takeClaim(claim_result::StoreAway, reason);
+        return;
+    }
     m_orders->claim(promotionReasonNames.name(reason).data(),
                     [self = shared_from_this(), reason](claim_result result) { self->takeClaim(result, reason); });
 }
@@ -547,6 +552,14 @@
         return;
     }
     // The attempt has waited, or the machine was suspended: another instance may hold the duty by now.
+    if (isStoreAway()) {
+        if (mayActWithoutStore()) {
+            sendOrder(target);
+        } else {
+            m_attempt->orderRefused();
+        }
+        return;
+    }
     const auto *attempt = m_attempt.get();
     m_orders->renew(m_attemptToken, [self = shared_from_this(), attempt, target](claim_result result) {
         if (self->m_attempt && self->m_attempt.get() == attempt) {
--- a/src/libcrocusdealfront/leaderkeeper.h
+++ b/src/libcrocusdealfront/leaderkeeper.h
@@ -36,6 +36,8 @@
     std::function<void(std::function<void(bool)>)> refreshDirectory;
     /** Whether any target of a data centre has answered this instance just now. */
     std::function<bool(const data_centre_id &)> isAnswering;
+    /** Whether the store is known not to answer this instance. */
+    std::function<bool()> isStoreAway;
     /** A survey has got no answer of a target. */
     std::function<void()> onMissed;
 
--- a/src/libcrocusdealfront/promotionorders.cpp
+++ b/src/libcrocusdealfront/promotionorders.cpp
@@ -92,6 +92,7 @@
                       purpose,
                       m_duty.replaces(),
                       [self = shared_from_this(), sentAt, purpose](const duty_news &news) {
+                          self->logClaim("in_advance", news);
                           if (news.failure == store_failure::None) {
                               self->m_duty.claimed(news.revision, purpose, sentAt);
                           } else if (news.failure == store_failure::Conflict) {
@@ -107,16 +108,21 @@
         m_duty.replaces(),
         [self = shared_from_this(), reason, done = std::move(done)](claim_result result, const duty_news &news) {
             self->m_isBusy = false;
-            self->m_context.log.info("duty_claim")
-                .field("service", self->m_service.str())
-                .field("reason", reason)
-                .field("outcome", storeFailureNames.name(news.failure))
-                .field("holder", news.holder)
-                .field("revision", static_cast<std::int64_t>(news.revision));
+            self->logClaim(reason, news);
             done(result);
         });
 }
 
+void promotion_orders::logClaim(const char *reason, const duty_news &news) const
+{
+    m_context.log.info("duty_claim")
+        .field("service", m_service.str())
+        .field("reason", reason)
+        .field("outcome", storeFailureNames.name(news.failure))
+        .field("holder", news.holder)
+        .field("revision", static_cast<std::int64_t>(news.revision));
+}
+
 void promotion_orders::renew(std::optional<std::uint64_t> replaces, std::function<void(claim_result)> done)
 {
     claimForOrder(replaces, [done = std::move(done)](claim_result result, const duty_news &) { done(result); });
@@ -155,7 +161,7 @@
 
 void promotion_orders::settle()
 {
-    if (!m_duty.token() || m_isOrderOpen) {
+    if (m_isOrderOpen || !m_duty.isToBeSettled()) {
         return;
     }
     m_store.claimDuty(
--- a/src/libcrocusdealfront/promotionorders.h
+++ b/src/libcrocusdealfront/promotionorders.h
@@ -70,6 +70,7 @@
 private:
     void claimForOrder(std::optional<std::uint64_t> replaces,
                        std::function<void(claim_result, const duty_news &)> done);
+    void logClaim(const char *reason, const duty_news &news) const;
     void sendFence(const target_id &leader, std::function<void(bool)> done);
 
     front_context &m_context;
--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -134,7 +134,7 @@
         refused(refusal_reason::QueueFull);
         return 0;
     }
-    const bool isForLeader = needsLeader(need);
+    const bool isForLeader = isOnlyForLeader(need, m_lastUsedAt);
     if (isHopeless(need, isForLeader)) {
         refused(refusal_reason::ExpectedWait);
         return 0;
@@ -214,8 +214,7 @@
     std::vector<read_candidate> candidates;
     std::vector<std::shared_ptr<target_pool>> pools;
     for (const auto &[id, pool] : m_targets) {
-        const bool isCovering = pool->knownPosition() >= *required;
-        if (!isUsable(*pool, now) || need.avoid.contains(id) || (pool->isLagging(now) && !isCovering)) {
+        if (!isOffered(*pool, need, *required, now)) {
             continue;
         }
         read_candidate candidate;
@@ -226,7 +225,7 @@
         candidate.answerMs = pool->answerMs();
         candidate.isLocal = pool->entry().dataCentre == m_dataCentre;
         candidate.isPrimary = m_leader == id;
-        candidate.isKnownToCover = isCovering;
+        candidate.isKnownToCover = pool->knownPosition() >= *required;
         candidate.isWarmingUp = pool->entry().isWarmingUp;
         candidate.hasIdleConnection = pool->hasIdle();
         candidate.failureShare = pool->failureShare(now);
@@ -331,6 +330,23 @@
         && !pool.isFailing(now) && !pool.isSilent(now);
 }
 
+bool service_group::isOffered(const target_pool &pool,
+                              const target_need &need,
+                              const position &required,
+                              time_point now) const
+{
+    const bool isBehind = pool.isLagging(now) && pool.knownPosition() < required;
+    return !isBehind && !need.avoid.contains(pool.entry().id) && isUsable(pool, now);
+}
+
+bool service_group::isOnlyForLeader(const target_need &need, time_point now) const
+{
+    const auto required = requiredPosition(need);
+    return !required || std::none_of(m_targets.begin(), m_targets.end(), [&](const auto &entry) {
+        return m_leader != entry.first && isOffered(*entry.second, need, *required, now);
+    });
+}
+
 refusal_reason service_group::whyNotPlaced(const target_need &need) const
 {
     if (m_targets.empty()) {
--- a/src/libcrocusdealfront/servicegroup.h
+++ b/src/libcrocusdealfront/servicegroup.h
@@ -128,6 +128,10 @@
     /** Whether the queue is too long for @p need to be placed before it is refused. */
     bool isHopeless(const target_need &need, bool isForLeader) const;
     bool isUsable(const target_pool &pool, time_point now) const;
+    /** Whether the target may be offered a read that needs @p required. */
+    bool isOffered(const target_pool &pool, const target_need &need, const position &required, time_point now) const;
+    /** As needsLeader(), or since every other target is behind or cannot be used. */
+    bool isOnlyForLeader(const target_need &need, time_point now) const;
     void armRefusals();
     void openWhereNeeded(target_pool &pool);
 
--- a/src/libcrocusdealfront/storefeed.cpp
+++ b/src/libcrocusdealfront/storefeed.cpp
@@ -21,6 +21,8 @@
 constexpr duration targetListAge{20000}; // The watch may be old, so a current list follows now and then.
 constexpr duration dutyWait{10000}; // Records change seldom, and a claim finds out in any case.
 constexpr duration shortestWait{500};
+constexpr duration longestChangePause{400};
+constexpr int changePauseShare = 8; // Of the time in which a change has to be in force.
 
 }
 
@@ -29,6 +31,8 @@
     , m_store(store)
     // A watch that has gone silent is noticed when its time is over, which leaves as much again to read afresh.
     , m_checkWait(std::max(shortestWait, configurationApply / 2))
+    // Changes that follow at once are read together: each answer carries the configuration as a whole.
+    , m_changePause(std::min(longestChangePause, configurationApply / changePauseShare))
     , m_probeDelay(retryTime)
 {
 }
@@ -50,6 +54,11 @@
     return m_configurationHeardAt;
 }
 
+bool store_feed::isStoreAway() const
+{
+    return m_hasProbeFailed;
+}
+
 void store_feed::later(step next)
 {
     m_context.deadlines.scheduleAfter(retryTime, [self = shared_from_this(), next] {
@@ -76,7 +85,8 @@
         if (self->m_isStopped) {
             return;
         }
-        if (news.failure != store_failure::None) {
+        self->m_hasProbeFailed = news.failure != store_failure::None;
+        if (self->m_hasProbeFailed) {
             self->m_probeDelay = std::min(longestRetry, self->m_probeDelay * 2);
             self->m_context.deadlines.scheduleAfter(self->m_probeDelay, [self] { self->probe(); });
             return;
@@ -135,11 +145,17 @@
         later(&store_feed::readConfiguration);
         return;
     }
-    watchConfiguration();
     if (!isWatch) {
         m_checkRevision = news.revision;
+        watchConfiguration();
         checkConfiguration();
+        return;
     }
+    if (news.configuration) {
+        watchConfigurationAfterPause();
+        return;
+    }
+    watchConfiguration();
 }
 
 void store_feed::checkConfiguration()
@@ -164,11 +180,27 @@
         waitForStore(&store_feed::readConfiguration);
         return;
     }
-    if (news.configuration) {
-        onConfiguration(*news.configuration);
-    }
     m_checkRevision = news.revision;
-    checkConfiguration();
+    if (!news.configuration) {
+        checkConfiguration();
+        return;
+    }
+    onConfiguration(*news.configuration);
+    m_context.deadlines.scheduleAfter(m_changePause, [self = shared_from_this(), read = m_configurationReads] {
+        if (read == self->m_configurationReads && !self->m_isStopped) {
+            self->checkConfiguration();
+        }
+    });
+}
+
+void store_feed::watchConfigurationAfterPause()
+{
+    m_context.deadlines.scheduleAfter(m_changePause, [self = shared_from_this(), read = m_configurationReads] {
+        // A read that has begun meanwhile starts a watch of its own.
+        if (read == self->m_configurationReads && !self->m_isStopped) {
+            self->watchConfiguration();
+        }
+    });
 }
 
 void store_feed::listTargets()
--- a/src/libcrocusdealfront/storefeed.h
+++ b/src/libcrocusdealfront/storefeed.h
@@ -29,10 +29,13 @@
     void refreshTargets(std::function<void(bool)> done);
     /** When the store last answered about the configuration. */
     time_point configurationHeardAt() const;
+    /** Whether the store has failed a probe after other calls, and answered nothing since. */
+    bool isStoreAway() const;
 
 private:
     void readConfiguration();
     void watchConfiguration();
+    void watchConfigurationAfterPause();
     void takeConfiguration(const configuration_news &news, bool isWatch);
     /** A cheap second watch with a short wait finds out soon if the first has gone silent. */
     void checkConfiguration();
@@ -53,6 +56,7 @@
     front_context &m_context;
     metadata_store &m_store;
     duration m_checkWait;
+    duration m_changePause;
     std::uint64_t m_checkRevision = 0;
     time_point m_targetsListedAt = never;
     time_point m_targetsCurrentAt = never; ///< The targets are known as they were then, at least.
@@ -60,6 +64,7 @@
     std::vector<step> m_waitingSteps; ///< Each once.
     duration m_probeDelay;
     bool m_isProbing = false;
+    bool m_hasProbeFailed = false;
     std::uint64_t m_configurationRevision = 0;
     std::uint64_t m_targetRevision = 0;
     std::uint64_t m_dutyRevision = 0;
--- a/src/libcrocusdealpolicy/dutyclaim.cpp
+++ b/src/libcrocusdealpolicy/dutyclaim.cpp
@@ -64,6 +64,11 @@
     return m_record && m_record->purpose == duty_purpose::Order && !m_token;
 }
 
+bool duty_claim::isToBeSettled() const
+{
+    return m_record && m_record->purpose == duty_purpose::Order && m_token;
+}
+
 time_point duty_claim::leaseEndsAt() const
 {
     const bool isForOrder = m_record && m_record->purpose != duty_purpose::Standby;
--- a/src/libcrocusdealpolicy/dutyclaim.h
+++ b/src/libcrocusdealpolicy/dutyclaim.h
@@ -63,6 +63,8 @@
     bool isClaimStale(time_point now) const;
     /** Whether the record is another process's, and an order under it may still be carried out. */
     bool isOrderLeftOpen() const;
+    /** Whether the record is this process's and says that an order under it may be open. */
+    bool isToBeSettled() const;
     /** When no order under the record can be new any more. */
     time_point leaseEndsAt() const;
 
--- a/tests/platform/memorystore.cpp
+++ b/tests/platform/memorystore.cpp
@@ -72,6 +72,7 @@
         configuration_news news;
         news.revision = m_revision;
         if (m_configurationRevision > revision) {
+            ++calls["configuration sent"];
             news.configuration = m_configuration;
         }
         answer(done, std::move(news));
