--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -133,7 +133,7 @@
 
 std::shared_ptr<service_group> front::beginToServe(const service_id &service, const service_policy &policy)
 {
-    const auto group = std::make_shared<service_group>(m_context, service, m_settings.dataCentre, m_directory);
+    auto group = std::make_shared<service_group>(m_context, service, m_settings.dataCentre, m_directory);
     m_groups[service] = group;
     group->setPolicy(policy);
     group->adoptClaimedLeader();
--- /dev/null
+++ b/tests/platform/frontfailovertest.cpp
@@ -0,0 +1,422 @@
+#include "frontworld.h"
+
+#include "systemclock.h"
+
+#include <asio/ip/address.hpp>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace crocusdeal;
+using namespace crocusdeal::test;
+using namespace crocusdeal::literals;
+
+class front_failover_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(front_failover_test);
+    CPPUNIT_TEST(crashedPrimaryIsReplacedWithinASecond);
+    CPPUNIT_TEST(silentPrimaryIsReplaced);
+    CPPUNIT_TEST(secondCrashIsReplacedToo);
+    CPPUNIT_TEST(lostAnswerOfTheOrderIsNoSecondPromotion);
+    CPPUNIT_TEST(lateOrderIsFencedOnceThePrimaryIsBack);
+    CPPUNIT_TEST(orderLeftOpenByADeadInstanceIsFenced);
+    CPPUNIT_TEST(newerHolderIsNotDisplacedToFenceALateOrder);
+    CPPUNIT_TEST(drainingPrimaryIsReplacedWithoutARefusal);
+    CPPUNIT_TEST(missingReplicaHoldsThePromotionBack);
+    CPPUNIT_TEST(attemptEndsWhenAnotherInstanceTakesTheDuty);
+    CPPUNIT_TEST(silentDrainingReplicaWithoutEntryHoldsThePromotionBack);
+    CPPUNIT_TEST(crashedReplicaWithoutEntryHoldsThePromotionBack);
+    CPPUNIT_TEST(staleInstanceWithoutTheStorePausesNothing);
+    CPPUNIT_TEST(promotionDuringAKnownOutageDoesNotAskTheStore);
+    CPPUNIT_TEST(pauseLeftBehindIsEnded);
+    CPPUNIT_TEST(refusedTokenIsNotUsedAgain);
+    CPPUNIT_TEST(writesAreRefusedEarlyWithoutAPrimary);
+    CPPUNIT_TEST(instanceThatReachesNothingTurnsUnready);
+    CPPUNIT_TEST(instanceOfACutOffDataCentreTurnsUnreadySoon);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against a long gap, and against LOST. */
+    void crashedPrimaryIsReplacedWithinASecond()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        assertContains("COMPLETE", world.ask(*client, "WRITE 1 x"));
+        world.group.at("c").faults.isDeaf = true;
+        assertContains("COMPLETE", world.ask(*client, "WRITE 2 y"));
+        world.group.at("a").crash();
+        const auto crashed = systemNow();
+        CPPUNIT_ASSERT(writesAgain(world));
+        CPPUNIT_ASSERT((systemNow() - crashed) < 1600_ms);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), world.store.orders.front().target);
+        assertContains("DATAROW y", world.ask(*client, "READ 2"));
+    }
+
+    /** Guards against sightings of an earlier search that pass for a primary in place. */
+    void silentPrimaryIsReplaced()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        const auto silent = silence(world, "a");
+        const auto asked = systemNow();
+        world.ask(*client, "WRITE 1 x");
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.store.orders.empty(); }, 2000_ms));
+        CPPUNIT_ASSERT((systemNow() - asked) < 1500_ms);
+    }
+
+    /** Guards against an instance that can change a primary only once. */
+    void secondCrashIsReplacedToo()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        world.group.at("a").crash();
+        CPPUNIT_ASSERT(writesAgain(world));
+        world.group.at("a").listen();
+        world.runFor(500_ms);
+        const auto leader = world.store.orders.back().target;
+        world.group.at(leader).crash();
+        CPPUNIT_ASSERT(writesAgain(world));
+        CPPUNIT_ASSERT(world.store.orders.back().target != leader);
+    }
+
+    /** Guards against a second change of the primary while the first is carried out. */
+    void lostAnswerOfTheOrderIsNoSecondPromotion()
+    {
+        front_world world;
+        world.start();
+        world.store.loseOrders = true;
+        const auto client = world.connect("fresh");
+        world.group.at("a").crash();
+        CPPUNIT_ASSERT(writesAgain(world));
+        world.runFor(500_ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.store.orders.size());
+    }
+
+    /** Guards against LOST: an order without an answer is carried out after the primary has come back and gone on. */
+    void lateOrderIsFencedOnceThePrimaryIsBack()
+    {
+        front_world world;
+        world.start();
+        world.store.loseOrders = true;
+        world.store.orderDelay = 9000_ms;
+        const auto client = world.connect("fresh");
+        world.group.at("a").crash();
+        world.ask(*client, "WRITE 1 x");
+        world.runFor(1000_ms);
+        CPPUNIT_ASSERT(world.store.orders.empty());
+        world.store.loseOrders = false;
+        world.group.at("a").listen();
+        CPPUNIT_ASSERT(world.runUntil([&] { return world.store.refusedOrders > 0; }, 12000_ms));
+        CPPUNIT_ASSERT(world.group.at("a").isPrimary);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), world.store.orders.back().target);
+    }
+
+    /** Guards against LOST: an instance dies after an unanswered order, which is carried out once its pauses have
+     * ended. */
+    void orderLeftOpenByADeadInstanceIsFenced()
+    {
+        front_world world;
+        world.group.at("b").pausedAt = 2;
+        world.store.claimDuty(service_id("svc"), "dead", duty_purpose::Order, std::nullopt, [](const duty_news &) {});
+        const auto token = world.store.duties.at("svc").revision;
+        world.store.loseOrders = true;
+        world.store.orderDelay = 9000_ms;
+        world.store.promote(
+            service_id("svc"), target_id("c"), "dead", token, [](promotion_answer, const std::string &) {});
+        world.store.loseOrders = false;
+        world.start();
+        const auto client = world.connect("fresh");
+        CPPUNIT_ASSERT(world.runUntil(
+            [&] {
+                assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+                world.runFor(50_ms);
+                return world.store.refusedOrders > 0 || world.group.at("c").isPrimary;
+            },
+            11000_ms));
+        CPPUNIT_ASSERT(world.group.at("a").isPrimary);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world.group.at("b").pausedAt);
+        CPPUNIT_ASSERT(world.store.duties.at("svc").purpose == duty_purpose::Settled);
+    }
+
+    /** Guards against ONE: two instances that take turns in ordering within the lease. */
+    void newerHolderIsNotDisplacedToFenceALateOrder()
+    {
+        front_world world;
+        world.start();
+        world.store.loseOrders = true;
+        world.store.orderDelay = 20000_ms;
+        const auto client = world.connect("fresh");
+        world.group.at("a").crash();
+        world.ask(*client, "WRITE 1 x");
+        CPPUNIT_ASSERT(world.runUntil([&] { return world.store.duties.contains("svc"); }));
+        world.runFor(1000_ms);
+        world.store.claimDuty(service_id("svc"),
+                              "other",
+                              duty_purpose::Order,
+                              world.store.duties.at("svc").revision,
+                              [](const duty_news &) {});
+        world.store.loseOrders = false;
+        world.group.at("a").listen();
+        world.runFor(4500_ms);
+        CPPUNIT_ASSERT_EQUAL(std::string("other"), world.store.duties.at("svc").holder);
+        CPPUNIT_ASSERT(world.store.orders.empty());
+    }
+
+    /** Guards against a gap in planned work. */
+    void drainingPrimaryIsReplacedWithoutARefusal()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        world.addDatabase("d");
+        world.publishEntry("a", true);
+        const auto end = systemNow() + 3000_ms;
+        while (world.store.orders.empty() && systemNow() < end) {
+            assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+            world.runFor(5_ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.store.orders.size());
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.group.at("a").isPrimary; }));
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 last"));
+        world.runFor(300_ms);
+        for (const auto &[id, database] : world.group.databases) {
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, database->pausedAt);
+        }
+    }
+
+    /** Guards against LOST: the replica that is out of reach may hold what the other lacks. */
+    void missingReplicaHoldsThePromotionBack()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        world.group.at("c").crash();
+        world.group.at("a").crash();
+        world.ask(*client, "WRITE 1 x");
+        world.runFor(2000_ms);
+        CPPUNIT_ASSERT(world.store.orders.empty());
+        world.group.at("c").listen();
+        CPPUNIT_ASSERT(writesAgain(world));
+    }
+
+    /** Guards against LOST: what an attempt saw before another instance held the duty says nothing of the present. */
+    void attemptEndsWhenAnotherInstanceTakesTheDuty()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        auto &missing = world.group.at("c");
+        missing.crash();
+        world.group.at("a").crash();
+        world.ask(*client, "WRITE 1 x");
+        CPPUNIT_ASSERT(world.runUntil([&] { return world.group.at("b").pausedAt > 0; }, 2000_ms));
+        world.runFor(1200_ms); // The claim is too old by now to order under it without a new one.
+        bool isTaken = false;
+        world.store.claimDuty(service_id("svc"),
+                              "other",
+                              duty_purpose::Order,
+                              world.store.duties.at("svc").revision,
+                              [&](const duty_news &news) { isTaken = news.failure == store_failure::None; });
+        missing.listen();
+        world.runFor(1500_ms);
+        CPPUNIT_ASSERT(isTaken);
+        CPPUNIT_ASSERT(world.store.orders.empty());
+    }
+
+    /** Guards against LOST: a draining target cut off with the primary loses its entry and still acknowledges. */
+    void silentDrainingReplicaWithoutEntryHoldsThePromotionBack()
+    {
+        front_world world;
+        world.dataCentres = {{"a", "there"}, {"d", "there"}};
+        world.publishEntry("a", false);
+        world.addDatabase("d", true);
+        world.start();
+        const auto client = world.connect("fresh");
+        const auto silent = silence(world, "d");
+        world.store.removeTarget("d");
+        world.group.at("a").crash();
+        world.ask(*client, "WRITE 1 x");
+        world.runFor(4000_ms);
+        CPPUNIT_ASSERT(world.store.orders.empty());
+        // Once another target of its data centre answers and this one does not, it is gone.
+        world.dataCentres["e"] = "there";
+        world.addDatabase("e");
+        world.group.at("e").received = 1;
+        CPPUNIT_ASSERT(writesAgain(world));
+    }
+
+    /** Guards against LOST: a replica that crashed comes back with its log, whatever its entry says. */
+    void crashedReplicaWithoutEntryHoldsThePromotionBack()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        world.group.at("b").faults.isDeaf = true;
+        assertContains("COMPLETE", world.ask(*client, "WRITE 1 x"));
+        world.group.at("c").crash();
+        world.group.at("a").crash();
+        world.store.removeTarget("c");
+        world.ask(*client, "WRITE 2 y");
+        world.runFor(3000_ms);
+        CPPUNIT_ASSERT(world.store.orders.empty());
+        world.group.at("c").listen();
+        world.publishEntry("c", false);
+        CPPUNIT_ASSERT(writesAgain(world));
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), world.store.orders.front().target);
+    }
+
+    /** Guards against LOST: an instance that the store turns away does not know the new primary and pauses its
+     * replicas. */
+    void staleInstanceWithoutTheStorePausesNothing()
+    {
+        front_world world;
+        world.start();
+        // It claims the duty and holds a token.
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.store.duties.empty(); }, 10000_ms));
+        world.store.isAway = true;
+        world.runFor(100_ms);
+        world.group.add("new");
+        world.group.promote("new");
+        world.group.at("a").crash();
+        const auto client = world.connect("fresh");
+        world.ask(*client, "WRITE 1 x");
+        world.runFor(1500_ms);
+        CPPUNIT_ASSERT(world.store.orders.empty());
+        CPPUNIT_ASSERT(!wasPaused(world.group.at("b")) && !wasPaused(world.group.at("c")));
+    }
+
+    /** Guards against a gap that is longer by the time-out of a claim, and against calls that are known to be in vain.
+     */
+    void promotionDuringAKnownOutageDoesNotAskTheStore()
+    {
+        front_world world;
+        world.start();
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.store.duties.empty(); }, 10000_ms));
+        world.store.isAway = true;
+        const auto client = world.connect("fresh");
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        world.runFor(1200_ms);
+        world.store.calls.clear();
+        world.group.at("a").crash();
+        CPPUNIT_ASSERT(writesAgain(world));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.store.orders.size());
+        CPPUNIT_ASSERT_EQUAL(0, world.store.calls["claim"]);
+    }
+
+    /** Guards against replicas that receive nothing for good after an attempt that was cut short. */
+    void pauseLeftBehindIsEnded()
+    {
+        front_world world;
+        world.start();
+        world.group.at("b").pausedAt = 9;
+        const auto client = world.connect("fresh");
+        CPPUNIT_ASSERT(world.runUntil(
+            [&] {
+                world.ask(*client, "WRITE 1 x");
+                return world.group.at("b").pausedAt == 0;
+            },
+            14000_ms));
+    }
+
+    /** Guards against calling again with a fencing token that was refused. */
+    void refusedTokenIsNotUsedAgain()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        world.store.promote(
+            service_id("svc"), target_id("a"), "other", 1000, [](promotion_answer, const std::string &) {});
+        world.store.orders.clear();
+        world.group.at("a").crash();
+        world.ask(*client, "WRITE 1 x");
+        world.runFor(2500_ms);
+        CPPUNIT_ASSERT(world.store.orders.empty());
+        CPPUNIT_ASSERT(world.store.refusedOrders > 0);
+        CPPUNIT_ASSERT(static_cast<std::size_t>(world.store.refusedOrders) <= world.store.duties.at("svc").revision);
+    }
+
+    /** Guards against holding what cannot be served until the caller has no time to go elsewhere. */
+    void writesAreRefusedEarlyWithoutAPrimary()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        for (const char *id : {"a", "b", "c"}) {
+            world.group.at(id).crash();
+        }
+        world.ask(*client, "WRITE 1 x");
+        world.runFor(300_ms);
+        const auto asked = systemNow();
+        assertContains("ERROR BUSY", world.ask(*client, "WRITE 1 y"));
+        CPPUNIT_ASSERT((systemNow() - asked) < 100_ms);
+    }
+
+    /** Guards against an instance that keeps taking sessions that it can only refuse. */
+    void instanceThatReachesNothingTurnsUnready()
+    {
+        front_world world;
+        world.start();
+        const auto client = world.connect("fresh");
+        CPPUNIT_ASSERT(world.isReady());
+        for (const char *id : {"a", "b", "c"}) {
+            world.group.at(id).crash();
+        }
+        world.ask(*client, "WRITE 1 x");
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.isReady(); }, 2000_ms));
+        CPPUNIT_ASSERT(world.runUntil([&] { return client->isClosed(); }, 4000_ms));
+        for (const char *id : {"a", "b", "c"}) {
+            world.group.at(id).listen();
+        }
+        CPPUNIT_ASSERT(world.runUntil([&] { return world.isReady(); }, 3000_ms));
+    }
+
+    /** Guards against a long time in which callers of a data centre that is cut off get refusals only. */
+    void instanceOfACutOffDataCentreTurnsUnreadySoon()
+    {
+        front_world world;
+        world.dataCentres = {{"a", "there"}, {"b", "there"}, {"c", "elsewhere"}};
+        for (const char *id : {"a", "b", "c"}) {
+            world.publishEntry(id, false);
+        }
+        world.start();
+        const auto client = world.connect("fresh");
+        const auto reader = world.connect("stale");
+        CPPUNIT_ASSERT(world.isReady());
+        const auto a = silence(world, "a");
+        const auto b = silence(world, "b");
+        const auto c = silence(world, "c");
+        client->send("QUERY 1 WRITE 1 x");
+        reader->send("QUERY 2 READ 1");
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.isReady(); }, 600_ms));
+    }
+
+private:
+    /** A listener that never answers stands for a machine behind a cut. */
+    static std::unique_ptr<asio::ip::tcp::acceptor> silence(front_world &world, const std::string &id)
+    {
+        world.group.at(id).crash();
+        auto silent = std::make_unique<asio::ip::tcp::acceptor>(world.io);
+        const asio::ip::tcp::endpoint there(asio::ip::make_address("127.0.0.1"), world.group.at(id).address().port);
+        silent->open(there.protocol());
+        silent->set_option(asio::socket_base::reuse_address(true));
+        silent->bind(there);
+        silent->listen();
+        return silent;
+    }
+
+    /** Each try connects anew: an instance that reaches few targets lets idle sessions go. */
+    static bool writesAgain(front_world &world)
+    {
+        return world.runUntil(
+            [&] {
+                const auto client = world.connect("fresh");
+                return contains(world.ask(*client, "WRITE 7 again"), "COMPLETE sig");
+            },
+            6000_ms);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(front_failover_test);
--- a/tests/platform/frontworld.cpp
+++ b/tests/platform/frontworld.cpp
@@ -4,6 +4,9 @@
 
 #include <asio/ip/address.hpp>
 
+#include <cppunit/TestAssert.h>
+
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <stdexcept>
@@ -204,4 +207,26 @@
     return node->isReady();
 }
 
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+void assertContains(const std::string &part, const std::string &text)
+{
+    CPPUNIT_ASSERT_MESSAGE("\"" + part + "\" expected in: " + text, contains(text, part));
+}
+
+int timesRun(const line_database &database, const std::string &text)
+{
+    return static_cast<int>(std::count(database.statements.begin(), database.statements.end(), text));
+}
+
+bool wasPaused(const line_database &database)
+{
+    return std::any_of(database.controls.begin(), database.controls.end(), [](const std::string &text) {
+        return text.rfind("PAUSE", 0) == 0;
+    });
+}
+
 }
--- a/tests/platform/frontworld.h
+++ b/tests/platform/frontworld.h
@@ -75,4 +75,10 @@
     int m_nextId = 1;
 };
 
+bool contains(const std::string &text, const std::string &part);
+void assertContains(const std::string &part, const std::string &text);
+/** How often the database has run a read or write of this text. */
+int timesRun(const line_database &database, const std::string &text);
+bool wasPaused(const line_database &database);
+
 }
