Let the change of an instance that the store turns away go first

Before: changeOfAnotherInstanceGoesFirst fails without the protection: an order within 1.3 s of the crash. After: who does not hold the duty and sees a replica paused since less than 1.5 s waits. front_failover_test 20 passed, policy 58 passed; it waited until 1,525 ms and ordered, as nothing came of the pause. Conclusion: the gap grows only where somebody else's pause is seen.

--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -289,7 +289,9 @@
     if (hasLeader && !isLeaderStalled(now)) {
         m_troubleSince = never;
     }
-    if (!hasLeader && m_sightings.isLeaderLost(now, m_troubleSince) && now >= m_retryAt) {
+    // Pauses that this instance has left are of an attempt whose retry is due; it holds the duty.
+    const bool isOthersChange = !m_orders->isHeldHere() && m_sightings.isChangeUnderWay(now);
+    if (!hasLeader && m_sightings.isLeaderLost(now, m_troubleSince) && now >= m_retryAt && !isOthersChange) {
         begin(promotion_reason::PrimaryLost);
         return;
     }
--- a/src/libcrocusdealpolicy/leadersightings.cpp
+++ b/src/libcrocusdealpolicy/leadersightings.cpp
@@ -12,6 +12,7 @@
 constexpr duration lostTime{220}; // The primary and the growth of its replicas' logs are missed for this long.
 constexpr duration sightingUse{250}; // An older answer of a replica tells nothing of the present.
 constexpr duration cutOffTime{250};
+constexpr duration changeTime{1500}; // A change of the primary takes less from its pauses to the new lead.
 
 }
 
@@ -30,6 +31,11 @@
     seen.isAnswered = isAnswered;
     seen.answeredAt = now;
     seen.report = report;
+    if (!report || !report->isPaused()) {
+        seen.pausedSince = never;
+    } else if (seen.pausedSince == never) {
+        seen.pausedSince = now;
+    }
     if (isAnswered) {
         seen.missingSince = never;
     } else if (seen.missingSince == never) {
@@ -83,6 +89,13 @@
     return isAnyReplicaSeen && troubleSince != never && now - troubleSince >= lostTime;
 }
 
+bool leader_sightings::isChangeUnderWay(time_point now) const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto &entry) {
+        return entry.second.pausedSince != never && now - entry.second.pausedSince < changeTime;
+    });
+}
+
 bool leader_sightings::isCutOff(time_point now) const
 {
     const auto missing = std::count_if(m_targets.begin(), m_targets.end(), [&](const auto &entry) {
--- a/src/libcrocusdealpolicy/leadersightings.h
+++ b/src/libcrocusdealpolicy/leadersightings.h
@@ -44,6 +44,8 @@
      * since. @p leader itself must not report.
      */
     bool isUnchangedBut(const target_id &leader, std::uint64_t leaderTerm) const;
+    /** Whether another instance, perhaps one without the store, has paused replicas just now to change the primary. */
+    bool isChangeUnderWay(time_point now) const;
     /** The targets that receive nothing until they are resumed. */
     std::vector<target_id> paused() const;
     /** Whether every replica that reports receives nothing, so that no commit can be acknowledged. */
@@ -59,6 +61,7 @@
         time_point receivedChangedAt = never; ///< When the received position was last seen to grow.
         time_point missingSince = never;
         time_point answeredAt = never;
+        time_point pausedSince = never; ///< When it was first seen paused.
         bool isAsked = false; ///< An answer is awaited.
     };
 
--- a/tests/libcrocusdealpolicy/leadersightingstest.cpp
+++ b/tests/libcrocusdealpolicy/leadersightingstest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(oldAnswersTellNothing);
     CPPUNIT_TEST(cutOffOnceMostAreMissingForAWhile);
     CPPUNIT_TEST(anyOtherTermOrPauseIsAChange);
+    CPPUNIT_TEST(newPauseIsTheChangeOfAnotherInstance);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -54,6 +55,20 @@
         CPPUNIT_ASSERT(seen.isLeaderLost({2300}, {1000}));
     }
 
+    /** Guards against LOST: two instances, one of them without the store, that change the primary at the same time. */
+    void newPauseIsTheChangeOfAnotherInstance()
+    {
+        leader_sightings seen;
+        seen.take(nearReplica, true, report(false, {3, 10}), {1000});
+        CPPUNIT_ASSERT(!seen.isChangeUnderWay({1000}));
+        seen.take(nearReplica, true, report(false, {3, 10}, 4), {1100});
+        seen.take(nearReplica, true, report(false, {3, 10}, 4), {2500});
+        CPPUNIT_ASSERT(seen.isChangeUnderWay({2500}));
+        CPPUNIT_ASSERT(!seen.isChangeUnderWay({2600}));
+        seen.take(nearReplica, true, report(false, {3, 10}), {2550});
+        CPPUNIT_ASSERT(!seen.isChangeUnderWay({2550}));
+    }
+
     /** Guards against taking the primary for lost while its slots are full. */
     void targetThatRefusesMayBeThePrimary()
     {
--- a/tests/platform/frontfailovertest.cpp
+++ b/tests/platform/frontfailovertest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(crashedReplicaWithoutEntryHoldsThePromotionBack);
     CPPUNIT_TEST(staleInstanceWithoutTheStorePausesNothing);
     CPPUNIT_TEST(promotionDuringAKnownOutageDoesNotAskTheStore);
+    CPPUNIT_TEST(changeOfAnotherInstanceGoesFirst);
     CPPUNIT_TEST(pauseLeftBehindIsEnded);
     CPPUNIT_TEST(refusedTokenIsNotUsedAgain);
     CPPUNIT_TEST(writesAreRefusedEarlyWithoutAPrimary);
@@ -306,6 +307,25 @@
         CPPUNIT_ASSERT_EQUAL(0, world.store.calls["claim"]);
     }
 
+    /** Guards against LOST: an instance that the store turns away changes the primary under its token in hand. */
+    void changeOfAnotherInstanceGoesFirst()
+    {
+        front_world world;
+        world.store.claimDuty(
+            service_id("svc"), "other", duty_purpose::Standby, std::nullopt, [](const duty_news &) {});
+        world.start();
+        const auto client = world.connect("fresh");
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        world.group.at("b").pausedAt = 2;
+        world.group.at("a").crash();
+        const auto crashed = systemNow();
+        world.ask(*client, "WRITE 1 y");
+        world.runUntil([&] { return systemNow() - crashed >= 1300_ms; });
+        CPPUNIT_ASSERT(world.store.orders.empty());
+        // Nothing comes of it.
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.store.orders.empty(); }, 3000_ms));
+    }
+
     /** Guards against replicas that receive nothing for good after an attempt that was cut short. */
     void pauseLeftBehindIsEnded()
     {
