Choose the same replica for a lost primary on every instance

Ruled out: the pauses that an unanswered order leaves now: the replica that acknowledged was no member of the attempt. What the paused replicas hold is final, so without the data centre as a reason every instance chooses the same one, and late orders name one target. everyInstanceOrdersTheSameTarget fails without it (58 passed, 1 failed). Conclusion: which data centre the primary is in is no reason for one of many instances. A planned change goes for the replica that is not paused, whichever instance made the pauses.

--- a/src/libcrocusdealpolicy/promotionattempt.cpp
+++ b/src/libcrocusdealpolicy/promotionattempt.cpp
@@ -212,9 +212,10 @@
 void promotion_attempt::chooseFurthest()
 {
     const member_state *best = nullptr;
+    // The same whichever instance chooses: orders of several holders without an answer may be carried out one after the
+    // other, and must then name one target. Members come in the order of their ids.
     const auto rank = [](const member_state &state) {
-        return std::tuple(
-            state.status->received, !state.member.isDraining, !state.member.isWarmingUp, state.member.isLocal);
+        return std::tuple(state.status->received, !state.member.isDraining, !state.member.isWarmingUp);
     };
     for (const auto &state : m_members) {
         if (!state.isPauseWanted || !state.status || (m_hasSyncReplicas && !state.isPaused)) {
--- a/tests/libcrocusdealpolicy/promotionattempttest.cpp
+++ b/tests/libcrocusdealpolicy/promotionattempttest.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(endsWhenAnotherTargetLeadsMeanwhile);
     CPPUNIT_TEST(endsBeforeTheOrderWhenTheDutyIsLost);
     CPPUNIT_TEST(unansweredOrderIsRepeatedForTheSameTarget);
+    CPPUNIT_TEST(everyInstanceOrdersTheSameTarget);
     CPPUNIT_TEST(unansweredOrderLeavesThePauses);
     CPPUNIT_TEST(plannedChangeTakesTheReplicaThatWasLeftUnpaused);
     CPPUNIT_TEST(wakesOnlyInTheFuture);
@@ -330,6 +331,26 @@
         CPPUNIT_ASSERT(attempt.chosen() == farReplica);
     }
 
+    /** Guards against LOST: late orders of two instances, each for the replica nearby, are carried out in turn. */
+    void everyInstanceOrdersTheSameTarget()
+    {
+        std::vector<target_id> ordered;
+        for (const auto &nearby : {nearReplica, farReplica}) {
+            std::vector<promotion_member> all{{oldPrimary}, {nearReplica}, {farReplica}};
+            for (auto &member : all) {
+                member.isLocal = member.id == nearby;
+            }
+            promotion_attempt attempt(promotion_reason::PrimaryLost, oldPrimary, all, true, m_now);
+            attempt.step(m_now);
+            pauseBothReplicas(attempt);
+            attempt.statusReceived(farReplica, report(false, {3, 10}, 4), m_now, m_now);
+            const auto targets = targetsOf<order_promotion>(attempt.step(m_now));
+            ordered.insert(ordered.end(), targets.begin(), targets.end());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ordered.size());
+        CPPUNIT_ASSERT(ordered[0] == ordered[1]);
+    }
+
     /** Guards against LOST: without the pauses others acknowledge what an order that is still open then loses. */
     void unansweredOrderLeavesThePauses()
     {
