Do not send a statement again whose caller has left

When the front ends, statements of callers who have gone lose their connections and are put into the queue again; the group, its queue and the statement then hold each other. Ruled out: a leak in the test alone: a caller that leaves while its read runs had the read run again elsewhere. Conclusion: a run without a caller ends where it would try again.

--- a/src/libcrocusdealfront/statementrun.cpp
+++ b/src/libcrocusdealfront/statementrun.cpp
@@ -411,6 +411,10 @@
 
 void statement_run::retry(const char *why)
 {
+    if (!m_done) {
+        finish({}); // The caller has gone.
+        return;
+    }
     m_context.metrics.statementRetried(why);
     m_context.log.info("statement_retried")
         .field("id", m_order.request.id)
--- a/tests/platform/fronttest.cpp
+++ b/tests/platform/fronttest.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(callerThatLeavesInATransactionLeavesNothing);
     CPPUNIT_TEST(malformedAndEndlessMessagesAreRefused);
     CPPUNIT_TEST(readsThatOnlyThePrimaryCanServeAreRefusedAtOnce);
+    CPPUNIT_TEST(statementOfACallerThatHasLeftIsNotSentAgain);
     CPPUNIT_TEST(countsStatementsByOutcome);
     CPPUNIT_TEST(workBeyondWhatThePrimaryCanDoIsRefusedAtOnce);
     CPPUNIT_TEST_SUITE_END();
@@ -455,6 +456,34 @@
         CPPUNIT_ASSERT(refused >= 15);
     }
 
+    /** Guards against work for callers who have left, and against statements that outlive the daemon's end. */
+    void statementOfACallerThatHasLeftIsNotSentAgain()
+    {
+        front_world world;
+        world.start();
+        const auto writer = world.connect("fresh");
+        world.ask(*writer, "WRITE 1 x");
+        for (const auto &[id, database] : world.group.databases) {
+            database->faults.answerDelay = 300_ms;
+        }
+        auto reader = world.connect("stale");
+        reader->send("QUERY q READ 1");
+        const auto timesRead = [&] {
+            return timesRun(world.group.at("a"), "READ 1") + timesRun(world.group.at("b"), "READ 1")
+                + timesRun(world.group.at("c"), "READ 1");
+        };
+        CPPUNIT_ASSERT(world.runUntil([&] { return timesRead() == 1; }, 200_ms));
+        reader.reset();
+        world.runFor(20_ms);
+        for (const auto &[id, database] : world.group.databases) {
+            if (timesRun(*database, "READ 1") > 0) {
+                database->crash();
+            }
+        }
+        world.runFor(300_ms);
+        CPPUNIT_ASSERT_EQUAL(1, timesRead());
+    }
+
     /** Guards against operators who see no trace of what callers got. */
     void countsStatementsByOutcome()
     {
