Begin the tests of an ordered planned change in one place

Cause: the nine lines that lead a planned attempt to its order stood in two tests. Ruled out: a change of either test; the lines are moved as they were, with their assertion. Before: two copies. After: orderedPlannedAttempt(); policy 59 passed, lint and format of the file clean.

--- a/tests/libcrocusdealpolicy/promotionattempttest.cpp
+++ b/tests/libcrocusdealpolicy/promotionattempttest.cpp
@@ -291,15 +291,7 @@
     /** Guards against LOST: a late order names a target that lacks what others have acknowledged since. */
     void unansweredOrderIsRepeatedForTheSameTarget()
     {
-        auto attempt = plannedAttempt({oldPrimary, nearReplica, farReplica});
-        answerSurvey(attempt);
-        const auto paused = targetsOf<pause_target>(attempt.step(m_now)).front();
-        attempt.statusReceived(paused, report(false, {3, 20}, 4), m_now, m_now);
-        attempt.step(m_now);
-        m_now = m_now + 100_ms;
-        attempt.statusReceived(oldPrimary, report(true, {3, 20}), m_now, m_now);
-        attempt.statusReceived(*attempt.chosen(), report(false, {3, 20}), m_now, m_now);
-        CPPUNIT_ASSERT(isOrdered(attempt.step(m_now)));
+        auto attempt = orderedPlannedAttempt();
         const auto chosen = *attempt.chosen();
         for (int i = 0; i < 10; ++i) {
             m_now = m_now + 800_ms;
@@ -354,15 +346,7 @@
     /** Guards against LOST: without the pauses others acknowledge what an order that is still open then loses. */
     void unansweredOrderLeavesThePauses()
     {
-        auto attempt = plannedAttempt({oldPrimary, nearReplica, farReplica});
-        answerSurvey(attempt);
-        const auto paused = targetsOf<pause_target>(attempt.step(m_now)).front();
-        attempt.statusReceived(paused, report(false, {3, 20}, 4), m_now, m_now);
-        attempt.step(m_now);
-        m_now = m_now + 100_ms;
-        attempt.statusReceived(oldPrimary, report(true, {3, 20}), m_now, m_now);
-        attempt.statusReceived(*attempt.chosen(), report(false, {3, 20}), m_now, m_now);
-        CPPUNIT_ASSERT(isOrdered(attempt.step(m_now)));
+        auto attempt = orderedPlannedAttempt();
         while (attempt.result() == attempt_outcome::Pending) {
             m_now = m_now + 100_ms;
             attempt.orderUnanswered(m_now);
@@ -411,6 +395,21 @@
         return attempt;
     }
 
+    /** A planned change whose order has been sent. */
+    promotion_attempt orderedPlannedAttempt()
+    {
+        auto attempt = plannedAttempt({oldPrimary, nearReplica, farReplica});
+        answerSurvey(attempt);
+        const auto paused = targetsOf<pause_target>(attempt.step(m_now)).front();
+        attempt.statusReceived(paused, report(false, {3, 20}, 4), m_now, m_now);
+        attempt.step(m_now);
+        m_now = m_now + 100_ms;
+        attempt.statusReceived(oldPrimary, report(true, {3, 20}), m_now, m_now);
+        attempt.statusReceived(*attempt.chosen(), report(false, {3, 20}), m_now, m_now);
+        CPPUNIT_ASSERT(isOrdered(attempt.step(m_now)));
+        return attempt;
+    }
+
     void answerSurvey(promotion_attempt &attempt)
     {
         attempt.statusReceived(oldPrimary, report(true, {3, 20}), m_now, m_now);
