Decode each object of the store on its own, within limits

Cause: the whole response was parsed at once, so that one number too large for any type, or bytes that are no UTF-8, hid all targets; copying an entry nested 100,000 deep ended the process; typed getters threw outside of any try. In crocusdeald a configuration with 1e999 ended the process (out_of_range was not caught), printing a deeply nested value overflowed the stack, and one odd instance hid all members. Ruled out: simdjson on demand (checks the UTF-8 of the whole body first, and is a package more); the SAX interface of nlohmann (ends at the first bad number). The envelope is split by quotes and brackets only, without recursion, and each object is parsed alone. Conclusion: an odd entry names no target and hides no other.

--- a/src/libcrocusdealbase/jsonreader.cpp
+++ b/src/libcrocusdealbase/jsonreader.cpp
@@ -15,6 +15,7 @@
 {
 
 constexpr std::size_t maxNameLength = 63;
+constexpr std::size_t maxDepth = 64; // Copying and printing a value recurse.
 
 enum class json_error { WrongType, OutOfRange, Malformed };
 
@@ -142,12 +143,19 @@
     return "line " + std::to_string(line) + ", column " + std::to_string(column);
 }
 
+/** Ends a parse whose text is nested too deeply. */
+struct nested_too_deeply {
+};
+
 /** Notes keys named twice in one object, of which the library would keep only the last. */
 class duplicate_key_finder
 {
 public:
-    bool operator()(int /*depth*/, nlohmann::json::parse_event_t event, nlohmann::json &parsed)
+    bool operator()(int depth, nlohmann::json::parse_event_t event, nlohmann::json &parsed)
     {
+        if (static_cast<std::size_t>(depth) > maxDepth) {
+            throw nested_too_deeply();
+        }
         if (event == nlohmann::json::parse_event_t::object_start) {
             m_open.emplace_back();
         } else if (event == nlohmann::json::parse_event_t::object_end) {
@@ -182,6 +190,11 @@
         const auto start = reason.find(": ");
         reason = start == std::string::npos ? reason : reason.substr(start + 2);
         return leaf::new_error(json_error::Malformed, syntax_detail{placeOf(text, error.byte) + ": " + reason});
+    } catch (const nlohmann::json::exception &error) {
+        // A number that no type can hold is no syntax error.
+        return leaf::new_error(json_error::Malformed, syntax_detail{error.what()});
+    } catch (const nested_too_deeply &) {
+        return leaf::new_error(json_error::Malformed, syntax_detail{"nested deeper than " + std::to_string(maxDepth)});
     }
 }
 
--- a/src/libcrocusdealfront/frontmetrics.cpp
+++ b/src/libcrocusdealfront/frontmetrics.cpp
@@ -23,6 +23,7 @@
     , m_queued(m_registry.gauge("crocusdeal_queued_statements", "Statements that wait for a target"))
     , m_connections(m_registry.gauge("crocusdeal_target_connections", "Connections to targets"))
     , m_leftOut(m_registry.gauge("crocusdeal_log_lines_left_out", "Log lines beyond the budget of their event"))
+    , m_ignoredEntries(m_registry.counter("crocusdeal_ignored_entries", "Entries that name no target"))
 {
 }
 
@@ -65,6 +66,11 @@
         .add();
 }
 
+void front_metrics::entryIgnored()
+{
+    m_ignoredEntries.add();
+}
+
 void front_metrics::sessionOpened()
 {
     m_sessions.add(1);
--- a/src/libcrocusdealfront/frontmetrics.h
+++ b/src/libcrocusdealfront/frontmetrics.h
@@ -25,6 +25,8 @@
     void targetAnswered(duration time);
     void waitedForTarget(duration time);
     void promotionEnded(std::string_view outcome);
+    /** An entry of the metadata store names no target. */
+    void entryIgnored();
     void sessionOpened();
     void sessionEnded();
     void setConfigurationVersion(std::uint64_t version);
@@ -44,6 +46,7 @@
     metric_gauge &m_queued;
     metric_gauge &m_connections;
     metric_gauge &m_leftOut;
+    metric_counter &m_ignoredEntries;
 };
 
 }
--- a/src/libcrocusdealfront/metadatastore.h
+++ b/src/libcrocusdealfront/metadatastore.h
@@ -4,6 +4,7 @@
 #include "nametable.h"
 #include "promotionlease.h"
 #include "routingconfiguration.h"
+#include "servingplan.h"
 #include "targetentry.h"
 
 #include <cstdint>
@@ -41,6 +42,14 @@
     std::uint64_t revision = 0; ///< Of the store, to watch from.
 };
 
+/** An object among the entries of the targets that names none. */
+struct ignored_entry {
+    std::string name; ///< Empty if it cannot be read.
+    std::string reason;
+
+    friend bool operator==(const ignored_entry &, const ignored_entry &) = default;
+};
+
 /** A complete list of the targets, or changes since a revision. */
 struct target_news {
     store_failure failure = store_failure::None;
@@ -48,7 +57,7 @@
     bool isComplete = false;
     std::vector<target_entry> entries; ///< Present, or changed.
     std::vector<target_id> removed;
-    std::vector<std::string> ignored; ///< Entries that name no target, with the reason.
+    std::vector<ignored_entry> ignored;
     std::uint64_t revision = 0;
 };
 
@@ -77,6 +86,14 @@
     std::uint64_t revision = 0; ///< Of the store.
 };
 
+/** The instances that have announced themselves. */
+struct member_news {
+    store_failure failure = store_failure::None;
+    std::string detail;
+    std::vector<fleet_member> members;
+    std::vector<ignored_entry> ignored;
+};
+
 /** How new an answer of the store has to be. */
 enum class store_reading {
     Current,
@@ -111,6 +128,13 @@
                            promotion_lease_purpose purpose,
                            std::optional<std::uint64_t> replaces,
                            std::function<void(duty_news)> done) = 0;
+    /** Creates or replaces the entry of an instance; tells the revision of the entry. */
+    virtual void announceMember(const fleet_member &member,
+                                std::function<void(store_failure, std::uint64_t revision)> done) = 0;
+    /** Removes the entry if its revision is still the given one. */
+    virtual void withdrawMember(const instance_id &id, std::uint64_t revision) = 0;
+    /** May be seconds old. */
+    virtual void listMembers(std::function<void(member_news)> done) = 0;
 };
 
 enum class promotion_answer {
--- a/src/libcrocusdealfront/storefeed.cpp
+++ b/src/libcrocusdealfront/storefeed.cpp
@@ -22,6 +22,7 @@
 constexpr duration dutyWait{10000}; // Records change seldom, and a claim finds out in any case.
 constexpr duration shortestWait{500};
 constexpr duration longestChangePause{400};
+constexpr std::size_t maxIgnoredKnown = 1000;
 constexpr int changePauseShare = 8; // Of the time in which a change has to be in force.
 
 }
@@ -139,6 +140,7 @@
     }
     m_configurationHeardAt = systemNow();
     m_configurationRevision = news.revision;
+    noteUnreadable(news);
     if (news.configuration) {
         onConfiguration(*news.configuration);
     } else if (!isWatch) {
@@ -158,6 +160,15 @@
     watchConfiguration();
 }
 
+void store_feed::noteUnreadable(const configuration_news &news)
+{
+    if (!news.configuration && !news.detail.empty()) {
+        m_context.log.warn("configuration_ignored")
+            .field("revision", static_cast<std::int64_t>(news.revision))
+            .field("reason", news.detail);
+    }
+}
+
 void store_feed::checkConfiguration()
 {
     m_store.watchConfiguration(
@@ -232,9 +243,7 @@
         waitForStore(&store_feed::listTargets);
         return;
     }
-    for (const auto &entry : news.ignored) {
-        m_context.log.warn("target_entry_ignored").field("entry", entry);
-    }
+    noteIgnored(news);
     m_targetRevision = news.revision;
     const auto now = systemNow();
     if (news.isComplete) {
@@ -249,6 +258,32 @@
     watchTargets();
 }
 
+void store_feed::noteIgnored(const target_news &news)
+{
+    if (news.isComplete) {
+        // Those that are gone are told again if they come back.
+        std::erase_if(m_ignored, [&](const auto &known) {
+            return std::none_of(news.ignored.begin(), news.ignored.end(), [&](const ignored_entry &entry) {
+                return entry.name == known.first;
+            });
+        });
+    }
+    for (const auto &entry : news.entries) {
+        m_ignored.erase(entry.id.str());
+    }
+    for (const auto &entry : news.ignored) {
+        const auto known = m_ignored.find(entry.name);
+        if (known != m_ignored.end() && known->second == entry.reason) {
+            continue;
+        }
+        if (m_ignored.size() < maxIgnoredKnown) {
+            m_ignored.insert_or_assign(entry.name, entry.reason);
+        }
+        m_context.metrics.entryIgnored();
+        m_context.log.warn("target_entry_ignored").field("entry", entry.name).field("reason", entry.reason);
+    }
+}
+
 void store_feed::refreshTargets(std::function<void(bool)> done)
 {
     m_store.listTargets([self = shared_from_this(), done = std::move(done)](const target_news &news) {
--- a/src/libcrocusdealfront/storefeed.h
+++ b/src/libcrocusdealfront/storefeed.h
@@ -4,6 +4,7 @@
 #include "targetpool.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -46,6 +47,9 @@
     void listDuties();
     void watchDuties();
     void takeDuties(const duty_list_news &news, time_point askedAt);
+    /** Logs each entry that names no target once, until it changes. */
+    void noteIgnored(const target_news &news);
+    void noteUnreadable(const configuration_news &news);
     void noteStore(const char *what, bool isReachable, const std::string &detail);
     using step = void (store_feed::*)();
     void later(step next);
@@ -70,6 +74,7 @@
     std::uint64_t m_dutyRevision = 0;
     time_point m_configurationHeardAt = never;
     bool m_isStoreReachable = true;
+    std::map<std::string, std::string> m_ignored; ///< Entries that name no target, with the reason.
     bool m_isStopped = false;
 };
 
--- a/src/libcrocusdealnet/instance.cpp
+++ b/src/libcrocusdealnet/instance.cpp
@@ -3,6 +3,7 @@
 #include "adminresponder.h"
 #include "adminserver.h"
 #include "configurationjson.h"
+#include "jsonsplit.h"
 #include "objectwatcher.h"
 #include "partlog.h"
 #include "platformclient.h"
@@ -388,6 +389,9 @@
 void instance::refreshInstances()
 {
     m_platform->instances(platformTimeout, [this](const platform_result<std::vector<instance_entry>> &result) {
+        if (!result.failure.detail.empty()) {
+            configLog().write(log_level::Warn, "list of instances: " + toString(result.failure));
+        }
         if (result.value) {
             std::set<instance_id> listed;
             for (const auto &entry : *result.value) {
@@ -511,14 +515,22 @@
         if (!result.value) {
             return;
         }
-        auto value = result.value->version == 0 ? nlohmann::json::object()
-                                                : nlohmann::json::parse(result.value->value, nullptr, false);
-        if (!value.is_object() || value.value("term", std::uint64_t{0}) >= term) {
+        std::string problem = "object expected";
+        std::optional<nlohmann::json> value(nlohmann::json::object());
+        if (result.value->version != 0) {
+            value = parseLimited(result.value->value, json_limits{}, problem);
+        }
+        if (!value || !value->is_object()) {
+            configLog().write(log_level::Warn, "hint of group " + key.name + " left as it is: " + problem);
+            return;
+        }
+        const auto known = value->find("term");
+        if (known != value->end() && known->is_number_unsigned() && known->get<std::uint64_t>() >= term) {
             return;
         }
-        value["term"] = term;
-        value["primary"] = primary.str();
-        m_platform->put(key, result.value->version, value.dump(), platformTimeout, [](const put_result &) {});
+        (*value)["term"] = term;
+        (*value)["primary"] = primary.str();
+        m_platform->put(key, result.value->version, value->dump(), platformTimeout, [](const put_result &) {});
     });
 }
 
--- a/src/libcrocusdealnet/peercodec.cpp
+++ b/src/libcrocusdealnet/peercodec.cpp
@@ -1,5 +1,7 @@
 #include "peercodec.h"
 
+#include "binaryfields.h"
+
 #include <cereal/archives/portable_binary.hpp>
 
 #include <algorithm>
@@ -15,116 +17,6 @@
 namespace
 {
 
-/** Reads from memory that it does not own; std::istringstream would copy each datagram. */
-class view_buffer : public std::streambuf
-{
-public:
-    explicit view_buffer(std::string_view bytes)
-    {
-        char *begin = const_cast<char *>(bytes.data());
-        setg(begin, begin, begin + bytes.size());
-    }
-};
-
-/** Appends to a string. */
-class string_buffer : public std::streambuf
-{
-public:
-    std::string bytes;
-
-protected:
-    int_type overflow(int_type value) override
-    {
-        bytes.push_back(traits_type::to_char_type(value));
-        return value;
-    }
-    std::streamsize xsputn(const char *from, std::streamsize count) override
-    {
-        bytes.append(from, static_cast<std::size_t>(count));
-        return count;
-    }
-};
-
-[[noreturn]] void fail(const char *reason)
-{
-    throw cereal::Exception(reason);
-}
-
-/** cereal writes a size as 8 bytes; the fields of a datagram need far less. */
-template<typename Size, typename Archive>
-void sizeField(Archive &archive, std::size_t &size)
-{
-    if (!Archive::is_loading::value && size > std::numeric_limits<Size>::max()) {
-        fail("field is too long");
-    }
-    auto value = static_cast<Size>(size);
-    archive(value);
-    size = value;
-}
-
-template<typename Size, typename Archive>
-void textField(Archive &archive, std::string &text)
-{
-    std::size_t size = text.size();
-    sizeField<Size>(archive, size);
-    if (Archive::is_loading::value) {
-        if (size > maxPeerFrameBytes) {
-            fail("text is too long");
-        }
-        text.resize(size);
-    }
-    archive(cereal::binary_data(text.data(), size));
-}
-
-template<typename Archive, typename Tag>
-void idField(Archive &archive, identifier<Tag> &id)
-{
-    std::string text = id.str();
-    textField<std::uint8_t>(archive, text);
-    if constexpr (Archive::is_loading::value) {
-        id = identifier<Tag>(std::move(text));
-    }
-}
-
-template<typename Archive, typename Enum>
-void enumField(Archive &archive, Enum &value, Enum last)
-{
-    auto number = static_cast<std::uint8_t>(value);
-    archive(number);
-    if (number > static_cast<std::uint8_t>(last)) {
-        fail("unknown enumerator");
-    }
-    value = static_cast<Enum>(number);
-}
-
-/** A byte, because loading any other value than 0 and 1 into a bool is undefined. */
-template<typename Archive>
-void flagField(Archive &archive, bool &flag)
-{
-    auto value = static_cast<std::uint8_t>(flag);
-    archive(value);
-    flag = value != 0;
-}
-
-template<typename Size, typename Archive, typename T, typename Field>
-void listField(Archive &archive, std::vector<T> &list, std::size_t limit, Field field)
-{
-    std::size_t size = list.size();
-    sizeField<Size>(archive, size);
-    if (size > limit) {
-        fail("list is too long");
-    }
-    if (Archive::is_loading::value) {
-        list.clear();
-    }
-    for (std::size_t i = 0; i < size; ++i) {
-        if (Archive::is_loading::value) {
-            list.emplace_back();
-        }
-        field(archive, list[i]);
-    }
-}
-
 template<typename Archive>
 void memberField(Archive &archive, member_fact &fact)
 {
--- a/src/libcrocusdealnet/platformanswer.cpp
+++ b/src/libcrocusdealnet/platformanswer.cpp
@@ -1,5 +1,7 @@
 #include "platformanswer.h"
 
+#include "jsonsplit.h"
+
 #include <boost/leaf.hpp>
 #include <nlohmann/json.hpp>
 
@@ -16,6 +18,9 @@
 constexpr int notFound = 404;
 constexpr int conflict = 409;
 
+constexpr json_limits bodyLimits{8388608, 32};
+constexpr json_limits elementLimits{2097152, 32};
+
 enum class answer_error { NotJson, MissingKey, UnexpectedStatus };
 
 /** The key or status that was not as expected. */
@@ -29,11 +34,68 @@
         return leaf::new_error(answer_error::UnexpectedStatus,
                                answer_detail{"status " + std::to_string(answer.status)});
     }
-    auto value = nlohmann::json::parse(answer.body, nullptr, false);
-    if (!value.is_object()) {
-        return leaf::new_error(answer_error::NotJson, answer_detail{"JSON object expected"});
+    std::string problem = "JSON object expected";
+    auto value = parseLimited(answer.body, bodyLimits, problem);
+    if (!value || !value->is_object()) {
+        return leaf::new_error(answer_error::NotJson, answer_detail{problem});
+    }
+    return std::move(*value);
+}
+
+/** The text of the array under @p key in a good answer. */
+leaf::result<std::string_view> arrayText(const http_answer &answer, const char *key)
+{
+    if (answer.status != ok) {
+        return leaf::new_error(answer_error::UnexpectedStatus,
+                               answer_detail{"status " + std::to_string(answer.status)});
+    }
+    const auto text = memberText(answer.body, key);
+    if (text.empty()) {
+        return leaf::new_error(answer_error::MissingKey, answer_detail{std::string("array expected as ") + key});
     }
-    return value;
+    return text;
+}
+
+/**
+ * Reads the elements of a list one by one, so that one which cannot be read does not hide the others.
+ *
+ * What was left out is named in the failure beside the value.
+ */
+template<typename T, typename Read>
+leaf::result<platform_result<std::vector<T>>> readEach(std::string_view list, const Read &read)
+{
+    platform_result<std::vector<T>> result{std::vector<T>(), {}};
+    std::size_t ignored = 0;
+    const auto take = [&](std::string_view text) {
+        auto element = leaf::try_handle_all(
+            [&]() -> leaf::result<std::optional<T>> {
+                std::string problem;
+                const auto value = parseLimited(text, elementLimits, problem);
+                if (!value) {
+                    return leaf::new_error(answer_error::NotJson, answer_detail{problem});
+                }
+                BOOST_LEAF_AUTO(content, read(*value));
+                return std::optional<T>(std::move(content));
+            },
+            [&](answer_error, const answer_detail &detail) {
+                result.failure.detail = detail.text;
+                return std::optional<T>();
+            },
+            [] { return std::optional<T>(); });
+        if (element) {
+            result.value->push_back(std::move(*element));
+            return;
+        }
+        ++ignored;
+    };
+    if (!forEachElement(list, take)) {
+        return leaf::new_error(answer_error::NotJson, answer_detail{"array expected"});
+    }
+    if (ignored > 0) {
+        result.failure.error = platform_error::Malformed;
+        result.failure.detail = std::to_string(ignored) + " ignored, the last: " + result.failure.detail;
+    }
+    return result;
 }
 
 leaf::result<const nlohmann::json *> member(const nlohmann::json &value, const char *key)
@@ -54,15 +116,6 @@
     return version->get<std::uint64_t>();
 }
 
-leaf::result<const nlohmann::json *> arrayOf(const nlohmann::json &value, const char *key)
-{
-    BOOST_LEAF_AUTO(array, member(value, key));
-    if (!array->is_array()) {
-        return leaf::new_error(answer_error::MissingKey, answer_detail{std::string("array expected as ") + key});
-    }
-    return array;
-}
-
 leaf::result<std::string> textOf(const nlohmann::json &value, const char *key)
 {
     BOOST_LEAF_AUTO(text, member(value, key));
@@ -112,6 +165,24 @@
         });
 }
 
+/** Reads the array under @p key element by element; an answer without one is a failure with the error Malformed. */
+template<typename T, typename Read>
+platform_result<std::vector<T>> readList(const http_answer &answer, const char *key, const Read &read)
+{
+    using list_result = platform_result<std::vector<T>>;
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<list_result> {
+            BOOST_LEAF_AUTO(text, arrayText(answer, key));
+            return readEach<T>(text, read);
+        },
+        [](answer_error, const answer_detail &detail) {
+            return list_result{std::nullopt, {platform_error::Malformed, {}, detail.text}};
+        },
+        [] {
+            return list_result{std::nullopt, {platform_error::Malformed, {}, "unknown"}};
+        });
+}
+
 }
 
 platform_result<platform_object> readObject(const http_answer &answer, const std::string &name, std::uint64_t after)
@@ -130,31 +201,15 @@
 
 platform_result<std::vector<platform_object>> readObjects(const http_answer &answer)
 {
-    return readAnswer<std::vector<platform_object>>([&]() -> leaf::result<std::vector<platform_object>> {
-        BOOST_LEAF_AUTO(body, parseBody(answer));
-        BOOST_LEAF_AUTO(values, arrayOf(body, "objects"));
-        std::vector<platform_object> objects;
-        for (const auto &value : *values) {
-            BOOST_LEAF_AUTO(name, textOf(value, "name"));
-            BOOST_LEAF_AUTO(object, objectOf(value, name));
-            objects.push_back(std::move(object));
-        }
-        return objects;
+    return readList<platform_object>(answer, "objects", [](const auto &value) -> leaf::result<platform_object> {
+        BOOST_LEAF_AUTO(name, textOf(value, "name"));
+        return objectOf(value, name);
     });
 }
 
 platform_result<std::vector<instance_entry>> readInstances(const http_answer &answer)
 {
-    return readAnswer<std::vector<instance_entry>>([&]() -> leaf::result<std::vector<instance_entry>> {
-        BOOST_LEAF_AUTO(body, parseBody(answer));
-        BOOST_LEAF_AUTO(values, arrayOf(body, "instances"));
-        std::vector<instance_entry> instances;
-        for (const auto &value : *values) {
-            BOOST_LEAF_AUTO(instance, instanceOf(value));
-            instances.push_back(std::move(instance));
-        }
-        return instances;
-    });
+    return readList<instance_entry>(answer, "instances", instanceOf);
 }
 
 put_result readPut(const http_answer &answer)
@@ -188,9 +243,10 @@
 
 bool isSameJson(std::string_view a, std::string_view b)
 {
-    const auto first = nlohmann::json::parse(a, nullptr, false);
-    const auto second = nlohmann::json::parse(b, nullptr, false);
-    return !first.is_discarded() && !second.is_discarded() && first == second;
+    std::string problem;
+    const auto first = parseLimited(a, bodyLimits, problem);
+    const auto second = parseLimited(b, bodyLimits, problem);
+    return first && second && *first == *second;
 }
 
 }
--- a/src/libcrocusdealnet/platformclient.h
+++ b/src/libcrocusdealnet/platformclient.h
@@ -43,7 +43,7 @@
 /** "ERROR (DETAIL)". */
 std::string toString(const platform_failure &failure);
 
-/** A value, or the failure if there is none. */
+/** A value, or the failure if there is none. Beside a list, the failure tells of elements that were left out. */
 template<typename T>
 struct platform_result {
     std::optional<T> value;
--- a/tests/platform/memorystore.cpp
+++ b/tests/platform/memorystore.cpp
@@ -147,6 +147,31 @@
     answer(std::move(done), std::move(news));
 }
 
+void memory_store::announceMember(const fleet_member &member,
+                                  std::function<void(store_failure, std::uint64_t revision)> done)
+{
+    if (!isAway) {
+        members[member.id] = member;
+    }
+    const auto failure = isAway ? store_failure::TurnedAway : store_failure::None;
+    asio::post(m_io, [done = std::move(done), failure, revision = ++m_revision] { done(failure, revision); });
+}
+
+void memory_store::withdrawMember(const instance_id &id, std::uint64_t)
+{
+    members.erase(id);
+}
+
+void memory_store::listMembers(std::function<void(member_news)> done)
+{
+    member_news news;
+    news.failure = isAway ? store_failure::TurnedAway : store_failure::None;
+    for (const auto &[id, member] : members) {
+        news.members.push_back(member);
+    }
+    answer(std::move(done), std::move(news));
+}
+
 void memory_store::promote(const service_id &,
                            const target_id &target,
                            const std::string &,
--- a/tests/platform/memorystore.h
+++ b/tests/platform/memorystore.h
@@ -49,6 +49,11 @@
                    promotion_lease_purpose purpose,
                    std::optional<std::uint64_t> replaces,
                    std::function<void(duty_news)> done) override;
+    void announceMember(const fleet_member &member,
+                        std::function<void(store_failure, std::uint64_t revision)> done) override;
+    void withdrawMember(const instance_id &id, std::uint64_t revision) override;
+    void listMembers(std::function<void(member_news)> done) override;
+    std::map<instance_id, fleet_member> members;
     void promote(const service_id &service,
                  const target_id &target,
                  const std::string &holder,
--- /dev/null
+++ b/tests/platform/objectstoretest.cpp
@@ -0,0 +1,213 @@
+#include "objectstore.h"
+
+#include "cannedserver.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <string>
+
+using namespace crocusdeal;
+using namespace crocusdeal::test;
+
+namespace
+{
+
+std::string goodEntry(const std::string &id)
+{
+    return R"({"meta":{"name":")" + id
+        + R"(","revision":7},"spec":{"service":"huvo","address":"10.1.0.9:80","zone":"addis-a","slots":3,)"
+          R"("config_version":"v1","state":"ready","warmup_left_ms":0,"db_role":"replica","sequence":4,"born":17},)"
+          R"("status":null})";
+}
+
+/** A good entry whose @p field has the value @p text instead. */
+std::string entryWith(const std::string &id, const std::string &field, const std::string &text)
+{
+    auto entry = goodEntry(id);
+    const auto key = '"' + field + "\":";
+    const auto start = entry.find(key) + key.size();
+    const auto end = entry.find_first_of(",}", start);
+    return entry.replace(start, end - start, text);
+}
+
+std::string listOf(const std::vector<std::string> &items, bool hasMore = false)
+{
+    std::string body = R"({"items":[)";
+    for (const auto &item : items) {
+        body += (body.back() == '[' ? "" : ",") + item;
+    }
+    return body + R"(],"more":)" + (hasMore ? "true" : "false") + R"(,"store_revision":530})";
+}
+
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+bool hasEntry(const target_news &news, const std::string &id)
+{
+    return std::any_of(
+        news.entries.begin(), news.entries.end(), [&](const target_entry &entry) { return entry.id.str() == id; });
+}
+
+}
+
+class object_store_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(object_store_test);
+    CPPUNIT_TEST(oddEntryHidesNoOther);
+    CPPUNIT_TEST(oddEntryEndsNoPaging);
+    CPPUNIT_TEST(oddEventRemovesItsTargetOnly);
+    CPPUNIT_TEST(anyBytesAsOneEntryHideNoOther);
+    CPPUNIT_TEST(oddObjectBesideTheConfigurationHidesItNot);
+    CPPUNIT_TEST(oddLeaseRecordHidesNoOther);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against an entry of another writer that ends the process, or hides all targets. */
+    void oddEntryHidesNoOther()
+    {
+        const std::vector<std::string> oddEntries{
+            entryWith("m-odd", "slots", "1e999"),
+            entryWith("m-odd", "slots", "4294967299"),
+            entryWith("m-odd", "slots", "99999999999999999999999999"),
+            entryWith("m-odd", "slots", "-3"),
+            entryWith("m-odd", "slots", nested(100000)),
+            entryWith("m-odd", "address", "\"10.1.0.9:65536\""),
+            entryWith("m-odd", "address", "\"10.1.0.9:0\""),
+            entryWith("m-odd", "address", "\"10.1.0.9:-1\""),
+            entryWith("m-odd", "address", "\"10.1.0.9:80 or so\""),
+            entryWith("m-odd", "address", "8080"),
+            entryWith("m-odd", "born", "1e999"),
+            entryWith("m-odd", "born", "-4"),
+            entryWith("m-odd", "born", "2.5"),
+            entryWith("m-odd", "sequence", "\"many\""),
+            entryWith("m-odd", "warmup_left_ms", "-1"),
+            entryWith("m-odd", "warmup_left_ms", "1e300"),
+            entryWith("m-odd", "warmup_left_ms", "{}"),
+            entryWith("m-odd", "zone", "\"\xff\xfe\""),
+            entryWith("m-odd", "name", "7"),
+            entryWith("m-odd", "name", nested(100000)),
+            "7",
+            "null",
+            "[]",
+            "\"text\"",
+            nested(100000),
+            R"({"meta":{"name":"m-odd"}})",
+            R"({"meta":7,"spec":8})",
+        };
+        for (const auto &odd : oddEntries) {
+            const auto news = list({listOf({goodEntry("a-1"), odd, goodEntry("z-1")})});
+            const auto shown = odd.substr(0, 250);
+            CPPUNIT_ASSERT_MESSAGE(shown, news.failure == store_failure::None);
+            CPPUNIT_ASSERT_MESSAGE(shown, hasEntry(news, "a-1") && hasEntry(news, "z-1"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(shown, std::size_t{2}, news.entries.size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(shown, std::size_t{1}, news.ignored.size());
+        }
+    }
+
+    /** Guards against a list that ends at a page whose last entry is odd, so that later targets count as gone. */
+    void oddEntryEndsNoPaging()
+    {
+        const auto odd = entryWith("m-odd", "slots", "1e999");
+        const auto nameless = entryWith("m-odd", "name", "7");
+        for (const auto &last : {odd, nameless}) {
+            const auto news = list({listOf({goodEntry("a-1"), last}, true), listOf({goodEntry("z-1")})});
+            CPPUNIT_ASSERT(news.failure == store_failure::None && news.isComplete);
+            CPPUNIT_ASSERT(hasEntry(news, "a-1") && hasEntry(news, "z-1"));
+        }
+        // Without any name to go on from the list is not complete, and no target counts as gone.
+        CPPUNIT_ASSERT(list({listOf({nameless}, true)}).failure != store_failure::None);
+    }
+
+    /** Guards against a target that keeps getting work after its entry has become unreadable. */
+    void oddEventRemovesItsTargetOnly()
+    {
+        const auto news =
+            watch(R"({"events":[{"removed":7,"object":)" + goodEntry("a-1") + R"(},{"removed":false,"object":)"
+                  + entryWith("m-odd", "slots", "1e999") + R"(},{"removed":true,"object":)" + goodEntry("k-1")
+                  + R"(},{"removed":true,"object":{"meta":8}},7,{"object":)" + nested(100000)
+                  + R"(}],"store_revision":533})");
+        CPPUNIT_ASSERT(news.failure == store_failure::None && news.revision == 533);
+        CPPUNIT_ASSERT(hasEntry(news, "a-1") && news.entries.size() == 1);
+        CPPUNIT_ASSERT(news.removed == (std::vector<target_id>{target_id("m-odd"), target_id("k-1")}));
+    }
+
+    /** Guards against bytes that end the process or hide other targets; quotes and brackets are balanced by the store.
+     */
+    void anyBytesAsOneEntryHideNoOther()
+    {
+        rc::check("any bytes as one string of an entry", [this](const std::string &bytes) {
+            std::string text;
+            for (const char c : bytes) {
+                text += (c == '"' || c == '\\' ? "\\" : "") + std::string(1, c);
+            }
+            const auto news =
+                list({listOf({goodEntry("a-1"), entryWith("m-odd", "zone", '"' + text + '"'), goodEntry("z-1")})});
+            RC_ASSERT(news.failure == store_failure::None);
+            RC_ASSERT(hasEntry(news, "a-1") && hasEntry(news, "z-1"));
+        });
+    }
+
+    /** Guards against CONFIG: a foreign object beside the configuration keeps an instance from following it. */
+    void oddObjectBesideTheConfigurationHidesItNot()
+    {
+        const std::string configuration = R"({"meta":{"name":"main"},"spec":{"config_version":9,"routes":[],)"
+                                          R"("services":[{"name":"huvo","max_connections":12}]}})";
+        for (const auto &odd : {entryWith("other", "slots", "1e999"), nested(100000), std::string("7")}) {
+            canned_server server(m_io, {listOf({odd, configuration})});
+            platform::object_store store(m_io, m_deadlines, server.address());
+            std::optional<configuration_news> news;
+            store.readConfiguration(store_reading::Current, [&](configuration_news got) { news = std::move(got); });
+            CPPUNIT_ASSERT(runUntil(m_io, [&] { return news.has_value(); }));
+            CPPUNIT_ASSERT(news->configuration && news->configuration->version == 9);
+        }
+    }
+
+    /** Guards against a process that ends at a foreign record among those of the promotion leases. */
+    void oddLeaseRecordHidesNoOther()
+    {
+        const std::string good =
+            R"({"meta":{"name":"huvo","revision":8},"spec":{"holder":"front-1","purpose":"settled"}})";
+        for (const auto &odd : {std::string(R"({"meta":{"name":"fiti","revision":"x"},"spec":{"holder":7}})"),
+                                R"({"meta":{"name":"fiti"},"spec":{"holder":1e999}})" + std::string(),
+                                nested(100000)}) {
+            canned_server server(m_io, {listOf({odd, good})});
+            platform::object_store store(m_io, m_deadlines, server.address());
+            std::optional<duty_list_news> news;
+            store.listDuties([&](duty_list_news got) { news = std::move(got); });
+            CPPUNIT_ASSERT(runUntil(m_io, [&] { return news.has_value(); }));
+            CPPUNIT_ASSERT(news->failure == store_failure::None);
+            const auto &last = news->entries.back();
+            CPPUNIT_ASSERT(last.service == service_id("huvo") && last.revision == 8 && last.holder == "front-1");
+        }
+    }
+
+private:
+    target_news list(std::vector<std::string> bodies)
+    {
+        canned_server server(m_io, std::move(bodies));
+        platform::object_store store(m_io, m_deadlines, server.address());
+        std::optional<target_news> news;
+        store.listTargets([&](target_news got) { news = std::move(got); });
+        CPPUNIT_ASSERT(runUntil(m_io, [&] { return news.has_value(); }));
+        return *news;
+    }
+
+    target_news watch(const std::string &body)
+    {
+        canned_server server(m_io, {body});
+        platform::object_store store(m_io, m_deadlines, server.address());
+        std::optional<target_news> news;
+        store.watchTargets(530, duration{1000}, [&](target_news got) { news = std::move(got); });
+        CPPUNIT_ASSERT(runUntil(m_io, [&] { return news.has_value(); }));
+        return *news;
+    }
+
+    asio::io_context m_io{1};
+    deadline_queue m_deadlines{m_io};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(object_store_test);
