Start no second read into the same buffer

Cause: resumeDelivery() within the handler of received bytes began a read, and the read handler began another one; both fill the same buffer, so that a later message longer than the buffer was mixed up. A request that is refused at once does this. Ruled out: targets' and store's connections, which never resume. After: the test passes. Conclusion: at most one read is under way.

--- a/src/libcrocusdealfront/bytestream.cpp
+++ b/src/libcrocusdealfront/bytestream.cpp
@@ -102,7 +102,10 @@
                                  }
                                  self->m_inbound.append(self->m_chunk.data(), count);
                                  self->deliverData();
-                                 if (self->m_isOpen && !self->m_isPaused && self->m_inbound.size() < maxBufferedInput) {
+                                 // resumeDelivery() may have begun the next read already; two at once would share
+                                 // m_chunk.
+                                 if (self->m_isOpen && !self->m_isReading && !self->m_isPaused
+                                     && self->m_inbound.size() < maxBufferedInput) {
                                      self->readMore();
                                  }
                              });
