Take a refusal by the connection limit for what it is

Cause: a target that refuses one connection more counted as failing, so that its primary counted as lost: callers were refused as no_primary, and surveys every 80 ms opened still more connections. A control statement that lapsed closed the connection of all others, and a connection was kept for control statements where no other could be opened. Conclusion: at the limit work waits, connections are let go of early, nothing is surveyed.

--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -2,6 +2,8 @@
 
 #include "systemclock.h"
 
+#include <asio/post.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -17,7 +19,11 @@
 constexpr double openingWeight = 0.2;
 constexpr duration firstRetry{100};
 constexpr duration longestRetry{800};
-constexpr duration limitRetry{250}; // After the target refused a connection by its limit.
+constexpr duration firstLimitRetry{100}; // After the target refused a connection by its limit.
+constexpr duration longestLimitRetry{400};
+constexpr int maxLimitDoublings = 2;
+constexpr duration scarceTime{5000}; // How long connections count as scarce after such a refusal.
+constexpr duration scarceUnusedTime{200};
 // Extra connections go soon: those of an instance that loses power stay counted for seconds, and its successor needs
 // room.
 constexpr duration unusedTime{800};
@@ -35,6 +41,7 @@
     std::uint64_t term = 0;
     time_point askedAt = never;
     std::function<void(control_reply)> done;
+    std::weak_ptr<target_link> link; ///< Over which it was sent.
     deadline_queue::handle limit = 0;
     bool isFinished = false;
 };
@@ -190,6 +197,16 @@
     return m_lag.isBackingOff(now);
 }
 
+bool target_pool::areConnectionsScarce(time_point now) const
+{
+    return m_limitedAt != never && now - m_limitedAt < scarceTime;
+}
+
+bool target_pool::isAtConnectionLimit(time_point now) const
+{
+    return m_limitRefusals > 0 && now < m_retryAt;
+}
+
 bool target_pool::isFailing(time_point now) const
 {
     return m_failures > 0 && m_links.empty() && now < m_retryAt;
@@ -253,7 +270,9 @@
             return link;
         }
     }
-    return nullptr;
+    // Where no other can be opened, a connection is not kept for control statements.
+    const bool isLent = m_controlLink && m_controlLink->isIdle() && areConnectionsScarce(systemNow());
+    return isLent ? std::exchange(m_controlLink, nullptr) : nullptr;
 }
 
 void target_pool::openMore()
@@ -318,19 +337,22 @@
     m_isNobodyListening = opening.isNobodyListening;
     if (opening.isOpen) {
         m_failures = 0;
+        m_limitRefusals = 0;
         m_retryAt = never;
         m_unreachableSince = never;
         m_lastAnswerAt = now;
         m_openingMs += openingWeight * (static_cast<double>((now - begunAt).ms) - m_openingMs);
         return;
     }
+    if (opening.refusal == error_code::ConnectionLimit || opening.refusal == error_code::Busy) {
+        noteLimited(opening, now);
+        return;
+    }
     ++m_failures;
     if (m_unreachableSince == never) {
         m_unreachableSince = now;
     }
-    const auto growing = std::min(longestRetry, firstRetry * (std::int64_t{1} << std::min(m_failures - 1, 4)));
-    const bool isLimit = opening.refusal == error_code::ConnectionLimit || opening.refusal == error_code::Busy;
-    m_retryAt = now + (isLimit ? limitRetry : growing);
+    m_retryAt = now + std::min(longestRetry, firstRetry * (std::int64_t{1} << std::min(m_failures - 1, 4)));
     m_context.log.warn("target_connection_failed")
         .field("target", m_entry.id.str())
         .field("service", m_entry.service.str())
@@ -340,6 +362,24 @@
         .field("failures", m_failures);
 }
 
+void target_pool::noteLimited(const link_opening &opening, time_point now)
+{
+    // The target lives and says nothing of its role: too many connections are open, perhaps of instances that are gone.
+    m_failures = 0;
+    m_unreachableSince = never;
+    m_lastAnswerAt = now;
+    m_limitedAt = now;
+    const auto doublings = std::min(m_limitRefusals, maxLimitDoublings);
+    ++m_limitRefusals;
+    m_retryAt = now + std::min(longestLimitRetry, firstLimitRetry * (std::int64_t{1} << doublings));
+    m_context.log.info("target_at_connection_limit")
+        .field("target", m_entry.id.str())
+        .field("service", m_entry.service.str())
+        .field("refusal", errorCodeNames.name(*opening.refusal))
+        .field("connections", connections())
+        .field("refusals", m_limitRefusals);
+}
+
 void target_pool::giveBack(const std::shared_ptr<target_link> &link)
 {
     if (!link->isIdle()) {
@@ -358,12 +398,15 @@
 
 void target_pool::closeUnused(time_point now)
 {
-    if (m_controlLink && m_controlLink->isIdle() && now - m_controlLink->lastAnswerAt > unusedTime) {
+    const auto controlTime = areConnectionsScarce(now) ? scarceUnusedTime : unusedTime;
+    if (m_controlLink && m_controlLink->isIdle() && now - m_controlLink->lastAnswerAt > controlTime) {
         giveBack(std::exchange(m_controlLink, nullptr));
     }
+    const bool isScarce = areConnectionsScarce(now);
     while (!m_idle.empty()) {
         const auto link = m_idle.front();
-        if (now - link->idleSince <= (m_idle.size() > keptIdle ? unusedTime : lastUnusedTime)) {
+        const auto usual = m_idle.size() > keptIdle ? unusedTime : lastUnusedTime;
+        if (now - link->idleSince <= (isScarce ? scarceUnusedTime : usual)) {
             return;
         }
         link->close("not needed");
@@ -380,14 +423,21 @@
                           duration limit,
                           std::function<void(control_reply)> done)
 {
+    if (!hasLinkForControl() && isAtConnectionLimit(systemNow())) {
+        // One more attempt would only be refused, and takes a slot of the target.
+        asio::post(m_context.io, [done = std::move(done)] {
+            done({std::nullopt, true, "connection limit", systemNow()});
+        });
+        return;
+    }
     const auto call = std::make_shared<control_call>();
     call->what = what;
     call->term = term;
     call->done = std::move(done);
     call->limit = m_context.deadlines.scheduleAfter(limit, [self = shared_from_this(), call] {
-        if (self->m_controlLink) {
+        if (const auto link = call->link.lock()) {
             // The next control statement gets a fresh connection: this one may be dead without a reset.
-            self->m_controlLink->close("control statement not answered");
+            link->close("control statement not answered");
         }
         self->finishControl(call, {std::nullopt, false, "not answered", call->askedAt});
     });
@@ -402,12 +452,15 @@
     }
     openLink([self = shared_from_this(), call](const std::shared_ptr<target_link> &link, const link_opening &opening) {
         if (opening.isOpen) {
-            if (self->m_controlLink && self->m_controlLink->isOpen()) {
-                self->giveBack(link);
-            } else {
+            const bool hasOther = self->m_controlLink && self->m_controlLink->isOpen();
+            if (!hasOther) {
                 self->m_controlLink = link;
             }
             self->sendControl(call);
+            if (hasOther) {
+                // Last, as giving a connection back places work, which may end any connection of this pool.
+                self->giveBack(link);
+            }
             return;
         }
         const bool isAnswered = opening.refusal.has_value() && *opening.refusal != error_code::WrongTarget;
@@ -415,6 +468,11 @@
     });
 }
 
+bool target_pool::hasLinkForControl() const
+{
+    return (m_controlLink && m_controlLink->isOpen()) || hasIdle();
+}
+
 void target_pool::sendControl(const std::shared_ptr<control_call> &call)
 {
     if (call->isFinished) {
@@ -423,6 +481,7 @@
     std::string encoded;
     m_context.targets.addControl(encoded, call->what, std::nullopt, call->term);
     call->askedAt = systemNow();
+    call->link = m_controlLink;
     m_controlLink->send(encoded, [self = shared_from_this(), call](const target_reply &reply) {
         self->noteAnswer(reply);
         control_reply answer{std::nullopt, !reply.isLost, reply.isLost ? reply.reason : reply.errorText, reply.sentAt};
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -69,7 +69,11 @@
     position knownPosition() const;
     replica_backoff &lag();
     bool isLagging(time_point now) const;
-    /** Whether connections to it fail at the moment. */
+    /** Whether the target has refused connections by its limit lately; unused ones are closed soon then. */
+    bool areConnectionsScarce(time_point now) const;
+    /** Whether it has just refused a connection by its limit, so that another would be refused as well. */
+    bool isAtConnectionLimit(time_point now) const;
+    /** Whether connections to it fail at the moment; a refusal by its limit is no failure. */
     bool isFailing(time_point now) const;
     /** Whether it has left statements unanswered for long and has not answered anything since. */
     bool isSilent(time_point now) const;
@@ -106,6 +110,8 @@
     void noteRefused(const target_reply &reply, time_point now);
     void openLink(std::function<void(std::shared_ptr<target_link>, const link_opening &)> done);
     void noteOpened(const link_opening &opening, time_point begunAt);
+    void noteLimited(const link_opening &opening, time_point now);
+    bool hasLinkForControl() const;
     void sendControl(const std::shared_ptr<control_call> &call);
     void finishControl(const std::shared_ptr<control_call> &call, control_reply reply);
     void trackLink(const std::shared_ptr<target_link> &link);
@@ -127,6 +133,8 @@
     replica_backoff m_lag;
     time_point m_retryAt = never;
     int m_failures = 0;
+    int m_limitRefusals = 0; ///< In a row.
+    time_point m_limitedAt = never;
     time_point m_unreachableSince = never;
     bool m_isReplaced = false;
     bool m_isNobodyListening = false;
--- a/tests/platform/linedatabase.cpp
+++ b/tests/platform/linedatabase.cpp
@@ -91,6 +91,38 @@
     }
 }
 
+int line_database::startedConnections() const
+{
+    return static_cast<int>(std::count_if(m_sessions.begin(), m_sessions.end(), [](const auto &weak) {
+        const auto connection = weak.lock();
+        return connection && connection->isStarted && connection->stream->isOpen();
+    }));
+}
+
+void line_database::takeStartup(const std::shared_ptr<session> &connection, const std::string &line)
+{
+    std::istringstream fields(line);
+    std::string word;
+    std::string service;
+    std::string who;
+    std::string expected;
+    fields >> word >> service >> who >> expected;
+    const bool isRight = service == m_group.service && (expected.empty() || expected == m_id);
+    if (!isRight || startedConnections() >= faults.connectionLimit) {
+        connectionsRefused += isRight ? 1 : 0;
+        connection->stream->send(isRight ? "ERROR CONNLIMIT " + m_id + "\r\n" : "ERROR WRONGNODE " + m_id + "\r\n");
+        connection->stream->closeAfterSending();
+        return;
+    }
+    connection->isStarted = true;
+    const auto reply = "READY I " + ready(*connection).substr(8);
+    if (faults.startupDelay.ms == 0) {
+        connection->stream->send(reply);
+        return;
+    }
+    m_group.deadlines.scheduleAfter(faults.startupDelay, [stream = connection->stream, reply] { stream->send(reply); });
+}
+
 void line_database::takeLine(const std::shared_ptr<session> &connection, const std::string &line)
 {
     std::istringstream fields(line);
@@ -98,15 +130,7 @@
     std::string first;
     fields >> word >> first;
     if (word == "STARTUP") {
-        std::string who;
-        std::string expected;
-        fields >> who >> expected;
-        const bool isRight = first == m_group.service && (expected.empty() || expected == m_id);
-        connection->stream->send(isRight ? "READY I " + ready(*connection).substr(8)
-                                         : "ERROR WRONGNODE " + m_id + "\r\n");
-        if (!isRight) {
-            connection->stream->closeAfterSending();
-        }
+        takeStartup(connection, line);
         return;
     }
     if (word == "QUERY") {
--- a/tests/platform/linedatabase.h
+++ b/tests/platform/linedatabase.h
@@ -27,6 +27,8 @@
     int failReads = 0; ///< So many are run and answered with a failure.
     bool isDeaf = false; ///< Does not receive commits.
     duration answerDelay{0}; ///< Of reads, writes and commits.
+    duration startupDelay{0}; ///< Of the answer to a start-up.
+    int connectionLimit = 1000; ///< Start-ups beyond it are refused.
 };
 
 /** A stand-in for one database of the platform, on a loopback port. */
@@ -52,6 +54,7 @@
     std::uint64_t received = 0;
     std::map<std::string, std::string> items;
     int connectionsSeen = 0;
+    int connectionsRefused = 0;
     std::vector<std::string> statements; ///< Texts of reads and writes in the order in which they ran.
     std::vector<std::string> controls;
 
@@ -60,6 +63,8 @@
 
     void acceptNext();
     void serve(const std::shared_ptr<session> &connection, std::string &inbound);
+    void takeStartup(const std::shared_ptr<session> &connection, const std::string &line);
+    int startedConnections() const;
     void takeLine(const std::shared_ptr<session> &connection, const std::string &line);
     void takeQuery(const std::shared_ptr<session> &connection, const std::string &id, std::string text);
     void takeData(const std::shared_ptr<session> &connection, const std::string &id, const std::string &text);
