--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -1,9 +1,11 @@
 #include "front.h"
 
 #include "listener.h"
+#include "statementrun.h"
 #include "systemclock.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 #include <vector>
 
@@ -29,6 +31,8 @@
 constexpr duration shortestShutdown{2200};
 constexpr duration quietTime{250}; // The last answers are on their way, and new sessions may be.
 constexpr duration endMargin{300};
+constexpr duration stallMargin{150};
+constexpr std::size_t fewestJudgedServices = 3;
 
 }
 
@@ -60,6 +64,9 @@
     if (auto problem = listenForCallers(); !problem.empty()) {
         return problem;
     }
+    if (auto problem = listenForInstances(); !problem.empty()) {
+        return problem;
+    }
     m_feed = std::make_shared<store_feed>(m_context, m_store, m_settings.configurationApplyTimeout);
     m_feed->onConfiguration = [this](const routing_configuration &configuration) { applyConfiguration(configuration); };
     m_feed->onTargets = [this](const target_news &news, time_point changedAfter) { applyTargets(news, changedAfter); };
@@ -82,6 +89,36 @@
     return {};
 }
 
+std::string front::listenForInstances()
+{
+    if (!m_settings.relayAddress) {
+        return {};
+    }
+    std::random_device random;
+    const fleet_member self{
+        m_settings.instance, m_settings.dataCentre, *m_settings.relayAddress, std::uint64_t{random()} + 1};
+    relay_surroundings surroundings;
+    surroundings.self = self;
+    surroundings.isLeaving = [this] { return m_shutdownAt != never; };
+    surroundings.isIsolated = [this] { return m_isolatedSince != never; };
+    surroundings.recentStall = [this] { return recentStall(systemNow()); };
+    surroundings.run = [this](const statement_order &order, const session_values &values, outcome_handler done) {
+        return runHere(order, values, std::move(done));
+    };
+    m_relays = std::make_shared<relay_hub>(m_context, std::move(surroundings));
+    if (auto problem = m_relays->listen(*m_settings.relayAddress); !problem.empty()) {
+        return problem;
+    }
+    m_fleet = std::make_shared<fleet_feed>(m_context, m_store, self);
+    m_fleet->onMembers = [this](const std::vector<fleet_member> &members) {
+        m_relays->setMembers(members);
+        keepPlannedServices();
+    };
+    m_relays->onUnknownInstance = [this] { m_fleet->refreshSoon(); };
+    m_fleet->start();
+    return {};
+}
+
 void front::acceptNext()
 {
     m_acceptor.async_accept([self = shared_from_this()](std::error_code error, asio::ip::tcp::socket socket) {
@@ -99,7 +136,14 @@
 {
     session_surroundings surroundings;
     surroundings.configuration = [this] { return m_configuration; };
-    surroundings.group = [this](const service_id &service) { return groupOf(service); };
+    surroundings.prepare = [this](const service_id &service) {
+        if (!m_relays || m_relays->servesHere(service)) {
+            groupOf(service);
+        }
+    };
+    surroundings.run = [this](const statement_order &order, const session_values &values, outcome_handler done) {
+        return run(order, values, std::move(done));
+    };
     const auto session = std::make_shared<front_session>(
         m_context, std::make_shared<byte_stream>(std::move(socket)), std::move(surroundings));
     session->onEnded = [self = shared_from_this(), weak = std::weak_ptr(session)] {
@@ -112,6 +156,57 @@
     session->start();
 }
 
+std::shared_ptr<running_statement> front::run(const statement_order &order,
+                                              const session_values &values,
+                                              outcome_handler done)
+{
+    if (!m_relays || !m_relays->next(order.route.service, {})) {
+        return runHere(order, values, std::move(done));
+    }
+    relay_choice choice;
+    choice.next = [relays = m_relays](const service_id &service, const std::set<instance_id> &avoid) {
+        return relays->next(service, avoid);
+    };
+    choice.runHere = [self = shared_from_this()](
+                         const statement_order &again, const session_values &state, outcome_handler handler) {
+        return self->runHere(again, state, std::move(handler));
+    };
+    const auto statement =
+        std::make_shared<relayed_statement>(m_context, std::move(choice), order, values, std::move(done));
+    statement->start();
+    return statement;
+}
+
+std::shared_ptr<running_statement> front::runHere(const statement_order &order,
+                                                  const session_values &values,
+                                                  outcome_handler done)
+{
+    const auto group = groupOf(order.route.service);
+    if (!group) {
+        return nullptr;
+    }
+    const auto statement = std::make_shared<statement_run>(m_context, group, order, values, std::move(done));
+    statement->start();
+    return statement;
+}
+
+bool front::isPlannedHere(const service_id &service)
+{
+    return m_relays && m_relays->isRelayedTo(service);
+}
+
+void front::keepPlannedServices()
+{
+    if (!m_relays || !m_configuration || !m_areTargetsKnown || m_shutdownAt != never) {
+        return;
+    }
+    for (const auto &[service, policy] : m_configuration->services) {
+        if (isPlannedHere(service)) {
+            groupOf(service);
+        }
+    }
+}
+
 void front::applyConfiguration(const routing_configuration &configuration)
 {
     if (m_configuration && configuration.version <= m_configuration->version) {
@@ -123,6 +218,10 @@
         .field("routes", static_cast<std::int64_t>(configuration.routes.size()));
     m_configuration = std::make_shared<const routing_configuration>(configuration);
     m_context.metrics.setConfigurationVersion(configuration.version);
+    if (m_relays) {
+        m_relays->setPolicies(m_configuration->services);
+        keepPlannedServices();
+    }
     for (const auto &[service, group] : m_groups) {
         const auto policy = m_configuration->services.find(service);
         if (policy != m_configuration->services.end()) {
@@ -161,7 +260,8 @@
     for (auto it = m_groups.begin(); it != m_groups.end();) {
         const auto &[service, group] = *it;
         const auto keeper = m_keepers.at(service);
-        if (group->isInUse() || now - group->lastUsedAt() < m_settings.serviceIdleTimeout || !keeper->isIdle()) {
+        const bool isWanted = isPlannedHere(service) || now - group->lastUsedAt() < m_settings.serviceIdleTimeout;
+        if (group->isInUse() || isWanted || !keeper->isIdle()) {
             ++it;
             continue;
         }
@@ -181,6 +281,7 @@
     if (news.isComplete) {
         m_directory.replaceAll(news.entries, at);
         m_areTargetsKnown = true;
+        keepPlannedServices();
     }
     for (const auto &entry : news.entries) {
         const auto *known = m_directory.find(entry.id);
@@ -237,6 +338,9 @@
     if (found != m_groups.end()) {
         return found->second;
     }
+    if (!m_configuration) {
+        return nullptr;
+    }
     const auto policy = m_configuration->services.find(service);
     return policy == m_configuration->services.end() ? nullptr : beginToServe(service, policy->second);
 }
@@ -290,6 +394,11 @@
 void front::housekeep()
 {
     const auto now = systemNow();
+    const auto stall = recentStall(now);
+    m_housekeptAt = now;
+    if (m_relays) {
+        m_relays->tick(now, stall);
+    }
     // While the store cannot be heard, entries that are missing may only have lapsed there.
     if (!m_directory.eraseExpired(now).empty()) {
         refreshGroups();
@@ -322,6 +431,15 @@
     m_context.deadlines.scheduleAfter(housekeepingInterval, [self = shared_from_this()] { self->housekeep(); });
 }
 
+duration front::recentStall(time_point now) const
+{
+    if (m_housekeptAt == never) {
+        return {};
+    }
+    const auto beyond = now - m_housekeptAt - housekeepingInterval;
+    return beyond > stallMargin ? beyond : duration{};
+}
+
 bool front::isAnswering(const data_centre_id &dataCentre) const
 {
     const auto now = systemNow();
@@ -382,7 +500,11 @@
     const auto cutOff = std::count_if(
         m_keepers.begin(), m_keepers.end(), [&](const auto &entry) { return entry.second->isCutOff(now); });
     const bool areOthersSilent = areOtherDataCentresUnreachable(reachOfTargets(now), m_settings.dataCentre, now);
-    const bool isIsolated = areOthersSilent || static_cast<std::size_t>(cutOff) * 2 > m_keepers.size();
+    // With few services the loss of their targets is as likely as that of the links to them.
+    const bool isMostCutOff = static_cast<std::size_t>(cutOff) * 2 > m_keepers.size();
+    const bool areMostCutOff = isMostCutOff && (!m_relays || m_keepers.size() >= fewestJudgedServices);
+    const bool areServersIsolated = m_relays && m_relays->areServersIsolated();
+    const bool isIsolated = areOthersSilent || areMostCutOff || areServersIsolated;
     if (isIsolated != (m_isolatedSince != never)) {
         m_isolatedSince = isIsolated ? now : never;
         m_context.log.warn(isIsolated ? "targets_out_of_reach" : "targets_within_reach")
@@ -445,6 +567,10 @@
     for (const auto &[service, keeper] : m_keepers) {
         keeper->stop();
     }
+    if (m_relays) {
+        m_relays->announceLeaving();
+        m_fleet->stop();
+    }
     const auto self = shared_from_this();
     m_context.deadlines.scheduleAfter(idleCloseDelay, [self] { self->closeIdleSessions(); });
     m_context.deadlines.scheduleAfter(m_settings.gracePeriod / 2, [self] { self->endTransactions(); });
@@ -459,7 +585,9 @@
         session->closeIfIdle();
     }
     const auto now = systemNow();
-    if (m_sessions.empty() && now - m_lastSessionEndedAt >= quietTime && now - m_shutdownAt >= shortestShutdown) {
+    const bool isRelayDone = !m_relays || !m_relays->hasWork();
+    const bool isQuiet = m_sessions.empty() && now - m_lastSessionEndedAt >= quietTime;
+    if (isQuiet && isRelayDone && now - m_shutdownAt >= shortestShutdown) {
         finishShutdown("all sessions have ended");
         return;
     }
@@ -473,6 +601,9 @@
     for (const auto &session : sessions) {
         session->abortTransaction("shutdown");
     }
+    if (m_relays) {
+        m_relays->endTransactions();
+    }
 }
 
 void front::close()
@@ -484,6 +615,10 @@
         m_metrics->close();
     }
     m_feed->stop();
+    if (m_relays) {
+        m_fleet->stop();
+        m_relays->close();
+    }
     const std::vector<std::shared_ptr<front_session>> sessions(m_sessions.begin(), m_sessions.end());
     for (const auto &session : sessions) {
         session->close();
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "fleetfeed.h"
 #include "frontsession.h"
 #include "frontsettings.h"
 #include "httpmessage.h"
 #include "isolation.h"
 #include "leaderkeeper.h"
 #include "metadatastore.h"
+#include "relayhub.h"
 #include "servicegroup.h"
 #include "storefeed.h"
 #include "targetdirectory.h"
@@ -35,8 +37,20 @@
 
 private:
     std::string listenForCallers();
+    std::string listenForInstances();
     void acceptNext();
     void addSession(asio::ip::tcp::socket socket);
+    /** Runs a statement of a caller, here or at an instance that serves its service. */
+    std::shared_ptr<running_statement> run(const statement_order &order,
+                                           const session_values &values,
+                                           outcome_handler done);
+    /** As run(), at targets to which this instance holds the connections. */
+    std::shared_ptr<running_statement> runHere(const statement_order &order,
+                                               const session_values &values,
+                                               outcome_handler done);
+    bool isPlannedHere(const service_id &service);
+    /** Begins to serve the services that others relay to this instance, before their first statement. */
+    void keepPlannedServices();
     void applyConfiguration(const routing_configuration &configuration);
     void applyTargets(const target_news &news, time_point changedAfter);
     void applyDuties(const duty_list_news &news, time_point askedAt);
@@ -53,6 +67,8 @@
     /** Asks some targets of the data centre, so that isAnswering() can tell. */
     void askIn(const data_centre_id &dataCentre);
     void housekeep();
+    /** How long this process did not run until just now, for its machine was suspended or had no processor. */
+    duration recentStall(time_point now) const;
     void watchSilence(time_point now);
     std::vector<target_reachability> reachOfTargets(time_point now) const;
     void watchIsolation(time_point now);
@@ -73,6 +89,8 @@
     std::shared_ptr<http_server> m_readiness;
     std::shared_ptr<http_server> m_metrics;
     std::shared_ptr<store_feed> m_feed;
+    std::shared_ptr<relay_hub> m_relays; ///< Null if this instance serves its callers alone.
+    std::shared_ptr<fleet_feed> m_fleet;
     std::shared_ptr<const routing_configuration> m_configuration;
     target_directory m_directory;
     bool m_areTargetsKnown = false;
@@ -87,6 +105,7 @@
     time_point m_lastSessionEndedAt = never;
     time_point m_startedAt = never;
     time_point m_leftOutToldAt = never;
+    time_point m_housekeptAt = never;
     time_point m_pausesCheckedAt = never;
     time_point m_missingCheckedAt = never;
     bool m_isIsolationCheckPlanned = false;
--- a/src/libcrocusdealfront/frontsession.cpp
+++ b/src/libcrocusdealfront/frontsession.cpp
@@ -8,15 +8,6 @@
 namespace crocusdeal
 {
 
-namespace
-{
-
-constexpr duration busyDelay{10};
-constexpr duration longestBusyDelay{40};
-constexpr int busyShareOfTimeout = 2; // The rest is left for the answer.
-
-}
-
 front_session::front_session(front_context &context,
                              std::shared_ptr<byte_stream> stream,
                              session_surroundings surroundings)
@@ -128,7 +119,7 @@
     m_context.metrics.sessionOpened();
     m_database = startup.database;
     m_isStarted = true;
-    m_surroundings.group(configuration->routes.at(startup.database).service);
+    m_surroundings.prepare(configuration->routes.at(startup.database).service);
     finishAnswer(std::nullopt);
 }
 
@@ -250,11 +241,11 @@
         answerError(error_code::Malformed, "no transaction is open");
         return;
     }
-    if (!m_grant) {
+    if (!m_transaction) {
         runFirst(request, effect::Read, std::nullopt);
         return;
     }
-    sendInTransaction(request, std::nullopt);
+    runInTransaction(request, std::nullopt);
 }
 
 void front_session::takeRollback()
@@ -263,16 +254,16 @@
         answerError(error_code::Malformed, "no transaction is open");
         return;
     }
-    rollBackTransaction();
+    endTransaction();
     m_state = transaction_state::Idle;
     answerOwn();
 }
 
 void front_session::takeData(const caller_request &request, effect kind, std::optional<prepared_shape> prepared)
 {
-    if (m_grant) {
+    if (m_transaction) {
         m_hasWritten = m_hasWritten || kind == effect::Write;
-        sendInTransaction(request, std::move(prepared));
+        runInTransaction(request, prepared);
         return;
     }
     runFirst(request, kind, std::move(prepared));
@@ -282,14 +273,8 @@
 {
     const bool isInTransaction = m_state == transaction_state::Open;
     const auto route = isInTransaction ? m_transactionRoute : currentRoute();
-    const auto group = route ? m_surroundings.group(route->service) : nullptr;
-    if (!group) {
-        m_state = isInTransaction ? transaction_state::Failed : transaction_state::Idle;
-        m_context.log.info("statement_refused")
-            .field("id", request.id)
-            .field("database", m_database)
-            .field("reason", route ? "no_targets_known" : "no_route");
-        answerError(route ? error_code::Busy : error_code::UnknownDatabase, m_database);
+    if (!route) {
+        refuseFirst(request, error_code::UnknownDatabase, "no_route");
         return;
     }
     statement_order order;
@@ -305,211 +290,91 @@
         order.ownCommit = commit->second;
     }
     m_hasWritten = kind == effect::Write;
-    m_group = group;
+    m_service = route->service;
     m_isBusy = true;
     m_arrivedAt = systemNow();
-    m_run = std::make_shared<statement_run>(
-        m_context, group, std::move(order), m_values, [self = shared_from_this(), request](statement_outcome outcome) {
-            self->finishRun(request, std::move(outcome));
-        });
-    m_run->start();
+    m_isOutcomeDue = true;
+    auto run = m_surroundings.run(order, m_values, [self = shared_from_this(), request](statement_outcome outcome) {
+        self->m_isOutcomeDue = false;
+        self->finishRun(request, std::move(outcome));
+    });
+    if (!run) {
+        m_isBusy = false;
+        refuseFirst(request, error_code::Busy, "no_targets_known");
+    } else if (m_isOutcomeDue) {
+        m_run = std::move(run);
+    }
+}
+
+void front_session::refuseFirst(const caller_request &request, error_code code, std::string_view reason)
+{
+    m_state = m_state == transaction_state::Open ? transaction_state::Failed : m_state;
+    m_context.log.info("statement_refused")
+        .field("id", request.id)
+        .field("database", m_database)
+        .field("reason", reason);
+    answerError(code, m_database);
 }
 
 void front_session::finishRun(const caller_request &request, statement_outcome outcome)
 {
     m_run.reset();
     const bool isInTransaction = m_state == transaction_state::Open;
-    const bool isFailure = outcome.error || outcome.reply.error;
+    const bool isCommit = request.what.kind == statement_kind::Commit;
     countStatement(outcome.error ? outcome.error : outcome.reply.error);
-    if (isInTransaction && !isFailure && request.what.kind == statement_kind::Commit) {
-        m_group->addPermit(*outcome.kept);
-        m_group->release(*outcome.kept, true);
+    if (isInTransaction && isCommit) {
         m_state = transaction_state::Idle;
-    } else if (isInTransaction && isFailure) {
-        m_state = request.what.kind == statement_kind::Commit ? transaction_state::Idle : transaction_state::Failed;
+    } else if (isInTransaction && !outcome.transaction) {
+        m_state = transaction_state::Failed;
     } else if (isInTransaction) {
-        m_grant = std::move(outcome.kept);
+        m_transaction = outcome.transaction;
         m_state = outcome.reply.state;
         watchTransactionIdle();
-    } else if (!isFailure && m_hasWritten) {
-        noteCommit(m_group->id(), outcome.reply.at);
-    }
-    if (outcome.error) {
-        answerError(*outcome.error, outcome.errorText);
-    } else {
-        answerReply(outcome.reply);
+    } else if (!outcome.isFailure() && m_hasWritten) {
+        noteCommit(m_service, outcome.reply.at);
     }
+    answerOutcome(outcome);
 }
 
-void front_session::sendInTransaction(const caller_request &request, std::optional<prepared_shape> prepared)
+void front_session::runInTransaction(const caller_request &request, const std::optional<prepared_shape> &prepared)
 {
     m_isBusy = true;
     m_arrivedAt = systemNow();
-    m_sent = request;
-    m_sentPrepared = std::move(prepared);
-    m_busyAnswers = 0;
-    const auto self = shared_from_this();
-    m_limit = m_context.deadlines.scheduleAfter(m_transactionRoute->statementTimeout, [self] {
-        self->m_limit = 0;
-        self->hitTransactionLimit();
-    });
-    sendToTarget();
-}
-
-void front_session::sendToTarget()
-{
-    const auto link = m_grant->link;
-    const auto *prepared = m_sentPrepared ? &*m_sentPrepared : nullptr;
-    m_sentAt = systemNow();
-    m_isWithTarget = true;
-    sendPreparation(m_context.targets, link, m_values, prepared, true);
-    std::string encoded;
-    encodeStatement(m_context.targets, encoded, link->values, *m_sent, m_sentPrepared, std::nullopt);
-    m_group->addPermit(*m_grant);
-    if (isCommitOfWrite(*m_sent)) {
-        m_group->writeSent(m_sentAt);
-    }
-    const auto generation = ++m_generation;
-    link->send(encoded, [self = shared_from_this(), generation](const target_reply &reply) {
-        if (generation == self->m_generation) {
-            self->takeTransactionReply(reply);
-        }
-    });
-}
-
-bool front_session::isCommitOfWrite(const caller_request &request) const
-{
-    return request.what.kind == statement_kind::Commit && m_hasWritten;
-}
-
-void front_session::endSending(bool isAcknowledged)
-{
-    if (!std::exchange(m_isWithTarget, false)) {
-        return;
-    }
-    m_group->endPermit(*m_grant);
-    if (isCommitOfWrite(*m_sent)) {
-        m_group->writeEnded(m_sentAt, isAcknowledged);
-    }
-}
-
-bool front_session::isWorthAnotherTry(const target_reply &reply) const
-{
-    // A target that is busy has run nothing, and with the transaction all that it has done so far would be lost.
-    const bool isRefusedOnly = reply.error == error_code::Busy && reply.state == transaction_state::Open;
-    return isRefusedOnly && systemNow() - m_arrivedAt < m_transactionRoute->statementTimeout / busyShareOfTimeout;
-}
-
-void front_session::takeTransactionReply(const target_reply &reply)
-{
-    m_grant->target->recordAnswer(reply);
-    endSending(reply.isSuccess());
-    if (!isWorthAnotherTry(reply)) {
-        m_context.deadlines.cancel(m_limit);
-        const auto request = *std::exchange(m_sent, std::nullopt);
-        finishInTransaction(request, reply);
-        return;
-    }
-    ++m_busyAnswers;
-    m_context.metrics.statementRetried("busy in a transaction");
-    m_context.log.info("statement_retried")
-        .field("id", m_sent->id)
-        .field("database", m_database)
-        .field("why", "busy in a transaction")
-        .field("attempts", m_busyAnswers)
-        .field("ms", (systemNow() - m_arrivedAt).ms);
-    const auto delay = std::min(busyDelay * m_busyAnswers, longestBusyDelay);
-    m_busyTimer = m_context.deadlines.scheduleAfter(delay, [self = shared_from_this()] {
-        self->m_busyTimer = 0;
-        self->sendToTarget();
-    });
+    const auto transaction = m_transaction;
+    transaction->run(request,
+                     prepared,
+                     m_values,
+                     m_transactionRoute->statementTimeout,
+                     [self = shared_from_this(), request](const statement_outcome &outcome) {
+                         self->finishInTransaction(request, outcome);
+                     });
 }
 
-void front_session::finishInTransaction(const caller_request &request, const target_reply &reply)
+void front_session::finishInTransaction(const caller_request &request, const statement_outcome &outcome)
 {
-    countStatement(reply.isLost ? std::optional(error_code::Aborted) : reply.error);
-    const bool isPlain = m_begunBy == statement_kind::Begin || m_grant->needsProof;
-    // A commit that has nothing to write succeeds also where the lead is lost.
-    const bool isProof = isPlain && (request.what.kind != statement_kind::Commit || m_hasWritten);
-    if (isProof && reply.isSuccess()) {
-        m_group->noteLead(m_grant->target->entry().id, reply.at, reply.sentAt);
-    }
-    if (reply.error == error_code::ReadOnly && m_grant->isLeader) {
-        m_group->noteNotLeading(m_grant->target->entry().id, "it refused as read only");
-    }
-    if (request.what.kind == statement_kind::Commit) {
-        finishCommit(request, reply);
-        return;
-    }
-    if (reply.isLost) {
-        m_context.log.info("transaction_aborted")
-            .field("id", request.id)
-            .field("database", m_database)
-            .field("target", m_grant->target->entry().id.str())
-            .field("reason", reply.reason);
-        m_group->noteTrouble("connection lost");
-        endTransaction(false);
+    countStatement(outcome.error ? outcome.error : outcome.reply.error);
+    const bool isCommit = request.what.kind == statement_kind::Commit;
+    m_transaction = outcome.transaction;
+    if (isCommit) {
+        m_state = transaction_state::Idle;
+    } else if (!m_transaction) {
         m_state = transaction_state::Failed;
-        answerError(error_code::Aborted, "the connection to the target was lost before the commit");
-        return;
+    } else {
+        watchTransactionIdle();
     }
-    if (reply.error) {
-        m_context.log.info("transaction_failed")
-            .field("id", request.id)
-            .field("database", m_database)
-            .field("target", m_grant->target->entry().id.str())
-            .field("code", errorCodeNames.name(*reply.error))
-            .field("state", transactionStateNames.name(reply.state));
-        rollBackTransaction();
-        m_state = transaction_state::Failed;
-        answerReply(reply);
-        return;
+    if (isCommit && !outcome.isFailure() && m_hasWritten) {
+        noteCommit(m_service, outcome.reply.at);
     }
-    m_state = reply.state == transaction_state::Idle ? transaction_state::Failed : reply.state;
-    watchTransactionIdle();
-    answerReply(reply);
+    answerOutcome(outcome);
 }
 
-void front_session::finishCommit(const caller_request &request, const target_reply &reply)
+void front_session::answerOutcome(const statement_outcome &outcome)
 {
-    const auto service = m_group->id();
-    const auto target = m_grant->target->entry().id;
-    m_state = transaction_state::Idle;
-    endTransaction(!reply.isLost && reply.state == transaction_state::Idle);
-    if (reply.isLost) {
-        m_context.log.warn("commit_in_doubt")
-            .field("id", request.id)
-            .field("database", m_database)
-            .field("target", target.str())
-            .field("reason", reply.reason);
-        m_group->noteTrouble("connection lost");
-        answerError(m_hasWritten ? error_code::InDoubt : error_code::Aborted, "the answer of the target was lost");
-        return;
-    }
-    if (reply.isSuccess() && m_hasWritten) {
-        noteCommit(service, reply.at);
+    if (outcome.error) {
+        answerError(*outcome.error, outcome.errorText);
+    } else {
+        answerReply(outcome.reply);
     }
-    answerReply(reply);
-}
-
-void front_session::hitTransactionLimit()
-{
-    const bool isSent = m_isWithTarget;
-    m_context.deadlines.cancel(m_busyTimer);
-    ++m_generation;
-    endSending(false);
-    const auto request = *std::exchange(m_sent, std::nullopt);
-    const bool isCommit = request.what.kind == statement_kind::Commit;
-    m_context.log.warn("statement_timed_out")
-        .field("id", request.id)
-        .field("database", m_database)
-        .field("target", m_grant->target->entry().id.str())
-        .field("sent", isSent ? 1 : 0)
-        .field("in_transaction", 1);
-    endTransaction(false);
-    m_state = isCommit ? transaction_state::Idle : transaction_state::Failed;
-    answerError(isSent && isCommit && m_hasWritten ? error_code::InDoubt : error_code::Aborted,
-                "the statement timed out");
 }
 
 void front_session::countStatement(std::optional<error_code> error)
@@ -520,30 +385,13 @@
                                      systemNow() - m_arrivedAt);
 }
 
-void front_session::endTransaction(bool isReusable)
+void front_session::endTransaction()
 {
     m_context.deadlines.cancel(m_idleLimit);
-    if (!m_grant) {
-        return;
+    const auto transaction = std::exchange(m_transaction, nullptr);
+    if (transaction) {
+        transaction->end();
     }
-    const auto grant = *std::exchange(m_grant, std::nullopt);
-    m_group->addPermit(grant);
-    m_group->release(grant, isReusable);
-}
-
-void front_session::rollBackTransaction()
-{
-    m_context.deadlines.cancel(m_idleLimit);
-    if (!m_grant) {
-        return;
-    }
-    const auto grant = *std::exchange(m_grant, std::nullopt);
-    m_group->addPermit(grant);
-    std::string rollback;
-    m_context.targets.addControl(rollback, control_statement::Rollback);
-    grant.link->send(rollback, [group = m_group, grant](const target_reply &reply) {
-        group->release(grant, !reply.isLost && reply.state == transaction_state::Idle);
-    });
 }
 
 void front_session::watchTransactionIdle()
@@ -565,7 +413,7 @@
         return;
     }
     m_context.log.info("transaction_ended").field("database", m_database).field("why", why);
-    rollBackTransaction();
+    endTransaction();
     m_wasAborted = true;
 }
 
@@ -630,21 +478,10 @@
     if (m_isStarted) {
         m_context.metrics.sessionEnded();
     }
-    if (m_run) {
-        m_run->abandon();
-        m_run.reset();
-    }
-    if (m_sent) {
-        // What was sent is rolled back with its connection, unless it is a commit, which runs to its end.
-        m_context.deadlines.cancel(m_limit);
-        m_context.deadlines.cancel(m_busyTimer);
-        ++m_generation;
-        endSending(false);
-        m_sent.reset();
-        endTransaction(false);
-    } else {
-        rollBackTransaction();
+    if (const auto run = std::exchange(m_run, nullptr)) {
+        run->abandon();
     }
+    endTransaction();
     m_state = transaction_state::Idle;
     const auto ended = std::exchange(onEnded, nullptr);
     if (ended) {
--- a/src/libcrocusdealfront/frontsession.h
+++ b/src/libcrocusdealfront/frontsession.h
@@ -2,9 +2,7 @@
 
 #include "bytestream.h"
 #include "servicegroup.h"
-#include "sessionvalues.h"
-#include "statementrun.h"
-#include "wireprotocol.h"
+#include "statementorder.h"
 
 #include <functional>
 #include <map>
@@ -19,8 +17,11 @@
 struct session_surroundings {
     /** The configuration in force; null before there is any. */
     std::function<std::shared_ptr<const routing_configuration>()> configuration;
-    /** The targets of a service; null if it has none. */
-    std::function<std::shared_ptr<service_group>(const service_id &)> group;
+    /** A caller has come for the service. */
+    std::function<void(const service_id &)> prepare;
+    /** Runs a statement; null, and no outcome, if its service is not known. */
+    std::function<std::shared_ptr<running_statement>(const statement_order &, const session_values &, outcome_handler)>
+        run;
 };
 
 /**
@@ -62,20 +63,14 @@
     void takeData(const caller_request &request, effect kind, std::optional<prepared_shape> prepared);
     void runFirst(const caller_request &request, effect kind, std::optional<prepared_shape> prepared);
     void sendInTransaction(const caller_request &request, std::optional<prepared_shape> prepared);
+    /** Answers what cannot be run at all. */
+    void refuseFirst(const caller_request &request, error_code code, std::string_view reason);
     void finishRun(const caller_request &request, statement_outcome outcome);
-    /** Sends m_sent over the connection of the transaction. */
-    void sendToTarget();
-    bool isCommitOfWrite(const caller_request &request) const;
-    /** The target does not work on m_sent any more. */
-    void endSending(bool isAcknowledged);
-    bool isWorthAnotherTry(const target_reply &reply) const;
-    void takeTransactionReply(const target_reply &reply);
-    void finishInTransaction(const caller_request &request, const target_reply &reply);
-    void finishCommit(const caller_request &request, const target_reply &reply);
-    void hitTransactionLimit();
+    void runInTransaction(const caller_request &request, const std::optional<prepared_shape> &prepared);
+    void finishInTransaction(const caller_request &request, const statement_outcome &outcome);
+    void answerOutcome(const statement_outcome &outcome);
     void countStatement(std::optional<error_code> error);
-    void endTransaction(bool isReusable);
-    void rollBackTransaction();
+    void endTransaction();
     void watchTransactionIdle();
     void answerOwn();
     void answerError(error_code code, std::string_view text);
@@ -99,22 +94,14 @@
     statement_kind m_begunBy = statement_kind::Begin;
     time_point m_begunAt = never;
     std::optional<database_route> m_transactionRoute;
-    std::shared_ptr<service_group> m_group; ///< Of the open transaction.
-    std::optional<target_grant> m_grant; ///< Of the open transaction, from its first statement.
+    service_id m_service; ///< Of the statement or transaction that was run last.
+    std::shared_ptr<open_transaction> m_transaction; ///< From its first statement.
     bool m_hasWritten = false;
     bool m_wasAborted = false; ///< By the product; the caller has not been told.
-    /** The statement that the target of the transaction is working on, or has refused and is to get again. */
-    std::optional<caller_request> m_sent;
-    std::optional<prepared_shape> m_sentPrepared;
-    bool m_isWithTarget = false; ///< m_sent has not been answered.
-    int m_busyAnswers = 0; ///< To m_sent.
-    deadline_queue::handle m_busyTimer = 0;
-    time_point m_sentAt = never;
     time_point m_arrivedAt = never; ///< Of the statement that is running.
-    int m_generation = 0;
-    deadline_queue::handle m_limit = 0;
     deadline_queue::handle m_idleLimit = 0;
-    std::shared_ptr<statement_run> m_run;
+    std::shared_ptr<running_statement> m_run;
+    bool m_isOutcomeDue = false; ///< Of m_run; an outcome may come before the run is known.
     std::string m_out;
 };
 
--- a/src/libcrocusdealfront/frontsettings.cpp
+++ b/src/libcrocusdealfront/frontsettings.cpp
@@ -42,6 +42,7 @@
     settings.storeAddress = top.address("store_address", presence::Required).value_or(host_port{});
     settings.authorityAddress = top.address("authority_address", presence::Required).value_or(host_port{});
     settings.metricsAddress = top.address("metrics_address", presence::Optional);
+    settings.relayAddress = top.address("relay_address", presence::Optional);
     const auto drain = top.integer("drain_ms", presence::Optional, millisecondRange);
     settings.drainTime = duration{drain.value_or(settings.drainTime.ms)};
     const auto grace = top.integer("grace_s", presence::Optional, secondRange);
--- a/src/libcrocusdealfront/frontsettings.h
+++ b/src/libcrocusdealfront/frontsettings.h
@@ -23,6 +23,8 @@
     host_port storeAddress;
     host_port authorityAddress; ///< Of the service that carries out changes of a primary.
     std::optional<host_port> metricsAddress;
+    /** Where other instances hand over statements; without it this instance serves its callers alone. */
+    std::optional<host_port> relayAddress;
     duration drainTime{7000}; ///< How long a target keeps serving after it has reported that it is draining.
     duration gracePeriod{6000}; ///< Time from SIGTERM to the exit of the process.
     duration configurationApplyTimeout{3000}; ///< Time within which all instances must apply a change.
--- /dev/null
+++ b/src/libcrocusdealfront/relayhub.cpp
@@ -0,0 +1,254 @@
+#include "relayhub.h"
+
+#include "listener.h"
+#include "systemclock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusdeal
+{
+
+namespace
+{
+
+constexpr duration linkRetry{400};
+constexpr std::size_t standbys = 2; // Instances with a link that serve in the place of those that have failed.
+
+}
+
+relay_hub::relay_hub(front_context &context, relay_surroundings surroundings)
+    : m_context(context)
+    , m_surroundings(std::move(surroundings))
+    , m_acceptor(context.io)
+{
+    m_members.emplace(m_surroundings.self.id, m_surroundings.self);
+    m_surroundings.isMember = [this](const instance_id &id) {
+        const bool isKnown = m_known.contains(id);
+        if (!isKnown && onUnknownInstance) {
+            onUnknownInstance();
+        }
+        return isKnown;
+    };
+}
+
+std::string relay_hub::listen(const host_port &address)
+{
+    auto problem = openListener(m_acceptor, address);
+    if (problem.empty()) {
+        acceptNext();
+    }
+    return problem;
+}
+
+void relay_hub::acceptNext()
+{
+    m_acceptor.async_accept([self = shared_from_this()](std::error_code error, asio::ip::tcp::socket socket) {
+        if (!self->m_acceptor.is_open()) {
+            return;
+        }
+        if (!error) {
+            self->addSession(std::move(socket));
+        }
+        self->acceptNext();
+    });
+}
+
+void relay_hub::addSession(asio::ip::tcp::socket socket)
+{
+    const auto session =
+        std::make_shared<relay_session>(m_context, std::make_shared<byte_stream>(std::move(socket)), m_surroundings);
+    session->onEnded = [self = shared_from_this(), weak = std::weak_ptr(session)] {
+        if (const auto ended = weak.lock()) {
+            self->m_sessions.erase(ended);
+        }
+    };
+    m_sessions.insert(session);
+    session->start();
+}
+
+void relay_hub::setMembers(const std::vector<fleet_member> &members)
+{
+    const auto &self = m_surroundings.self;
+    std::map<instance_id, fleet_member> here{{self.id, self}};
+    std::set<data_centre_id> dataCentres{self.dataCentre};
+    m_known.clear();
+    for (const auto &member : members) {
+        m_known.insert(member.id);
+        dataCentres.insert(member.dataCentre);
+        if (member.dataCentre == self.dataCentre && member.id != self.id) {
+            here.emplace(member.id, member);
+        }
+    }
+    m_known.insert(self.id);
+    const int count = static_cast<int>(dataCentres.size());
+    if (here == m_members && count == m_dataCentres) {
+        return;
+    }
+    m_members = std::move(here);
+    m_dataCentres = count;
+    m_plans.clear();
+    m_context.log.info("fleet_known")
+        .field("instances", static_cast<std::int64_t>(m_known.size()))
+        .field("here", static_cast<std::int64_t>(m_members.size()))
+        .field("data_centres", m_dataCentres);
+    openLinks(systemNow());
+}
+
+void relay_hub::setPolicies(const std::map<service_id, service_policy> &policies)
+{
+    m_policies = policies;
+    m_plans.clear();
+}
+
+const relay_hub::service_plan &relay_hub::planOf(const service_id &service)
+{
+    const auto known = m_plans.find(service);
+    if (known != m_plans.end()) {
+        return known->second;
+    }
+    auto &plan = m_plans[service];
+    const auto policy = m_policies.find(service);
+    const int instances = static_cast<int>(std::max(m_known.size(), m_members.size()));
+    const int connections =
+        policy == m_policies.end() ? service_policy{}.maxConnections : policy->second.maxConnections;
+    const int serving = servingInstances(connections, instances, m_dataCentres);
+    plan.isServedByAll = serving == instances;
+    if (plan.isServedByAll) {
+        plan.isServedHere = true;
+        return plan;
+    }
+    std::vector<instance_id> members;
+    for (const auto &[id, member] : m_members) {
+        members.push_back(id);
+    }
+    const auto &self = m_surroundings.self.id;
+    plan.isServedHere = isServing(service, members, serving, self);
+    plan.order = relayOrder(service, members, serving, self);
+    plan.order.resize(std::min(plan.order.size(), static_cast<std::size_t>(serving) + standbys));
+    return plan;
+}
+
+bool relay_hub::servesHere(const service_id &service)
+{
+    return planOf(service).isServedHere;
+}
+
+bool relay_hub::isRelayedTo(const service_id &service)
+{
+    const auto &plan = planOf(service);
+    return plan.isServedHere && !plan.isServedByAll;
+}
+
+std::shared_ptr<relay_link> relay_hub::next(const service_id &service, const std::set<instance_id> &avoid)
+{
+    const auto &plan = planOf(service);
+    if (plan.isServedHere) {
+        return nullptr;
+    }
+    for (const auto &id : plan.order) {
+        if (id == m_surroundings.self.id) {
+            return nullptr; // This instance is the next to serve in the place of those that have failed.
+        }
+        const auto found = m_links.find(id);
+        if (found != m_links.end() && found->second->isUsable() && !avoid.contains(id)) {
+            return found->second;
+        }
+    }
+    return nullptr;
+}
+
+bool relay_hub::areServersIsolated() const
+{
+    std::size_t usable = 0;
+    std::size_t isolated = 0;
+    for (const auto &[id, link] : m_links) {
+        usable += link->isUsable() ? 1 : 0;
+        isolated += link->isUsable() && link->isPeerIsolated() ? 1 : 0;
+    }
+    return usable > 0 && isolated * 2 > usable;
+}
+
+void relay_hub::openLinks(time_point now)
+{
+    std::set<instance_id> wanted;
+    for (const auto &[service, policy] : m_policies) {
+        const auto &plan = planOf(service);
+        if (!plan.isServedHere) {
+            wanted.insert(plan.order.begin(), plan.order.end());
+        }
+    }
+    wanted.erase(m_surroundings.self.id);
+    const auto links = m_links;
+    for (const auto &[id, link] : links) {
+        const auto member = m_members.find(id);
+        const bool isReplaced = member == m_members.end() || member->second != link->peer();
+        if (!link->isEnded() && (isReplaced || !wanted.contains(id))) {
+            link->close("not needed");
+        }
+        if (isReplaced || (link->isEnded() && now - link->endedAt() >= linkRetry)) {
+            m_links.erase(id);
+        }
+    }
+    for (const auto &id : wanted) {
+        const auto member = m_members.find(id);
+        if (member != m_members.end() && !m_links.contains(id)) {
+            openLink(member->second);
+        }
+    }
+}
+
+void relay_hub::openLink(const fleet_member &member)
+{
+    const auto link = std::make_shared<relay_link>(m_context, m_surroundings.self, member);
+    m_links.emplace(member.id, link);
+    link->open();
+}
+
+void relay_hub::tick(time_point now, duration ownStall)
+{
+    if (m_isClosed) {
+        return;
+    }
+    const auto links = m_links;
+    for (const auto &[id, link] : links) {
+        link->tick(now, ownStall);
+    }
+    openLinks(now);
+}
+
+void relay_hub::announceLeaving()
+{
+    for (const auto &session : m_sessions) {
+        session->announceLeaving();
+    }
+}
+
+void relay_hub::endTransactions()
+{
+    const auto sessions = m_sessions;
+    for (const auto &session : sessions) {
+        session->endTransactions();
+    }
+}
+
+bool relay_hub::hasWork() const
+{
+    return std::any_of(m_sessions.begin(), m_sessions.end(), [](const auto &session) { return session->hasWork(); });
+}
+
+void relay_hub::close()
+{
+    m_isClosed = true;
+    std::error_code ignored; // Nothing depends on how a listener closes.
+    m_acceptor.close(ignored);
+    for (const auto &[id, link] : std::exchange(m_links, {})) {
+        link->close("closed");
+    }
+    const auto sessions = m_sessions;
+    for (const auto &session : sessions) {
+        session->close("closed");
+    }
+}
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/relayhub.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "relayedstatement.h"
+#include "relaylink.h"
+#include "relaysession.h"
+#include "routingconfiguration.h"
+#include "servingplan.h"
+
+#include <asio/ip/tcp.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace crocusdeal
+{
+
+/** The connections to and from the other instances of this data centre, and who serves which service. */
+class relay_hub : public std::enable_shared_from_this<relay_hub>
+{
+public:
+    relay_hub(front_context &context, relay_surroundings surroundings);
+
+    /** Another instance that is not known here has come; asks for a fresh list of the members. */
+    std::function<void()> onUnknownInstance;
+
+    /** Empty if it listens, else why not. */
+    std::string listen(const host_port &address);
+    void setMembers(const std::vector<fleet_member> &members);
+    void setPolicies(const std::map<service_id, service_policy> &policies);
+
+    /** Whether this instance is to hold connections to the targets of the service, as things are planned. */
+    bool servesHere(const service_id &service);
+    /** Whether other instances hand statements of the service to this one. */
+    bool isRelayedTo(const service_id &service);
+    /** The link to the instance that gets the next statement; null if that is this one. */
+    std::shared_ptr<relay_link> next(const service_id &service, const std::set<instance_id> &avoid);
+    /** Whether the instances that serve in the place of this one have said that they reach too few targets. */
+    bool areServersIsolated() const;
+
+    void tick(time_point now, duration ownStall);
+    /** Tells the other instances to hand over nothing more. */
+    void announceLeaving();
+    void endTransactions();
+    /** Whether statements of other instances run here. */
+    bool hasWork() const;
+    void close();
+
+private:
+    struct service_plan {
+        std::vector<instance_id> order; ///< In which statements are handed over.
+        bool isServedHere = false;
+        bool isServedByAll = false;
+    };
+
+    void acceptNext();
+    void addSession(asio::ip::tcp::socket socket);
+    const service_plan &planOf(const service_id &service);
+    /** Opens links to the instances that may get statements of this one. */
+    void openLinks(time_point now);
+    void openLink(const fleet_member &member);
+
+    front_context &m_context;
+    relay_surroundings m_surroundings;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::map<instance_id, fleet_member> m_members; ///< Of this data centre, with this instance.
+    std::set<instance_id> m_known; ///< Of all data centres.
+    int m_dataCentres = 1;
+    std::map<service_id, service_policy> m_policies;
+    std::map<service_id, service_plan> m_plans; ///< Worked out when first needed.
+    std::map<instance_id, std::shared_ptr<relay_link>> m_links;
+    std::set<std::shared_ptr<relay_session>> m_sessions;
+    bool m_isClosed = false;
+};
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/relaylink.cpp
@@ -0,0 +1,244 @@
+#include "relaylink.h"
+
+#include "relaycodec.h"
+#include "systemclock.h"
+
+#include <utility>
+#include <vector>
+
+namespace crocusdeal
+{
+
+namespace
+{
+
+constexpr duration openingLimit{600};
+constexpr duration busyPingInterval{100};
+constexpr duration idlePingInterval{400};
+// A live instance answers within milliseconds; work that changes nothing goes elsewhere then.
+constexpr duration silenceLimit{250};
+constexpr duration deadLimit{3000}; // A link that is silent for so long is opened anew.
+
+}
+
+relay_link::relay_link(front_context &context, fleet_member self, fleet_member peer)
+    : m_context(context)
+    , m_self(std::move(self))
+    , m_peer(std::move(peer))
+    , m_stream(std::make_shared<byte_stream>(context.io))
+{
+}
+
+void relay_link::open()
+{
+    const auto self = shared_from_this();
+    m_openedAt = systemNow();
+    m_stream->onData = [self](std::string &inbound) { self->takeData(inbound); };
+    m_stream->onClosed = [self](const std::string &reason) { self->ended(reason); };
+    m_stream->connect(m_peer.relayAddress, [self] {
+        self->send(relay_hello{self->m_self.id, self->m_self.incarnation});
+    });
+}
+
+void relay_link::close(const std::string &reason)
+{
+    m_stream->close();
+    ended(reason);
+}
+
+const fleet_member &relay_link::peer() const
+{
+    return m_peer;
+}
+
+bool relay_link::isUsable() const
+{
+    return m_isGreeted && !m_isEnded && !m_isSilent && !m_isLeaving;
+}
+
+bool relay_link::isEnded() const
+{
+    return m_isEnded;
+}
+
+bool relay_link::isPeerIsolated() const
+{
+    return m_isIsolated;
+}
+
+time_point relay_link::endedAt() const
+{
+    return m_endedAt;
+}
+
+std::uint64_t relay_link::run(relay_run message, bool isRepeatable, handler done)
+{
+    const auto number = m_nextNumber++;
+    message.number = number;
+    m_pending.emplace(number, pending_work{std::move(done), isRepeatable});
+    if (!send(message)) {
+        // Too long for one message, so that it has to be run here.
+        finish(number, {relay_end::NotServed, {}, "the statement is too long"});
+    }
+    return number;
+}
+
+std::uint64_t relay_link::step(relay_step message, handler done)
+{
+    const auto number = m_nextNumber++;
+    message.number = number;
+    m_pending.emplace(number, pending_work{std::move(done), false});
+    if (m_isEnded || !send(message)) {
+        finish(number, {relay_end::NotServed, {}, m_isEnded ? "the link has ended" : "the statement is too long"});
+    }
+    return number;
+}
+
+void relay_link::abandon(std::uint64_t number)
+{
+    m_pending.erase(number);
+    send(relay_abandon{number});
+}
+
+void relay_link::rollBack(std::uint64_t transaction)
+{
+    send(relay_rollback{transaction});
+}
+
+void relay_link::tick(time_point now, duration ownStall)
+{
+    if (m_isEnded) {
+        return;
+    }
+    if (!m_isGreeted) {
+        if (now - m_openedAt > openingLimit + ownStall) {
+            close("no greeting");
+        }
+        return;
+    }
+    if (m_pingSentAt != never) {
+        m_pingSentAt = m_pingSentAt + ownStall;
+        const auto silence = now - m_pingSentAt;
+        if (silence > deadLimit) {
+            close("silent");
+        } else if (silence > silenceLimit && !std::exchange(m_isSilent, true)) {
+            m_context.log.warn("relay_silent")
+                .field("peer", m_peer.id.str())
+                .field("silent_ms", silence.ms)
+                .field("pending", static_cast<std::int64_t>(m_pending.size()));
+            loseRepeatable("the other instance is silent");
+        }
+        return;
+    }
+    if (now - m_lastPingAt >= (m_pending.empty() ? idlePingInterval : busyPingInterval)) {
+        m_lastPingAt = now;
+        m_pingSentAt = now;
+        send(relay_ping{m_nextNumber});
+    }
+}
+
+void relay_link::takeData(std::string &inbound)
+{
+    const auto self = shared_from_this();
+    std::size_t taken = 0;
+    while (!m_isEnded) {
+        std::size_t used = 0;
+        relay_message message;
+        const auto status = decodeRelay(std::string_view(inbound).substr(taken), used, message);
+        if (status == decode_status::Incomplete) {
+            break;
+        }
+        if (status != decode_status::Decoded) {
+            close("message cannot be read");
+            break;
+        }
+        taken += used;
+        takeMessage(message);
+    }
+    inbound.erase(0, taken);
+}
+
+void relay_link::takeMessage(relay_message &message)
+{
+    if (const auto *hello = std::get_if<relay_hello>(&message)) {
+        if (hello->from != m_peer.id || m_isGreeted) {
+            close("greeted by another instance");
+            return;
+        }
+        m_isGreeted = true;
+        m_context.log.info("relay_opened")
+            .field("peer", m_peer.id.str())
+            .field("address", toString(m_peer.relayAddress));
+        return;
+    }
+    m_pingSentAt = never;
+    m_isSilent = false;
+    if (const auto *pong = std::get_if<relay_pong>(&message)) {
+        m_isLeaving = pong->isLeaving;
+        m_isIsolated = pong->isIsolated;
+    } else if (auto *answer = std::get_if<relay_answer>(&message)) {
+        const auto number = answer->number;
+        const bool isForgotten = !m_pending.contains(number);
+        if (isForgotten && answer->isOpen) {
+            rollBack(number);
+        }
+        finish(number, {relay_end::Answered, std::move(*answer), {}});
+    } else if (const auto *refused = std::get_if<relay_not_served>(&message)) {
+        finish(refused->number, {relay_end::NotServed, {}, "not served there"});
+    } else {
+        close("message is not expected");
+    }
+}
+
+void relay_link::finish(std::uint64_t number, relay_result result)
+{
+    const auto found = m_pending.find(number);
+    if (found == m_pending.end()) {
+        return;
+    }
+    const auto done = std::move(found->second.done);
+    m_pending.erase(found);
+    done(std::move(result));
+}
+
+void relay_link::loseRepeatable(const std::string &reason)
+{
+    std::vector<std::uint64_t> numbers;
+    for (const auto &[number, work] : m_pending) {
+        if (work.isRepeatable) {
+            numbers.push_back(number);
+        }
+    }
+    for (const auto number : numbers) {
+        send(relay_abandon{number});
+        finish(number, {relay_end::Lost, {}, reason});
+    }
+}
+
+bool relay_link::send(const relay_message &message)
+{
+    std::string encoded;
+    if (!encodeRelay(message, encoded)) {
+        return false;
+    }
+    m_stream->send(encoded);
+    return true;
+}
+
+void relay_link::ended(const std::string &reason)
+{
+    if (std::exchange(m_isEnded, true)) {
+        return;
+    }
+    const auto self = shared_from_this();
+    m_endedAt = systemNow();
+    m_context.log.info("relay_ended")
+        .field("peer", m_peer.id.str())
+        .field("reason", reason)
+        .field("pending", static_cast<std::int64_t>(m_pending.size()));
+    while (!m_pending.empty()) {
+        finish(m_pending.begin()->first, {relay_end::Lost, {}, reason});
+    }
+}
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/relaylink.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "bytestream.h"
+#include "deadlinequeue.h"
+#include "relaymessages.h"
+#include "servingplan.h"
+#include "targetpool.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace crocusdeal
+{
+
+/** How a statement that was handed to another instance ended. */
+enum class relay_end {
+    Answered,
+    NotServed, ///< It was not begun and will not be.
+    Lost, ///< Nothing will be heard of it; it may have run, or may run later.
+};
+
+struct relay_result {
+    relay_end end = relay_end::Lost;
+    relay_answer answer;
+    std::string reason; ///< Of a loss.
+};
+
+/** The connection over which this instance hands statements to another one. */
+class relay_link : public std::enable_shared_from_this<relay_link>
+{
+public:
+    using handler = std::function<void(relay_result)>;
+
+    relay_link(front_context &context, fleet_member self, fleet_member peer);
+
+    void open();
+    void close(const std::string &reason);
+    const fleet_member &peer() const;
+    /** Whether work may be handed over: the other instance answers, serves and does not leave. */
+    bool isUsable() const;
+    bool isEnded() const;
+    bool isPeerIsolated() const;
+    time_point endedAt() const;
+
+    /** Hands over a statement. One that changes nothing @p isRepeatable, and is lost as soon as the link is silent. */
+    std::uint64_t run(relay_run message, bool isRepeatable, handler done);
+    std::uint64_t step(relay_step message, handler done);
+    /** Nothing will be heard of the run or step; @p done is dropped. */
+    void abandon(std::uint64_t number);
+    void rollBack(std::uint64_t transaction);
+
+    /** Sends a ping if one is due, and judges the silence. @p ownStall is how long this process did not run before. */
+    void tick(time_point now, duration ownStall);
+
+private:
+    struct pending_work {
+        handler done;
+        bool isRepeatable = false;
+    };
+
+    void takeData(std::string &inbound);
+    void takeMessage(relay_message &message);
+    void finish(std::uint64_t number, relay_result result);
+    /** Ends what may be run elsewhere. */
+    void loseRepeatable(const std::string &reason);
+    bool send(const relay_message &message);
+    void ended(const std::string &reason);
+
+    front_context &m_context;
+    fleet_member m_self;
+    fleet_member m_peer;
+    std::shared_ptr<byte_stream> m_stream;
+    std::map<std::uint64_t, pending_work> m_pending;
+    std::uint64_t m_nextNumber = 1;
+    time_point m_openedAt = never;
+    time_point m_pingSentAt = never; ///< Of a ping without an answer.
+    time_point m_lastPingAt = never;
+    time_point m_endedAt = never;
+    bool m_isGreeted = false;
+    bool m_isLeaving = false;
+    bool m_isIsolated = false;
+    bool m_isSilent = false;
+    bool m_isEnded = false;
+};
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/relaysession.cpp
@@ -0,0 +1,311 @@
+#include "relaysession.h"
+
+#include "relaycodec.h"
+#include "systemclock.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace crocusdeal
+{
+
+namespace
+{
+
+constexpr std::size_t maxRunning = 2000; // Of one other instance.
+constexpr std::size_t maxUnsentBytes = 8'388'608; // One that does not read is cut off.
+
+}
+
+relay_session::relay_session(front_context &context,
+                             std::shared_ptr<byte_stream> stream,
+                             relay_surroundings surroundings)
+    : m_context(context)
+    , m_stream(std::move(stream))
+    , m_surroundings(std::move(surroundings))
+{
+}
+
+void relay_session::start()
+{
+    const auto self = shared_from_this();
+    m_stream->onData = [self](std::string &inbound) { self->takeData(inbound); };
+    m_stream->onClosed = [self](const std::string &reason) { self->ended(reason); };
+    m_stream->startReading();
+}
+
+void relay_session::close(const std::string &reason)
+{
+    m_stream->close();
+    ended(reason);
+}
+
+bool relay_session::hasWork() const
+{
+    return !m_running.empty() || !m_transactions.empty();
+}
+
+void relay_session::announceLeaving()
+{
+    if (!m_peer.empty()) {
+        send(relay_pong{0, true, m_surroundings.isIsolated()});
+    }
+}
+
+void relay_session::endTransactions()
+{
+    // One with a statement under way goes on, as its caller waits for an answer.
+    std::vector<std::uint64_t> resting;
+    for (const auto &[number, transaction] : m_transactions) {
+        if (!isStepRunning(number)) {
+            resting.push_back(number);
+        }
+    }
+    for (const auto number : resting) {
+        endTransaction(number);
+    }
+}
+
+bool relay_session::isStepRunning(std::uint64_t transaction) const
+{
+    return std::any_of(m_steps.begin(), m_steps.end(), [&](const auto &step) { return step.second == transaction; });
+}
+
+void relay_session::takeData(std::string &inbound)
+{
+    const auto self = shared_from_this();
+    std::size_t taken = 0;
+    while (!m_isEnded) {
+        std::size_t used = 0;
+        relay_message message;
+        const auto status = decodeRelay(std::string_view(inbound).substr(taken), used, message);
+        if (status == decode_status::Incomplete) {
+            break;
+        }
+        if (status != decode_status::Decoded) {
+            close("message cannot be read");
+            break;
+        }
+        taken += used;
+        takeMessage(message);
+    }
+    inbound.erase(0, taken);
+}
+
+void relay_session::takeMessage(const relay_message &message)
+{
+    if (const auto *hello = std::get_if<relay_hello>(&message)) {
+        takeHello(*hello);
+        return;
+    }
+    if (m_peer.empty()) {
+        close("greeting expected");
+        return;
+    }
+    if (const auto *ping = std::get_if<relay_ping>(&message)) {
+        send(relay_pong{ping->number, m_surroundings.isLeaving(), m_surroundings.isIsolated()});
+    } else if (const auto *run = std::get_if<relay_run>(&message)) {
+        takeRun(*run);
+    } else if (const auto *step = std::get_if<relay_step>(&message)) {
+        takeStep(*step);
+    } else if (const auto *abandon = std::get_if<relay_abandon>(&message)) {
+        takeAbandon(abandon->number);
+    } else if (const auto *rollback = std::get_if<relay_rollback>(&message)) {
+        endTransaction(rollback->transaction);
+    } else {
+        close("message is not expected");
+    }
+}
+
+void relay_session::takeHello(const relay_hello &hello)
+{
+    if (!m_peer.empty() || !m_surroundings.isMember(hello.from)) {
+        m_context.log.warn("relay_refused")
+            .field("peer", hello.from.str())
+            .field("reason", m_peer.empty() ? "no member of the fleet is known by this name" : "second greeting");
+        close("greeting refused");
+        return;
+    }
+    m_peer = hello.from;
+    send(relay_hello{m_surroundings.self.id, m_surroundings.self.incarnation});
+}
+
+void relay_session::takeRun(const relay_run &message)
+{
+    // After a stall of this process the other instance may have given up, and the caller as well.
+    const bool isExpired = message.arrivedAgo + m_surroundings.recentStall() >= message.route.statementTimeout;
+    if (m_surroundings.isLeaving() || isExpired) {
+        send(relay_not_served{message.number});
+        return;
+    }
+    if (m_running.size() >= maxRunning) {
+        refuse(message.number, error_code::Busy, "too many statements of one instance");
+        return;
+    }
+    const auto now = systemNow();
+    statement_order order;
+    order.request = message.request;
+    order.kind = message.kind;
+    order.prepared = message.prepared;
+    order.opens = message.opens;
+    order.route = message.route;
+    order.ownCommit = message.ownCommit;
+    order.arrivedAt = now - message.arrivedAgo;
+    order.startedAt = now - message.startedAgo;
+    session_values values;
+    values.values = message.values;
+    const auto number = message.number;
+    if (!m_running.emplace(number, nullptr).second) {
+        close("two statements of one number");
+        return;
+    }
+    auto run = m_surroundings.run(order, values, [self = shared_from_this(), number](const statement_outcome &outcome) {
+        self->answerRun(number, outcome);
+    });
+    const auto found = m_running.find(number);
+    if (!run) {
+        m_running.erase(number);
+        send(relay_not_served{number});
+    } else if (found != m_running.end()) {
+        found->second = std::move(run);
+    }
+}
+
+void relay_session::answerRun(std::uint64_t number, const statement_outcome &outcome)
+{
+    m_running.erase(number);
+    if (outcome.transaction && m_isEnded) {
+        outcome.transaction->end();
+        return;
+    }
+    if (outcome.transaction) {
+        m_transactions.emplace(number, outcome.transaction);
+    }
+    answer(number, outcome);
+}
+
+void relay_session::takeStep(const relay_step &message)
+{
+    const auto found = m_transactions.find(message.transaction);
+    if (found == m_transactions.end()) {
+        refuse(message.number, error_code::Aborted, "the transaction was rolled back");
+        return;
+    }
+    if (isStepRunning(message.transaction)) {
+        close("two statements of one transaction at once");
+        return;
+    }
+    session_values values;
+    values.values = message.values;
+    const auto number = message.number;
+    const auto transaction = found->second;
+    m_steps.emplace(number, message.transaction);
+    transaction->run(message.request,
+                     message.prepared,
+                     values,
+                     message.limit,
+                     [self = shared_from_this(), number, opened = message.transaction](
+                         const statement_outcome &outcome) { self->answerStep(number, opened, outcome); });
+}
+
+void relay_session::answerStep(std::uint64_t number, std::uint64_t transaction, const statement_outcome &outcome)
+{
+    m_steps.erase(number);
+    if (!outcome.transaction) {
+        m_transactions.erase(transaction);
+    }
+    answer(number, outcome);
+}
+
+void relay_session::takeAbandon(std::uint64_t number)
+{
+    const auto running = m_running.find(number);
+    if (running != m_running.end()) {
+        const auto run = running->second;
+        m_running.erase(running);
+        if (run) {
+            run->abandon();
+        }
+        return;
+    }
+    const auto step = m_steps.find(number);
+    endTransaction(step == m_steps.end() ? number : step->second);
+}
+
+void relay_session::endTransaction(std::uint64_t number)
+{
+    const auto found = m_transactions.find(number);
+    if (found == m_transactions.end()) {
+        return;
+    }
+    const auto transaction = found->second;
+    m_transactions.erase(found);
+    std::erase_if(m_steps, [&](const auto &step) { return step.second == number; });
+    transaction->end();
+}
+
+void relay_session::answer(std::uint64_t number, const statement_outcome &outcome)
+{
+    relay_answer message;
+    message.number = number;
+    message.reply = outcome.reply;
+    message.error = outcome.error;
+    message.errorText = outcome.errorText;
+    message.isOpen = outcome.transaction != nullptr;
+    send(message);
+}
+
+void relay_session::refuse(std::uint64_t number, error_code code, std::string text)
+{
+    relay_answer message;
+    message.number = number;
+    message.error = code;
+    message.errorText = std::move(text);
+    send(message);
+}
+
+void relay_session::send(const relay_message &message)
+{
+    if (m_isEnded) {
+        return;
+    }
+    std::string encoded;
+    if (!encodeRelay(message, encoded)) {
+        close("answer is too long");
+        return;
+    }
+    if (m_stream->unsentBytes() + encoded.size() > maxUnsentBytes) {
+        close("the other instance does not read");
+        return;
+    }
+    m_stream->send(encoded);
+}
+
+void relay_session::ended(const std::string &reason)
+{
+    if (std::exchange(m_isEnded, true)) {
+        return;
+    }
+    const auto self = shared_from_this();
+    m_context.log.info("relayed_session_ended")
+        .field("peer", m_peer.str())
+        .field("reason", reason)
+        .field("running", static_cast<std::int64_t>(m_running.size()))
+        .field("transactions", static_cast<std::int64_t>(m_transactions.size()));
+    for (const auto &[number, run] : std::exchange(m_running, {})) {
+        if (run) {
+            run->abandon();
+        }
+    }
+    m_steps.clear();
+    for (const auto &[number, transaction] : std::exchange(m_transactions, {})) {
+        transaction->end();
+    }
+    const auto handler = std::exchange(onEnded, nullptr);
+    if (handler) {
+        handler();
+    }
+}
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/relaysession.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "bytestream.h"
+#include "relaymessages.h"
+#include "servingplan.h"
+#include "targetpool.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace crocusdeal
+{
+
+/** What a session of another instance asks of this one. */
+struct relay_surroundings {
+    fleet_member self;
+    /** Whether an instance of this name belongs to the fleet, as far as it is known here. */
+    std::function<bool(const instance_id &)> isMember;
+    std::function<bool()> isLeaving;
+    std::function<bool()> isIsolated;
+    /** How long this process had not run until just now; what was received may be older by so much. */
+    std::function<duration()> recentStall;
+    /** Runs a statement at targets of this instance; null if the service is not known here. */
+    std::function<std::shared_ptr<running_statement>(const statement_order &, const session_values &, outcome_handler)>
+        run;
+};
+
+/** The session of another instance, which hands over statements of its callers. */
+class relay_session : public std::enable_shared_from_this<relay_session>
+{
+public:
+    relay_session(front_context &context, std::shared_ptr<byte_stream> stream, relay_surroundings surroundings);
+
+    std::function<void()> onEnded;
+
+    void start();
+    void close(const std::string &reason);
+    /** Whether statements run or transactions are open. */
+    bool hasWork() const;
+    /** Tells the other instance at once that this one leaves. */
+    void announceLeaving();
+    /** Rolls back the transactions that are open; their next statements are told so. */
+    void endTransactions();
+
+private:
+    void takeData(std::string &inbound);
+    void takeMessage(const relay_message &message);
+    void takeHello(const relay_hello &hello);
+    void takeRun(const relay_run &message);
+    void takeStep(const relay_step &message);
+    void takeAbandon(std::uint64_t number);
+    void endTransaction(std::uint64_t number);
+    bool isStepRunning(std::uint64_t transaction) const;
+    void answerRun(std::uint64_t number, const statement_outcome &outcome);
+    void answerStep(std::uint64_t number, std::uint64_t transaction, const statement_outcome &outcome);
+    void answer(std::uint64_t number, const statement_outcome &outcome);
+    void refuse(std::uint64_t number, error_code code, std::string text);
+    void send(const relay_message &message);
+    void ended(const std::string &reason);
+
+    front_context &m_context;
+    std::shared_ptr<byte_stream> m_stream;
+    relay_surroundings m_surroundings;
+    instance_id m_peer; ///< Empty until it has greeted.
+    std::map<std::uint64_t, std::shared_ptr<running_statement>> m_running;
+    std::map<std::uint64_t, std::shared_ptr<open_transaction>> m_transactions; ///< By the run that opened them.
+    std::map<std::uint64_t, std::uint64_t> m_steps; ///< That run, with their transactions.
+    bool m_isEnded = false;
+};
+
+}
--- a/src/libcrocusdealfront/statementrun.cpp
+++ b/src/libcrocusdealfront/statementrun.cpp
@@ -1,5 +1,6 @@
 #include "statementrun.h"
 
+#include "localtransaction.h"
 #include "systemclock.h"
 
 #include <algorithm>
@@ -67,7 +68,7 @@
                              std::shared_ptr<service_group> group,
                              statement_order order,
                              const session_values &values,
-                             std::function<void(statement_outcome)> done)
+                             outcome_handler done)
     : m_context(context)
     , m_group(std::move(group))
     , m_order(std::move(order))
@@ -308,8 +309,8 @@
 {
     const auto target = m_grant->target->entry().id;
     // A commit that has nothing to write succeeds also where the lead is lost.
-    const bool isEmptyCommit = m_order.request.what.kind == statement_kind::Commit;
-    const bool isProof = !isEmptyCommit && (m_grant->needsProof || opensPlain() || m_order.kind == effect::Write);
+    const bool isCommit = m_order.request.what.kind == statement_kind::Commit; // Of nothing: the first statement.
+    const bool isProof = !isCommit && (m_grant->needsProof || opensPlain() || m_order.kind == effect::Write);
     if (isProof) {
         m_group->noteLead(target, reply.at, reply.sentAt);
     }
@@ -324,10 +325,9 @@
         .field("attempts", m_attempts)
         .field("ms", (systemNow() - m_order.arrivedAt).ms);
     statement_outcome outcome;
-    if (opensTransaction()) {
-        m_group->endPermit(*m_grant);
-        outcome.kept = *m_grant;
-        m_grant.reset();
+    if (opensTransaction() && !isCommit) {
+        outcome.transaction = std::make_shared<local_transaction>(m_context, m_group, *m_grant, m_order);
+        m_group->endPermit(*std::exchange(m_grant, std::nullopt));
     } else if (std::exchange(m_isRollbackSent, false)) {
         m_grant.reset(); // The answer to the rollback releases it.
     } else {
@@ -513,10 +513,8 @@
         done(std::move(outcome));
         return;
     }
-    if (outcome.kept) {
-        // The caller has gone; closing the connection rolls back.
-        m_group->addPermit(*outcome.kept);
-        m_group->release(*outcome.kept, false);
+    if (outcome.transaction) {
+        outcome.transaction->end(); // The caller has gone.
     }
 }
 
--- a/src/libcrocusdealfront/statementrun.h
+++ b/src/libcrocusdealfront/statementrun.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "servicegroup.h"
-#include "sessionvalues.h"
-#include "wireprotocol.h"
+#include "statementorder.h"
 
 #include <functional>
 #include <memory>
@@ -13,27 +12,6 @@
 namespace crocusdeal
 {
 
-/** What a statement is to be run as. */
-struct statement_order {
-    caller_request request;
-    effect kind = effect::Read;
-    std::optional<prepared_shape> prepared; ///< Of Execute.
-    /** The transaction that the caller has begun and that this is the first statement of. */
-    std::optional<statement_kind> opens;
-    database_route route;
-    std::optional<position> ownCommit;
-    time_point arrivedAt;
-    time_point startedAt; ///< Of the operation: for the first statement of a transaction, when it was begun.
-};
-
-/** How a statement ended, for its caller. */
-struct statement_outcome {
-    target_reply reply; ///< Of the target, if there is no error of the product's own.
-    std::optional<error_code> error; ///< The product's own.
-    std::string errorText;
-    std::optional<target_grant> kept; ///< With the transaction open on it.
-};
-
 /** Adds the statement as the target has to see it. */
 void encodeStatement(const target_protocol &protocol,
                      std::string &out,
@@ -53,18 +31,17 @@
  *
  * It is sent again only while no target can have run it, or if it changes nothing.
  */
-class statement_run : public std::enable_shared_from_this<statement_run>
+class statement_run : public running_statement, public std::enable_shared_from_this<statement_run>
 {
 public:
     statement_run(front_context &context,
                   std::shared_ptr<service_group> group,
                   statement_order order,
                   const session_values &values,
-                  std::function<void(statement_outcome)> done);
+                  outcome_handler done);
 
     void start();
-    /** The caller has gone: gives up waiting; what is sent runs to its end. */
-    void abandon();
+    void abandon() override;
 
 private:
     void acquire();
@@ -97,7 +74,7 @@
     std::shared_ptr<service_group> m_group;
     statement_order m_order;
     session_values m_values;
-    std::function<void(statement_outcome)> m_done;
+    outcome_handler m_done;
     target_need m_need;
     std::optional<target_grant> m_grant;
     struct orphan_grant {
