Test relays between instances: load, loss, leave, strangers

Ruled out: the three first failures of these tests were of the stand-in, which answered a rollback before the delayed statement ahead of it; a database answers in order, and now the stand-in does.

--- /dev/null
+++ b/tests/libcrocusdealfront/relaycodectest.cpp
@@ -0,0 +1,156 @@
+#include "relaycodec.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace crocusdeal;
+
+namespace
+{
+
+relay_run someRun()
+{
+    relay_run run;
+    run.number = 9;
+    run.request = {"q1", {statement_kind::Execute, "EXECUTE s1 7 x", "s1", "7 x", effect::Write}};
+    run.kind = effect::Write;
+    run.prepared = prepared_shape{effect::Write, "shape"};
+    run.opens = statement_kind::Begin;
+    run.route.database = "lepu";
+    run.route.service = service_id("huvo");
+    run.route.readConsistency = consistency::ReadYourWrites;
+    run.route.statementTimeout = duration{800};
+    run.route.latencyObjective = duration{150};
+    run.route.priority = 2;
+    run.route.maxStaleness = duration{1500};
+    run.ownCommit = position{3, 12};
+    run.arrivedAgo = duration{4};
+    run.startedAgo = duration{90};
+    run.values = {{"mode", "a"}, {"zone", std::string("\0b", 2)}};
+    return run;
+}
+
+relay_answer someAnswer()
+{
+    relay_answer answer;
+    answer.number = 9;
+    answer.reply.rows = {"one", std::string(70000, 'x')};
+    answer.reply.signature = "7.1";
+    answer.reply.state = transaction_state::Open;
+    answer.reply.at = position{3, 13};
+    answer.error = error_code::Busy;
+    answer.errorText = "queue_time";
+    answer.isOpen = true;
+    return answer;
+}
+
+template<typename Message>
+Message throughTheWire(const Message &message)
+{
+    std::string bytes;
+    CPPUNIT_ASSERT(encodeRelay(message, bytes));
+    std::size_t used = 0;
+    relay_message read;
+    for (std::size_t length = 0; length < bytes.size(); length += 1 + length / 3) {
+        CPPUNIT_ASSERT(decodeRelay(std::string_view(bytes).substr(0, length), used, read) == decode_status::Incomplete);
+    }
+    CPPUNIT_ASSERT(decodeRelay(bytes, used, read) == decode_status::Decoded);
+    CPPUNIT_ASSERT_EQUAL(bytes.size(), used);
+    return std::get<Message>(read);
+}
+
+}
+
+class relay_codec_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(relay_codec_test);
+    CPPUNIT_TEST(carriesEveryFieldOfARun);
+    CPPUNIT_TEST(carriesEveryFieldOfAnAnswer);
+    CPPUNIT_TEST(refusesOtherVersionsAndLengths);
+    CPPUNIT_TEST(survivesChangedBytes);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against a field that is lost on the way, such as the position that a read needs. */
+    void carriesEveryFieldOfARun()
+    {
+        const auto sent = someRun();
+        const auto read = throughTheWire(sent);
+        CPPUNIT_ASSERT(read.number == sent.number && read.request.id == sent.request.id);
+        CPPUNIT_ASSERT(read.request.what.text == sent.request.what.text);
+        CPPUNIT_ASSERT(read.request.what.kind == sent.request.what.kind);
+        CPPUNIT_ASSERT(read.request.what.name == sent.request.what.name);
+        CPPUNIT_ASSERT(read.request.what.argument == sent.request.what.argument);
+        CPPUNIT_ASSERT(read.request.what.preparedEffect == sent.request.what.preparedEffect);
+        CPPUNIT_ASSERT(read.kind == sent.kind && read.prepared == sent.prepared && read.opens == sent.opens);
+        CPPUNIT_ASSERT(read.route.database == sent.route.database && read.route.service == sent.route.service);
+        CPPUNIT_ASSERT(read.route.readConsistency == sent.route.readConsistency);
+        CPPUNIT_ASSERT(read.route.statementTimeout == sent.route.statementTimeout);
+        CPPUNIT_ASSERT(read.route.latencyObjective == sent.route.latencyObjective);
+        CPPUNIT_ASSERT(read.route.priority == sent.route.priority);
+        CPPUNIT_ASSERT(read.route.maxStaleness == sent.route.maxStaleness);
+        CPPUNIT_ASSERT(read.ownCommit == sent.ownCommit && read.values == sent.values);
+        CPPUNIT_ASSERT(read.arrivedAgo == sent.arrivedAgo && read.startedAgo == sent.startedAgo);
+    }
+
+    /** Guards against an answer that arrives with other rows, or without its outcome. */
+    void carriesEveryFieldOfAnAnswer()
+    {
+        const auto sent = someAnswer();
+        const auto read = throughTheWire(sent);
+        CPPUNIT_ASSERT(read.reply.rows == sent.reply.rows && read.reply.signature == sent.reply.signature);
+        CPPUNIT_ASSERT(read.reply.state == sent.reply.state && read.reply.at == sent.reply.at);
+        CPPUNIT_ASSERT(read.error == sent.error && read.errorText == sent.errorText && read.isOpen);
+    }
+
+    /** Guards against instances of another version that are half understood, and against unbounded buffers. */
+    void refusesOtherVersionsAndLengths()
+    {
+        std::string bytes;
+        encodeRelay(relay_ping{1}, bytes);
+        std::size_t used = 0;
+        relay_message read;
+        auto other = bytes;
+        other[4] = static_cast<char>(relayProtocolVersion + 1);
+        CPPUNIT_ASSERT(decodeRelay(other, used, read) == decode_status::Malformed);
+        auto unknown = bytes;
+        unknown[5] = 99;
+        CPPUNIT_ASSERT(decodeRelay(unknown, used, read) == decode_status::Malformed);
+        CPPUNIT_ASSERT(decodeRelay("\xff\xff\xff\xff\x01\x01", used, read) == decode_status::TooLarge);
+        CPPUNIT_ASSERT(decodeRelay(std::string_view("\0\0\0\1\1\1", 6), used, read) == decode_status::Malformed);
+        relay_answer huge;
+        huge.reply.rows.assign(9, std::string(1'000'000, 'x'));
+        std::string out;
+        CPPUNIT_ASSERT(!encodeRelay(huge, out) && out.empty());
+    }
+
+    /** Guards against a message that ends the process, or asks for memory that it does not fill. */
+    void survivesChangedBytes()
+    {
+        std::string run;
+        encodeRelay(someRun(), run);
+        std::string answer;
+        encodeRelay(someAnswer(), answer);
+        rc::check("any bytes changed", [&] {
+            auto bytes = *rc::gen::elementOf(std::vector<std::string>{run, answer});
+            const auto changes = *rc::gen::inRange(1, 6);
+            for (int i = 0; i < changes; ++i) {
+                bytes[*rc::gen::inRange<std::size_t>(0, std::min<std::size_t>(bytes.size(), 300))] =
+                    static_cast<char>(*rc::gen::inRange(0, 256));
+            }
+            std::size_t used = 0;
+            relay_message read;
+            if (decodeRelay(bytes, used, read) == decode_status::Decoded) {
+                RC_ASSERT(used <= bytes.size());
+            }
+        });
+        rc::check("any bytes", [](const std::string &bytes) {
+            std::size_t used = 0;
+            relay_message read;
+            decodeRelay(bytes, used, read);
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(relay_codec_test);
--- a/tests/platform/linedatabase.cpp
+++ b/tests/platform/linedatabase.cpp
@@ -1,5 +1,7 @@
 #include "linedatabase.h"
 
+#include "systemclock.h"
+
 #include <asio/ip/address.hpp>
 
 #include <algorithm>
@@ -17,6 +19,7 @@
     std::vector<std::string> writes; ///< Of the open transaction.
     std::map<std::string, std::string> values;
     std::map<std::string, std::string> prepared; ///< Name to "READ" or "WRITE".
+    time_point answersAt = never; ///< Of the last one.
 };
 
 line_database::line_database(line_database_group &group, std::string id)
@@ -275,8 +278,11 @@
         --faults.swallowAnswers;
         return;
     }
-    if (isData && faults.answerDelay > duration{}) {
-        m_group.deadlines.scheduleAfter(faults.answerDelay, [connection, text] { connection->stream->send(text); });
+    // Answers keep the order of their statements.
+    const auto now = systemNow();
+    connection->answersAt = std::max(connection->answersAt, isData ? now + faults.answerDelay : now);
+    if (connection->answersAt > now) {
+        m_group.deadlines.schedule(connection->answersAt, [connection, text] { connection->stream->send(text); });
         return;
     }
     connection->stream->send(text);
--- /dev/null
+++ b/tests/platform/relayworld.cpp
@@ -0,0 +1,108 @@
+#include "relayworld.h"
+
+#include "servingplan.h"
+
+#include <asio/ip/address.hpp>
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace crocusdeal::test
+{
+
+namespace
+{
+
+std::uint16_t freePort(asio::io_context &io)
+{
+    asio::ip::tcp::acceptor acceptor(io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return acceptor.local_endpoint().port();
+}
+
+}
+
+relay_world::relay_world(int count, int connections)
+{
+    for (auto &[service, policy] : world.configuration.services) {
+        policy.maxConnections = connections;
+    }
+    world.store.setConfiguration(world.configuration);
+    for (int i = 1; i <= count; ++i) {
+        auto settings = world.settings;
+        settings.instance = instance_id("front-" + std::to_string(i));
+        settings.callerAddress.port = freePort(world.io);
+        settings.readinessAddress.port = freePort(world.io);
+        settings.relayAddress = host_port{"127.0.0.1", freePort(world.io)};
+        const auto node = std::make_shared<front>(world.context, settings, world.store, world.store);
+        if (const auto problem = node->start(); !problem.empty()) {
+            throw std::runtime_error(problem);
+        }
+        fronts.emplace(settings.instance.str(), node);
+        m_settings.emplace(settings.instance.str(), settings);
+    }
+    world.runUntil([this] {
+        return std::all_of(fronts.begin(), fronts.end(), [](const auto &entry) { return entry.second->isReady(); });
+    });
+    // The members are listed half a second after the start; then the links are opened.
+    world.runFor(duration{1200});
+}
+
+relay_world::~relay_world()
+{
+    for (const auto &[name, node] : fronts) {
+        node->close();
+    }
+}
+
+std::unique_ptr<line_client> relay_world::connect(const std::string &front, const std::string &database)
+{
+    auto client = std::make_unique<line_client>(world.io, m_settings.at(front).callerAddress);
+    client->send("STARTUP " + database + " tester");
+    world.runUntil([&] { return client->hasAnswer() || client->isClosed(); });
+    if (client->hasAnswer()) {
+        client->takeAnswer();
+    }
+    return client;
+}
+
+std::string relay_world::ask(line_client &client, const std::string &text)
+{
+    client.send("QUERY r" + std::to_string(m_nextId++) + " " + text);
+    if (!world.runUntil([&] { return client.hasAnswer() || client.isClosed(); })) {
+        return "no answer";
+    }
+    return client.hasAnswer() ? client.takeAnswer() : "closed";
+}
+
+void relay_world::kill(const std::string &front)
+{
+    fronts.at(front)->close();
+    fronts.erase(front);
+}
+
+std::string relay_world::serving() const
+{
+    std::vector<instance_id> members;
+    for (const auto &[name, node] : fronts) {
+        members.emplace_back(name);
+    }
+    return relayOrder(service_id("svc"), members, 1, instance_id("nobody")).front().str();
+}
+
+std::vector<std::string> relay_world::relays() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, node] : fronts) {
+        if (name != serving()) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+const front_settings &relay_world::settingsOf(const std::string &front) const
+{
+    return m_settings.at(front);
+}
+
+}
