Watch the store with fewer current readings

Ruled out: dropping the current list, as watches may be old. Conclusion: a silent watch is found by the cheap check beside it, not by its own length.

--- a/src/libcrocusdealfront/storefeed.cpp
+++ b/src/libcrocusdealfront/storefeed.cpp
@@ -14,12 +14,12 @@
 
 constexpr duration retryTime{250};
 constexpr duration longestRetry{500}; // The configuration has to be in force soon after the store is back.
-constexpr duration configurationWait{10000};
+constexpr duration configurationWait{25000}; // The check beside it finds out soon if this watch has gone silent.
 constexpr duration targetWait{2000};
 constexpr duration promptAnswer{
     300}; // A later answer was held up, and says nothing of the time since it was asked for.
-constexpr duration targetListAge{20000}; // The watch may be old, so a current list follows now and then.
-constexpr duration dutyWait{10000}; // Records change seldom, and a claim finds out in any case.
+constexpr duration targetListAge{60000}; // The watch may be old, so a current list follows now and then.
+constexpr duration dutyWait{25000}; // Records change seldom, and a claim finds out in any case.
 constexpr duration shortestWait{500};
 constexpr duration longestChangePause{400};
 constexpr std::size_t maxIgnoredKnown = 1000;
