Find the serving instances again at once after a start of the whole fleet

Cause: after a loss of power of all machines each instance served all services itself until the list of the instances was read half a second later; 2,147 connections were refused for the limit. Greetings of instances that were not known yet were refused and repeated. Ruled out: waiting longer than the store takes, as members are known in milliseconds. Conclusion: statements of the first two seconds wait up to 200 ms for a link; the list is read at the start.

--- a/src/libcrocusdealfront/fleetfeed.cpp
+++ b/src/libcrocusdealfront/fleetfeed.cpp
@@ -33,7 +33,8 @@
 void fleet_feed::start()
 {
     announce();
-    listAfter(firstListDelay);
+    // The entries of the others outlive a restart of the whole fleet.
+    list();
 }
 
 void fleet_feed::stop()
@@ -97,12 +98,18 @@
         m_context.log.warn("instance_entry_ignored").field("entry", entry.name).field("reason", entry.reason);
     }
     if (news.failure == store_failure::None) {
+        m_isKnown = true;
         onMembers(news.members);
     }
     listAfter(m_listDelay);
     m_listDelay = std::min(longestListDelay, m_listDelay * 2);
 }
 
+bool fleet_feed::isKnown() const
+{
+    return m_isKnown;
+}
+
 void fleet_feed::refreshSoon()
 {
     if (m_isStopped || m_isListing) {
--- a/src/libcrocusdealfront/fleetfeed.h
+++ b/src/libcrocusdealfront/fleetfeed.h
@@ -22,6 +22,8 @@
     void start();
     /** Ends reading, and takes the announcement back. */
     void stop();
+    /** Whether the list has been read once. */
+    bool isKnown() const;
     /** Reads the list again soon, at most a few times a second. */
     void refreshSoon();
 
@@ -40,6 +42,7 @@
     deadline_queue::handle m_listTimer = 0;
     std::uint64_t m_revision = 0; ///< Of the announcement; 0 while there is none.
     bool m_isListing = false;
+    bool m_isKnown = false;
     bool m_isStopped = false;
 };
 
--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -31,6 +31,7 @@
 constexpr duration shortestShutdown{2200};
 constexpr duration quietTime{250}; // The last answers are on their way, and new sessions may be.
 constexpr duration endMargin{300};
+constexpr duration longestFleetWait{1000};
 constexpr duration stallMargin{150};
 constexpr std::size_t fewestJudgedServices = 3;
 
@@ -160,13 +161,15 @@
                                               const session_values &values,
                                               outcome_handler done)
 {
-    if (!m_relays || !m_relays->next(order.route.service, {})) {
+    const auto &service = order.route.service;
+    if (!m_relays || (!m_relays->next(service, {}) && !m_relays->isSettling(service))) {
         return runHere(order, values, std::move(done));
     }
     relay_choice choice;
-    choice.next = [relays = m_relays](const service_id &service, const std::set<instance_id> &avoid) {
-        return relays->next(service, avoid);
+    choice.next = [relays = m_relays](const service_id &wanted, const std::set<instance_id> &avoid) {
+        return relays->next(wanted, avoid);
     };
+    choice.isSettling = [relays = m_relays](const service_id &wanted) { return relays->isSettling(wanted); };
     choice.runHere = [self = shared_from_this()](
                          const statement_order &again, const session_values &state, outcome_handler handler) {
         return self->runHere(again, state, std::move(handler));
@@ -524,7 +527,8 @@
 
 bool front::isReady() const
 {
-    return m_shutdownAt == never && m_configuration && m_areTargetsKnown && m_isolatedSince == never;
+    const bool isFleetKnown = !m_fleet || m_fleet->isKnown() || systemNow() - m_startedAt > longestFleetWait;
+    return m_shutdownAt == never && m_configuration && m_areTargetsKnown && isFleetKnown && m_isolatedSince == never;
 }
 
 http_response front::answerReadiness(const std::string &path) const
--- a/src/libcrocusdealfront/relayedstatement.cpp
+++ b/src/libcrocusdealfront/relayedstatement.cpp
@@ -3,6 +3,7 @@
 #include "relayedtransaction.h"
 #include "systemclock.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace crocusdeal
@@ -12,6 +13,9 @@
 {
 
 constexpr std::size_t maxRelays = 2; // Then it is run here.
+constexpr duration settleInterval{15};
+constexpr duration longestSettling{200};
+constexpr int settlingShare = 2; // Of the latency objective.
 constexpr duration answerMargin{40}; // In which the outcome of the other instance's own limit arrives.
 
 }
@@ -58,6 +62,13 @@
 void relayed_statement::tryNext()
 {
     const auto link = m_tried.size() < maxRelays ? m_choice.next(m_order.route.service, m_tried) : nullptr;
+    if (!link && mayWait()) {
+        m_waitTimer = m_context.deadlines.scheduleAfter(settleInterval, [self = shared_from_this()] {
+            self->m_waitTimer = 0;
+            self->tryNext();
+        });
+        return;
+    }
     if (!link) {
         runHere();
         return;
@@ -77,6 +88,12 @@
     m_number = m_link == link ? *number : m_number;
 }
 
+bool relayed_statement::mayWait() const
+{
+    const auto latest = m_order.arrivedAt + std::min(longestSettling, m_order.route.latencyObjective / settlingShare);
+    return m_tried.empty() && systemNow() < latest && m_choice.isSettling(m_order.route.service);
+}
+
 relay_run relayed_statement::messageOf() const
 {
     const auto now = systemNow();
@@ -188,6 +205,7 @@
     }
     const auto self = shared_from_this();
     m_context.deadlines.cancel(m_limit);
+    m_context.deadlines.cancel(m_waitTimer);
     m_link.reset();
     m_here.reset();
     const auto done = std::exchange(m_done, nullptr);
--- a/src/libcrocusdealfront/relayedstatement.h
+++ b/src/libcrocusdealfront/relayedstatement.h
@@ -14,6 +14,8 @@
 struct relay_choice {
     /** The link to the instance that is to get the next statement, without those to avoid; null for this instance. */
     std::function<std::shared_ptr<relay_link>(const service_id &, const std::set<instance_id> &avoid)> next;
+    /** Whether the links to those instances are just being opened, so that a moment's wait finds one. */
+    std::function<bool(const service_id &)> isSettling;
     /** Runs a statement at targets of this instance; null if the service is not known here. */
     std::function<std::shared_ptr<running_statement>(const statement_order &, const session_values &, outcome_handler)>
         runHere;
@@ -41,6 +43,7 @@
     bool keepsNothing() const;
     void tryNext();
     void runHere();
+    bool mayWait() const;
     relay_run messageOf() const;
     void takeResult(const std::shared_ptr<relay_link> &link, std::uint64_t number, relay_result result);
     void takeLoss(const std::string &reason);
@@ -58,6 +61,7 @@
     std::uint64_t m_number = 0;
     std::shared_ptr<running_statement> m_here;
     deadline_queue::handle m_limit = 0;
+    deadline_queue::handle m_waitTimer = 0;
     bool m_isBegun = false; ///< Another instance may have begun it.
     bool m_isEnded = false;
 };
--- a/src/libcrocusdealfront/relayhub.cpp
+++ b/src/libcrocusdealfront/relayhub.cpp
@@ -13,6 +13,9 @@
 {
 
 constexpr duration linkRetry{400};
+// Instances that lose power together start together, and one listens a moment before the other.
+constexpr duration youngTime{2000};
+constexpr duration youngLinkRetry{60};
 constexpr std::size_t standbys = 2; // Instances with a link that serve in the place of those that have failed.
 
 }
@@ -21,6 +24,7 @@
     : m_context(context)
     , m_surroundings(std::move(surroundings))
     , m_acceptor(context.io)
+    , m_createdAt(systemNow())
 {
     m_members.emplace(m_surroundings.self.id, m_surroundings.self);
     m_surroundings.isMember = [this](const instance_id &id) {
@@ -81,6 +85,11 @@
         }
     }
     m_known.insert(self.id);
+    m_areMembersKnown = true;
+    const auto sessions = m_sessions;
+    for (const auto &session : sessions) {
+        session->membersChanged();
+    }
     const int count = static_cast<int>(dataCentres.size());
     if (here == m_members && count == m_dataCentres) {
         return;
@@ -129,9 +138,14 @@
     return plan;
 }
 
+bool relay_hub::isUnplanned() const
+{
+    return !m_areMembersKnown && isYoung(systemNow());
+}
+
 bool relay_hub::servesHere(const service_id &service)
 {
-    return planOf(service).isServedHere;
+    return !isUnplanned() && planOf(service).isServedHere;
 }
 
 bool relay_hub::isRelayedTo(const service_id &service)
@@ -142,6 +156,9 @@
 
 std::shared_ptr<relay_link> relay_hub::next(const service_id &service, const std::set<instance_id> &avoid)
 {
+    if (isUnplanned()) {
+        return nullptr;
+    }
     const auto &plan = planOf(service);
     if (plan.isServedHere) {
         return nullptr;
@@ -158,6 +175,19 @@
     return nullptr;
 }
 
+bool relay_hub::isYoung(time_point now) const
+{
+    return now - m_createdAt < youngTime;
+}
+
+bool relay_hub::isSettling(const service_id &service)
+{
+    if (isUnplanned()) {
+        return true;
+    }
+    return isYoung(systemNow()) && !planOf(service).isServedHere && !next(service, {});
+}
+
 bool relay_hub::areServersIsolated() const
 {
     std::size_t usable = 0;
@@ -179,6 +209,7 @@
         }
     }
     wanted.erase(m_surroundings.self.id);
+    const auto retry = isYoung(now) ? youngLinkRetry : linkRetry;
     const auto links = m_links;
     for (const auto &[id, link] : links) {
         const auto member = m_members.find(id);
@@ -186,7 +217,7 @@
         if (!link->isEnded() && (isReplaced || !wanted.contains(id))) {
             link->close("not needed");
         }
-        if (isReplaced || (link->isEnded() && now - link->endedAt() >= linkRetry)) {
+        if (isReplaced || (link->isEnded() && now - link->endedAt() >= retry)) {
             m_links.erase(id);
         }
     }
--- a/src/libcrocusdealfront/relayhub.h
+++ b/src/libcrocusdealfront/relayhub.h
@@ -38,6 +38,8 @@
     bool isRelayedTo(const service_id &service);
     /** The link to the instance that gets the next statement; null if that is this one. */
     std::shared_ptr<relay_link> next(const service_id &service, const std::set<instance_id> &avoid);
+    /** Whether this instance has just started and is still opening its links to those that serve. */
+    bool isSettling(const service_id &service);
     /** Whether the instances that serve in the place of this one have said that they reach too few targets. */
     bool areServersIsolated() const;
 
@@ -62,6 +64,9 @@
     /** Opens links to the instances that may get statements of this one. */
     void openLinks(time_point now);
     void openLink(const fleet_member &member);
+    bool isYoung(time_point now) const;
+    /** Whether the members are about to be known, so that nothing can be planned yet. */
+    bool isUnplanned() const;
 
     front_context &m_context;
     relay_surroundings m_surroundings;
@@ -73,6 +78,8 @@
     std::map<service_id, service_plan> m_plans; ///< Worked out when first needed.
     std::map<instance_id, std::shared_ptr<relay_link>> m_links;
     std::set<std::shared_ptr<relay_session>> m_sessions;
+    time_point m_createdAt;
+    bool m_areMembersKnown = false;
     bool m_isClosed = false;
 };
 
--- a/src/libcrocusdealfront/relaylink.cpp
+++ b/src/libcrocusdealfront/relaylink.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-constexpr duration openingLimit{600};
+constexpr duration openingLimit{2000}; // The other instance may have to read the list of the instances first.
 constexpr duration busyPingInterval{100};
 constexpr duration idlePingInterval{400};
 // A live instance answers within milliseconds; work that changes nothing goes elsewhere then.
--- a/src/libcrocusdealfront/relaysession.cpp
+++ b/src/libcrocusdealfront/relaysession.cpp
@@ -13,6 +13,7 @@
 namespace
 {
 
+constexpr duration greetingTime{1500}; // In which the list of the instances is read afresh.
 constexpr std::size_t maxRunning = 2000; // Of one other instance.
 constexpr std::size_t maxUnsentBytes = 8'388'608; // One that does not read is cut off.
 
@@ -32,6 +33,10 @@
     const auto self = shared_from_this();
     m_stream->onData = [self](std::string &inbound) { self->takeData(inbound); };
     m_stream->onClosed = [self](const std::string &reason) { self->ended(reason); };
+    m_greetingLimit = m_context.deadlines.scheduleAfter(greetingTime, [self] {
+        self->m_greetingLimit = 0;
+        self->refuseGreeting();
+    });
     m_stream->startReading();
 }
 
@@ -120,17 +125,39 @@
 
 void relay_session::takeHello(const relay_hello &hello)
 {
-    if (!m_peer.empty() || !m_surroundings.isMember(hello.from)) {
-        m_context.log.warn("relay_refused")
-            .field("peer", hello.from.str())
-            .field("reason", m_peer.empty() ? "no member of the fleet is known by this name" : "second greeting");
-        close("greeting refused");
+    if (!m_peer.empty() || m_waiting) {
+        close("greeted twice");
         return;
     }
-    m_peer = hello.from;
+    m_waiting = hello;
+    if (m_surroundings.isMember(hello.from)) {
+        greet();
+    }
+}
+
+void relay_session::membersChanged()
+{
+    if (m_waiting && m_surroundings.isMember(m_waiting->from)) {
+        greet();
+    }
+}
+
+void relay_session::greet()
+{
+    m_context.deadlines.cancel(m_greetingLimit);
+    m_peer = m_waiting->from;
+    m_waiting.reset();
     send(relay_hello{m_surroundings.self.id, m_surroundings.self.incarnation});
 }
 
+void relay_session::refuseGreeting()
+{
+    m_context.log.warn("relay_refused")
+        .field("peer", m_waiting ? m_waiting->from.str() : "none")
+        .field("reason", m_waiting ? "no member of the fleet is known by this name" : "no greeting");
+    close("greeting refused");
+}
+
 void relay_session::takeRun(const relay_run &message)
 {
     // After a stall of this process the other instance may have given up, and the caller as well.
@@ -288,6 +315,7 @@
         return;
     }
     const auto self = shared_from_this();
+    m_context.deadlines.cancel(m_greetingLimit);
     m_context.log.info("relayed_session_ended")
         .field("peer", m_peer.str())
         .field("reason", reason)
--- a/src/libcrocusdealfront/relaysession.h
+++ b/src/libcrocusdealfront/relaysession.h
@@ -39,6 +39,8 @@
     void close(const std::string &reason);
     /** Whether statements run or transactions are open. */
     bool hasWork() const;
+    /** The fleet is known afresh; a greeting that waits for that is answered. */
+    void membersChanged();
     /** Tells the other instance at once that this one leaves. */
     void announceLeaving();
     /** Rolls back the transactions that are open; their next statements are told so. */
@@ -48,6 +50,8 @@
     void takeData(std::string &inbound);
     void takeMessage(const relay_message &message);
     void takeHello(const relay_hello &hello);
+    void greet();
+    void refuseGreeting();
     void takeRun(const relay_run &message);
     void takeStep(const relay_step &message);
     void takeAbandon(std::uint64_t number);
@@ -64,6 +68,8 @@
     std::shared_ptr<byte_stream> m_stream;
     relay_surroundings m_surroundings;
     instance_id m_peer; ///< Empty until it has greeted.
+    std::optional<relay_hello> m_waiting; ///< Of an instance that is not known yet.
+    deadline_queue::handle m_greetingLimit = 0;
     std::map<std::uint64_t, std::shared_ptr<running_statement>> m_running;
     std::map<std::uint64_t, std::shared_ptr<open_transaction>> m_transactions; ///< By the run that opened them.
     std::map<std::uint64_t, std::uint64_t> m_steps; ///< That run, with their transactions.
