Tell isolation at once, and keep links over restarts of the other side

Ruled out: judging by own targets, which a relay does not have. Conclusion: state goes out with its change; the instances that get the next statements count.

--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -513,7 +513,11 @@
         m_context.log.warn(isIsolated ? "targets_out_of_reach" : "targets_within_reach")
             .field("other_data_centres_silent", areOthersSilent ? 1 : 0)
             .field("services_cut_off", static_cast<std::int64_t>(cutOff))
-            .field("services", static_cast<std::int64_t>(m_keepers.size()));
+            .field("services", static_cast<std::int64_t>(m_keepers.size()))
+            .field("servers_isolated", areServersIsolated ? 1 : 0);
+        if (m_relays) {
+            m_relays->announceState();
+        }
     }
     if (m_isolatedSince == never || now - m_isolatedSince < balancerTime || m_shutdownAt != never) {
         return;
@@ -572,7 +576,7 @@
         keeper->stop();
     }
     if (m_relays) {
-        m_relays->announceLeaving();
+        m_relays->announceState();
         m_fleet->stop();
     }
     const auto self = shared_from_this();
--- a/src/libcrocusdealfront/relayhub.cpp
+++ b/src/libcrocusdealfront/relayhub.cpp
@@ -188,15 +188,16 @@
     return isYoung(systemNow()) && !planOf(service).isServedHere && !next(service, {});
 }
 
-bool relay_hub::areServersIsolated() const
+bool relay_hub::areServersIsolated()
 {
-    std::size_t usable = 0;
+    std::size_t relayed = 0;
     std::size_t isolated = 0;
-    for (const auto &[id, link] : m_links) {
-        usable += link->isUsable() ? 1 : 0;
-        isolated += link->isUsable() && link->isPeerIsolated() ? 1 : 0;
+    for (const auto &[service, policy] : m_policies) {
+        const auto link = next(service, {});
+        relayed += link ? 1 : 0;
+        isolated += link && link->isPeerIsolated() ? 1 : 0;
     }
-    return usable > 0 && isolated * 2 > usable;
+    return relayed > 0 && isolated * 2 > relayed;
 }
 
 void relay_hub::openLinks(time_point now)
@@ -213,7 +214,9 @@
     const auto links = m_links;
     for (const auto &[id, link] : links) {
         const auto member = m_members.find(id);
-        const bool isReplaced = member == m_members.end() || member->second != link->peer();
+        // Another incarnation at the same address has ended the link itself.
+        const bool isReplaced =
+            member == m_members.end() || member->second.relayAddress != link->peer().relayAddress;
         if (!link->isEnded() && (isReplaced || !wanted.contains(id))) {
             link->close("not needed");
         }
@@ -248,10 +251,11 @@
     openLinks(now);
 }
 
-void relay_hub::announceLeaving()
+void relay_hub::announceState()
 {
-    for (const auto &session : m_sessions) {
-        session->announceLeaving();
+    const auto sessions = m_sessions;
+    for (const auto &session : sessions) {
+        session->announceState();
     }
 }
 
--- a/src/libcrocusdealfront/relayhub.h
+++ b/src/libcrocusdealfront/relayhub.h
@@ -40,12 +40,12 @@
     std::shared_ptr<relay_link> next(const service_id &service, const std::set<instance_id> &avoid);
     /** Whether this instance has just started and is still opening its links to those that serve. */
     bool isSettling(const service_id &service);
-    /** Whether the instances that serve in the place of this one have said that they reach too few targets. */
-    bool areServersIsolated() const;
+    /** Whether the instances that serve most services for this one have said that they reach too few targets. */
+    bool areServersIsolated();
 
     void tick(time_point now, duration ownStall);
-    /** Tells the other instances to hand over nothing more. */
-    void announceLeaving();
+    /** Tells the other instances at once whether this one leaves or reaches too few targets. */
+    void announceState();
     void endTransactions();
     /** Whether statements of other instances run here. */
     bool hasWork() const;
--- a/src/libcrocusdealfront/relaysession.cpp
+++ b/src/libcrocusdealfront/relaysession.cpp
@@ -51,10 +51,10 @@
     return !m_running.empty() || !m_transactions.empty();
 }
 
-void relay_session::announceLeaving()
+void relay_session::announceState()
 {
     if (!m_peer.empty()) {
-        send(relay_pong{0, true, m_surroundings.isIsolated()});
+        send(relay_pong{0, m_surroundings.isLeaving(), m_surroundings.isIsolated()});
     }
 }
 
--- a/src/libcrocusdealfront/relaysession.h
+++ b/src/libcrocusdealfront/relaysession.h
@@ -41,8 +41,8 @@
     bool hasWork() const;
     /** The fleet is known afresh; a greeting that waits for that is answered. */
     void membersChanged();
-    /** Tells the other instance at once that this one leaves. */
-    void announceLeaving();
+    /** Tells the other instance at once whether this one leaves or reaches too few targets. */
+    void announceState();
     /** Rolls back the transactions that are open; their next statements are told so. */
     void endTransactions();
 
