--- a/tests/platform/frontconnectiontest.cpp
+++ b/tests/platform/frontconnectiontest.cpp
@@ -83,9 +83,14 @@
         entry.service = service_id("svc");
         entry.address = database.address();
         const auto pool = std::make_shared<target_pool>(world.context, entry, 12);
-        world.group.at("b").faults.startupDelay = 300_ms;
+        pool->openMore();
+        CPPUNIT_ASSERT(world.runUntil([&] { return pool->hasIdle(); }));
+        const auto idle = pool->takeIdle();
+        world.group.at("b").faults.startupDelay = 500_ms;
+        world.group.at("b").faults.controlDelay = 200_ms;
         std::vector<control_reply> late;
         pool->control(control_statement::Status, 0, 100_ms, [&](control_reply reply) { late.push_back(reply); });
+        pool->giveBack(idle);
         std::vector<control_reply> patient;
         pool->control(control_statement::Status, 0, 800_ms, [&](control_reply reply) { patient.push_back(reply); });
         CPPUNIT_ASSERT(world.runUntil([&] { return !late.empty(); }));
--- a/tests/platform/linedatabase.cpp
+++ b/tests/platform/linedatabase.cpp
@@ -280,7 +280,7 @@
     }
     // Answers keep the order of their statements.
     const auto now = systemNow();
-    connection->answersAt = std::max(connection->answersAt, isData ? now + faults.answerDelay : now);
+    connection->answersAt = std::max(connection->answersAt, now + (isData ? faults.answerDelay : faults.controlDelay));
     if (connection->answersAt > now) {
         m_group.deadlines.schedule(connection->answersAt, [connection, text] { connection->stream->send(text); });
         return;
--- a/tests/platform/linedatabase.h
+++ b/tests/platform/linedatabase.h
@@ -27,6 +27,7 @@
     int failReads = 0; ///< So many are run and answered with a failure.
     bool isDeaf = false; ///< Does not receive commits.
     duration answerDelay{0}; ///< Of reads, writes and commits.
+    duration controlDelay{0}; ///< Of other statements.
     duration startupDelay{0}; ///< Of the answer to a start-up.
     int connectionLimit = 1000; ///< Start-ups beyond it are refused.
 };
