Ignore the late answer to a statement whose caller has left

Cause: a caller leaves, its read is given up as late (hedge), and retry() ended without a new generation; when the target answered after all, the answer was taken for that of the attempt in progress, which holds no target: SIGSEGV. After a suspension all three come together, hence the ends 4 to 13 ms after a freeze. Ruled out, by reading: nested deadlines, the control connection, callbacks on closed links. Before: lateAnswerForACallerThatHasLeftEndsNothing ends with 139 (test_platform). Conclusion: the generation changes before anything else in retry().

--- a/src/libcrocusdealfront/statementrun.cpp
+++ b/src/libcrocusdealfront/statementrun.cpp
@@ -411,6 +411,8 @@
 
 void statement_run::retry(const char *why)
 {
+    // Also if the caller has gone: what was given up may still be answered.
+    ++m_generation;
     if (!m_done) {
         finish({}); // The caller has gone.
         return;
@@ -422,7 +424,6 @@
         .field("why", why)
         .field("attempts", m_attempts)
         .field("ms", (systemNow() - m_order.arrivedAt).ms);
-    ++m_generation;
     if (m_attempts >= maxAttempts) {
         fail(unkeptCode(), why);
         return;
--- a/tests/platform/frontfreezetest.cpp
+++ b/tests/platform/frontfreezetest.cpp
@@ -71,10 +71,36 @@
 class front_freeze_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(front_freeze_test);
+    CPPUNIT_TEST(lateAnswerForACallerThatHasLeftEndsNothing);
     CPPUNIT_TEST(deadlinesThatLapseTogetherEndNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /**
+     * Guards against a process that ends (SIGSEGV): the caller leaves, its read is given up as late, and then the target
+     * answers it after all. After a suspension this comes together.
+     */
+    void lateAnswerForACallerThatHasLeftEndsNothing()
+    {
+        front_world world;
+        world.start();
+        for (const auto &[id, database] : world.group.databases) {
+            database->faults.answerDelay = 650_ms;
+        }
+        for (const char *database : {"fresh", "own", "stale"}) {
+            auto client = world.connect(database);
+            client->send("QUERY c1 READ 1");
+            world.runFor(60_ms);
+            client->close();
+        }
+        world.runFor(1500_ms);
+        for (const auto &[id, database] : world.group.databases) {
+            database->faults.answerDelay = {};
+        }
+        const auto client = world.connect("fresh");
+        assertContains("COMPLETE sig", world.ask(*client, "READ 1"));
+    }
+
     /** Guards against a process that ends when it wakes up and all its deadlines are due in one turn of the loop. */
     void deadlinesThatLapseTogetherEndNothing()
     {
