Name the handlers of the relay as handlers

Cause: issue on readers: takeX says little of a function that handles a message, result or answer. Before: takeData, takeRun and others in the six new classes. After: handleData, handleRun; names only, front_relay_test passes. Conclusion: none.

--- a/src/libcrocusdealfront/fleetfeed.cpp
+++ b/src/libcrocusdealfront/fleetfeed.cpp
@@ -49,11 +49,11 @@
 void fleet_feed::announce()
 {
     m_store.announceMember(m_self, [self = shared_from_this()](store_failure failure, std::uint64_t revision) {
-        self->takeAnnouncement(failure, revision);
+        self->handleAnnouncement(failure, revision);
     });
 }
 
-void fleet_feed::takeAnnouncement(store_failure failure, std::uint64_t revision)
+void fleet_feed::handleAnnouncement(store_failure failure, std::uint64_t revision)
 {
     if (m_isStopped) {
         return;
@@ -85,10 +85,10 @@
     if (std::exchange(m_isListing, true)) {
         return;
     }
-    m_store.listMembers([self = shared_from_this()](const member_news &news) { self->takeList(news); });
+    m_store.listMembers([self = shared_from_this()](const member_news &news) { self->handleList(news); });
 }
 
-void fleet_feed::takeList(const member_news &news)
+void fleet_feed::handleList(const member_news &news)
 {
     m_isListing = false;
     if (m_isStopped) {
--- a/src/libcrocusdealfront/fleetfeed.h
+++ b/src/libcrocusdealfront/fleetfeed.h
@@ -29,9 +29,9 @@
 
 private:
     void announce();
-    void takeAnnouncement(store_failure failure, std::uint64_t revision);
+    void handleAnnouncement(store_failure failure, std::uint64_t revision);
     void list();
-    void takeList(const member_news &news);
+    void handleList(const member_news &news);
     void listAfter(duration delay);
 
     front_context &m_context;
--- a/src/libcrocusdealfront/localtransaction.cpp
+++ b/src/libcrocusdealfront/localtransaction.cpp
@@ -69,7 +69,7 @@
     const auto generation = ++m_generation;
     link->send(encoded, [self = shared_from_this(), generation](const target_reply &reply) {
         if (generation == self->m_generation) {
-            self->takeReply(reply);
+            self->handleReply(reply);
         }
     });
 }
@@ -97,7 +97,7 @@
     return isRefusedOnly && systemNow() - m_arrivedAt < m_limitTime / busyShareOfTimeout;
 }
 
-void local_transaction::takeReply(const target_reply &reply)
+void local_transaction::handleReply(const target_reply &reply)
 {
     const auto self = shared_from_this();
     m_grant->target->recordAnswer(reply);
--- a/src/libcrocusdealfront/localtransaction.h
+++ b/src/libcrocusdealfront/localtransaction.h
@@ -32,7 +32,7 @@
     /** The target does not work on the statement any more. */
     void endSending(bool isAcknowledged);
     bool isWorthAnotherTry(const target_reply &reply) const;
-    void takeReply(const target_reply &reply);
+    void handleReply(const target_reply &reply);
     void noteLead(const target_reply &reply);
     void finish(const target_reply &reply);
     void finishCommit(const target_reply &reply);
--- a/src/libcrocusdealfront/relayedstatement.cpp
+++ b/src/libcrocusdealfront/relayedstatement.cpp
@@ -83,7 +83,7 @@
     // The result may come before the number is known here.
     const auto number = std::make_shared<std::uint64_t>(0);
     *number = link->run(messageOf(), keepsNothing(), [self = shared_from_this(), link, number](relay_result result) {
-        self->takeResult(link, *number, std::move(result));
+        self->handleResult(link, *number, std::move(result));
     });
     m_number = m_link == link ? *number : m_number;
 }
@@ -126,7 +126,7 @@
     }
 }
 
-void relayed_statement::takeResult(const std::shared_ptr<relay_link> &link, std::uint64_t number, relay_result result)
+void relayed_statement::handleResult(const std::shared_ptr<relay_link> &link, std::uint64_t number, relay_result result)
 {
     if (m_isEnded) {
         return;
@@ -134,7 +134,7 @@
     m_link.reset();
     if (result.end == relay_end::Lost) {
         m_isBegun = true;
-        takeLoss(result.reason);
+        handleLoss(result.reason);
         return;
     }
     if (result.end == relay_end::NotServed) {
@@ -157,7 +157,7 @@
     finish(std::move(outcome));
 }
 
-void relayed_statement::takeLoss(const std::string &reason)
+void relayed_statement::handleLoss(const std::string &reason)
 {
     m_context.metrics.statementRetried("relay lost");
     m_context.log.info("relay_lost")
--- a/src/libcrocusdealfront/relayedstatement.h
+++ b/src/libcrocusdealfront/relayedstatement.h
@@ -45,8 +45,8 @@
     void runHere();
     bool mayWait() const;
     relay_run messageOf() const;
-    void takeResult(const std::shared_ptr<relay_link> &link, std::uint64_t number, relay_result result);
-    void takeLoss(const std::string &reason);
+    void handleResult(const std::shared_ptr<relay_link> &link, std::uint64_t number, relay_result result);
+    void handleLoss(const std::string &reason);
     void hitLimit();
     void fail(error_code code, std::string text);
     void finish(statement_outcome outcome);
--- a/src/libcrocusdealfront/relayedtransaction.cpp
+++ b/src/libcrocusdealfront/relayedtransaction.cpp
@@ -52,11 +52,11 @@
     message.values = values.values;
     const auto generation = ++m_generation;
     m_number = m_link->step(std::move(message), [self = shared_from_this(), generation](relay_result result) {
-        self->takeResult(generation, std::move(result));
+        self->handleResult(generation, std::move(result));
     });
 }
 
-void relayed_transaction::takeResult(int generation, relay_result result)
+void relayed_transaction::handleResult(int generation, relay_result result)
 {
     if (generation != m_generation) {
         return;
--- a/src/libcrocusdealfront/relayedtransaction.h
+++ b/src/libcrocusdealfront/relayedtransaction.h
@@ -28,7 +28,7 @@
     void end() override;
 
 private:
-    void takeResult(int generation, relay_result result);
+    void handleResult(int generation, relay_result result);
     /** The outcome is not known: only a commit of writes may have kept something. */
     void lose(const char *reason);
     void answer(statement_outcome outcome);
--- a/src/libcrocusdealfront/relaylink.cpp
+++ b/src/libcrocusdealfront/relaylink.cpp
@@ -33,7 +33,7 @@
 {
     const auto self = shared_from_this();
     m_openedAt = systemNow();
-    m_stream->onData = [self](std::string &inbound) { self->takeData(inbound); };
+    m_stream->onData = [self](std::string &inbound) { self->handleData(inbound); };
     m_stream->onClosed = [self](const std::string &reason) { self->ended(reason); };
     m_stream->connect(m_peer.relayAddress, [self] {
         self->send(relay_hello{self->m_self.id, self->m_self.incarnation});
@@ -137,7 +137,7 @@
     }
 }
 
-void relay_link::takeData(std::string &inbound)
+void relay_link::handleData(std::string &inbound)
 {
     const auto self = shared_from_this();
     std::size_t taken = 0;
@@ -153,12 +153,12 @@
             break;
         }
         taken += used;
-        takeMessage(message);
+        handleMessage(message);
     }
     inbound.erase(0, taken);
 }
 
-void relay_link::takeMessage(relay_message &message)
+void relay_link::handleMessage(relay_message &message)
 {
     if (const auto *hello = std::get_if<relay_hello>(&message)) {
         if (hello->from != m_peer.id || m_isGreeted) {
--- a/src/libcrocusdealfront/relaylink.h
+++ b/src/libcrocusdealfront/relaylink.h
@@ -60,8 +60,8 @@
         bool isRepeatable = false;
     };
 
-    void takeData(std::string &inbound);
-    void takeMessage(relay_message &message);
+    void handleData(std::string &inbound);
+    void handleMessage(relay_message &message);
     void finish(std::uint64_t number, relay_result result);
     /** Ends what may be run elsewhere. */
     void loseRepeatable(const std::string &reason);
--- a/src/libcrocusdealfront/relaysession.cpp
+++ b/src/libcrocusdealfront/relaysession.cpp
@@ -31,7 +31,7 @@
 void relay_session::start()
 {
     const auto self = shared_from_this();
-    m_stream->onData = [self](std::string &inbound) { self->takeData(inbound); };
+    m_stream->onData = [self](std::string &inbound) { self->handleData(inbound); };
     m_stream->onClosed = [self](const std::string &reason) { self->ended(reason); };
     m_greetingLimit = m_context.deadlines.scheduleAfter(greetingTime, [self] {
         self->m_greetingLimit = 0;
@@ -77,7 +77,7 @@
     return std::any_of(m_steps.begin(), m_steps.end(), [&](const auto &step) { return step.second == transaction; });
 }
 
-void relay_session::takeData(std::string &inbound)
+void relay_session::handleData(std::string &inbound)
 {
     const auto self = shared_from_this();
     std::size_t taken = 0;
@@ -93,15 +93,15 @@
             break;
         }
         taken += used;
-        takeMessage(message);
+        handleMessage(message);
     }
     inbound.erase(0, taken);
 }
 
-void relay_session::takeMessage(const relay_message &message)
+void relay_session::handleMessage(const relay_message &message)
 {
     if (const auto *hello = std::get_if<relay_hello>(&message)) {
-        takeHello(*hello);
+        handleHello(*hello);
         return;
     }
     if (m_peer.empty()) {
@@ -111,11 +111,11 @@
     if (const auto *ping = std::get_if<relay_ping>(&message)) {
         send(relay_pong{ping->number, m_surroundings.isLeaving(), m_surroundings.isIsolated()});
     } else if (const auto *run = std::get_if<relay_run>(&message)) {
-        takeRun(*run);
+        handleRun(*run);
     } else if (const auto *step = std::get_if<relay_step>(&message)) {
-        takeStep(*step);
+        handleStep(*step);
     } else if (const auto *abandon = std::get_if<relay_abandon>(&message)) {
-        takeAbandon(abandon->number);
+        handleAbandon(abandon->number);
     } else if (const auto *rollback = std::get_if<relay_rollback>(&message)) {
         endTransaction(rollback->transaction);
     } else {
@@ -123,7 +123,7 @@
     }
 }
 
-void relay_session::takeHello(const relay_hello &hello)
+void relay_session::handleHello(const relay_hello &hello)
 {
     if (!m_peer.empty() || m_waiting) {
         close("greeted twice");
@@ -158,7 +158,7 @@
     close("greeting refused");
 }
 
-void relay_session::takeRun(const relay_run &message)
+void relay_session::handleRun(const relay_run &message)
 {
     // After a stall of this process the other instance may have given up, and the caller as well.
     const bool isExpired = message.arrivedAgo + m_surroundings.recentStall() >= message.route.statementTimeout;
@@ -212,7 +212,7 @@
     answer(number, outcome);
 }
 
-void relay_session::takeStep(const relay_step &message)
+void relay_session::handleStep(const relay_step &message)
 {
     const auto found = m_transactions.find(message.transaction);
     if (found == m_transactions.end()) {
@@ -245,7 +245,7 @@
     answer(number, outcome);
 }
 
-void relay_session::takeAbandon(std::uint64_t number)
+void relay_session::handleAbandon(std::uint64_t number)
 {
     const auto running = m_running.find(number);
     if (running != m_running.end()) {
--- a/src/libcrocusdealfront/relaysession.h
+++ b/src/libcrocusdealfront/relaysession.h
@@ -47,14 +47,14 @@
     void endTransactions();
 
 private:
-    void takeData(std::string &inbound);
-    void takeMessage(const relay_message &message);
-    void takeHello(const relay_hello &hello);
+    void handleData(std::string &inbound);
+    void handleMessage(const relay_message &message);
+    void handleHello(const relay_hello &hello);
     void greet();
     void refuseGreeting();
-    void takeRun(const relay_run &message);
-    void takeStep(const relay_step &message);
-    void takeAbandon(std::uint64_t number);
+    void handleRun(const relay_run &message);
+    void handleStep(const relay_step &message);
+    void handleAbandon(std::uint64_t number);
     void endTransaction(std::uint64_t number);
     bool isStepRunning(std::uint64_t transaction) const;
     void answerRun(std::uint64_t number, const statement_outcome &outcome);
