Try a target again when its time is over, and let go of connections in a test

Cause: after a refusal by the connection limit nobody asked again at the time that was set, but up to 100 ms later with the housekeeping, so that the third attempt came after the work was refused: connectionLimitIsNoTroubleWithThePrimary failed in two whole runs of test_platform (plain and ASan), and passed alone. object_store_test left its clients' connections open, which LeakSanitizer reports. Ruled out: load; the times 0, up to 200 and 400 ms explain it. Conclusion: the attempts come at 0, 100 and 300 ms.

--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -372,6 +372,13 @@
     const auto doublings = std::min(m_limitRefusals, maxLimitDoublings);
     ++m_limitRefusals;
     m_retryAt = now + std::min(longestLimitRetry, firstLimitRetry * (std::int64_t{1} << doublings));
+    m_context.deadlines.schedule(m_retryAt, [weak = weak_from_this()] {
+        // Work that waits is placed no sooner than somebody asks for it.
+        const auto self = weak.lock();
+        if (self && self->onCapacity) {
+            self->onCapacity();
+        }
+    });
     m_context.log.info("target_at_connection_limit")
         .field("target", m_entry.id.str())
         .field("service", m_entry.service.str())
--- a/tests/platform/objectstoretest.cpp
+++ b/tests/platform/objectstoretest.cpp
@@ -6,6 +6,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <chrono>
 #include <string>
 
 using namespace crocusdeal;
@@ -66,6 +68,15 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /** The clients see the end of their connections and let go of them. */
+    void tearDown() override
+    {
+        m_deadlines.cancelAll();
+        m_io.restart();
+        m_io.run_for(std::chrono::milliseconds(50));
+        m_deadlines.cancelAll();
+    }
+
     /** Guards against an entry of another writer that ends the process, or hides all targets. */
     void oddEntryHidesNoOther()
     {
