Start threads of the platform stand-in as they are needed

The stand-in started 512 threads; on arm64 the sanitizer has room for the traces of about 227, and ended the process (exit 66, CHECK failed: tsan_rtl.cpp:323, 10 of 10 starts here). Ruled out: load and lack of time, as a single start on a quiet machine fails alike. Before: no start under ThreadSanitizer.

--- a/src/standins/platform/platformserver.cpp
+++ b/src/standins/platform/platformserver.cpp
@@ -1,6 +1,7 @@
 #include "platformserver.h"
 
 #include "faultboard.h"
+#include "growingthreadpool.h"
 #include "httplibrary.h"
 #include "instanceregistry.h"
 #include "objectstore.h"
@@ -24,8 +25,8 @@
 constexpr std::size_t maxValueBytes = std::size_t{1} << 20U;
 /** The frame around a value in a request body. */
 constexpr std::size_t maxFrameBytes = 4096;
-/** A waiting watch holds a thread, so there are more of them than watches in the largest trial. */
-constexpr std::size_t threads = 512;
+/** A waiting watch holds a thread, so there may be more of them than watches in the largest trial. */
+constexpr std::size_t maxThreads = 512;
 /** The library's backlog of 5 loses connections when many clients start at once, which costs each a second. */
 constexpr int listenBacklog = 1024;
 constexpr std::chrono::milliseconds maxWatch{60'000};
@@ -126,7 +127,7 @@
 {
     crocusdeal::prepareHttpLibrary();
     m_server.new_task_queue = [this] {
-        auto *pool = new httplib::ThreadPool(threads);
+        auto *pool = new growing_thread_pool(maxThreads);
         m_serving.set_value();
         return pool;
     };
