Keep a planned change to the target that an open order may name

A holder ordered one replica, unanswered, and died; a paused replica restarted and was unpaused. The next holder chose that one as it was closer, and paused the target of the late order, which was then promoted without the commits of that time. Now: with an order open, the change promotes the only unpaused replica or none. If there are several, the order is fenced first, and the change waits 1 s for a promotion that the fence came too late for. The decision is nextPrimaryStep() in the policy folder.

--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -23,6 +23,7 @@
 constexpr duration leftTime{2000};
 constexpr duration stallTime{1000}; // Longer than a write waits in a busy target.
 constexpr duration retryTime{300};
+constexpr duration promotionTime{1000}; // From a command to the lead of its target, at most.
 constexpr duration uninformedStandby{2500}; // The others need less for a change of the primary.
 constexpr duration idleClaimDelay{1000};
 constexpr duration idleClaimSpread{8000}; // Longer than a watch is late, so that few claims meet a record.
@@ -269,37 +270,49 @@
         .field("trouble_ms", (now - m_troubleSince).ms)
         .field("may_claim", m_orders->mayClaim(now, m_troubleSince) ? 1 : 0)
         .field("seen", m_sightings.describe(now));
-    // What a planned change of another instance has left open names the replica that is not paused, and so does this
-    // instance's. Where all are paused, it may name any.
-    const bool isFencedFirst = m_orders->isOrderOpen() && m_sightings.areAllReplicasPaused();
-    if (hasLeader && isLeaderDraining() && !isFencedFirst && now >= m_retryAt) {
+    switch (nextPrimaryStep(situation(now))) {
+    case primary_step::PlannedChange:
         begin(promotion_reason::PrimaryDraining);
         return;
-    }
-    // Another instance that has claimed since may order as well; its orders fence the open one.
-    const bool mayFence = now >= m_retryAt && m_orders->mayClaim(now, m_troubleSince);
-    if (hasLeader && m_orders->isOrderOpen() && m_group->leader() && mayFence) {
+    case primary_step::FenceOpenOrder:
         fenceOpenOrder(*m_group->leader());
         return;
-    }
-    if (hasLeader && isLeaderStalled(now) && now >= m_retryAt) {
+    case primary_step::ReplaceStalled:
         begin(promotion_reason::PrimaryStalled);
         return;
+    case primary_step::ReplaceLost:
+        begin(promotion_reason::PrimaryLost);
+        return;
+    case primary_step::None:
+        break;
     }
     if (hasLeader && !isLeaderStalled(now)) {
         m_troubleSince = never;
     }
-    // Pauses that this instance has left are of an attempt whose retry is due; it holds the duty.
-    const bool isOthersChange = !m_orders->isHeldHere() && m_sightings.isPrimaryChangeInProgress(now);
-    if (!hasLeader && m_sightings.isPrimaryLost(now, m_troubleSince) && now >= m_retryAt && !isOthersChange) {
-        begin(promotion_reason::PrimaryLost);
-        return;
-    }
     if (hasWork(now) && m_tick == 0) {
         scheduleTick(surveyInterval);
     }
 }
 
+primary_situation leader_keeper::situation(time_point now) const
+{
+    primary_situation result;
+    result.hasPrimary = m_sightings.hasPrimary();
+    result.isPrimaryDraining = isLeaderDraining();
+    result.isPrimaryStalled = isLeaderStalled(now);
+    result.isPrimaryLost = m_sightings.isPrimaryLost(now, m_troubleSince);
+    // Pauses that this instance has left are of an attempt whose retry is due; it holds the duty.
+    result.isOthersChange = !m_orders->isHeldHere() && m_sightings.isPrimaryChangeInProgress(now);
+    result.isSurveyComplete = m_sightings.isSurveyComplete();
+    result.isOrderOpen = m_orders->isOrderOpen();
+    result.isOrderedTargetKnown = m_sightings.onlyUnpausedReplica().has_value();
+    result.mayBePromoting = m_fencedAt != never && now - m_fencedAt < promotionTime;
+    // Another instance that has claimed since may order as well; its orders fence the open one.
+    result.mayFence = m_group->leader() && m_orders->mayClaim(now, m_troubleSince);
+    result.isRetryDue = now >= m_retryAt;
+    return result;
+}
+
 bool leader_keeper::mayActWithoutStore() const
 {
     if (!m_orders->token() || !m_lastLeader || m_leaderTerm == 0) {
@@ -458,6 +471,12 @@
 
 void leader_keeper::startAttempt(promotion_reason reason)
 {
+    const bool isChoiceRestricted = reason == promotion_reason::PrimaryDraining && m_orders->isOrderOpen();
+    const auto onlyChoice = isChoiceRestricted ? m_sightings.onlyUnpausedReplica() : std::nullopt;
+    if (isChoiceRestricted && !onlyChoice) {
+        scheduleTick(surveyInterval);
+        return;
+    }
     std::vector<promotion_member> members;
     for (const auto &[id, known] : m_directory.targets()) {
         if (known.entry.service != m_group->id() || isKnownGone(id)) {
@@ -477,6 +496,9 @@
     m_attemptToken = m_orders->token();
     m_attempt = std::make_unique<promotion_attempt>(
         reason, leader, std::move(members), m_group->policy().syncReplicas > 0, systemNow());
+    if (onlyChoice) {
+        m_attempt->restrictChoice(*onlyChoice);
+    }
     runAttempt();
 }
 
@@ -624,6 +646,7 @@
         [group = m_group, leader] { return group->leader() == leader; },
         [self = shared_from_this()](bool isFenced) {
             if (isFenced) {
+                self->m_fencedAt = systemNow();
                 self->resumePaused();
             }
             self->watchOpenOrder();
--- a/src/libcrocusdealfront/leaderkeeper.h
+++ b/src/libcrocusdealfront/leaderkeeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "metadatastore.h"
+#include "primarychange.h"
 #include "primaryfailuredetector.h"
 #include "promotionattempt.h"
 #include "promotionorders.h"
@@ -69,6 +70,7 @@
     void surveyAll();
     void takeSighting(const target_id &target, const control_reply &reply);
     void judge();
+    primary_situation situation(time_point now) const;
     bool isLeaderStalled(time_point now) const;
     bool isLeaderDraining() const;
     void claimIdleDuty();
@@ -111,6 +113,7 @@
     time_point m_troubleSince = never;
     time_point m_drainingSince = never;
     time_point m_retryAt = never;
+    time_point m_fencedAt = never; ///< When the last fence of an open order was accepted.
     std::optional<target_id> m_lastLeader;
     std::uint64_t m_leaderTerm = 0; ///< Of m_lastLeader.
     int m_pauseChecks = 0;
--- /dev/null
+++ b/src/libcrocusdealpolicy/primarychange.cpp
@@ -0,0 +1,47 @@
+#include "primarychange.h"
+
+namespace crocusdeal
+{
+
+namespace
+{
+
+/**
+ * A planned change pauses every replica but the chosen one. The target of a command that is still carried out must not
+ * be among the paused ones: it would lead without the commits that were acknowledged since.
+ */
+bool isPlannedChangeSafe(const primary_situation &situation)
+{
+    return !situation.mayBePromoting && (!situation.isOrderOpen || situation.isOrderedTargetKnown);
+}
+
+/** The command that a planned change sends is a fence as well. */
+bool isFenceNeeded(const primary_situation &situation)
+{
+    if (!situation.isOrderOpen) {
+        return false;
+    }
+    return !situation.isPrimaryDraining || (situation.isSurveyComplete && !situation.isOrderedTargetKnown);
+}
+
+}
+
+primary_step nextPrimaryStep(const primary_situation &situation)
+{
+    if (!situation.isRetryDue) {
+        return primary_step::None;
+    }
+    if (!situation.hasPrimary) {
+        const bool isToBeReplaced = situation.isPrimaryLost && !situation.isOthersChange;
+        return isToBeReplaced ? primary_step::ReplaceLost : primary_step::None;
+    }
+    if (situation.isPrimaryDraining && isPlannedChangeSafe(situation)) {
+        return primary_step::PlannedChange;
+    }
+    if (isFenceNeeded(situation) && situation.mayFence) {
+        return primary_step::FenceOpenOrder;
+    }
+    return situation.isPrimaryStalled ? primary_step::ReplaceStalled : primary_step::None;
+}
+
+}
--- a/src/libcrocusdealpolicy/primaryfailuredetector.cpp
+++ b/src/libcrocusdealpolicy/primaryfailuredetector.cpp
@@ -126,12 +126,28 @@
     return found;
 }
 
-bool primary_failure_detector::areAllReplicasPaused() const
+bool primary_failure_detector::isSurveyComplete() const
 {
-    return std::all_of(m_targets.begin(), m_targets.end(), [](const auto &entry) {
-        const auto &report = entry.second.report;
-        return !report || report->isPrimary || report->isPaused();
-    });
+    return std::all_of(
+        m_targets.begin(), m_targets.end(), [](const auto &entry) { return entry.second.queryEndedAt != never; });
+}
+
+std::optional<target_id> primary_failure_detector::onlyUnpausedReplica() const
+{
+    std::optional<target_id> found;
+    for (const auto &[id, state] : m_targets) {
+        if (!state.report) {
+            return std::nullopt;
+        }
+        if (state.report->isPrimary || state.report->isPaused()) {
+            continue;
+        }
+        if (found) {
+            return std::nullopt;
+        }
+        found = id;
+    }
+    return found;
 }
 
 std::string primary_failure_detector::describe(time_point now) const
--- a/src/libcrocusdealpolicy/primaryfailuredetector.h
+++ b/src/libcrocusdealpolicy/primaryfailuredetector.h
@@ -51,8 +51,13 @@
     bool isPrimaryChangeInProgress(time_point now) const;
     /** The targets that do not replicate until they are resumed. */
     std::vector<target_id> pausedTargets() const;
-    /** Whether every replica that reports is paused, so that no commit can be acknowledged. */
-    bool areAllReplicasPaused() const;
+    /** Whether each target has answered, or failed to answer, since replies were last discarded. */
+    bool isSurveyComplete() const;
+    /**
+     * The replica that a planned change has left unpaused. Nothing if several are unpaused, one of them perhaps since a
+     * restart, or if one that may be unpaused does not report.
+     */
+    std::optional<target_id> onlyUnpausedReplica() const;
     /** Describes the state of all targets for the log. */
     std::string describe(time_point now) const;
 
--- a/src/libcrocusdealpolicy/promotionattempt.cpp
+++ b/src/libcrocusdealpolicy/promotionattempt.cpp
@@ -38,6 +38,11 @@
     }
 }
 
+void promotion_attempt::restrictChoice(const target_id &only)
+{
+    m_onlyChoice = only;
+}
+
 std::vector<promotion_action> promotion_attempt::step(time_point now)
 {
     std::vector<promotion_action> actions;
@@ -150,6 +155,9 @@
         if (state.member.id == m_oldPrimary || state.member.isDraining || !state.status) {
             continue;
         }
+        if (m_onlyChoice && state.member.id != m_onlyChoice) {
+            continue;
+        }
         if (best == nullptr || rank(state) > rank(*best)) {
             best = &state;
         }
--- a/src/libcrocusdealpolicy/promotionattempt.h
+++ b/src/libcrocusdealpolicy/promotionattempt.h
@@ -85,6 +85,8 @@
                       bool hasSyncReplicas,
                       time_point now);
 
+    /** Lets a planned change promote no other target: the one that an unanswered command may name. */
+    void restrictChoice(const target_id &only);
     /** Returns the actions to carry out now. Call again after each input and when wakeAt() is reached. */
     std::vector<promotion_action> step(time_point now);
     /** When to call step() next if there is no input; always later than @p now. */
@@ -161,6 +163,7 @@
     bool m_isStepDownSent = false;
     bool m_isPromotionUnanswered = false; ///< Whether the last promotion command got no answer.
     int m_promotionCommands = 0;
+    std::optional<target_id> m_onlyChoice; ///< For a planned change; any target without it.
     std::optional<target_id> m_chosen;
     attempt_outcome m_result = attempt_outcome::Pending;
     std::string m_explanation;
--- a/tests/libcrocusdealpolicy/primaryfailuredetectortest.cpp
+++ b/tests/libcrocusdealpolicy/primaryfailuredetectortest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(mostTargetsCountAsUnreachableAfterTimeout);
     CPPUNIT_TEST(otherTermOrPauseCountsAsChange);
     CPPUNIT_TEST(recentPauseMeansChangeInProgress);
+    CPPUNIT_TEST(onlyUnpausedReplicaIsFoundIfNoOtherCanBe);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -72,6 +73,28 @@
         CPPUNIT_ASSERT(!detector.isPrimaryChangeInProgress({2550}));
     }
 
+    /**
+     * Guards against the loss of acknowledged writes: the target of an open promotion command is taken for another one
+     * if a replica that was paused has restarted, or does not report.
+     */
+    void onlyUnpausedReplicaIsFoundIfNoOtherCanBe()
+    {
+        primary_failure_detector detector;
+        detector.recordReply(primary, true, report(true, {3, 10}), {1000});
+        CPPUNIT_ASSERT(detector.beginQuery(replicaB));
+        CPPUNIT_ASSERT(!detector.isSurveyComplete());
+        detector.recordReply(replicaB, true, report(false, {3, 10}, 4), {1000});
+        CPPUNIT_ASSERT(detector.isSurveyComplete());
+        CPPUNIT_ASSERT(!detector.onlyUnpausedReplica());
+        detector.recordReply(replicaC, true, report(false, {3, 10}), {1000});
+        CPPUNIT_ASSERT(detector.onlyUnpausedReplica() == replicaC);
+        detector.recordReply(replicaB, false, std::nullopt, {1100});
+        CPPUNIT_ASSERT(detector.isSurveyComplete());
+        CPPUNIT_ASSERT(!detector.onlyUnpausedReplica());
+        detector.recordReply(replicaB, true, report(false, {3, 10}), {1200});
+        CPPUNIT_ASSERT(!detector.onlyUnpausedReplica());
+    }
+
     /** Guards against judging the primary lost while it refuses queries because its slots are full. */
     void targetThatRefusesMayBePrimary()
     {
--- a/tests/libcrocusdealpolicy/promotionattempttest.cpp
+++ b/tests/libcrocusdealpolicy/promotionattempttest.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(everyInstancePromotesTheSameTarget);
     CPPUNIT_TEST(unansweredPromotionKeepsThePauses);
     CPPUNIT_TEST(plannedChangeTakesTheReplicaThatWasLeftUnpaused);
+    CPPUNIT_TEST(restrictedChangePromotesNoOtherReplica);
     CPPUNIT_TEST(wakesOnlyInTheFuture);
     CPPUNIT_TEST_SUITE_END();
 
@@ -235,6 +236,29 @@
         CPPUNIT_ASSERT(isPromotionSent(attempt.step(m_now)));
     }
 
+    /** Guards against losing commits: the target of an open command would be paused in favour of a closer replica. */
+    void restrictedChangePromotesNoOtherReplica()
+    {
+        promotion_attempt attempt(
+            promotion_reason::PrimaryDraining,
+            oldPrimary,
+            {{oldPrimary, true, false, true}, {nearReplica, false, false, true}, {farReplica, false, false, false}},
+            true,
+            m_now);
+        attempt.restrictChoice(farReplica);
+        attempt.step(m_now);
+        answerSurvey(attempt);
+        CPPUNIT_ASSERT(targetsOf<pause_target>(attempt.step(m_now)) == std::vector<target_id>{nearReplica});
+        CPPUNIT_ASSERT(attempt.chosen() == farReplica);
+        promotion_attempt withoutIt(
+            promotion_reason::PrimaryDraining, oldPrimary, members({oldPrimary, nearReplica}), true, m_now);
+        withoutIt.restrictChoice(farReplica);
+        withoutIt.step(m_now);
+        answerSurvey(withoutIt);
+        CPPUNIT_ASSERT(targetsOf<pause_target>(withoutIt.step(m_now)).empty());
+        CPPUNIT_ASSERT(withoutIt.result() == attempt_outcome::NotSafe);
+    }
+
     /** Guards against promoting the old primary itself, or a target that is also draining. */
     void plannedChangeWithoutACandidatePromotesNothing()
     {
--- a/tests/platform/frontfailovertest.cpp
+++ b/tests/platform/frontfailovertest.cpp
@@ -7,10 +7,36 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 using namespace crocusdeal;
 using namespace crocusdeal::test;
 using namespace crocusdeal::literals;
 
+namespace
+{
+
+/** Another instance has ordered the target and died; the order is carried out after @p delay. */
+void leaveOrderOpen(front_world &world, const std::string &target, duration delay)
+{
+    world.store.claimDuty(
+        service_id("svc"), "dead", promotion_lease_purpose::Promotion, std::nullopt, [](const duty_news &) {});
+    const auto token = world.store.duties.at("svc").revision;
+    world.store.loseOrders = true;
+    world.store.orderDelay = delay;
+    world.store.promote(
+        service_id("svc"), target_id(target), "dead", token, [](promotion_answer, const std::string &) {});
+    world.store.loseOrders = false;
+}
+
+bool hasCommit(const line_database &database, const std::string &change)
+{
+    return std::any_of(
+        database.log.begin(), database.log.end(), [&](const auto &entry) { return entry.second == change; });
+}
+
+}
+
 class front_failover_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(front_failover_test);
@@ -20,6 +46,8 @@
     CPPUNIT_TEST(lostAnswerOfTheOrderIsNoSecondPromotion);
     CPPUNIT_TEST(lateOrderIsFencedOnceThePrimaryIsBack);
     CPPUNIT_TEST(orderLeftOpenByADeadInstanceIsFenced);
+    CPPUNIT_TEST(targetOfADeadHoldersOrderIsNotPausedForAnother);
+    CPPUNIT_TEST(changeWaitsForAPromotionUnderWay);
     CPPUNIT_TEST(newerHolderIsNotDisplacedToFenceALateOrder);
     CPPUNIT_TEST(drainingPrimaryIsReplacedWithoutARefusal);
     CPPUNIT_TEST(missingReplicaHoldsThePromotionBack);
@@ -121,14 +149,7 @@
     {
         front_world world;
         world.group.at("b").pausedAt = 2;
-        world.store.claimDuty(
-            service_id("svc"), "dead", promotion_lease_purpose::Promotion, std::nullopt, [](const duty_news &) {});
-        const auto token = world.store.duties.at("svc").revision;
-        world.store.loseOrders = true;
-        world.store.orderDelay = 9000_ms;
-        world.store.promote(
-            service_id("svc"), target_id("c"), "dead", token, [](promotion_answer, const std::string &) {});
-        world.store.loseOrders = false;
+        leaveOrderOpen(world, "c", 9000_ms);
         world.start();
         const auto client = world.connect("fresh");
         CPPUNIT_ASSERT(world.runUntil(
@@ -143,6 +164,57 @@
         CPPUNIT_ASSERT(world.store.duties.at("svc").purpose == promotion_lease_purpose::Settled);
     }
 
+    /**
+     * Guards against LOST: a holder dies after it ordered "c", and "b", which it had paused, has restarted. A planned
+     * change for "b" would pause "c", which then leads without the commits of that time.
+     */
+    void targetOfADeadHoldersOrderIsNotPausedForAnother()
+    {
+        front_world world;
+        world.dataCentres["c"] = "there";
+        world.publishEntry("c", false);
+        leaveOrderOpen(world, "c", 7500_ms);
+        world.store.loseOrders = true;
+        world.start();
+        const auto client = world.connect("fresh");
+        world.publishEntry("a", true);
+        std::vector<std::string> acknowledged;
+        CPPUNIT_ASSERT(world.runUntil(
+            [&] {
+                const auto change = "1 w" + std::to_string(acknowledged.size());
+                if (contains(world.ask(*client, "WRITE " + change), "COMPLETE sig")) {
+                    acknowledged.push_back(change);
+                }
+                world.runFor(10_ms);
+                return world.group.at("c").isPrimary;
+            },
+            11000_ms));
+        CPPUNIT_ASSERT(acknowledged.size() > 100);
+        for (const auto &change : acknowledged) {
+            CPPUNIT_ASSERT_MESSAGE(change, hasCommit(world.group.at("c"), change));
+        }
+    }
+
+    /**
+     * Guards against LOST: a fence does not stop a promotion that has begun, so that its target must not be paused for
+     * a change to another one.
+     */
+    void changeWaitsForAPromotionUnderWay()
+    {
+        front_world world;
+        leaveOrderOpen(world, "c", 20000_ms);
+        world.start();
+        const auto client = world.connect("fresh");
+        world.publishEntry("a", true);
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.store.orders.empty(); }, 11000_ms));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), world.store.orders.back().target);
+        world.runFor(900_ms);
+        CPPUNIT_ASSERT(!wasPaused(world.group.at("b")));
+        CPPUNIT_ASSERT(!wasPaused(world.group.at("c")));
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.group.at("a").isPrimary; }, 3000_ms));
+    }
+
     /** Guards against ONE: two instances that take turns in ordering within the lease. */
     void newerHolderIsNotDisplacedToFenceALateOrder()
     {
