--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -17,14 +17,9 @@
 
 constexpr duration housekeepingInterval{100};
 constexpr duration isolationCheckDelay{10};
-constexpr duration silenceLimit{220}; // A statement unanswered for so long is reason to ask for the target's status.
-constexpr duration stallLimit{1000};
 constexpr duration leftOutInterval{1000};
-constexpr duration answeringTime{1000};
 constexpr duration pauseCheckInterval{4000};
 constexpr duration missingCheckInterval{500};
-constexpr duration missingAnswerLimit{250};
-constexpr int askedInDataCentre = 4; // Some may have crashed.
 // The balancer needs two missed probes to notice; sessions that it still sends here are served.
 constexpr duration idleCloseDelay{1200};
 constexpr duration balancerTime{2200}; // The balancer probes once a second and acts on two misses.
@@ -41,9 +36,8 @@
     : m_context(context)
     , m_settings(std::move(settings))
     , m_store(store)
-    , m_authority(authority)
     , m_acceptor(context.io)
-    , m_directory(m_settings.drainTime)
+    , m_services(context, m_settings, store, authority)
 {
 }
 
@@ -70,8 +64,17 @@
     }
     m_feed = std::make_shared<store_feed>(m_context, m_store, m_settings.configurationApplyTimeout);
     m_feed->onConfiguration = [this](const routing_configuration &configuration) { applyConfiguration(configuration); };
-    m_feed->onTargets = [this](const target_news &news, time_point changedAfter) { applyTargets(news, changedAfter); };
-    m_feed->onDuties = [this](const duty_list_news &news, time_point askedAt) { applyDuties(news, askedAt); };
+    m_feed->onTargets = [this](const target_news &news, time_point changedAfter) {
+        m_services.applyTargets(news, changedAfter);
+        keepPlannedServices();
+    };
+    m_feed->onDuties = [this](const duty_list_news &news, time_point askedAt) {
+        m_services.applyDuties(news, askedAt);
+    };
+    m_services.refreshTargets = [this](std::function<void(bool)> done) { m_feed->refreshTargets(std::move(done)); };
+    m_services.isStoreAway = [this] { return m_feed->isStoreAway(); };
+    m_services.onMissed = [this] { watchIsolationSoon(); };
+    m_services.isPlannedHere = [this](const service_id &service) { return m_relays && m_relays->isRelayedTo(service); };
     m_feed->start();
     housekeep();
     m_context.log.info("started")
@@ -139,7 +142,7 @@
     surroundings.configuration = [this] { return m_configuration; };
     surroundings.prepare = [this](const service_id &service) {
         if (!m_relays || m_relays->servesHere(service)) {
-            groupOf(service);
+            m_services.groupOf(service);
         }
     };
     surroundings.run = [this](const statement_order &order, const session_values &values, outcome_handler done) {
@@ -184,7 +187,7 @@
                                                   const session_values &values,
                                                   outcome_handler done)
 {
-    const auto group = groupOf(order.route.service);
+    const auto group = m_services.groupOf(order.route.service);
     if (!group) {
         return nullptr;
     }
@@ -193,20 +196,10 @@
     return statement;
 }
 
-bool front::isPlannedHere(const service_id &service)
-{
-    return m_relays && m_relays->isRelayedTo(service);
-}
-
 void front::keepPlannedServices()
 {
-    if (!m_relays || !m_configuration || !m_areTargetsKnown || m_shutdownAt != never) {
-        return;
-    }
-    for (const auto &[service, policy] : m_configuration->services) {
-        if (isPlannedHere(service)) {
-            groupOf(service);
-        }
+    if (m_relays && m_shutdownAt == never) {
+        m_services.beginPlanned();
     }
 }
 
@@ -221,177 +214,11 @@
         .field("routes", static_cast<std::int64_t>(configuration.routes.size()));
     m_configuration = std::make_shared<const routing_configuration>(configuration);
     m_context.metrics.setConfigurationVersion(configuration.version);
+    m_services.setConfiguration(m_configuration);
     if (m_relays) {
         m_relays->setPolicies(m_configuration->services);
         keepPlannedServices();
     }
-    for (const auto &[service, group] : m_groups) {
-        const auto policy = m_configuration->services.find(service);
-        if (policy != m_configuration->services.end()) {
-            group->setPolicy(policy->second);
-        }
-    }
-}
-
-std::shared_ptr<service_group> front::beginToServe(const service_id &service, const service_policy &policy)
-{
-    auto group = std::make_shared<service_group>(m_context, service, m_settings.dataCentre, m_directory);
-    m_groups[service] = group;
-    group->setPolicy(policy);
-    group->adoptClaimedLeader();
-    auto keeper = std::make_shared<leader_keeper>(
-        m_context, group, m_directory, m_store, m_authority, m_settings.instance.str(), m_settings.dataCentre);
-    keeper->refreshDirectory = [this](std::function<void(bool)> done) { m_feed->refreshTargets(std::move(done)); };
-    keeper->isStoreAway = [this] { return m_feed->isStoreAway(); };
-    keeper->onMissed = [this] { watchIsolationSoon(); };
-    keeper->isAnswering = [this](const data_centre_id &dataCentre) { return isAnswering(dataCentre); };
-    m_keepers[service] = keeper;
-    keeper->start();
-    if (m_areDutiesKnown) {
-        tellDuty(service, *keeper);
-    }
-    m_context.log.info("service_begun")
-        .field("service", service.str())
-        .field("targets", static_cast<std::int64_t>(group->targets().size()))
-        .field("primary", group->leader() ? group->leader()->str() : "none")
-        .field("services", static_cast<std::int64_t>(m_groups.size()));
-    return group;
-}
-
-void front::retireUnusedServices(time_point now)
-{
-    for (auto it = m_groups.begin(); it != m_groups.end();) {
-        const auto &[service, group] = *it;
-        const auto keeper = m_keepers.at(service);
-        const bool isWanted = isPlannedHere(service) || now - group->lastUsedAt() < m_settings.serviceIdleTimeout;
-        if (group->isInUse() || isWanted || !keeper->isIdle()) {
-            ++it;
-            continue;
-        }
-        m_context.log.info("service_retired")
-            .field("service", service.str())
-            .field("unused_ms", (now - group->lastUsedAt()).ms);
-        keeper->stop();
-        m_keepers.erase(service);
-        group->retire();
-        it = m_groups.erase(it);
-    }
-}
-
-void front::applyTargets(const target_news &news, time_point changedAfter)
-{
-    const directory_update_time at{systemNow(), changedAfter};
-    if (news.isComplete) {
-        m_directory.replaceAll(news.entries, at);
-        m_areTargetsKnown = true;
-        keepPlannedServices();
-    }
-    for (const auto &entry : news.entries) {
-        const auto *known = m_directory.find(entry.id);
-        const bool isChanged = known == nullptr || known->entry != entry || known->removedAt;
-        m_directory.put(entry, at);
-        if (isChanged || news.isComplete) {
-            m_context.log.info("target_known")
-                .field("target", entry.id.str())
-                .field("service", entry.service.str())
-                .field("address", toString(entry.address))
-                .field("state", entry.isDraining ? "draining" : "ready")
-                .field("claims", entry.claimsPrimary ? "primary" : "replica")
-                .field("revision", static_cast<std::int64_t>(news.revision));
-        }
-    }
-    for (const auto &id : news.removed) {
-        m_context.log.info("target_entry_removed").field("target", id.str());
-        m_directory.markRemoved(id, at);
-    }
-    if (news.isComplete || !news.entries.empty() || !news.removed.empty()) {
-        refreshGroups();
-    }
-}
-
-void front::applyDuties(const duty_list_news &news, time_point askedAt)
-{
-    m_areDutiesKnown = true;
-    m_dutiesAskedAt = askedAt;
-    for (const auto &entry : news.entries) {
-        m_duties[entry.service] = {entry.holder, entry.revision, entry.purpose};
-    }
-    for (const auto &[service, keeper] : m_keepers) {
-        tellDuty(service, *keeper);
-    }
-}
-
-void front::tellDuty(const service_id &service, leader_keeper &keeper) const
-{
-    const auto found = m_duties.find(service);
-    keeper.dutyKnown(found == m_duties.end() ? std::nullopt : std::optional(found->second), m_dutiesAskedAt);
-}
-
-void front::refreshGroups()
-{
-    for (const auto &[service, group] : m_groups) {
-        group->refreshTargets();
-        m_keepers.at(service)->directoryChanged();
-    }
-}
-
-std::shared_ptr<service_group> front::groupOf(const service_id &service)
-{
-    const auto found = m_groups.find(service);
-    if (found != m_groups.end()) {
-        return found->second;
-    }
-    if (!m_configuration) {
-        return nullptr;
-    }
-    const auto policy = m_configuration->services.find(service);
-    return policy == m_configuration->services.end() ? nullptr : beginToServe(service, policy->second);
-}
-
-void front::checkMissingTargets()
-{
-    std::vector<target_id> gone;
-    for (const auto &[service, group] : m_groups) {
-        for (const auto &[id, pool] : group->targets()) {
-            const auto *known = m_directory.find(id);
-            if (known == nullptr || !known->removedAt) {
-                continue;
-            }
-            if (m_keepers.at(service)->isKnownGone(id)) {
-                gone.push_back(id);
-                continue;
-            }
-            pool->control(control_statement::Status, 0, missingAnswerLimit, [](const control_reply &) {});
-            if (!isAnswering(known->entry.dataCentre)) {
-                askIn(known->entry.dataCentre);
-            }
-        }
-    }
-    for (const auto &id : gone) {
-        m_context.log.info("target_gone").field("target", id.str());
-        m_directory.eraseDeparted(id);
-    }
-    if (!gone.empty()) {
-        refreshGroups();
-    }
-}
-
-void front::askIn(const data_centre_id &dataCentre)
-{
-    int asked = 0;
-    for (const auto &[service, group] : m_groups) {
-        for (const auto &[id, pool] : group->targets()) {
-            const auto *known = m_directory.find(id);
-            const bool isPresent = known != nullptr && !known->removedAt;
-            if (isPresent && known->entry.dataCentre == dataCentre && !pool->isSilent(systemNow())) {
-                pool->control(control_statement::Status, 0, missingAnswerLimit, [](const control_reply &) {});
-                ++asked;
-            }
-            if (asked == askedInDataCentre) {
-                return;
-            }
-        }
-    }
 }
 
 void front::housekeep()
@@ -403,109 +230,36 @@
         m_relays->tick(now, stall);
     }
     // While the store cannot be heard, entries that are missing may only have lapsed there.
-    if (!m_directory.eraseExpired(now).empty()) {
-        refreshGroups();
-    }
-    watchSilence(now);
+    m_services.eraseExpired(now);
+    m_services.watchSilence(now);
     watchIsolation(now);
-    for (const auto &[service, group] : m_groups) {
-        for (const auto &[id, pool] : group->targets()) {
-            pool->closeUnused(now);
-        }
-        group->pump();
-    }
+    m_services.pump(now);
     if (now - m_leftOutToldAt >= leftOutInterval) {
         m_leftOutToldAt = now;
         updateMetrics();
-        retireUnusedServices(now);
+        m_services.retireUnused(now);
         m_context.log.reportSuppressedLines();
     }
     if (now - m_missingCheckedAt >= missingCheckInterval) {
         m_missingCheckedAt = now;
-        checkMissingTargets();
+        m_services.checkMissingTargets();
     }
     if (now - m_pausesCheckedAt >= pauseCheckInterval) {
         m_pausesCheckedAt = now;
-        for (const auto &[service, keeper] : m_keepers) {
-            keeper->checkPauses();
-        }
+        m_services.checkPauses();
     }
     m_context.log.flush();
     m_context.deadlines.scheduleAfter(housekeepingInterval, [self = shared_from_this()] { self->housekeep(); });
 }
 
-duration front::recentStall(time_point now) const
-{
-    if (m_housekeptAt == never) {
-        return {};
-    }
-    const auto beyond = now - m_housekeptAt - housekeepingInterval;
-    return beyond > stallMargin ? beyond : duration{};
-}
-
-bool front::isAnswering(const data_centre_id &dataCentre) const
-{
-    const auto now = systemNow();
-    for (const auto &[service, group] : m_groups) {
-        for (const auto &[id, pool] : group->targets()) {
-            if (pool->entry().dataCentre == dataCentre && now - pool->lastAnswerAt() < answeringTime) {
-                return true;
-            }
-        }
-    }
-    return false;
-}
-
-void front::watchSilence(time_point now)
-{
-    for (const auto &[service, group] : m_groups) {
-        const auto &leader = group->leader();
-        const auto found = leader ? group->targets().find(*leader) : group->targets().end();
-        if (found == group->targets().end()) {
-            continue;
-        }
-        const auto silentSince = found->second->silentSince();
-        if (silentSince != never && now - silentSince > silenceLimit && found->second->lastAnswerAt() < silentSince) {
-            group->noteTrouble("a statement is not answered");
-        }
-        const auto openSince = group->oldestOpenWrite();
-        if (openSince != never && now - openSince > stallLimit) {
-            group->noteTrouble("a write is not acknowledged");
-        }
-    }
-}
-
-std::vector<target_reachability> front::reachOfTargets(time_point now) const
-{
-    std::vector<target_reachability> targets;
-    for (const auto &[service, group] : m_groups) {
-        for (const auto &[id, pool] : group->targets()) {
-            const bool isWithoutAnswer = pool->isSilent(now) || pool->unreachableSince() != never;
-            targets.push_back({pool->entry().dataCentre, isWithoutAnswer, pool->lastAnswerAt()});
-        }
-    }
-    return targets;
-}
-
-void front::watchIsolationSoon()
-{
-    if (std::exchange(m_isIsolationCheckPlanned, true)) {
-        return;
-    }
-    m_context.deadlines.scheduleAfter(isolationCheckDelay, [self = shared_from_this()] {
-        self->m_isIsolationCheckPlanned = false;
-        self->watchIsolation(systemNow());
-    });
-}
-
 void front::watchIsolation(time_point now)
 {
-    const auto cutOff = std::count_if(
-        m_keepers.begin(), m_keepers.end(), [&](const auto &entry) { return entry.second->isCutOff(now); });
-    const bool areOthersSilent = areOtherDataCentresUnreachable(reachOfTargets(now), m_settings.dataCentre, now);
+    const auto services = m_services.count();
+    const auto cutOff = m_services.countCutOff(now);
+    const bool areOthersSilent =
+        areOtherDataCentresUnreachable(m_services.reachOfTargets(now), m_settings.dataCentre, now);
     // With few services the loss of their targets is as likely as that of the links to them.
-    const bool isMostCutOff = static_cast<std::size_t>(cutOff) * 2 > m_keepers.size();
-    const bool areMostCutOff = isMostCutOff && (!m_relays || m_keepers.size() >= fewestJudgedServices);
+    const bool areMostCutOff = cutOff * 2 > services && (!m_relays || services >= fewestJudgedServices);
     const bool areServersIsolated = m_relays && m_relays->areServersIsolated();
     const bool isIsolated = areOthersSilent || areMostCutOff || areServersIsolated;
     if (isIsolated != (m_isolatedSince != never)) {
@@ -513,7 +267,7 @@
         m_context.log.warn(isIsolated ? "targets_out_of_reach" : "targets_within_reach")
             .field("other_data_centres_silent", areOthersSilent ? 1 : 0)
             .field("services_cut_off", static_cast<std::int64_t>(cutOff))
-            .field("services", static_cast<std::int64_t>(m_keepers.size()))
+            .field("services", static_cast<std::int64_t>(services))
             .field("servers_isolated", areServersIsolated ? 1 : 0);
         if (m_relays) {
             m_relays->announceState();
@@ -529,10 +283,38 @@
     }
 }
 
+void front::updateMetrics()
+{
+    m_context.metrics.setQueued(static_cast<std::int64_t>(m_services.queuedStatements()));
+    m_context.metrics.setTargetConnections(m_services.targetConnections());
+    m_context.metrics.setLinesLeftOut(m_context.log.droppedLines());
+}
+
+duration front::recentStall(time_point now) const
+{
+    if (m_housekeptAt == never) {
+        return {};
+    }
+    const auto beyond = now - m_housekeptAt - housekeepingInterval;
+    return beyond > stallMargin ? beyond : duration{};
+}
+
+void front::watchIsolationSoon()
+{
+    if (std::exchange(m_isIsolationCheckPlanned, true)) {
+        return;
+    }
+    m_context.deadlines.scheduleAfter(isolationCheckDelay, [self = shared_from_this()] {
+        self->m_isIsolationCheckPlanned = false;
+        self->watchIsolation(systemNow());
+    });
+}
+
 bool front::isReady() const
 {
     const bool isFleetKnown = !m_fleet || m_fleet->isKnown() || systemNow() - m_startedAt > longestFleetWait;
-    return m_shutdownAt == never && m_configuration && m_areTargetsKnown && isFleetKnown && m_isolatedSince == never;
+    return m_shutdownAt == never && m_configuration && m_services.areTargetsKnown() && isFleetKnown
+        && m_isolatedSince == never;
 }
 
 http_response front::answerReadiness(const std::string &path) const
@@ -549,21 +331,6 @@
                               : http_response{404, "unknown path\n", {}};
 }
 
-void front::updateMetrics()
-{
-    std::size_t queued = 0;
-    int connections = 0;
-    for (const auto &[service, group] : m_groups) {
-        queued += group->queued();
-        for (const auto &[id, pool] : group->targets()) {
-            connections += pool->connections();
-        }
-    }
-    m_context.metrics.setQueued(static_cast<std::int64_t>(queued));
-    m_context.metrics.setTargetConnections(connections);
-    m_context.metrics.setLinesLeftOut(m_context.log.droppedLines());
-}
-
 void front::shutdown(std::function<void()> done)
 {
     if (m_shutdownAt != never) {
@@ -572,9 +339,7 @@
     m_shutdownAt = systemNow();
     m_whenShutDown = std::move(done);
     m_context.log.info("shutting_down").field("sessions", static_cast<std::int64_t>(m_sessions.size()));
-    for (const auto &[service, keeper] : m_keepers) {
-        keeper->stop();
-    }
+    m_services.stopKeepers();
     if (m_relays) {
         m_relays->announceState();
         m_fleet->stop();
@@ -631,14 +396,7 @@
     for (const auto &session : sessions) {
         session->close();
     }
-    for (const auto &[service, keeper] : m_keepers) {
-        keeper->stop();
-    }
-    for (const auto &[service, group] : m_groups) {
-        for (const auto &[id, pool] : group->targets()) {
-            pool->close();
-        }
-    }
+    m_services.close();
 }
 
 void front::finishShutdown(const char *why)
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -4,16 +4,12 @@
 #include "frontsession.h"
 #include "frontsettings.h"
 #include "httpmessage.h"
-#include "isolation.h"
-#include "leaderkeeper.h"
 #include "metadatastore.h"
 #include "relayhub.h"
-#include "servicegroup.h"
+#include "servedservices.h"
 #include "storefeed.h"
-#include "targetdirectory.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -48,29 +44,12 @@
     std::shared_ptr<running_statement> runHere(const statement_order &order,
                                                const session_values &values,
                                                outcome_handler done);
-    bool isPlannedHere(const service_id &service);
     /** Begins to serve the services that others relay to this instance, before their first statement. */
     void keepPlannedServices();
     void applyConfiguration(const routing_configuration &configuration);
-    void applyTargets(const target_news &news, time_point changedAfter);
-    void applyDuties(const duty_list_news &news, time_point askedAt);
-    void tellDuty(const service_id &service, leader_keeper &keeper) const;
-    void refreshGroups();
-    /** Begins to serve the service if it does not yet; null if it is not configured. */
-    std::shared_ptr<service_group> groupOf(const service_id &service);
-    std::shared_ptr<service_group> beginToServe(const service_id &service, const service_policy &policy);
-    /** Lets go of services that no caller has used for long, with their connections. */
-    void retireUnusedServices(time_point now);
-    bool isAnswering(const data_centre_id &dataCentre) const;
-    /** Asks at the addresses of targets whose entries are gone, while their data centres can be reached. */
-    void checkMissingTargets();
-    /** Asks some targets of the data centre, so that isAnswering() can tell. */
-    void askIn(const data_centre_id &dataCentre);
     void housekeep();
     /** How long this process did not run until just now, for its machine was suspended or had no processor. */
     duration recentStall(time_point now) const;
-    void watchSilence(time_point now);
-    std::vector<target_reachability> reachOfTargets(time_point now) const;
     void watchIsolation(time_point now);
     /** Together for all that is missed at about the same time, without waiting for the next housekeeping. */
     void watchIsolationSoon();
@@ -84,7 +63,6 @@
     front_context &m_context;
     front_settings m_settings;
     metadata_store &m_store;
-    promotion_authority &m_authority;
     asio::ip::tcp::acceptor m_acceptor;
     std::shared_ptr<http_server> m_readiness;
     std::shared_ptr<http_server> m_metrics;
@@ -92,13 +70,7 @@
     std::shared_ptr<relay_hub> m_relays; ///< Null if this instance serves its callers alone.
     std::shared_ptr<fleet_feed> m_fleet;
     std::shared_ptr<const routing_configuration> m_configuration;
-    target_directory m_directory;
-    bool m_areTargetsKnown = false;
-    bool m_areDutiesKnown = false;
-    std::map<service_id, promotion_lease_record> m_duties;
-    time_point m_dutiesAskedAt = never;
-    std::map<service_id, std::shared_ptr<service_group>> m_groups;
-    std::map<service_id, std::shared_ptr<leader_keeper>> m_keepers;
+    served_services m_services;
     std::set<std::shared_ptr<front_session>> m_sessions;
     std::function<void()> m_whenShutDown;
     time_point m_shutdownAt = never;
--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/leaderkeeper.cpp
@@ -16,10 +16,6 @@
 constexpr duration urgentTime{5000};
 constexpr duration lastingSurveyInterval{240};
 constexpr duration controlLimit{250};
-// An attempt with a primary that serves takes less; a longer pause was left behind.
-constexpr duration longestPause{5000};
-constexpr int standbyCheckShare = 16; // What a holder leaves paused is found by its record.
-constexpr duration servingTime{1000};
 constexpr duration leftTime{2000};
 constexpr duration stallTime{1000}; // Longer than a write waits in a busy target.
 constexpr duration retryTime{300};
@@ -54,6 +50,10 @@
             self->trouble(why);
         }
     };
+    m_pauseWatch = std::make_shared<pause_watch>(m_context, m_group, m_orders, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        return self && self->m_attempt;
+    });
     if (m_group->leader()) {
         askClaimedLeader();
     } else {
@@ -83,8 +83,10 @@
     m_isStopped = true;
     m_group->onLeaderTrouble = nullptr;
     m_context.deadlines.cancel(m_tick);
-    m_context.deadlines.cancel(m_wake);
     m_context.deadlines.cancel(m_fenceCheck);
+    if (m_attempt) {
+        m_attempt->cancelWake();
+    }
 }
 
 duration leader_keeper::shareOf(duration spread) const
@@ -96,9 +98,8 @@
 void leader_keeper::dutyKnown(const std::optional<promotion_lease_record> &record, time_point askedAt)
 {
     m_orders->observe(record, askedAt);
-    if (m_attempt && m_orders->token() != m_attemptToken) {
-        m_attempt->leaseLost();
-        runAttempt();
+    if (const auto attempt = m_attempt) {
+        attempt->leaseReported();
     }
     watchOpenOrder();
     if (std::exchange(m_isDutyKnown, true)) {
@@ -345,51 +346,11 @@
 
 void leader_keeper::checkPauses()
 {
-    const auto now = systemNow();
-    if (m_isStopped || m_attempt || hasWork(now) || !m_group->leader() || m_group->policy().syncReplicas == 0) {
-        return;
-    }
-    // Each check takes a slot of a target, so that others than the holder of the duty check only now and then.
-    const bool isTurn = m_orders->isHeldHere() || m_pauseChecks % standbyCheckShare == 0;
-    ++m_pauseChecks;
-    if (!isTurn) {
-        return;
-    }
-    const auto pools = m_group->targets();
-    for (const auto &[id, pool] : pools) {
-        if (id == m_group->leader()) {
-            continue;
-        }
-        pool->control(
-            control_statement::Status,
-            0,
-            controlLimit,
-            [self = shared_from_this(), id = id](const control_reply &reply) { self->takePauseSighting(id, reply); });
-    }
-}
-
-void leader_keeper::takePauseSighting(const target_id &target, const control_reply &reply)
-{
-    if (!reply.report || !reply.report->isPaused()) {
-        m_pausedSince.erase(target);
-        return;
-    }
-    const auto now = systemNow();
-    const auto since = m_pausedSince.emplace(target, now).first->second;
-    const bool isLeaderServing = m_group->leader() && now - m_group->leaderProvedAt() < servingTime;
-    const auto found = m_group->targets().find(target);
-    // While another instance has claimed just now, its attempt may rely on the pause.
-    const bool isAttemptPossible = m_attempt || !m_orders->mayClaim(now, never) || m_orders->isOrderOpen();
-    if (isAttemptPossible || now - since < longestPause || !isLeaderServing || found == m_group->targets().end()) {
+    const bool isChanging = m_attempt || hasWork(systemNow());
+    if (m_isStopped || isChanging || !m_group->leader() || m_group->policy().syncReplicas == 0) {
         return;
     }
-    m_context.log.warn("pause_ended")
-        .field("service", m_group->id().str())
-        .field("target", target.str())
-        .field("paused_ms", (now - since).ms)
-        .field("term", static_cast<std::int64_t>(reply.report->pausedTerm));
-    m_pausedSince.erase(target);
-    found->second->control(control_statement::Resume, 0, controlLimit, [](const control_reply &) {});
+    m_pauseWatch->check();
 }
 
 bool leader_keeper::isLeaderStalled(time_point now) const
@@ -493,150 +454,38 @@
         .field("members", static_cast<std::int64_t>(members.size()))
         .field("token", static_cast<std::int64_t>(m_orders->token().value_or(0)))
         .field("trouble_ms", (systemNow() - m_troubleSince).ms);
-    m_attemptToken = m_orders->token();
-    m_attempt = std::make_unique<promotion_attempt>(
-        reason, leader, std::move(members), m_group->policy().syncReplicas > 0, systemNow());
+    promotion_attempt attempt(reason, leader, std::move(members), m_group->policy().syncReplicas > 0, systemNow());
     if (onlyChoice) {
-        m_attempt->restrictChoice(*onlyChoice);
-    }
-    runAttempt();
-}
-
-void leader_keeper::runAttempt()
-{
-    if (!m_attempt) {
-        return;
-    }
-    const auto actions = m_attempt->step(systemNow());
-    for (const auto &action : actions) {
-        perform(action);
-    }
-    if (m_attempt && m_attempt->result() != attempt_outcome::Pending) {
-        finishAttempt();
-        return;
-    }
-    m_context.deadlines.cancel(m_wake);
-    m_wake = m_context.deadlines.schedule(m_attempt->wakeAt(systemNow()), [self = shared_from_this()] {
-        self->m_wake = 0;
-        self->runAttempt();
-    });
-}
-
-void leader_keeper::perform(const promotion_action &action)
-{
-    if (const auto *survey = std::get_if<query_target>(&action)) {
-        ask(survey->target, control_statement::Status, 0);
-    } else if (const auto *pause = std::get_if<pause_target>(&action)) {
-        ask(pause->target, control_statement::Pause, pause->term);
-    } else if (const auto *resume = std::get_if<resume_target>(&action)) {
-        ask(resume->target, control_statement::Resume, 0);
-    } else if (const auto *stepDown = std::get_if<step_down_target>(&action)) {
-        ask(stepDown->target, control_statement::StepDown, stepDown->term);
-    } else {
-        order(std::get<promote_target>(action).target);
+        attempt.restrictChoice(*onlyChoice);
     }
+    run(std::move(attempt));
 }
 
-void leader_keeper::ask(const target_id &target, control_statement what, std::uint64_t term)
+void leader_keeper::run(promotion_attempt attempt)
 {
-    const auto found = m_group->targets().find(target);
-    if (found == m_group->targets().end()) {
-        m_attempt->memberRemoved(target);
-        return;
-    }
-    // The answer must not come back within step(), which is still running.
-    const auto pool = found->second;
-    const auto *attempt = m_attempt.get();
-    pool->control(what, term, controlLimit, [self = shared_from_this(), target, attempt](const control_reply &reply) {
-        asio::post(self->m_context.io, [self, target, attempt, reply] {
-            if (self->m_attempt.get() != attempt || !self->m_attempt) {
-                return;
-            }
-            if (reply.report) {
-                self->m_attempt->statusReceived(target, *reply.report, reply.askedAt, systemNow());
-            } else {
-                self->m_attempt->statusMissing(target, systemNow());
-                if (self->isKnownGone(target)) {
-                    self->m_attempt->memberRemoved(target);
-                }
-            }
-            self->runAttempt();
-        });
-    });
-}
-
-void leader_keeper::order(const target_id &target)
-{
-    if (m_orders->token() != m_attemptToken) {
-        m_attempt->promotionRefused();
-        return;
-    }
-    if (!m_orders->isClaimStale(systemNow())) {
-        sendOrder(target);
-        return;
-    }
-    // The attempt has waited, or the machine was suspended: another instance may hold the duty by now.
-    if (isStoreAway()) {
-        if (mayActWithoutStore()) {
-            sendOrder(target);
-        } else {
-            m_attempt->promotionRefused();
-        }
-        return;
-    }
-    const auto *attempt = m_attempt.get();
-    m_orders->renew(m_attemptToken, [self = shared_from_this(), attempt, target](claim_result result) {
-        if (self->m_attempt && self->m_attempt.get() == attempt) {
-            self->takeRenewal(result, target);
-        }
-    });
-}
-
-void leader_keeper::takeRenewal(claim_result result, const target_id &target)
-{
-    if (result == claim_result::Claimed) {
-        m_attemptToken = m_orders->token();
-    }
-    const bool mayOrder = result == claim_result::Claimed
-        || (result == claim_result::StoreAway && m_orders->token() && mayActWithoutStore());
-    if (mayOrder) {
-        sendOrder(target);
-        return;
-    }
-    m_attempt->promotionRefused();
-    runAttempt();
-}
-
-void leader_keeper::sendOrder(const target_id &target)
-{
-    if (!m_orders->token()) {
-        m_attempt->promotionRefused();
-        return;
-    }
-    const auto *attempt = m_attempt.get();
-    m_orders->send(target, m_attempt->explanation(), [self = shared_from_this(), attempt](promotion_answer answer) {
-        if (self->m_attempt && self->m_attempt.get() == attempt) {
-            self->orderAnswered(answer);
+    const auto weak = weak_from_this();
+    promotion_surroundings surroundings;
+    surroundings.isStoreAway = [weak] {
+        const auto self = weak.lock();
+        return !self || self->isStoreAway();
+    };
+    surroundings.mayActWithoutStore = [weak] {
+        const auto self = weak.lock();
+        return self && self->mayActWithoutStore();
+    };
+    surroundings.isKnownGone = [weak](const target_id &target) {
+        const auto self = weak.lock();
+        return self && self->isKnownGone(target);
+    };
+    surroundings.onEnded = [weak](const promotion_attempt &ended) {
+        if (const auto self = weak.lock()) {
+            self->finishAttempt(ended);
         }
-    });
-}
-
-void leader_keeper::orderAnswered(promotion_answer answer)
-{
-    switch (answer) {
-    case promotion_answer::Accepted:
-        m_attempt->promotionAccepted(systemNow());
-        break;
-    case promotion_answer::Refused:
-    case promotion_answer::TurnedAway:
-        m_attempt->promotionRefused();
-        break;
-    case promotion_answer::Unanswered:
-        // It may be carried out at any time; the lead of the chosen target tells.
-        m_attempt->promotionUnanswered(systemNow());
-        break;
-    }
-    runAttempt();
+    };
+    m_attempt =
+        std::make_shared<promotion_run>(m_context, m_group, m_orders, std::move(attempt), std::move(surroundings));
+    const auto running = m_attempt; // It may end at once.
+    running->start();
 }
 
 void leader_keeper::fenceOpenOrder(const target_id &leader)
@@ -655,24 +504,23 @@
         });
 }
 
-void leader_keeper::finishAttempt()
+void leader_keeper::finishAttempt(const promotion_attempt &attempt)
 {
-    const auto attempt = std::move(m_attempt);
-    m_context.deadlines.cancel(m_wake);
-    const auto outcome = attempt->result();
+    m_attempt.reset();
+    const auto outcome = attempt.result();
     m_context.metrics.promotionEnded(attemptOutcomeNames.name(outcome));
     m_context.log.info("promotion_ended")
         .field("service", m_group->id().str())
         .field("outcome", attemptOutcomeNames.name(outcome))
-        .field("chosen", attempt->chosen() ? attempt->chosen()->str() : "none")
-        .field("why", attempt->explanation())
+        .field("chosen", attempt.chosen() ? attempt.chosen()->str() : "none")
+        .field("why", attempt.explanation())
         .field("trouble_ms", (systemNow() - m_troubleSince).ms);
     m_sightings.discardReplies();
     if (outcome == attempt_outcome::Promoted || outcome == attempt_outcome::PrimaryFound) {
-        m_lastLeader = attempt->chosen();
-        m_leaderTerm = attempt->primaryTerm();
-        m_group->setLeader(*attempt->chosen(), "promotion");
-        m_group->noteLead(*attempt->chosen(), std::nullopt, systemNow());
+        m_lastLeader = attempt.chosen();
+        m_leaderTerm = attempt.primaryTerm();
+        m_group->setLeader(*attempt.chosen(), "promotion");
+        m_group->noteLead(*attempt.chosen(), std::nullopt, systemNow());
         m_troubleSince = never;
     }
     if (outcome == attempt_outcome::Promoted) {
--- a/src/libcrocusdealfront/leaderkeeper.h
+++ b/src/libcrocusdealfront/leaderkeeper.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "metadatastore.h"
+#include "pausewatch.h"
 #include "primarychange.h"
 #include "primaryfailuredetector.h"
-#include "promotionattempt.h"
 #include "promotionorders.h"
+#include "promotionrun.h"
 #include "servicegroup.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -79,7 +79,6 @@
     void watchOpenOrder();
     void resumePaused();
     bool mayActWithoutStore() const;
-    void takePauseSighting(const target_id &target, const control_reply &reply);
     void begin(promotion_reason reason);
     /** Whether another instance, which may know more of the service, is to try first. */
     bool isOthersTurn(promotion_reason reason, time_point now) const;
@@ -87,14 +86,8 @@
     void takeClaim(claim_result result, promotion_reason reason);
     void refreshThenStart(promotion_reason reason);
     void startAttempt(promotion_reason reason);
-    void runAttempt();
-    void perform(const promotion_action &action);
-    void ask(const target_id &target, control_statement what, std::uint64_t term);
-    void order(const target_id &target);
-    void takeRenewal(claim_result result, const target_id &target);
-    void sendOrder(const target_id &target);
-    void orderAnswered(promotion_answer answer);
-    void finishAttempt();
+    void run(promotion_attempt attempt);
+    void finishAttempt(const promotion_attempt &attempt);
     /** With the primary in place, so that what is open is not carried out behind its back. */
     void fenceOpenOrder(const target_id &leader);
 
@@ -105,21 +98,17 @@
     data_centre_id m_dataCentre;
     std::shared_ptr<promotion_orders> m_orders;
     primary_failure_detector m_sightings;
-    std::unique_ptr<promotion_attempt> m_attempt;
-    /** What the attempt has seen counts only while nobody else has held the duty since this token was claimed. */
-    std::optional<std::uint64_t> m_attemptToken;
+    std::shared_ptr<pause_watch> m_pauseWatch;
+    std::shared_ptr<promotion_run> m_attempt; ///< Null unless one is under way.
     deadline_queue::handle m_tick = 0;
-    deadline_queue::handle m_wake = 0;
     time_point m_troubleSince = never;
     time_point m_drainingSince = never;
     time_point m_retryAt = never;
     time_point m_fencedAt = never; ///< When the last fence of an open order was accepted.
     std::optional<target_id> m_lastLeader;
     std::uint64_t m_leaderTerm = 0; ///< Of m_lastLeader.
-    int m_pauseChecks = 0;
     deadline_queue::handle m_fenceCheck = 0;
     bool m_isFenceDue = false;
-    std::map<target_id, time_point> m_pausedSince; ///< Seen outside of attempts of this instance.
     bool m_isRefreshing = false; ///< The list of targets, under a claim.
     bool m_isDutyKnown = false;
     bool m_isStopped = false;
--- /dev/null
+++ b/src/libcrocusdealfront/pausewatch.cpp
@@ -0,0 +1,85 @@
+#include "pausewatch.h"
+
+#include "systemclock.h"
+
+#include <utility>
+
+namespace crocusdeal
+{
+
+namespace
+{
+
+constexpr duration controlLimit{250};
+// An attempt with a primary that serves takes less.
+constexpr duration longestPause{5000};
+constexpr duration servingTime{1000};
+// Each check takes a slot of a target, so that others than the holder of the lease check at one call in so many.
+constexpr int standbyCheckShare = 16;
+
+}
+
+pause_watch::pause_watch(front_context &context,
+                         std::shared_ptr<service_group> group,
+                         std::shared_ptr<promotion_orders> orders,
+                         std::function<bool()> isAttemptRunning)
+    : m_context(context)
+    , m_group(std::move(group))
+    , m_orders(std::move(orders))
+    , m_isAttemptRunning(std::move(isAttemptRunning))
+{
+}
+
+void pause_watch::check()
+{
+    const bool isTurn = m_orders->isHeldHere() || m_checks % standbyCheckShare == 0;
+    ++m_checks;
+    if (!isTurn) {
+        return;
+    }
+    const auto pools = m_group->targets();
+    for (const auto &[id, pool] : pools) {
+        if (id == m_group->leader()) {
+            continue;
+        }
+        pool->control(
+            control_statement::Status,
+            0,
+            controlLimit,
+            [self = shared_from_this(), id = id](const control_reply &reply) { self->handleReply(id, reply); });
+    }
+}
+
+void pause_watch::handleReply(const target_id &target, const control_reply &reply)
+{
+    if (!reply.report || !reply.report->isPaused()) {
+        m_pausedSince.erase(target);
+        return;
+    }
+    const auto now = systemNow();
+    const auto since = m_pausedSince.emplace(target, now).first->second;
+    const bool isLeaderServing = m_group->leader() && now - m_group->leaderProvedAt() < servingTime;
+    // While another instance has claimed just now, its attempt may rely on the pause.
+    const bool isAttemptPossible = m_isAttemptRunning() || !m_orders->mayClaim(now, never) || m_orders->isOrderOpen();
+    if (isAttemptPossible || now - since < longestPause || !isLeaderServing) {
+        return;
+    }
+    endPause(target, *reply.report);
+}
+
+void pause_watch::endPause(const target_id &target, const replication_report &report)
+{
+    const auto found = m_group->targets().find(target);
+    if (found == m_group->targets().end()) {
+        return;
+    }
+    m_context.log.warn("pause_ended")
+        .field("service", m_group->id().str())
+        .field("target", target.str())
+        .field("paused_ms", (systemNow() - m_pausedSince.at(target)).ms)
+        .field("term", static_cast<std::int64_t>(report.pausedTerm));
+    m_pausedSince.erase(target);
+    found->second->control(control_statement::Resume, 0, controlLimit, [](const control_reply &) {});
+}
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/servedservices.cpp
@@ -0,0 +1,350 @@
+#include "servedservices.h"
+
+#include "systemclock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusdeal
+{
+
+namespace
+{
+
+constexpr duration silenceLimit{220}; // A statement unanswered for so long is reason to ask for the target's status.
+constexpr duration stallLimit{1000};
+constexpr duration answeringTime{1000};
+constexpr duration missingAnswerLimit{250};
+constexpr int askedInDataCentre = 4; // Some may have crashed.
+
+}
+
+served_services::served_services(front_context &context,
+                                 const front_settings &settings,
+                                 metadata_store &store,
+                                 promotion_authority &authority)
+    : m_context(context)
+    , m_settings(settings)
+    , m_store(store)
+    , m_authority(authority)
+    , m_directory(settings.drainTime)
+{
+}
+
+void served_services::setConfiguration(std::shared_ptr<const routing_configuration> configuration)
+{
+    m_configuration = std::move(configuration);
+    for (const auto &[service, group] : m_groups) {
+        const auto policy = m_configuration->services.find(service);
+        if (policy != m_configuration->services.end()) {
+            group->setPolicy(policy->second);
+        }
+    }
+}
+
+void served_services::applyTargets(const target_news &news, time_point changedAfter)
+{
+    const directory_update_time at{systemNow(), changedAfter};
+    if (news.isComplete) {
+        m_directory.replaceAll(news.entries, at);
+        m_areTargetsKnown = true;
+    }
+    for (const auto &entry : news.entries) {
+        noteEntry(entry, news, at);
+    }
+    for (const auto &id : news.removed) {
+        m_context.log.info("target_entry_removed").field("target", id.str());
+        m_directory.markRemoved(id, at);
+    }
+    if (news.isComplete || !news.entries.empty() || !news.removed.empty()) {
+        refreshGroups();
+    }
+}
+
+void served_services::noteEntry(const target_entry &entry, const target_news &news, const directory_update_time &at)
+{
+    const auto *known = m_directory.find(entry.id);
+    const bool isChanged = known == nullptr || known->entry != entry || known->removedAt;
+    m_directory.put(entry, at);
+    if (!isChanged && !news.isComplete) {
+        return;
+    }
+    m_context.log.info("target_known")
+        .field("target", entry.id.str())
+        .field("service", entry.service.str())
+        .field("address", toString(entry.address))
+        .field("state", entry.isDraining ? "draining" : "ready")
+        .field("claims", entry.claimsPrimary ? "primary" : "replica")
+        .field("revision", static_cast<std::int64_t>(news.revision));
+}
+
+void served_services::applyDuties(const duty_list_news &news, time_point askedAt)
+{
+    m_areDutiesKnown = true;
+    m_dutiesAskedAt = askedAt;
+    for (const auto &entry : news.entries) {
+        m_duties[entry.service] = {entry.holder, entry.revision, entry.purpose};
+    }
+    for (const auto &[service, keeper] : m_keepers) {
+        tellDuty(service, *keeper);
+    }
+}
+
+void served_services::tellDuty(const service_id &service, leader_keeper &keeper) const
+{
+    const auto found = m_duties.find(service);
+    keeper.dutyKnown(found == m_duties.end() ? std::nullopt : std::optional(found->second), m_dutiesAskedAt);
+}
+
+bool served_services::areTargetsKnown() const
+{
+    return m_areTargetsKnown;
+}
+
+std::shared_ptr<service_group> served_services::groupOf(const service_id &service)
+{
+    const auto found = m_groups.find(service);
+    if (found != m_groups.end()) {
+        return found->second;
+    }
+    if (!m_configuration) {
+        return nullptr;
+    }
+    const auto policy = m_configuration->services.find(service);
+    return policy == m_configuration->services.end() ? nullptr : beginToServe(service, policy->second);
+}
+
+std::shared_ptr<service_group> served_services::beginToServe(const service_id &service, const service_policy &policy)
+{
+    auto group = std::make_shared<service_group>(m_context, service, m_settings.dataCentre, m_directory);
+    m_groups[service] = group;
+    group->setPolicy(policy);
+    group->adoptClaimedLeader();
+    const auto keeper = makeKeeper(group);
+    m_keepers[service] = keeper;
+    keeper->start();
+    if (m_areDutiesKnown) {
+        tellDuty(service, *keeper);
+    }
+    m_context.log.info("service_begun")
+        .field("service", service.str())
+        .field("targets", static_cast<std::int64_t>(group->targets().size()))
+        .field("primary", group->leader() ? group->leader()->str() : "none")
+        .field("services", static_cast<std::int64_t>(m_groups.size()));
+    return group;
+}
+
+std::shared_ptr<leader_keeper> served_services::makeKeeper(const std::shared_ptr<service_group> &group)
+{
+    auto keeper = std::make_shared<leader_keeper>(
+        m_context, group, m_directory, m_store, m_authority, m_settings.instance.str(), m_settings.dataCentre);
+    keeper->refreshDirectory = [this](std::function<void(bool)> done) { refreshTargets(std::move(done)); };
+    keeper->isStoreAway = [this] { return isStoreAway(); };
+    keeper->onMissed = [this] { onMissed(); };
+    keeper->isAnswering = [this](const data_centre_id &dataCentre) { return isAnswering(dataCentre); };
+    return keeper;
+}
+
+void served_services::beginPlanned()
+{
+    if (!m_configuration || !m_areTargetsKnown) {
+        return;
+    }
+    for (const auto &[service, policy] : m_configuration->services) {
+        if (isPlannedHere(service)) {
+            groupOf(service);
+        }
+    }
+}
+
+void served_services::retireUnused(time_point now)
+{
+    for (auto it = m_groups.begin(); it != m_groups.end();) {
+        const auto &[service, group] = *it;
+        const auto keeper = m_keepers.at(service);
+        const bool isWanted = isPlannedHere(service) || now - group->lastUsedAt() < m_settings.serviceIdleTimeout;
+        if (group->isInUse() || isWanted || !keeper->isIdle()) {
+            ++it;
+            continue;
+        }
+        m_context.log.info("service_retired")
+            .field("service", service.str())
+            .field("unused_ms", (now - group->lastUsedAt()).ms);
+        keeper->stop();
+        m_keepers.erase(service);
+        group->retire();
+        it = m_groups.erase(it);
+    }
+}
+
+void served_services::pump(time_point now)
+{
+    for (const auto &[service, group] : m_groups) {
+        for (const auto &[id, pool] : group->targets()) {
+            pool->closeUnused(now);
+        }
+        group->pump();
+    }
+}
+
+void served_services::eraseExpired(time_point now)
+{
+    if (!m_directory.eraseExpired(now).empty()) {
+        refreshGroups();
+    }
+}
+
+void served_services::refreshGroups()
+{
+    for (const auto &[service, group] : m_groups) {
+        group->refreshTargets();
+        m_keepers.at(service)->directoryChanged();
+    }
+}
+
+void served_services::watchSilence(time_point now)
+{
+    for (const auto &[service, group] : m_groups) {
+        const auto &leader = group->leader();
+        const auto found = leader ? group->targets().find(*leader) : group->targets().end();
+        if (found == group->targets().end()) {
+            continue;
+        }
+        const auto silentSince = found->second->silentSince();
+        if (silentSince != never && now - silentSince > silenceLimit && found->second->lastAnswerAt() < silentSince) {
+            group->noteTrouble("a statement is not answered");
+        }
+        const auto openSince = group->oldestOpenWrite();
+        if (openSince != never && now - openSince > stallLimit) {
+            group->noteTrouble("a write is not acknowledged");
+        }
+    }
+}
+
+void served_services::checkMissingTargets()
+{
+    std::vector<target_id> gone;
+    for (const auto &[service, group] : m_groups) {
+        for (const auto &[id, pool] : group->targets()) {
+            const auto *known = m_directory.find(id);
+            if (known == nullptr || !known->removedAt) {
+                continue;
+            }
+            if (m_keepers.at(service)->isKnownGone(id)) {
+                gone.push_back(id);
+                continue;
+            }
+            pool->control(control_statement::Status, 0, missingAnswerLimit, [](const control_reply &) {});
+            if (!isAnswering(known->entry.dataCentre)) {
+                askIn(known->entry.dataCentre);
+            }
+        }
+    }
+    for (const auto &id : gone) {
+        m_context.log.info("target_gone").field("target", id.str());
+        m_directory.eraseDeparted(id);
+    }
+    if (!gone.empty()) {
+        refreshGroups();
+    }
+}
+
+void served_services::askIn(const data_centre_id &dataCentre)
+{
+    int asked = 0;
+    for (const auto &[service, group] : m_groups) {
+        for (const auto &[id, pool] : group->targets()) {
+            const auto *known = m_directory.find(id);
+            const bool isPresent = known != nullptr && !known->removedAt;
+            if (isPresent && known->entry.dataCentre == dataCentre && !pool->isSilent(systemNow())) {
+                pool->control(control_statement::Status, 0, missingAnswerLimit, [](const control_reply &) {});
+                ++asked;
+            }
+            if (asked == askedInDataCentre) {
+                return;
+            }
+        }
+    }
+}
+
+bool served_services::isAnswering(const data_centre_id &dataCentre) const
+{
+    const auto now = systemNow();
+    for (const auto &[service, group] : m_groups) {
+        for (const auto &[id, pool] : group->targets()) {
+            if (pool->entry().dataCentre == dataCentre && now - pool->lastAnswerAt() < answeringTime) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+void served_services::checkPauses()
+{
+    for (const auto &[service, keeper] : m_keepers) {
+        keeper->checkPauses();
+    }
+}
+
+void served_services::stopKeepers()
+{
+    for (const auto &[service, keeper] : m_keepers) {
+        keeper->stop();
+    }
+}
+
+void served_services::close()
+{
+    stopKeepers();
+    for (const auto &[service, group] : m_groups) {
+        for (const auto &[id, pool] : group->targets()) {
+            pool->close();
+        }
+    }
+}
+
+std::size_t served_services::count() const
+{
+    return m_groups.size();
+}
+
+std::size_t served_services::countCutOff(time_point now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_keepers.begin(), m_keepers.end(), [&](const auto &entry) { return entry.second->isCutOff(now); }));
+}
+
+std::vector<target_reachability> served_services::reachOfTargets(time_point now) const
+{
+    std::vector<target_reachability> targets;
+    for (const auto &[service, group] : m_groups) {
+        for (const auto &[id, pool] : group->targets()) {
+            const bool isWithoutAnswer = pool->isSilent(now) || pool->unreachableSince() != never;
+            targets.push_back({pool->entry().dataCentre, isWithoutAnswer, pool->lastAnswerAt()});
+        }
+    }
+    return targets;
+}
+
+std::size_t served_services::queuedStatements() const
+{
+    std::size_t queued = 0;
+    for (const auto &[service, group] : m_groups) {
+        queued += group->queued();
+    }
+    return queued;
+}
+
+int served_services::targetConnections() const
+{
+    int connections = 0;
+    for (const auto &[service, group] : m_groups) {
+        for (const auto &[id, pool] : group->targets()) {
+            connections += pool->connections();
+        }
+    }
+    return connections;
+}
+
+}
--- /dev/null
+++ b/src/libcrocusdealfront/servedservices.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "frontsettings.h"
+#include "isolation.h"
+#include "leaderkeeper.h"
+#include "metadatastore.h"
+#include "servicegroup.h"
+#include "targetdirectory.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace crocusdeal
+{
+
+/** The services to whose targets this instance holds connections, and what it knows of all targets. */
+class served_services
+{
+public:
+    served_services(front_context &context,
+                    const front_settings &settings,
+                    metadata_store &store,
+                    promotion_authority &authority);
+
+    /** Reads the list of targets afresh, into applyTargets(); tells whether it could. */
+    std::function<void(std::function<void(bool)>)> refreshTargets;
+    /** Whether the store is known not to answer this instance. */
+    std::function<bool()> isStoreAway;
+    /** A target has not answered a status. */
+    std::function<void()> onMissed;
+    /** Whether other instances relay statements of the service to this one, or are about to. */
+    std::function<bool(const service_id &)> isPlannedHere;
+
+    void setConfiguration(std::shared_ptr<const routing_configuration> configuration);
+    /** @p changedAfter is when the store last answered without these news. */
+    void applyTargets(const target_news &news, time_point changedAfter);
+    void applyDuties(const duty_list_news &news, time_point askedAt);
+    bool areTargetsKnown() const;
+
+    /** Begins to serve the service if it does not yet; null if it is not configured. */
+    std::shared_ptr<service_group> groupOf(const service_id &service);
+    /** Begins to serve the services that others relay to this instance, before their first statement. */
+    void beginPlanned();
+    /** Lets go of services that no caller has used for long, with their connections. */
+    void retireUnused(time_point now);
+
+    /** Closes connections that are not needed and hands out work that waits. */
+    void pump(time_point now);
+    /** Forgets the entries of targets that have drained, and of those that are gone for good. */
+    void eraseExpired(time_point now);
+    /** Has the primary looked for where statements or writes are not answered. */
+    void watchSilence(time_point now);
+    /** Asks at the addresses of targets whose entries are gone, while their data centres can be reached. */
+    void checkMissingTargets();
+    void checkPauses();
+    void stopKeepers();
+    void close();
+
+    std::size_t count() const;
+    /** Services of which this instance reaches few targets. */
+    std::size_t countCutOff(time_point now) const;
+    std::vector<target_reachability> reachOfTargets(time_point now) const;
+    std::size_t queuedStatements() const;
+    int targetConnections() const;
+
+private:
+    std::shared_ptr<service_group> beginToServe(const service_id &service, const service_policy &policy);
+    std::shared_ptr<leader_keeper> makeKeeper(const std::shared_ptr<service_group> &group);
+    void noteEntry(const target_entry &entry, const target_news &news, const directory_update_time &at);
+    void tellDuty(const service_id &service, leader_keeper &keeper) const;
+    void refreshGroups();
+    bool isAnswering(const data_centre_id &dataCentre) const;
+    /** Asks some targets of the data centre, so that isAnswering() can tell. */
+    void askIn(const data_centre_id &dataCentre);
+
+    front_context &m_context;
+    const front_settings &m_settings;
+    metadata_store &m_store;
+    promotion_authority &m_authority;
+    std::shared_ptr<const routing_configuration> m_configuration;
+    target_directory m_directory;
+    bool m_areTargetsKnown = false;
+    bool m_areDutiesKnown = false;
+    std::map<service_id, promotion_lease_record> m_duties;
+    time_point m_dutiesAskedAt = never;
+    std::map<service_id, std::shared_ptr<service_group>> m_groups;
+    std::map<service_id, std::shared_ptr<leader_keeper>> m_keepers;
+};
+
+}
