--- a/src/libcrocusdealfront/fleetfeed.cpp
+++ b/src/libcrocusdealfront/fleetfeed.cpp
@@ -85,21 +85,21 @@
     if (std::exchange(m_isListing, true)) {
         return;
     }
-    m_store.listMembers([self = shared_from_this()](const member_news &news) { self->handleList(news); });
+    m_store.listMembers([self = shared_from_this()](const member_update &update) { self->handleList(update); });
 }
 
-void fleet_feed::handleList(const member_news &news)
+void fleet_feed::handleList(const member_update &update)
 {
     m_isListing = false;
     if (m_isStopped) {
         return;
     }
-    for (const auto &entry : news.ignored) {
+    for (const auto &entry : update.ignored) {
         m_context.log.warn("instance_entry_ignored").field("entry", entry.name).field("reason", entry.reason);
     }
-    if (news.failure == store_failure::None) {
+    if (update.failure == store_failure::None) {
         m_isKnown = true;
-        onMembers(news.members);
+        onMembers(update.members);
     }
     listAfter(m_listDelay);
     m_listDelay = std::min(longestListDelay, m_listDelay * 2);
--- a/src/libcrocusdealfront/fleetfeed.h
+++ b/src/libcrocusdealfront/fleetfeed.h
@@ -31,7 +31,7 @@
     void announce();
     void handleAnnouncement(store_failure failure, std::uint64_t revision);
     void list();
-    void handleList(const member_news &news);
+    void handleList(const member_update &update);
     void listAfter(duration delay);
 
     front_context &m_context;
--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -64,12 +64,12 @@
     }
     m_feed = std::make_shared<store_feed>(m_context, m_store, m_settings.configurationApplyTimeout);
     m_feed->onConfiguration = [this](const routing_configuration &configuration) { applyConfiguration(configuration); };
-    m_feed->onTargets = [this](const target_news &news, time_point changedAfter) {
-        m_services.applyTargets(news, changedAfter);
+    m_feed->onTargets = [this](const target_update &update, time_point changedAfter) {
+        m_services.applyTargets(update, changedAfter);
         keepPlannedServices();
     };
-    m_feed->onDuties = [this](const duty_list_news &news, time_point askedAt) {
-        m_services.applyDuties(news, askedAt);
+    m_feed->onLeases = [this](const promotion_lease_list_update &update, time_point askedAt) {
+        m_services.applyLeases(update, askedAt);
     };
     m_services.refreshTargets = [this](std::function<void(bool)> done) { m_feed->refreshTargets(std::move(done)); };
     m_services.isStoreAway = [this] { return m_feed->isStoreAway(); };
--- a/src/libcrocusdealfront/frontsession.cpp
+++ b/src/libcrocusdealfront/frontsession.cpp
@@ -20,7 +20,7 @@
 void front_session::start()
 {
     const auto self = shared_from_this();
-    m_stream->onData = [self](std::string &inbound) { self->takeData(inbound); };
+    m_stream->onData = [self](std::string &inbound) { self->handleData(inbound); };
     m_stream->onClosed = [self](const std::string &reason) { self->closed(reason); };
     m_stream->startReading();
 }
@@ -50,7 +50,7 @@
     closed("closed");
 }
 
-void front_session::takeData(std::string &inbound)
+void front_session::handleData(std::string &inbound)
 {
     std::size_t taken = 0;
     while (!m_isBusy && !m_isEnded) {
@@ -72,15 +72,15 @@
             answerError(error_code::Malformed, "message is not known");
             continue;
         }
-        takeMessage(message);
+        handleMessage(message);
     }
     inbound.erase(0, std::min(taken, inbound.size()));
 }
 
-void front_session::takeMessage(const caller_message &message)
+void front_session::handleMessage(const caller_message &message)
 {
     if (const auto *startup = std::get_if<session_startup>(&message)) {
-        takeStartup(*startup);
+        handleStartup(*startup);
         return;
     }
     if (std::holds_alternative<caller_goodbye>(message)) {
@@ -94,10 +94,10 @@
         closed("start-up expected");
         return;
     }
-    takeRequest(std::get<caller_request>(message));
+    handleRequest(std::get<caller_request>(message));
 }
 
-void front_session::takeStartup(const session_startup &startup)
+void front_session::handleStartup(const session_startup &startup)
 {
     const auto configuration = m_surroundings.configuration();
     const bool isKnown = configuration && configuration->routes.contains(startup.database);
@@ -123,7 +123,7 @@
     finishAnswer(std::nullopt);
 }
 
-void front_session::takeRequest(const caller_request &request)
+void front_session::handleRequest(const caller_request &request)
 {
     m_context.deadlines.cancel(m_idleLimit);
     if (std::exchange(m_wasAborted, false)) {
@@ -135,35 +135,35 @@
         }
     }
     if (m_state == transaction_state::Failed) {
-        takeInFailedTransaction(request);
+        handleInFailedTransaction(request);
         return;
     }
     const auto &what = request.what;
     switch (what.kind) {
     case statement_kind::Begin:
     case statement_kind::BeginRead:
-        takeBegin(what);
+        handleBegin(what);
         return;
     case statement_kind::Commit:
-        takeCommit(request);
+        handleCommit(request);
         return;
     case statement_kind::Rollback:
-        takeRollback();
+        handleRollback();
         return;
     case statement_kind::Set:
-        takeSet(what);
+        handleSet(what);
         return;
     case statement_kind::Prepare:
-        takePrepare(what);
+        handlePrepare(what);
         return;
     case statement_kind::Deallocate:
-        takeDeallocate(what);
+        handleDeallocate(what);
         return;
     case statement_kind::Read:
-        takeData(request, effect::Read, std::nullopt);
+        handleData(request, effect::Read, std::nullopt);
         return;
     case statement_kind::Write:
-        takeData(request, effect::Write, std::nullopt);
+        handleData(request, effect::Write, std::nullopt);
         return;
     case statement_kind::Execute: {
         const auto found = m_values.prepared.find(what.name);
@@ -171,7 +171,7 @@
             answerError(error_code::NoSuchStatement, what.name);
             return;
         }
-        takeData(request, found->second.kind, found->second);
+        handleData(request, found->second.kind, found->second);
         return;
     }
     case statement_kind::Malformed:
@@ -180,11 +180,11 @@
     answerError(error_code::Malformed, "statement is not known");
 }
 
-void front_session::takeInFailedTransaction(const caller_request &request)
+void front_session::handleInFailedTransaction(const caller_request &request)
 {
     const auto kind = request.what.kind;
     if (kind == statement_kind::Rollback) {
-        takeRollback();
+        handleRollback();
         return;
     }
     if (kind == statement_kind::Commit) {
@@ -195,7 +195,7 @@
     answerError(error_code::Malformed, "the transaction has failed");
 }
 
-void front_session::takeBegin(const statement &what)
+void front_session::handleBegin(const statement &what)
 {
     if (m_state != transaction_state::Idle) {
         answerError(error_code::Malformed, "a transaction is open");
@@ -214,19 +214,19 @@
     answerOwn();
 }
 
-void front_session::takeSet(const statement &what)
+void front_session::handleSet(const statement &what)
 {
     m_values.values[what.name] = what.argument;
     answerOwn();
 }
 
-void front_session::takePrepare(const statement &what)
+void front_session::handlePrepare(const statement &what)
 {
     m_values.prepared[what.name] = {what.preparedEffect, what.argument};
     answerOwn();
 }
 
-void front_session::takeDeallocate(const statement &what)
+void front_session::handleDeallocate(const statement &what)
 {
     if (m_values.prepared.erase(what.name) == 0) {
         answerError(error_code::NoSuchStatement, what.name);
@@ -235,7 +235,7 @@
     answerOwn();
 }
 
-void front_session::takeCommit(const caller_request &request)
+void front_session::handleCommit(const caller_request &request)
 {
     if (m_state == transaction_state::Idle) {
         answerError(error_code::Malformed, "no transaction is open");
@@ -248,7 +248,7 @@
     runInTransaction(request, std::nullopt);
 }
 
-void front_session::takeRollback()
+void front_session::handleRollback()
 {
     if (m_state == transaction_state::Idle) {
         answerError(error_code::Malformed, "no transaction is open");
@@ -259,7 +259,7 @@
     answerOwn();
 }
 
-void front_session::takeData(const caller_request &request, effect kind, std::optional<prepared_shape> prepared)
+void front_session::handleData(const caller_request &request, effect kind, std::optional<prepared_shape> prepared)
 {
     if (m_transaction) {
         m_hasWritten = m_hasWritten || kind == effect::Write;
@@ -332,7 +332,7 @@
         m_state = outcome.reply.state;
         watchTransactionIdle();
     } else if (!outcome.isFailure() && m_hasWritten) {
-        noteCommit(m_service, outcome.reply.at);
+        recordCommit(m_service, outcome.reply.at);
     }
     answerOutcome(outcome);
 }
@@ -364,7 +364,7 @@
         watchTransactionIdle();
     }
     if (isCommit && !outcome.isFailure() && m_hasWritten) {
-        noteCommit(m_service, outcome.reply.at);
+        recordCommit(m_service, outcome.reply.at);
     }
     answerOutcome(outcome);
 }
@@ -463,7 +463,7 @@
     return found == configuration->routes.end() ? std::nullopt : std::optional(found->second);
 }
 
-void front_session::noteCommit(const service_id &service, std::optional<position> at)
+void front_session::recordCommit(const service_id &service, std::optional<position> at)
 {
     if (at) {
         auto &last = m_commits[service];
--- a/src/libcrocusdealfront/frontsession.h
+++ b/src/libcrocusdealfront/frontsession.h
@@ -49,18 +49,18 @@
     void abortTransaction(const char *why);
 
 private:
-    void takeData(std::string &inbound);
-    void takeMessage(const caller_message &message);
-    void takeStartup(const session_startup &startup);
-    void takeRequest(const caller_request &request);
-    void takeInFailedTransaction(const caller_request &request);
-    void takeBegin(const statement &what);
-    void takeSet(const statement &what);
-    void takePrepare(const statement &what);
-    void takeDeallocate(const statement &what);
-    void takeCommit(const caller_request &request);
-    void takeRollback();
-    void takeData(const caller_request &request, effect kind, std::optional<prepared_shape> prepared);
+    void handleData(std::string &inbound);
+    void handleMessage(const caller_message &message);
+    void handleStartup(const session_startup &startup);
+    void handleRequest(const caller_request &request);
+    void handleInFailedTransaction(const caller_request &request);
+    void handleBegin(const statement &what);
+    void handleSet(const statement &what);
+    void handlePrepare(const statement &what);
+    void handleDeallocate(const statement &what);
+    void handleCommit(const caller_request &request);
+    void handleRollback();
+    void handleData(const caller_request &request, effect kind, std::optional<prepared_shape> prepared);
     void runFirst(const caller_request &request, effect kind, std::optional<prepared_shape> prepared);
     void sendInTransaction(const caller_request &request, std::optional<prepared_shape> prepared);
     /** Answers what cannot be run at all. */
@@ -77,7 +77,7 @@
     void answerReply(const target_reply &reply);
     void finishAnswer(std::optional<position> at);
     std::optional<database_route> currentRoute();
-    void noteCommit(const service_id &service, std::optional<position> at);
+    void recordCommit(const service_id &service, std::optional<position> at);
     void closed(const std::string &reason);
 
     front_context &m_context;
--- a/src/libcrocusdealfront/localtransaction.cpp
+++ b/src/libcrocusdealfront/localtransaction.cpp
@@ -122,22 +122,22 @@
     });
 }
 
-void local_transaction::noteLead(const target_reply &reply)
+void local_transaction::recordPrimary(const target_reply &reply)
 {
     const auto target = m_grant->target->entry().id;
     // A commit that has nothing to write succeeds also where the lead is lost.
     const bool isProof = m_isPlain && (m_request->what.kind != statement_kind::Commit || m_hasWritten);
     if (isProof && reply.isSuccess()) {
-        m_group->noteLead(target, reply.at, reply.sentAt);
+        m_group->recordPrimary(target, reply.at, reply.sentAt);
     }
-    if (reply.error == error_code::ReadOnly && m_grant->isLeader) {
-        m_group->noteNotLeading(target, "it refused as read only");
+    if (reply.error == error_code::ReadOnly && m_grant->isPrimary) {
+        m_group->recordNotPrimary(target, "it refused as read only");
     }
 }
 
 void local_transaction::finish(const target_reply &reply)
 {
-    noteLead(reply);
+    recordPrimary(reply);
     if (m_request->what.kind == statement_kind::Commit) {
         finishCommit(reply);
         return;
@@ -148,7 +148,7 @@
             .field("database", m_database)
             .field("target", m_grant->target->entry().id.str())
             .field("reason", reply.reason);
-        m_group->noteTrouble("connection lost");
+        m_group->suspectPrimary("connection lost");
         release(false);
         fail(error_code::Aborted, "the connection to the target was lost before the commit");
         return;
@@ -181,7 +181,7 @@
             .field("database", m_database)
             .field("target", target.str())
             .field("reason", reply.reason);
-        m_group->noteTrouble("connection lost");
+        m_group->suspectPrimary("connection lost");
         fail(m_hasWritten ? error_code::InDoubt : error_code::Aborted, "the answer of the target was lost");
         return;
     }
--- a/src/libcrocusdealfront/localtransaction.h
+++ b/src/libcrocusdealfront/localtransaction.h
@@ -33,7 +33,7 @@
     void endSending(bool isAcknowledged);
     bool isWorthAnotherTry(const target_reply &reply) const;
     void handleReply(const target_reply &reply);
-    void noteLead(const target_reply &reply);
+    void recordPrimary(const target_reply &reply);
     void finish(const target_reply &reply);
     void finishCommit(const target_reply &reply);
     void hitLimit();
--- a/src/libcrocusdealfront/metadatastore.h
+++ b/src/libcrocusdealfront/metadatastore.h
@@ -35,7 +35,7 @@
                                                                        "bad_answer");
 
 /** The latest configuration, or none if there is none or it cannot be read. */
-struct configuration_news {
+struct configuration_update {
     store_failure failure = store_failure::None;
     std::string detail;
     std::optional<routing_configuration> configuration;
@@ -51,7 +51,7 @@
 };
 
 /** A complete list of the targets, or changes since a revision. */
-struct target_news {
+struct target_update {
     store_failure failure = store_failure::None;
     std::string detail;
     bool isComplete = false;
@@ -62,7 +62,7 @@
 };
 
 /** The answer to a claim: the record as it is now. */
-struct duty_news {
+struct promotion_lease_update {
     store_failure failure = store_failure::None;
     std::string detail;
     std::string holder;
@@ -71,7 +71,7 @@
 };
 
 /** Who promotes for which services. */
-struct duty_entry {
+struct promotion_lease_entry {
     service_id service;
     std::string holder;
     std::uint64_t revision = 0; ///< Of the record.
@@ -79,15 +79,15 @@
 };
 
 /** All records, or those that have changed since a revision. */
-struct duty_list_news {
+struct promotion_lease_list_update {
     store_failure failure = store_failure::None;
     std::string detail;
-    std::vector<duty_entry> entries;
+    std::vector<promotion_lease_entry> entries;
     std::uint64_t revision = 0; ///< Of the store.
 };
 
 /** The instances that have announced themselves. */
-struct member_news {
+struct member_update {
     store_failure failure = store_failure::None;
     std::string detail;
     std::vector<fleet_member> members;
@@ -107,7 +107,7 @@
     virtual ~metadata_store() = default;
 
     /** A current read ends the watches that are under way. */
-    virtual void readConfiguration(store_reading reading, std::function<void(configuration_news)> done) = 0;
+    virtual void readConfiguration(store_reading reading, std::function<void(configuration_update)> done) = 0;
     /**
      * Waits up to @p wait for a change after @p revision; without one there is no configuration in the answer. There
      * may be one watch of each reading at a time.
@@ -115,26 +115,28 @@
     virtual void watchConfiguration(std::uint64_t revision,
                                     duration wait,
                                     store_reading reading,
-                                    std::function<void(configuration_news)> done) = 0;
-    virtual void listTargets(std::function<void(target_news)> done) = 0;
+                                    std::function<void(configuration_update)> done) = 0;
+    virtual void listTargets(std::function<void(target_update)> done) = 0;
     /** May tell of a change seconds late. */
-    virtual void watchTargets(std::uint64_t revision, duration wait, std::function<void(target_news)> done) = 0;
-    virtual void listDuties(std::function<void(duty_list_news)> done) = 0;
+    virtual void watchTargets(std::uint64_t revision, duration wait, std::function<void(target_update)> done) = 0;
+    virtual void listPromotionLeases(std::function<void(promotion_lease_list_update)> done) = 0;
     /** May tell of a change seconds late; a claim finds out in any case. */
-    virtual void watchDuties(std::uint64_t revision, duration wait, std::function<void(duty_list_news)> done) = 0;
+    virtual void watchPromotionLeases(std::uint64_t revision,
+                                      duration wait,
+                                      std::function<void(promotion_lease_list_update)> done) = 0;
     /** Creates the record, or replaces it if its revision is still @p replaces. */
-    virtual void claimDuty(const service_id &service,
-                           const std::string &holder,
-                           promotion_lease_purpose purpose,
-                           std::optional<std::uint64_t> replaces,
-                           std::function<void(duty_news)> done) = 0;
+    virtual void claimPromotionLease(const service_id &service,
+                                     const std::string &holder,
+                                     promotion_lease_purpose purpose,
+                                     std::optional<std::uint64_t> replaces,
+                                     std::function<void(promotion_lease_update)> done) = 0;
     /** Creates or replaces the entry of an instance; tells the revision of the entry. */
     virtual void announceMember(const fleet_member &member,
                                 std::function<void(store_failure, std::uint64_t revision)> done) = 0;
     /** Removes the entry if its revision is still the given one. */
     virtual void withdrawMember(const instance_id &id, std::uint64_t revision) = 0;
     /** May be seconds old. */
-    virtual void listMembers(std::function<void(member_news)> done) = 0;
+    virtual void listMembers(std::function<void(member_update)> done) = 0;
 };
 
 enum class promotion_answer {
--- a/src/libcrocusdealfront/pausewatch.cpp
+++ b/src/libcrocusdealfront/pausewatch.cpp
@@ -39,7 +39,7 @@
     }
     const auto pools = m_group->targets();
     for (const auto &[id, pool] : pools) {
-        if (id == m_group->leader()) {
+        if (id == m_group->primary()) {
             continue;
         }
         pool->control(
@@ -58,10 +58,10 @@
     }
     const auto now = systemNow();
     const auto since = m_pausedSince.emplace(target, now).first->second;
-    const bool isLeaderServing = m_group->leader() && now - m_group->leaderProvedAt() < servingTime;
+    const bool isPrimaryServing = m_group->primary() && now - m_group->primaryProvedAt() < servingTime;
     // While another instance has claimed just now, its attempt may rely on the pause.
     const bool isAttemptPossible = m_isAttemptRunning() || !m_orders->mayClaim(now, never) || m_orders->isOrderOpen();
-    if (isAttemptPossible || now - since < longestPause || !isLeaderServing) {
+    if (isAttemptPossible || now - since < longestPause || !isPrimaryServing) {
         return;
     }
     endPause(target, *reply.report);
--- a/src/libcrocusdealfront/leaderkeeper.cpp
+++ b/src/libcrocusdealfront/primarykeeper.cpp
@@ -1,4 +1,4 @@
-#include "leaderkeeper.h"
+#include "primarykeeper.h"
 
 #include "systemclock.h"
 
@@ -27,13 +27,13 @@
 
 }
 
-leader_keeper::leader_keeper(front_context &context,
-                             std::shared_ptr<service_group> group,
-                             const target_directory &directory,
-                             metadata_store &store,
-                             promotion_authority &authority,
-                             std::string self,
-                             data_centre_id dataCentre)
+primary_keeper::primary_keeper(front_context &context,
+                               std::shared_ptr<service_group> group,
+                               const target_directory &directory,
+                               metadata_store &store,
+                               promotion_authority &authority,
+                               std::string self,
+                               data_centre_id dataCentre)
     : m_context(context)
     , m_group(std::move(group))
     , m_directory(directory)
@@ -43,45 +43,45 @@
 {
 }
 
-void leader_keeper::start()
+void primary_keeper::start()
 {
-    m_group->onLeaderTrouble = [weak = weak_from_this()](const char *why) {
+    m_group->onPrimarySuspected = [weak = weak_from_this()](const char *why) {
         if (const auto self = weak.lock()) {
-            self->trouble(why);
+            self->suspectPrimary(why);
         }
     };
     m_pauseWatch = std::make_shared<pause_watch>(m_context, m_group, m_orders, [weak = weak_from_this()] {
         const auto self = weak.lock();
         return self && self->m_attempt;
     });
-    if (m_group->leader()) {
-        askClaimedLeader();
+    if (m_group->primary()) {
+        askClaimedPrimary();
     } else {
-        trouble("start");
+        suspectPrimary("start");
     }
 }
 
-void leader_keeper::askClaimedLeader()
+void primary_keeper::askClaimedPrimary()
 {
-    const auto leader = *m_group->leader();
-    m_group->targets().at(leader)->control(
-        control_statement::Status, 0, controlLimit, [self = shared_from_this(), leader](const control_reply &reply) {
-            self->takeSighting(leader, reply);
+    const auto primary = *m_group->primary();
+    m_group->targets().at(primary)->control(
+        control_statement::Status, 0, controlLimit, [self = shared_from_this(), primary](const control_reply &reply) {
+            self->handleSighting(primary, reply);
             if (!reply.isAnswered) {
-                self->trouble("the claimed primary does not answer");
+                self->suspectPrimary("the claimed primary does not answer");
             }
         });
 }
 
-bool leader_keeper::isIdle() const
+bool primary_keeper::isIdle() const
 {
     return !m_attempt && !isClaiming() && !hasWork(systemNow()) && !m_orders->isOrderOpen();
 }
 
-void leader_keeper::stop()
+void primary_keeper::stop()
 {
     m_isStopped = true;
-    m_group->onLeaderTrouble = nullptr;
+    m_group->onPrimarySuspected = nullptr;
     m_context.deadlines.cancel(m_tick);
     m_context.deadlines.cancel(m_fenceCheck);
     if (m_attempt) {
@@ -89,30 +89,30 @@
     }
 }
 
-duration leader_keeper::shareOf(duration spread) const
+duration primary_keeper::shareOf(duration spread) const
 {
     const auto share = static_cast<std::int64_t>(std::hash<std::string>()(m_self + m_group->id().str()) % 1000);
     return {share * spread.ms / 1000};
 }
 
-void leader_keeper::dutyKnown(const std::optional<promotion_lease_record> &record, time_point askedAt)
+void primary_keeper::leaseReported(const std::optional<promotion_lease_record> &record, time_point askedAt)
 {
     m_orders->observe(record, askedAt);
     if (const auto attempt = m_attempt) {
         attempt->leaseReported();
     }
     watchOpenOrder();
-    if (std::exchange(m_isDutyKnown, true)) {
+    if (std::exchange(m_isLeaseKnown, true)) {
         return;
     }
     if (record && record->holder != m_self) {
         return;
     }
     m_context.deadlines.scheduleAfter(idleClaimDelay + shareOf(idleClaimSpread),
-                                      [self = shared_from_this()] { self->claimIdleDuty(); });
+                                      [self = shared_from_this()] { self->claimIdleLease(); });
 }
 
-void leader_keeper::claimIdleDuty()
+void primary_keeper::claimIdleLease()
 {
     const bool isTaken = !m_orders->isFree() || m_orders->token() || m_orders->isOrderLeftOpen();
     if (m_isStopped || isClaiming() || m_attempt || isTaken) {
@@ -121,7 +121,7 @@
     m_orders->claimInAdvance();
 }
 
-void leader_keeper::watchOpenOrder()
+void primary_keeper::watchOpenOrder()
 {
     m_context.deadlines.cancel(m_fenceCheck);
     if (m_isStopped || !m_orders->isOrderLeftOpen()) {
@@ -136,7 +136,7 @@
     });
 }
 
-void leader_keeper::resumePaused()
+void primary_keeper::resumePaused()
 {
     for (const auto &id : m_sightings.pausedTargets()) {
         const auto found = m_group->targets().find(id);
@@ -146,16 +146,16 @@
     }
 }
 
-bool leader_keeper::isClaiming() const
+bool primary_keeper::isClaiming() const
 {
     return m_isRefreshing || m_orders->isBusy();
 }
 
-void leader_keeper::directoryChanged()
+void primary_keeper::directoryChanged()
 {
     m_sightings.keepOnly([&](const target_id &id) { return m_group->targets().contains(id); });
     const auto now = systemNow();
-    if (isLeaderDraining()) {
+    if (isPrimaryDraining()) {
         if (m_drainingSince == never) {
             m_drainingSince = now;
         }
@@ -164,20 +164,20 @@
         m_drainingSince = never;
     }
     for (const auto &[id, pool] : m_group->targets()) {
-        if (pool->entry().claimsPrimary && m_group->leader() != id) {
+        if (pool->entry().claimsPrimary && m_group->primary() != id) {
             // The entry may be older than what this instance knows; the survey decides.
-            trouble("another target claims to be primary");
+            suspectPrimary("another target claims to be primary");
         }
     }
 }
 
-void leader_keeper::trouble(const char *)
+void primary_keeper::suspectPrimary(const char *)
 {
     if (m_isStopped) {
         return;
     }
-    if (m_troubleSince == never) {
-        m_troubleSince = systemNow();
+    if (m_suspectedSince == never) {
+        m_suspectedSince = systemNow();
         m_sightings.discardReplies();
     }
     if (m_tick == 0) {
@@ -185,12 +185,12 @@
     }
 }
 
-bool leader_keeper::isCutOff(time_point now) const
+bool primary_keeper::isCutOff(time_point now) const
 {
-    return m_troubleSince != never && m_sightings.areMostTargetsUnreachable(now);
+    return m_suspectedSince != never && m_sightings.areMostTargetsUnreachable(now);
 }
 
-void leader_keeper::scheduleTick(duration delay)
+void primary_keeper::scheduleTick(duration delay)
 {
     if (m_isStopped) {
         return;
@@ -202,12 +202,12 @@
     });
 }
 
-bool leader_keeper::hasWork(time_point) const
+bool primary_keeper::hasWork(time_point) const
 {
-    return m_troubleSince != never || m_drainingSince != never || m_orders->hasOwnOrderOpen() || m_isFenceDue;
+    return m_suspectedSince != never || m_drainingSince != never || m_orders->hasOwnOrderOpen() || m_isFenceDue;
 }
 
-void leader_keeper::tick()
+void primary_keeper::tick()
 {
     const auto now = systemNow();
     // While a claim waits for the store, another instance may change the primary.
@@ -216,11 +216,11 @@
     }
     surveyAll();
     // Trouble that lasts is a cut or a replica that is waited for; both end without a hurry to notice.
-    const bool isLasting = m_troubleSince != never && now - m_troubleSince > urgentTime;
+    const bool isLasting = m_suspectedSince != never && now - m_suspectedSince > urgentTime;
     scheduleTick(isLasting ? lastingSurveyInterval : surveyInterval);
 }
 
-void leader_keeper::surveyAll()
+void primary_keeper::surveyAll()
 {
     const auto pools = m_group->targets(); // The answers may change the group.
     for (const auto &[id, pool] : pools) {
@@ -231,13 +231,13 @@
                       0,
                       controlLimit,
                       [self = shared_from_this(), id = id](const control_reply &reply) {
-                          self->takeSighting(id, reply);
+                          self->handleSighting(id, reply);
                           self->judge();
                       });
     }
 }
 
-void leader_keeper::takeSighting(const target_id &target, const control_reply &reply)
+void primary_keeper::handleSighting(const target_id &target, const control_reply &reply)
 {
     if (!m_group->targets().contains(target)) {
         return;
@@ -250,33 +250,33 @@
         return;
     }
     if (reply.report->isPrimary) {
-        m_lastLeader = target;
-        m_leaderTerm = reply.report->term;
-        m_group->noteLead(target, std::nullopt, reply.askedAt);
-    } else if (m_group->leader() == target) {
-        m_group->noteNotLeading(target, "it answers as replica");
+        m_lastPrimary = target;
+        m_primaryTerm = reply.report->term;
+        m_group->recordPrimary(target, std::nullopt, reply.askedAt);
+    } else if (m_group->primary() == target) {
+        m_group->recordNotPrimary(target, "it answers as replica");
     }
 }
 
-void leader_keeper::judge()
+void primary_keeper::judge()
 {
     const auto now = systemNow();
     if (m_isStopped || m_attempt || isClaiming() || !hasWork(now)) {
         return;
     }
-    const bool hasLeader = m_sightings.hasPrimary();
+    const bool hasPrimary = m_sightings.hasPrimary();
     m_context.log.debug("primary_judged")
         .field("service", m_group->id().str())
-        .field("has_primary", hasLeader ? 1 : 0)
-        .field("trouble_ms", (now - m_troubleSince).ms)
-        .field("may_claim", m_orders->mayClaim(now, m_troubleSince) ? 1 : 0)
+        .field("has_primary", hasPrimary ? 1 : 0)
+        .field("trouble_ms", (now - m_suspectedSince).ms)
+        .field("may_claim", m_orders->mayClaim(now, m_suspectedSince) ? 1 : 0)
         .field("seen", m_sightings.describe(now));
     switch (nextPrimaryStep(situation(now))) {
     case primary_step::PlannedChange:
         begin(promotion_reason::PrimaryDraining);
         return;
     case primary_step::FenceOpenOrder:
-        fenceOpenOrder(*m_group->leader());
+        fenceOpenOrder(*m_group->primary());
         return;
     case primary_step::ReplaceStalled:
         begin(promotion_reason::PrimaryStalled);
@@ -287,43 +287,43 @@
     case primary_step::None:
         break;
     }
-    if (hasLeader && !isLeaderStalled(now)) {
-        m_troubleSince = never;
+    if (hasPrimary && !isPrimaryStalled(now)) {
+        m_suspectedSince = never;
     }
     if (hasWork(now) && m_tick == 0) {
         scheduleTick(surveyInterval);
     }
 }
 
-primary_situation leader_keeper::situation(time_point now) const
+primary_situation primary_keeper::situation(time_point now) const
 {
     primary_situation result;
     result.hasPrimary = m_sightings.hasPrimary();
-    result.isPrimaryDraining = isLeaderDraining();
-    result.isPrimaryStalled = isLeaderStalled(now);
-    result.isPrimaryLost = m_sightings.isPrimaryLost(now, m_troubleSince);
-    // Pauses that this instance has left are of an attempt whose retry is due; it holds the duty.
+    result.isPrimaryDraining = isPrimaryDraining();
+    result.isPrimaryStalled = isPrimaryStalled(now);
+    result.isPrimaryLost = m_sightings.isPrimaryLost(now, m_suspectedSince);
+    // Pauses that this instance has left are of an attempt whose retry is due; it holds the lease.
     result.isOthersChange = !m_orders->isHeldHere() && m_sightings.isPrimaryChangeInProgress(now);
     result.isSurveyComplete = m_sightings.isSurveyComplete();
     result.isOrderOpen = m_orders->isOrderOpen();
     result.isOrderedTargetKnown = m_sightings.onlyUnpausedReplica().has_value();
     result.mayBePromoting = m_fencedAt != never && now - m_fencedAt < promotionTime;
     // Another instance that has claimed since may order as well; its orders fence the open one.
-    result.mayFence = m_group->leader() && m_orders->mayClaim(now, m_troubleSince);
+    result.mayFence = m_group->primary() && m_orders->mayClaim(now, m_suspectedSince);
     result.isRetryDue = now >= m_retryAt;
     return result;
 }
 
-bool leader_keeper::mayActWithoutStore() const
+bool primary_keeper::mayActWithoutStore() const
 {
-    if (!m_orders->token() || !m_lastLeader || m_leaderTerm == 0) {
+    if (!m_orders->token() || !m_lastPrimary || m_primaryTerm == 0) {
         return false;
     }
     // Others may have acted with targets that this instance has not heard of; a newer term would show it.
-    return m_sightings.areOthersUnchanged(*m_lastLeader, m_leaderTerm);
+    return m_sightings.areOthersUnchanged(*m_lastPrimary, m_primaryTerm);
 }
 
-bool leader_keeper::isKnownGone(const target_id &target) const
+bool primary_keeper::isKnownGone(const target_id &target) const
 {
     const auto *known = m_directory.find(target);
     const auto found = m_group->targets().find(target);
@@ -344,19 +344,19 @@
     return known->drainingSince && isAway && isAnswering(known->entry.dataCentre);
 }
 
-void leader_keeper::checkPauses()
+void primary_keeper::checkPauses()
 {
     const bool isChanging = m_attempt || hasWork(systemNow());
-    if (m_isStopped || isChanging || !m_group->leader() || m_group->policy().syncReplicas == 0) {
+    if (m_isStopped || isChanging || !m_group->primary() || m_group->policy().syncReplicas == 0) {
         return;
     }
     m_pauseWatch->check();
 }
 
-bool leader_keeper::isLeaderStalled(time_point now) const
+bool primary_keeper::isPrimaryStalled(time_point now) const
 {
-    const auto &leader = m_group->leader();
-    const auto found = leader ? m_group->targets().find(*leader) : m_group->targets().end();
+    const auto &primary = m_group->primary();
+    const auto found = primary ? m_group->targets().find(*primary) : m_group->targets().end();
     if (found == m_group->targets().end() || m_group->policy().syncReplicas == 0) {
         return false;
     }
@@ -364,17 +364,17 @@
     return since != never && now - since >= stallTime && m_group->lastWriteAckedAt() < since;
 }
 
-bool leader_keeper::isLeaderDraining() const
+bool primary_keeper::isPrimaryDraining() const
 {
-    const auto &leader = m_group->leader();
-    const auto *known = leader ? m_directory.find(*leader) : nullptr;
+    const auto &primary = m_group->primary();
+    const auto *known = primary ? m_directory.find(*primary) : nullptr;
     return known != nullptr && known->drainingSince.has_value();
 }
 
-void leader_keeper::begin(promotion_reason reason)
+void primary_keeper::begin(promotion_reason reason)
 {
     const auto now = systemNow();
-    const auto since = reason == promotion_reason::PrimaryDraining ? m_drainingSince : m_troubleSince;
+    const auto since = reason == promotion_reason::PrimaryDraining ? m_drainingSince : m_suspectedSince;
     if (!m_orders->mayClaim(now, since) || isOthersTurn(reason, now)) {
         scheduleTick(surveyInterval);
         return;
@@ -382,25 +382,25 @@
     claimThenStart(reason);
 }
 
-bool leader_keeper::isOthersTurn(promotion_reason reason, time_point now) const
+bool primary_keeper::isOthersTurn(promotion_reason reason, time_point now) const
 {
     // Without knowing the lost primary every target has to be seen, also the one that is lost.
-    const bool isLeaderKnown = m_group->provedLeader() || m_lastLeader;
-    return reason == promotion_reason::PrimaryLost && !isLeaderKnown && now - m_troubleSince < uninformedStandby;
+    const bool isPrimaryKnown = m_group->provedPrimary() || m_lastPrimary;
+    return reason == promotion_reason::PrimaryLost && !isPrimaryKnown && now - m_suspectedSince < uninformedStandby;
 }
 
-void leader_keeper::claimThenStart(promotion_reason reason)
+void primary_keeper::claimThenStart(promotion_reason reason)
 {
     if (isStoreAway()) {
         // A claim would only find out again what the feed has just found out.
-        takeClaim(claim_result::StoreAway, reason);
+        handleClaim(claim_result::StoreAway, reason);
         return;
     }
     m_orders->claim(promotionReasonNames.name(reason).data(),
-                    [self = shared_from_this(), reason](claim_result result) { self->takeClaim(result, reason); });
+                    [self = shared_from_this(), reason](claim_result result) { self->handleClaim(result, reason); });
 }
 
-void leader_keeper::takeClaim(claim_result result, promotion_reason reason)
+void primary_keeper::handleClaim(claim_result result, promotion_reason reason)
 {
     if (result == claim_result::Claimed) {
         refreshThenStart(reason);
@@ -416,7 +416,7 @@
     scheduleTick(surveyInterval);
 }
 
-void leader_keeper::refreshThenStart(promotion_reason reason)
+void primary_keeper::refreshThenStart(promotion_reason reason)
 {
     m_isRefreshing = true;
     refreshDirectory([self = shared_from_this(), reason](bool isFresh) {
@@ -430,7 +430,7 @@
     });
 }
 
-void leader_keeper::startAttempt(promotion_reason reason)
+void primary_keeper::startAttempt(promotion_reason reason)
 {
     const bool isChoiceRestricted = reason == promotion_reason::PrimaryDraining && m_orders->isOrderOpen();
     const auto onlyChoice = isChoiceRestricted ? m_sightings.onlyUnpausedReplica() : std::nullopt;
@@ -446,22 +446,22 @@
         members.push_back(
             {id, known.drainingSince.has_value(), known.entry.isWarmingUp, known.entry.dataCentre == m_dataCentre});
     }
-    const auto leader = m_group->provedLeader() ? m_group->provedLeader() : m_lastLeader;
+    const auto primary = m_group->provedPrimary() ? m_group->provedPrimary() : m_lastPrimary;
     m_context.log.info("promotion_started")
         .field("service", m_group->id().str())
         .field("reason", promotionReasonNames.name(reason))
-        .field("leader", leader ? leader->str() : "none")
+        .field("leader", primary ? primary->str() : "none")
         .field("members", static_cast<std::int64_t>(members.size()))
         .field("token", static_cast<std::int64_t>(m_orders->token().value_or(0)))
-        .field("trouble_ms", (systemNow() - m_troubleSince).ms);
-    promotion_attempt attempt(reason, leader, std::move(members), m_group->policy().syncReplicas > 0, systemNow());
+        .field("trouble_ms", (systemNow() - m_suspectedSince).ms);
+    promotion_attempt attempt(reason, primary, std::move(members), m_group->policy().syncReplicas > 0, systemNow());
     if (onlyChoice) {
         attempt.restrictChoice(*onlyChoice);
     }
     run(std::move(attempt));
 }
 
-void leader_keeper::run(promotion_attempt attempt)
+void primary_keeper::run(promotion_attempt attempt)
 {
     const auto weak = weak_from_this();
     promotion_surroundings surroundings;
@@ -488,11 +488,11 @@
     running->start();
 }
 
-void leader_keeper::fenceOpenOrder(const target_id &leader)
+void primary_keeper::fenceOpenOrder(const target_id &primary)
 {
     m_orders->fence(
-        leader,
-        [group = m_group, leader] { return group->leader() == leader; },
+        primary,
+        [group = m_group, primary] { return group->primary() == primary; },
         [self = shared_from_this()](bool isFenced) {
             if (isFenced) {
                 self->m_fencedAt = systemNow();
@@ -504,7 +504,7 @@
         });
 }
 
-void leader_keeper::finishAttempt(const promotion_attempt &attempt)
+void primary_keeper::finishAttempt(const promotion_attempt &attempt)
 {
     m_attempt.reset();
     const auto outcome = attempt.result();
@@ -514,20 +514,20 @@
         .field("outcome", attemptOutcomeNames.name(outcome))
         .field("chosen", attempt.chosen() ? attempt.chosen()->str() : "none")
         .field("why", attempt.explanation())
-        .field("trouble_ms", (systemNow() - m_troubleSince).ms);
+        .field("trouble_ms", (systemNow() - m_suspectedSince).ms);
     m_sightings.discardReplies();
     if (outcome == attempt_outcome::Promoted || outcome == attempt_outcome::PrimaryFound) {
-        m_lastLeader = attempt.chosen();
-        m_leaderTerm = attempt.primaryTerm();
-        m_group->setLeader(*attempt.chosen(), "promotion");
-        m_group->noteLead(*attempt.chosen(), std::nullopt, systemNow());
-        m_troubleSince = never;
+        m_lastPrimary = attempt.chosen();
+        m_primaryTerm = attempt.primaryTerm();
+        m_group->setPrimary(*attempt.chosen(), "promotion");
+        m_group->recordPrimary(*attempt.chosen(), std::nullopt, systemNow());
+        m_suspectedSince = never;
     }
     if (outcome == attempt_outcome::Promoted) {
         m_orders->orderCarriedOut();
     }
     m_orders->settle();
-    m_drainingSince = isLeaderDraining() ? systemNow() : never;
+    m_drainingSince = isPrimaryDraining() ? systemNow() : never;
     m_retryAt = systemNow() + retryTime;
     scheduleTick(retryTime);
 }
--- a/src/libcrocusdealfront/leaderkeeper.h
+++ b/src/libcrocusdealfront/primarykeeper.h
@@ -22,16 +22,16 @@
  * Whether a primary is lost is judged by what its replicas receive as well: one that only this instance cannot reach
  * goes on feeding them and is left alone.
  */
-class leader_keeper : public std::enable_shared_from_this<leader_keeper>
+class primary_keeper : public std::enable_shared_from_this<primary_keeper>
 {
 public:
-    leader_keeper(front_context &context,
-                  std::shared_ptr<service_group> group,
-                  const target_directory &directory,
-                  metadata_store &store,
-                  promotion_authority &authority,
-                  std::string self,
-                  data_centre_id dataCentre);
+    primary_keeper(front_context &context,
+                   std::shared_ptr<service_group> group,
+                   const target_directory &directory,
+                   metadata_store &store,
+                   promotion_authority &authority,
+                   std::string self,
+                   data_centre_id dataCentre);
 
     /** Reads the list of targets afresh into the directory; tells whether it could. */
     std::function<void(std::function<void(bool)>)> refreshDirectory;
@@ -46,14 +46,14 @@
     void stop();
     /** Whether it has nothing to find out, to change or to follow up. */
     bool isIdle() const;
-    /** The record of the duty, or none, as the store has it. */
-    void dutyKnown(const std::optional<promotion_lease_record> &record, time_point askedAt);
+    /** The record of the lease, or none, as the store has it. */
+    void leaseReported(const std::optional<promotion_lease_record> &record, time_point askedAt);
     /** Looks for replicas that an attempt has left paused, while the primary serves. */
     void checkPauses();
     /** The directory has changed. */
     void directoryChanged();
     /** Something suggests that the primary cannot serve. */
-    void trouble(const char *why);
+    void suspectPrimary(const char *why);
     /** Whether this instance has lost most targets of the service, so that others are more likely to serve it. */
     bool isCutOff(time_point now) const;
     /** Whether a target whose entry is gone can be told to have left, rather than to be out of reach. */
@@ -61,19 +61,19 @@
 
 private:
     /** Asks the target that says of itself that it leads. */
-    void askClaimedLeader();
+    void askClaimedPrimary();
     void scheduleTick(duration delay);
     /** A part of @p spread by name, so that the instances do not all act at once. */
     duration shareOf(duration spread) const;
     void tick();
     bool hasWork(time_point now) const;
     void surveyAll();
-    void takeSighting(const target_id &target, const control_reply &reply);
+    void handleSighting(const target_id &target, const control_reply &reply);
     void judge();
     primary_situation situation(time_point now) const;
-    bool isLeaderStalled(time_point now) const;
-    bool isLeaderDraining() const;
-    void claimIdleDuty();
+    bool isPrimaryStalled(time_point now) const;
+    bool isPrimaryDraining() const;
+    void claimIdleLease();
     bool isClaiming() const;
     /** Plans to fence what a holder that does not act any more may have left open. */
     void watchOpenOrder();
@@ -83,13 +83,13 @@
     /** Whether another instance, which may know more of the service, is to try first. */
     bool isOthersTurn(promotion_reason reason, time_point now) const;
     void claimThenStart(promotion_reason reason);
-    void takeClaim(claim_result result, promotion_reason reason);
+    void handleClaim(claim_result result, promotion_reason reason);
     void refreshThenStart(promotion_reason reason);
     void startAttempt(promotion_reason reason);
     void run(promotion_attempt attempt);
     void finishAttempt(const promotion_attempt &attempt);
     /** With the primary in place, so that what is open is not carried out behind its back. */
-    void fenceOpenOrder(const target_id &leader);
+    void fenceOpenOrder(const target_id &primary);
 
     front_context &m_context;
     std::shared_ptr<service_group> m_group;
@@ -101,16 +101,16 @@
     std::shared_ptr<pause_watch> m_pauseWatch;
     std::shared_ptr<promotion_run> m_attempt; ///< Null unless one is under way.
     deadline_queue::handle m_tick = 0;
-    time_point m_troubleSince = never;
+    time_point m_suspectedSince = never;
     time_point m_drainingSince = never;
     time_point m_retryAt = never;
     time_point m_fencedAt = never; ///< When the last fence of an open order was accepted.
-    std::optional<target_id> m_lastLeader;
-    std::uint64_t m_leaderTerm = 0; ///< Of m_lastLeader.
+    std::optional<target_id> m_lastPrimary;
+    std::uint64_t m_primaryTerm = 0; ///< Of m_lastPrimary.
     deadline_queue::handle m_fenceCheck = 0;
     bool m_isFenceDue = false;
     bool m_isRefreshing = false; ///< The list of targets, under a claim.
-    bool m_isDutyKnown = false;
+    bool m_isLeaseKnown = false;
     bool m_isStopped = false;
 };
 
--- a/src/libcrocusdealfront/promotionorders.h
+++ b/src/libcrocusdealfront/promotionorders.h
@@ -20,7 +20,7 @@
 
 inline constexpr auto claimResultNames = makeNameTable<claim_result>("claimed", "taken_by_another", "store_away");
 
-/** Claims the duty of promoting for one service, and sends orders under its fencing token. */
+/** Claims the promotion lease of one service, and sends orders under its fencing token. */
 class promotion_orders : public std::enable_shared_from_this<promotion_orders>
 {
 public:
@@ -30,12 +30,12 @@
                      service_id service,
                      std::string self);
 
-    /** The record of the duty, or none, as the store has it. */
+    /** The record of the lease, or none, as the store has it. */
     void observe(const std::optional<promotion_lease_record> &record, time_point askedAt);
     bool isHeldHere() const;
     /** Whether the record names nobody else. */
     bool isFree() const;
-    bool mayClaim(time_point now, time_point troubleSince) const;
+    bool mayClaim(time_point now, time_point suspectedSince) const;
     /** The token to act with; nothing without a claim of this process, or after it was refused. */
     std::optional<std::uint64_t> token() const;
     bool isClaimStale(time_point now) const;
@@ -63,22 +63,22 @@
     void settle();
     /**
      * Fences what is open with a newer order that names the primary in place and so changes nothing, provided that
-     * @p isStillLeader says that it is; @p done is told whether it could.
+     * @p isStillPrimary says that it is; @p done is told whether it could.
      */
-    void fence(const target_id &leader, std::function<bool()> isStillLeader, std::function<void(bool)> done);
+    void fence(const target_id &primary, std::function<bool()> isStillPrimary, std::function<void(bool)> done);
 
 private:
     void claimForOrder(std::optional<std::uint64_t> replaces,
-                       std::function<void(claim_result, const duty_news &)> done);
-    void logClaim(const char *reason, const duty_news &news) const;
-    void sendFence(const target_id &leader, std::function<void(bool)> done);
+                       std::function<void(claim_result, const promotion_lease_update &)> done);
+    void logClaim(const char *reason, const promotion_lease_update &update) const;
+    void sendFence(const target_id &primary, std::function<void(bool)> done);
 
     front_context &m_context;
     metadata_store &m_store;
     promotion_authority &m_authority;
     service_id m_service;
     std::string m_self;
-    promotion_lease m_duty;
+    promotion_lease m_lease;
     bool m_isBusy = false;
     bool m_isOrderOpen = false;
 };
--- a/src/libcrocusdealfront/servedservices.cpp
+++ b/src/libcrocusdealfront/servedservices.cpp
@@ -42,31 +42,33 @@
     }
 }
 
-void served_services::applyTargets(const target_news &news, time_point changedAfter)
+void served_services::applyTargets(const target_update &update, time_point changedAfter)
 {
     const directory_update_time at{systemNow(), changedAfter};
-    if (news.isComplete) {
-        m_directory.replaceAll(news.entries, at);
+    if (update.isComplete) {
+        m_directory.replaceAll(update.entries, at);
         m_areTargetsKnown = true;
     }
-    for (const auto &entry : news.entries) {
-        noteEntry(entry, news, at);
+    for (const auto &entry : update.entries) {
+        recordEntry(entry, update, at);
     }
-    for (const auto &id : news.removed) {
+    for (const auto &id : update.removed) {
         m_context.log.info("target_entry_removed").field("target", id.str());
         m_directory.markRemoved(id, at);
     }
-    if (news.isComplete || !news.entries.empty() || !news.removed.empty()) {
+    if (update.isComplete || !update.entries.empty() || !update.removed.empty()) {
         refreshGroups();
     }
 }
 
-void served_services::noteEntry(const target_entry &entry, const target_news &news, const directory_update_time &at)
+void served_services::recordEntry(const target_entry &entry,
+                                  const target_update &update,
+                                  const directory_update_time &at)
 {
     const auto *known = m_directory.find(entry.id);
     const bool isChanged = known == nullptr || known->entry != entry || known->removedAt;
     m_directory.put(entry, at);
-    if (!isChanged && !news.isComplete) {
+    if (!isChanged && !update.isComplete) {
         return;
     }
     m_context.log.info("target_known")
@@ -75,25 +77,25 @@
         .field("address", toString(entry.address))
         .field("state", entry.isDraining ? "draining" : "ready")
         .field("claims", entry.claimsPrimary ? "primary" : "replica")
-        .field("revision", static_cast<std::int64_t>(news.revision));
+        .field("revision", static_cast<std::int64_t>(update.revision));
 }
 
-void served_services::applyDuties(const duty_list_news &news, time_point askedAt)
+void served_services::applyLeases(const promotion_lease_list_update &update, time_point askedAt)
 {
-    m_areDutiesKnown = true;
-    m_dutiesAskedAt = askedAt;
-    for (const auto &entry : news.entries) {
-        m_duties[entry.service] = {entry.holder, entry.revision, entry.purpose};
+    m_areLeasesKnown = true;
+    m_leasesAskedAt = askedAt;
+    for (const auto &entry : update.entries) {
+        m_leases[entry.service] = {entry.holder, entry.revision, entry.purpose};
     }
     for (const auto &[service, keeper] : m_keepers) {
-        tellDuty(service, *keeper);
+        reportLease(service, *keeper);
     }
 }
 
-void served_services::tellDuty(const service_id &service, leader_keeper &keeper) const
+void served_services::reportLease(const service_id &service, primary_keeper &keeper) const
 {
-    const auto found = m_duties.find(service);
-    keeper.dutyKnown(found == m_duties.end() ? std::nullopt : std::optional(found->second), m_dutiesAskedAt);
+    const auto found = m_leases.find(service);
+    keeper.leaseReported(found == m_leases.end() ? std::nullopt : std::optional(found->second), m_leasesAskedAt);
 }
 
 bool served_services::areTargetsKnown() const
@@ -119,24 +121,24 @@
     auto group = std::make_shared<service_group>(m_context, service, m_settings.dataCentre, m_directory);
     m_groups[service] = group;
     group->setPolicy(policy);
-    group->adoptClaimedLeader();
+    group->adoptClaimedPrimary();
     const auto keeper = makeKeeper(group);
     m_keepers[service] = keeper;
     keeper->start();
-    if (m_areDutiesKnown) {
-        tellDuty(service, *keeper);
+    if (m_areLeasesKnown) {
+        reportLease(service, *keeper);
     }
     m_context.log.info("service_begun")
         .field("service", service.str())
         .field("targets", static_cast<std::int64_t>(group->targets().size()))
-        .field("primary", group->leader() ? group->leader()->str() : "none")
+        .field("primary", group->primary() ? group->primary()->str() : "none")
         .field("services", static_cast<std::int64_t>(m_groups.size()));
     return group;
 }
 
-std::shared_ptr<leader_keeper> served_services::makeKeeper(const std::shared_ptr<service_group> &group)
+std::shared_ptr<primary_keeper> served_services::makeKeeper(const std::shared_ptr<service_group> &group)
 {
-    auto keeper = std::make_shared<leader_keeper>(
+    auto keeper = std::make_shared<primary_keeper>(
         m_context, group, m_directory, m_store, m_authority, m_settings.instance.str(), m_settings.dataCentre);
     keeper->refreshDirectory = [this](std::function<void(bool)> done) { refreshTargets(std::move(done)); };
     keeper->isStoreAway = [this] { return isStoreAway(); };
@@ -205,18 +207,18 @@
 void served_services::watchSilence(time_point now)
 {
     for (const auto &[service, group] : m_groups) {
-        const auto &leader = group->leader();
-        const auto found = leader ? group->targets().find(*leader) : group->targets().end();
+        const auto &primary = group->primary();
+        const auto found = primary ? group->targets().find(*primary) : group->targets().end();
         if (found == group->targets().end()) {
             continue;
         }
         const auto silentSince = found->second->silentSince();
         if (silentSince != never && now - silentSince > silenceLimit && found->second->lastAnswerAt() < silentSince) {
-            group->noteTrouble("a statement is not answered");
+            group->suspectPrimary("a statement is not answered");
         }
         const auto openSince = group->oldestOpenWrite();
         if (openSince != never && now - openSince > stallLimit) {
-            group->noteTrouble("a write is not acknowledged");
+            group->suspectPrimary("a write is not acknowledged");
         }
     }
 }
--- a/src/libcrocusdealfront/servedservices.h
+++ b/src/libcrocusdealfront/servedservices.h
@@ -2,8 +2,8 @@
 
 #include "frontsettings.h"
 #include "isolation.h"
-#include "leaderkeeper.h"
 #include "metadatastore.h"
+#include "primarykeeper.h"
 #include "servicegroup.h"
 #include "targetdirectory.h"
 
@@ -35,9 +35,9 @@
     std::function<bool(const service_id &)> isPlannedHere;
 
     void setConfiguration(std::shared_ptr<const routing_configuration> configuration);
-    /** @p changedAfter is when the store last answered without these news. */
-    void applyTargets(const target_news &news, time_point changedAfter);
-    void applyDuties(const duty_list_news &news, time_point askedAt);
+    /** @p changedAfter is when the store last answered without this update. */
+    void applyTargets(const target_update &update, time_point changedAfter);
+    void applyLeases(const promotion_lease_list_update &update, time_point askedAt);
     bool areTargetsKnown() const;
 
     /** Begins to serve the service if it does not yet; null if it is not configured. */
@@ -68,9 +68,9 @@
 
 private:
     std::shared_ptr<service_group> beginToServe(const service_id &service, const service_policy &policy);
-    std::shared_ptr<leader_keeper> makeKeeper(const std::shared_ptr<service_group> &group);
-    void noteEntry(const target_entry &entry, const target_news &news, const directory_update_time &at);
-    void tellDuty(const service_id &service, leader_keeper &keeper) const;
+    std::shared_ptr<primary_keeper> makeKeeper(const std::shared_ptr<service_group> &group);
+    void recordEntry(const target_entry &entry, const target_update &update, const directory_update_time &at);
+    void reportLease(const service_id &service, primary_keeper &keeper) const;
     void refreshGroups();
     bool isAnswering(const data_centre_id &dataCentre) const;
     /** Asks some targets of the data centre, so that isAnswering() can tell. */
@@ -83,11 +83,11 @@
     std::shared_ptr<const routing_configuration> m_configuration;
     target_directory m_directory;
     bool m_areTargetsKnown = false;
-    bool m_areDutiesKnown = false;
-    std::map<service_id, promotion_lease_record> m_duties;
-    time_point m_dutiesAskedAt = never;
+    bool m_areLeasesKnown = false;
+    std::map<service_id, promotion_lease_record> m_leases;
+    time_point m_leasesAskedAt = never;
     std::map<service_id, std::shared_ptr<service_group>> m_groups;
-    std::map<service_id, std::shared_ptr<leader_keeper>> m_keepers;
+    std::map<service_id, std::shared_ptr<primary_keeper>> m_keepers;
 };
 
 }
--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -71,8 +71,8 @@
             continue;
         }
         it->second->retire();
-        if (m_leader == it->first) {
-            noteNotLeading(it->first, "gone");
+        if (m_primary == it->first) {
+            recordNotPrimary(it->first, "gone");
         }
         it = m_targets.erase(it);
     }
@@ -84,7 +84,7 @@
     return m_targets;
 }
 
-void service_group::adoptClaimedLeader()
+void service_group::adoptClaimedPrimary()
 {
     std::optional<target_id> claimed;
     for (const auto &[id, pool] : m_targets) {
@@ -97,8 +97,8 @@
         claimed = id;
     }
     if (claimed) {
-        setLeader(*claimed, "entry");
-        m_isLeaderProved = false;
+        setPrimary(*claimed, "entry");
+        m_isPrimaryProved = false;
     }
 }
 
@@ -116,7 +116,7 @@
 
 void service_group::retire()
 {
-    onLeaderTrouble = nullptr;
+    onPrimarySuspected = nullptr;
     for (const auto &[id, pool] : m_targets) {
         pool->retire();
     }
@@ -134,13 +134,13 @@
         refused(refusal_reason::QueueFull);
         return 0;
     }
-    const bool isForLeader = isOnlyForLeader(need, m_lastUsedAt);
-    if (isHopeless(need, isForLeader)) {
+    const bool isForPrimary = isOnlyForPrimary(need, m_lastUsedAt);
+    if (isHopeless(need, isForPrimary)) {
         refused(refusal_reason::ExpectedWait);
         return 0;
     }
     waiting_work work;
-    work.isForPrimary = isForLeader;
+    work.isForPrimary = isForPrimary;
     work.priority = need.priority;
     work.wantedBy = need.wantedBy;
     work.refuseAt = need.refuseAt;
@@ -152,10 +152,10 @@
     return number;
 }
 
-bool service_group::isHopeless(const target_need &need, bool isForLeader) const
+bool service_group::isHopeless(const target_need &need, bool isForPrimary) const
 {
-    const auto found = m_leader ? m_targets.find(*m_leader) : m_targets.end();
-    if (!isForLeader || found == m_targets.end()) {
+    const auto found = m_primary ? m_targets.find(*m_primary) : m_targets.end();
+    if (!isForPrimary || found == m_targets.end()) {
         return false;
     }
     const auto &pool = *found->second;
@@ -208,7 +208,7 @@
 {
     const auto required = requiredPosition(need);
     if (!required) {
-        return tryPlaceAtLeader(need, granted);
+        return tryPlaceAtPrimary(need, granted);
     }
     const auto now = systemNow();
     std::vector<read_candidate> candidates;
@@ -224,7 +224,7 @@
         candidate.slots = pool->entry().slots;
         candidate.answerMs = pool->answerMs();
         candidate.isLocal = pool->entry().dataCentre == m_dataCentre;
-        candidate.isPrimary = m_leader == id;
+        candidate.isPrimary = m_primary == id;
         candidate.hasRequiredPosition = pool->knownPosition() >= *required;
         candidate.isWarmingUp = pool->entry().isWarmingUp;
         candidate.hasIdleConnection = pool->hasIdle();
@@ -239,7 +239,7 @@
         }
         std::erase_if(candidates, [&](const read_candidate &candidate) { return candidate.index == *best; });
     }
-    return candidates.empty() && pools.empty() && tryPlaceAtLeader(need, granted);
+    return candidates.empty() && pools.empty() && tryPlaceAtPrimary(need, granted);
 }
 
 void service_group::warmUpFor(std::vector<read_candidate> candidates,
@@ -258,16 +258,16 @@
     }
 }
 
-bool service_group::tryPlaceAtLeader(const target_need &need, const std::function<void(target_grant)> &granted)
+bool service_group::tryPlaceAtPrimary(const target_need &need, const std::function<void(target_grant)> &granted)
 {
-    const auto found = m_leader ? m_targets.find(*m_leader) : m_targets.end();
+    const auto found = m_primary ? m_targets.find(*m_primary) : m_targets.end();
     if (found == m_targets.end()) {
-        noteTrouble("no primary is known");
+        suspectPrimary("no primary is known");
         return false;
     }
     const auto &pool = found->second;
     if (!isUsable(*pool, systemNow())) {
-        noteTrouble("the primary cannot be used");
+        suspectPrimary("the primary cannot be used");
         return false;
     }
     if (!pool->hasRoom(systemNow())) {
@@ -287,7 +287,7 @@
         return false;
     }
     pool->addInFlight(1);
-    granted({pool, std::move(link), m_leader == pool->entry().id, after, needsProof});
+    granted({pool, std::move(link), m_primary == pool->entry().id, after, needsProof});
     return true;
 }
 
@@ -313,7 +313,7 @@
 
 std::optional<position> service_group::requiredPosition(const target_need &need) const
 {
-    if (need.isWrite || need.mustBeLeader || need.reads == consistency::Primary) {
+    if (need.isWrite || need.mustBePrimary || need.reads == consistency::Primary) {
         return std::nullopt;
     }
     auto required = m_samples.covering(need.arrivedAt - need.maxStaleness + ageMargin);
@@ -326,7 +326,7 @@
 bool service_group::isUsable(const target_pool &pool, time_point now) const
 {
     const auto *known = m_directory.find(pool.entry().id);
-    return known != nullptr && m_directory.acceptsNewWork(*known, m_leader == pool.entry().id, now)
+    return known != nullptr && m_directory.acceptsNewWork(*known, m_primary == pool.entry().id, now)
         && !pool.isFailing(now) && !pool.isSilent(now);
 }
 
@@ -339,11 +339,11 @@
     return !isBehind && !need.avoid.contains(pool.entry().id) && isUsable(pool, now);
 }
 
-bool service_group::isOnlyForLeader(const target_need &need, time_point now) const
+bool service_group::isOnlyForPrimary(const target_need &need, time_point now) const
 {
     const auto required = requiredPosition(need);
     return !required || std::none_of(m_targets.begin(), m_targets.end(), [&](const auto &entry) {
-        return m_leader != entry.first && isOffered(*entry.second, need, *required, now);
+        return m_primary != entry.first && isOffered(*entry.second, need, *required, now);
     });
 }
 
@@ -352,7 +352,7 @@
     if (m_targets.empty()) {
         return refusal_reason::NoTarget;
     }
-    return needsLeader(need) && isLeaderMissing(systemNow()) ? refusal_reason::NoPrimary : refusal_reason::QueueTime;
+    return needsPrimary(need) && isPrimaryMissing(systemNow()) ? refusal_reason::NoPrimary : refusal_reason::QueueTime;
 }
 
 void service_group::release(const target_grant &grant, bool isReusable)
@@ -377,87 +377,87 @@
     pump();
 }
 
-const std::optional<target_id> &service_group::leader() const
+const std::optional<target_id> &service_group::primary() const
 {
-    return m_leader;
+    return m_primary;
 }
 
-std::optional<target_id> service_group::provedLeader() const
+std::optional<target_id> service_group::provedPrimary() const
 {
-    return m_isLeaderProved ? m_leader : std::nullopt;
+    return m_isPrimaryProved ? m_primary : std::nullopt;
 }
 
-bool service_group::isLeaderMissing(time_point now) const
+bool service_group::isPrimaryMissing(time_point now) const
 {
-    return !m_leader || (m_troubleSince != never && now - m_troubleSince > passingTrouble);
+    return !m_primary || (m_suspectedSince != never && now - m_suspectedSince > passingTrouble);
 }
 
-bool service_group::needsLeader(const target_need &need) const
+bool service_group::needsPrimary(const target_need &need) const
 {
     return !requiredPosition(need);
 }
 
-void service_group::noteLead(const target_id &target, std::optional<position> at, time_point askedAt)
+void service_group::recordPrimary(const target_id &target, std::optional<position> at, time_point askedAt)
 {
-    m_leaderProvedAt = std::max(m_leaderProvedAt, askedAt);
-    m_troubleSince = never;
-    if (m_leader != target) {
-        setLeader(target, "proof");
+    m_primaryProvedAt = std::max(m_primaryProvedAt, askedAt);
+    m_suspectedSince = never;
+    if (m_primary != target) {
+        setPrimary(target, "proof");
     }
-    m_isLeaderProved = true;
+    m_isPrimaryProved = true;
     if (at) {
         m_samples.add(*at, askedAt);
     }
 }
 
-void service_group::noteNotLeading(const target_id &target, const char *why)
+void service_group::recordNotPrimary(const target_id &target, const char *why)
 {
-    if (m_leader != target) {
+    if (m_primary != target) {
         return;
     }
-    m_leader.reset();
+    m_primary.reset();
     m_context.log.warn("primary_lost")
         .field("service", m_id.str())
         .field("target", target.str())
         .field("why", why)
-        .field("proved_ms_ago", (systemNow() - m_leaderProvedAt).ms);
-    noteTrouble(why);
+        .field("proved_ms_ago", (systemNow() - m_primaryProvedAt).ms);
+    suspectPrimary(why);
 }
 
-void service_group::setLeader(const target_id &target, const char *source)
+void service_group::setPrimary(const target_id &target, const char *source)
 {
-    if (m_leader == target) {
+    if (m_primary == target) {
         return;
     }
     m_context.log.info("primary_known")
         .field("service", m_id.str())
         .field("target", target.str())
-        .field("before", m_leader ? m_leader->str() : "none")
+        .field("before", m_primary ? m_primary->str() : "none")
         .field("source", source);
-    m_leader = target;
+    m_primary = target;
     m_samples.clear();
     pump();
 }
 
-time_point service_group::leaderProvedAt() const
+time_point service_group::primaryProvedAt() const
 {
-    return m_leaderProvedAt;
+    return m_primaryProvedAt;
 }
 
-time_point service_group::troubleSince() const
+time_point service_group::suspectedSince() const
 {
-    return m_troubleSince;
+    return m_suspectedSince;
 }
 
-void service_group::noteTrouble(const char *why)
+void service_group::suspectPrimary(const char *why)
 {
-    if (m_troubleSince != never) {
+    if (m_suspectedSince != never) {
         return;
     }
-    m_troubleSince = systemNow();
+    m_suspectedSince = systemNow();
     m_context.log.warn("primary_trouble").field("service", m_id.str()).field("why", why);
-    if (onLeaderTrouble) {
-        onLeaderTrouble(why);
+    if (onPrimarySuspected) {
+        onPrimarySuspected(why);
     }
 }
 
--- a/src/libcrocusdealfront/servicegroup.h
+++ b/src/libcrocusdealfront/servicegroup.h
@@ -27,7 +27,7 @@
     int priority = 0;
     time_point wantedBy;
     time_point refuseAt; ///< If no target is free by then.
-    bool mustBeLeader = false; ///< A replica has refused already.
+    bool mustBePrimary = false; ///< A replica has refused already.
     std::set<target_id> avoid; ///< Targets that have failed this statement.
 };
 
@@ -35,7 +35,7 @@
 struct target_grant {
     std::shared_ptr<target_pool> target;
     std::shared_ptr<target_link> link;
-    bool isLeader = false;
+    bool isPrimary = false;
     std::optional<position> after; ///< What the log of the target must hold.
     /** Without a position the target has to prove that it leads, by accepting a transaction that may write. */
     bool needsProof = false;
@@ -62,7 +62,7 @@
     service_group(front_context &context, service_id id, data_centre_id dataCentre, const target_directory &directory);
 
     /** Trouble with the primary was seen; asks for somebody to look. */
-    std::function<void(const char *why)> onLeaderTrouble;
+    std::function<void(const char *why)> onPrimarySuspected;
 
     const service_id &id() const;
     void setPolicy(const service_policy &policy);
@@ -71,7 +71,7 @@
     void refreshTargets();
     const std::map<target_id, std::shared_ptr<target_pool>> &targets() const;
     /** Until something proves or refutes it, takes the target for the primary that says so of itself. */
-    void adoptClaimedLeader();
+    void adoptClaimedPrimary();
     /** When a statement last asked for a target, or since when the service is served. */
     time_point lastUsedAt() const;
     bool isInUse() const;
@@ -89,23 +89,23 @@
     void pump();
     std::size_t queued() const;
 
-    const std::optional<target_id> &leader() const;
+    const std::optional<target_id> &primary() const;
     /** The primary, unless it is only said to be. */
-    std::optional<target_id> provedLeader() const;
+    std::optional<target_id> provedPrimary() const;
     /** Whether statements for the primary cannot be expected to be served soon. */
-    bool isLeaderMissing(time_point now) const;
+    bool isPrimaryMissing(time_point now) const;
     /** Whether only the primary can serve @p need, as things are known now. */
-    bool needsLeader(const target_need &need) const;
+    bool needsPrimary(const target_need &need) const;
     /** A target has proved that it led when it answered; @p at covers what was acknowledged before @p askedAt. */
-    void noteLead(const target_id &target, std::optional<position> at, time_point askedAt);
+    void recordPrimary(const target_id &target, std::optional<position> at, time_point askedAt);
     /** A target that was taken for the primary does not lead. */
-    void noteNotLeading(const target_id &target, const char *why);
+    void recordNotPrimary(const target_id &target, const char *why);
     /** From what the directory or a survey says. */
-    void setLeader(const target_id &target, const char *source);
-    time_point leaderProvedAt() const;
+    void setPrimary(const target_id &target, const char *source);
+    time_point primaryProvedAt() const;
     /** Since when there has been trouble with the primary; never without any. */
-    time_point troubleSince() const;
-    void noteTrouble(const char *why);
+    time_point suspectedSince() const;
+    void suspectPrimary(const char *why);
 
     /** Writes and commits that are sent to the primary, by when; a stalled primary acknowledges none. */
     void writeSent(time_point at);
@@ -118,7 +118,7 @@
     /** Opens a connection to the target that a read would go to if all had one. */
     void warmUpFor(std::vector<read_candidate> candidates, const std::vector<std::shared_ptr<target_pool>> &pools);
     bool tryPlace(const target_need &need, const std::function<void(target_grant)> &granted);
-    bool tryPlaceAtLeader(const target_need &need, const std::function<void(target_grant)> &granted);
+    bool tryPlaceAtPrimary(const target_need &need, const std::function<void(target_grant)> &granted);
     bool grantAt(const std::shared_ptr<target_pool> &pool,
                  std::optional<position> after,
                  bool needsProof,
@@ -126,12 +126,12 @@
     std::optional<position> requiredPosition(const target_need &need) const;
     refusal_reason whyNotPlaced(const target_need &need) const;
     /** Whether the queue is too long for @p need to be placed before it is refused. */
-    bool isHopeless(const target_need &need, bool isForLeader) const;
+    bool isHopeless(const target_need &need, bool isForPrimary) const;
     bool isUsable(const target_pool &pool, time_point now) const;
     /** Whether the target may be offered a read that needs @p required. */
     bool isOffered(const target_pool &pool, const target_need &need, const position &required, time_point now) const;
-    /** As needsLeader(), or since every other target is behind or cannot be used. */
-    bool isOnlyForLeader(const target_need &need, time_point now) const;
+    /** As needsPrimary(), or since every other target is behind or cannot be used. */
+    bool isOnlyForPrimary(const target_need &need, time_point now) const;
     void armRefusals();
     void openWhereNeeded(target_pool &pool);
 
@@ -143,11 +143,11 @@
     std::map<target_id, std::shared_ptr<target_pool>> m_targets;
     wait_queue m_queue;
     position_samples m_samples;
-    std::optional<target_id> m_leader;
-    time_point m_leaderProvedAt = never;
-    bool m_isLeaderProved = false;
+    std::optional<target_id> m_primary;
+    time_point m_primaryProvedAt = never;
+    bool m_isPrimaryProved = false;
     time_point m_lastUsedAt;
-    time_point m_troubleSince = never;
+    time_point m_suspectedSince = never;
     std::multiset<time_point> m_openWrites;
     time_point m_lastWriteAckedAt = never;
     deadline_queue::handle m_refusalTimer = 0;
--- a/src/libcrocusdealfront/statementrun.cpp
+++ b/src/libcrocusdealfront/statementrun.cpp
@@ -118,7 +118,7 @@
 void statement_run::acquire()
 {
     const auto &route = m_order.route;
-    const bool isPrimaryMissing = m_group->isLeaderMissing(systemNow()) && m_group->needsLeader(m_need);
+    const bool isPrimaryMissing = m_group->isPrimaryMissing(systemNow()) && m_group->needsPrimary(m_need);
     const auto wait =
         isPrimaryMissing ? route.latencyObjective / waitShareOfLatency : route.statementTimeout / waitShareOfTimeout;
     m_need.refuseAt = m_order.arrivedAt + std::max(wait, shortestWait);
@@ -126,11 +126,11 @@
     m_acquiredAt = systemNow();
     m_ticket = m_group->acquire(
         m_need,
-        [self = shared_from_this()](target_grant grant) { self->takeGrant(std::move(grant)); },
+        [self = shared_from_this()](target_grant grant) { self->handleGrant(std::move(grant)); },
         [self = shared_from_this()](refusal_reason reason) { self->refuse(reason); });
 }
 
-void statement_run::takeGrant(target_grant grant)
+void statement_run::handleGrant(target_grant grant)
 {
     m_ticket = 0;
     m_grant = std::move(grant);
@@ -154,8 +154,8 @@
         .field("reason", refusalReasonNames.name(reason))
         .field("queued", static_cast<std::int64_t>(m_group->queued()))
         .field("waited_ms", (systemNow() - m_order.arrivedAt).ms)
-        .field("primary", m_group->leader() ? m_group->leader()->str() : "none")
-        .field("primary_proved_ms_ago", (systemNow() - m_group->leaderProvedAt()).ms);
+        .field("primary", m_group->primary() ? m_group->primary()->str() : "none")
+        .field("primary_proved_ms_ago", (systemNow() - m_group->primaryProvedAt()).ms);
     fail(unkeptCode(), refusalReasonNames.name(reason).data());
 }
 
@@ -169,28 +169,28 @@
                                  isPlain ? std::nullopt : m_grant->after);
     m_grant->link->send(encoded, [self = shared_from_this(), generation = m_generation](const target_reply &reply) {
         if (generation == self->m_generation) {
-            self->takeBegin(reply);
+            self->handleBegin(reply);
         }
     });
 }
 
-void statement_run::takeBegin(const target_reply &reply)
+void statement_run::handleBegin(const target_reply &reply)
 {
-    m_grant->target->noteAnswer(reply);
+    m_grant->target->recordUntimedAnswer(reply);
     if (reply.isLost) {
         m_need.avoid.insert(m_grant->target->entry().id);
-        m_group->noteTrouble("connection lost");
+        m_group->suspectPrimary("connection lost");
         dropGrant(false);
         retry("connection lost before the statement was sent");
         return;
     }
     if (reply.error) {
-        takeError(reply);
+        handleError(reply);
         return;
     }
     const bool isPlain = opensPlain() || m_grant->needsProof;
     if (isPlain) {
-        m_group->noteLead(m_grant->target->entry().id, reply.at, reply.sentAt);
+        m_group->recordPrimary(m_grant->target->entry().id, reply.at, reply.sentAt);
     }
     sendStatement();
 }
@@ -219,9 +219,9 @@
     const bool isWrappedRead = isWrapped();
     link->send(encoded, [self, generation](target_reply reply) {
         if (generation == self->m_generation) {
-            self->takeReply(std::move(reply));
+            self->handleReply(std::move(reply));
         } else {
-            self->takeOrphanReply(generation, reply);
+            self->handleOrphanReply(generation, reply);
         }
     });
     if (m_order.kind == effect::Read && !opensTransaction()) {
@@ -247,7 +247,7 @@
     });
 }
 
-void statement_run::takeOrphanReply(int generation, const target_reply &reply)
+void statement_run::handleOrphanReply(int generation, const target_reply &reply)
 {
     const auto found = std::find_if(m_orphans.begin(), m_orphans.end(), [&](const orphan_grant &orphan) {
         return orphan.generation == generation;
@@ -286,7 +286,7 @@
     retry(isTargetSilent ? "target is silent" : "answer is late");
 }
 
-void statement_run::takeReply(target_reply reply)
+void statement_run::handleReply(target_reply reply)
 {
     m_context.deadlines.cancel(m_hedgeTimer);
     m_grant->target->recordAnswer(reply);
@@ -297,22 +297,22 @@
         m_group->writeEnded(m_sentAt, reply.isSuccess());
     }
     if (reply.isLost) {
-        takeLoss(reply);
+        handleLoss(reply);
     } else if (reply.error) {
-        takeError(std::move(reply));
+        handleError(std::move(reply));
     } else {
-        takeSuccess(std::move(reply));
+        handleSuccess(std::move(reply));
     }
 }
 
-void statement_run::takeSuccess(target_reply reply)
+void statement_run::handleSuccess(target_reply reply)
 {
     const auto target = m_grant->target->entry().id;
     // A commit that has nothing to write succeeds also where the lead is lost.
     const bool isCommit = m_order.request.what.kind == statement_kind::Commit; // Of nothing: the first statement.
     const bool isProof = !isCommit && (m_grant->needsProof || opensPlain() || m_order.kind == effect::Write);
     if (isProof) {
-        m_group->noteLead(target, reply.at, reply.sentAt);
+        m_group->recordPrimary(target, reply.at, reply.sentAt);
     }
     if (m_grant->after) {
         m_grant->target->lag().recordCaughtUp();
@@ -321,7 +321,7 @@
         .field("id", m_order.request.id)
         .field("database", m_order.route.database)
         .field("target", target.str())
-        .field("at_primary", m_grant->isLeader ? 1 : 0)
+        .field("at_primary", m_grant->isPrimary ? 1 : 0)
         .field("attempts", m_attempts)
         .field("ms", (systemNow() - m_order.arrivedAt).ms);
     statement_outcome outcome;
@@ -337,15 +337,15 @@
     finish(std::move(outcome));
 }
 
-void statement_run::takeError(target_reply reply)
+void statement_run::handleError(target_reply reply)
 {
     const auto code = *reply.error;
     const auto target = m_grant->target->entry().id;
-    const bool isAtLeader = m_grant->isLeader;
+    const bool isAtPrimary = m_grant->isPrimary;
     const auto pool = m_grant->target;
     const auto required = m_grant->after;
     if (code == error_code::ReadOnly) {
-        m_group->noteNotLeading(target, "it refused as read only");
+        m_group->recordNotPrimary(target, "it refused as read only");
     }
     rollBackGrant();
     const bool isBusy = code == error_code::Busy;
@@ -380,16 +380,16 @@
             .field("required", required ? toString(*required) : "none")
             .field("holds", reply.at ? toString(*reply.at) : "unknown");
         pool->lag().recordLagging(reply.sentAt, systemNow());
-        m_need.mustBeLeader = m_need.mustBeLeader || isAtLeader || m_attempts >= 2;
+        m_need.mustBePrimary = m_need.mustBePrimary || isAtPrimary || m_attempts >= 2;
         m_need.avoid.insert(target);
     }
     retry(errorCodeNames.name(code).data());
 }
 
-void statement_run::takeLoss(const target_reply &reply)
+void statement_run::handleLoss(const target_reply &reply)
 {
     const auto target = m_grant->target->entry().id;
-    m_group->noteTrouble("connection lost");
+    m_group->suspectPrimary("connection lost");
     if (std::exchange(m_isRollbackSent, false)) {
         m_grant.reset();
     } else {
--- a/src/libcrocusdealfront/statementrun.h
+++ b/src/libcrocusdealfront/statementrun.h
@@ -45,19 +45,19 @@
 
 private:
     void acquire();
-    void takeGrant(target_grant grant);
+    void handleGrant(target_grant grant);
     void refuse(refusal_reason reason);
     void sendBegin();
-    void takeBegin(const target_reply &reply);
+    void handleBegin(const target_reply &reply);
     void sendStatement();
-    void takeReply(target_reply reply);
-    void takeSuccess(target_reply reply);
+    void handleReply(target_reply reply);
+    void handleSuccess(target_reply reply);
     void armHedge();
     /** Sends a read to another target and leaves the silent one to answer when it can. */
     void hedge();
-    void takeOrphanReply(int generation, const target_reply &reply);
-    void takeError(target_reply reply);
-    void takeLoss(const target_reply &reply);
+    void handleOrphanReply(int generation, const target_reply &reply);
+    void handleError(target_reply reply);
+    void handleLoss(const target_reply &reply);
     void retry(const char *why);
     void dropGrant(bool isReusable);
     void rollBackGrant();
--- a/src/libcrocusdealfront/storefeed.cpp
+++ b/src/libcrocusdealfront/storefeed.cpp
@@ -19,7 +19,7 @@
 constexpr duration promptAnswer{
     300}; // A later answer was held up, and says nothing of the time since it was asked for.
 constexpr duration targetListAge{60000}; // The watch may be old, so a current list follows now and then.
-constexpr duration dutyWait{25000}; // Records change seldom, and a claim finds out in any case.
+constexpr duration leaseWait{25000}; // Records change seldom, and a claim finds out in any case.
 constexpr duration shortestWait{500};
 constexpr duration longestChangePause{400};
 constexpr std::size_t maxIgnoredKnown = 1000;
@@ -42,7 +42,7 @@
 {
     readConfiguration();
     listTargets();
-    listDuties();
+    listPromotionLeases();
 }
 
 void store_feed::stop()
@@ -82,11 +82,11 @@
 
 void store_feed::probe()
 {
-    m_store.readConfiguration(store_reading::MayBeOld, [self = shared_from_this()](const configuration_news &news) {
+    m_store.readConfiguration(store_reading::MayBeOld, [self = shared_from_this()](const configuration_update &update) {
         if (self->m_isStopped) {
             return;
         }
-        self->m_hasProbeFailed = news.failure != store_failure::None;
+        self->m_hasProbeFailed = update.failure != store_failure::None;
         if (self->m_hasProbeFailed) {
             self->m_probeDelay = std::min(longestRetry, self->m_probeDelay * 2);
             self->m_context.deadlines.scheduleAfter(self->m_probeDelay, [self] { self->probe(); });
@@ -102,12 +102,13 @@
 void store_feed::readConfiguration()
 {
     ++m_configurationReads;
-    m_store.readConfiguration(store_reading::Current,
-                              [self = shared_from_this(), read = m_configurationReads](const configuration_news &news) {
-                                  if (read == self->m_configurationReads) {
-                                      self->takeConfiguration(news, false);
-                                  }
-                              });
+    m_store.readConfiguration(
+        store_reading::Current,
+        [self = shared_from_this(), read = m_configurationReads](const configuration_update &update) {
+            if (read == self->m_configurationReads) {
+                self->handleConfiguration(update, false);
+            }
+        });
 }
 
 void store_feed::watchConfiguration()
@@ -116,56 +117,56 @@
         m_configurationRevision,
         configurationWait,
         store_reading::Current,
-        [self = shared_from_this(), read = m_configurationReads](const configuration_news &news) {
+        [self = shared_from_this(), read = m_configurationReads](const configuration_update &update) {
             if (read == self->m_configurationReads) {
-                self->takeConfiguration(news, true);
+                self->handleConfiguration(update, true);
             }
         });
 }
 
-void store_feed::takeConfiguration(const configuration_news &news, bool isWatch)
+void store_feed::handleConfiguration(const configuration_update &update, bool isWatch)
 {
     if (m_isStopped) {
         return;
     }
-    if (news.failure == store_failure::HistoryGone) {
+    if (update.failure == store_failure::HistoryGone) {
         readConfiguration();
         return;
     }
-    noteStore("configuration", news.failure == store_failure::None, news.detail);
-    if (news.failure != store_failure::None) {
+    recordStore("configuration", update.failure == store_failure::None, update.detail);
+    if (update.failure != store_failure::None) {
         // A watch may have missed changes while it failed, so it starts from what is there now.
         waitForStore(&store_feed::readConfiguration);
         return;
     }
     m_configurationHeardAt = systemNow();
-    m_configurationRevision = news.revision;
-    noteUnreadable(news);
-    if (news.configuration) {
-        onConfiguration(*news.configuration);
+    m_configurationRevision = update.revision;
+    recordUnreadable(update);
+    if (update.configuration) {
+        onConfiguration(*update.configuration);
     } else if (!isWatch) {
         later(&store_feed::readConfiguration);
         return;
     }
     if (!isWatch) {
-        m_checkRevision = news.revision;
+        m_checkRevision = update.revision;
         watchConfiguration();
         checkConfiguration();
         return;
     }
-    if (news.configuration) {
+    if (update.configuration) {
         watchConfigurationAfterPause();
         return;
     }
     watchConfiguration();
 }
 
-void store_feed::noteUnreadable(const configuration_news &news)
+void store_feed::recordUnreadable(const configuration_update &update)
 {
-    if (!news.configuration && !news.detail.empty()) {
+    if (!update.configuration && !update.detail.empty()) {
         m_context.log.warn("configuration_ignored")
-            .field("revision", static_cast<std::int64_t>(news.revision))
-            .field("reason", news.detail);
+            .field("revision", static_cast<std::int64_t>(update.revision))
+            .field("reason", update.detail);
     }
 }
 
@@ -175,28 +176,28 @@
         m_checkRevision,
         m_checkWait,
         store_reading::MayBeOld,
-        [self = shared_from_this(), read = m_configurationReads](const configuration_news &news) {
+        [self = shared_from_this(), read = m_configurationReads](const configuration_update &update) {
             if (read == self->m_configurationReads && !self->m_isStopped) {
-                self->takeConfigurationCheck(news);
+                self->handleConfigurationCheck(update);
             }
         });
 }
 
-void store_feed::takeConfigurationCheck(const configuration_news &news)
+void store_feed::handleConfigurationCheck(const configuration_update &update)
 {
-    const bool isGood = news.failure == store_failure::None;
-    noteStore("configuration", isGood || news.failure == store_failure::HistoryGone, news.detail);
+    const bool isGood = update.failure == store_failure::None;
+    recordStore("configuration", isGood || update.failure == store_failure::HistoryGone, update.detail);
     if (!isGood) {
         // The other watch may be as silent.
         waitForStore(&store_feed::readConfiguration);
         return;
     }
-    m_checkRevision = news.revision;
-    if (!news.configuration) {
+    m_checkRevision = update.revision;
+    if (!update.configuration) {
         checkConfiguration();
         return;
     }
-    onConfiguration(*news.configuration);
+    onConfiguration(*update.configuration);
     m_context.deadlines.scheduleAfter(m_changePause, [self = shared_from_this(), read = m_configurationReads] {
         if (read == self->m_configurationReads && !self->m_isStopped) {
             self->checkConfiguration();
@@ -216,40 +217,40 @@
 
 void store_feed::listTargets()
 {
-    m_store.listTargets([self = shared_from_this(), askedAt = systemNow()](const target_news &news) {
-        self->takeTargets(news, askedAt, {});
+    m_store.listTargets([self = shared_from_this(), askedAt = systemNow()](const target_update &update) {
+        self->handleTargets(update, askedAt, {});
     });
 }
 
 void store_feed::watchTargets()
 {
     m_store.watchTargets(
-        m_targetRevision, targetWait, [self = shared_from_this(), askedAt = systemNow()](const target_news &news) {
-            self->takeTargets(news, askedAt, targetWait);
+        m_targetRevision, targetWait, [self = shared_from_this(), askedAt = systemNow()](const target_update &update) {
+            self->handleTargets(update, askedAt, targetWait);
         });
 }
 
-void store_feed::takeTargets(const target_news &news, time_point askedAt, duration wait)
+void store_feed::handleTargets(const target_update &update, time_point askedAt, duration wait)
 {
     if (m_isStopped) {
         return;
     }
-    if (news.failure == store_failure::HistoryGone) {
+    if (update.failure == store_failure::HistoryGone) {
         listTargets();
         return;
     }
-    noteStore("targets", news.failure == store_failure::None, news.detail);
-    if (news.failure != store_failure::None) {
+    recordStore("targets", update.failure == store_failure::None, update.detail);
+    if (update.failure != store_failure::None) {
         waitForStore(&store_feed::listTargets);
         return;
     }
-    noteIgnored(news);
-    m_targetRevision = news.revision;
+    recordIgnored(update);
+    m_targetRevision = update.revision;
     const auto now = systemNow();
-    if (news.isComplete) {
+    if (update.isComplete) {
         m_targetsListedAt = now;
     }
-    onTargets(news, m_targetsCurrentAt);
+    onTargets(update, m_targetsCurrentAt);
     m_targetsCurrentAt = now - askedAt <= wait + promptAnswer ? now : askedAt;
     if (now - m_targetsListedAt > targetListAge) {
         listTargets();
@@ -258,20 +259,20 @@
     watchTargets();
 }
 
-void store_feed::noteIgnored(const target_news &news)
+void store_feed::recordIgnored(const target_update &update)
 {
-    if (news.isComplete) {
+    if (update.isComplete) {
         // Those that are gone are told again if they come back.
         std::erase_if(m_ignored, [&](const auto &known) {
-            return std::none_of(news.ignored.begin(), news.ignored.end(), [&](const ignored_entry &entry) {
+            return std::none_of(update.ignored.begin(), update.ignored.end(), [&](const ignored_entry &entry) {
                 return entry.name == known.first;
             });
         });
     }
-    for (const auto &entry : news.entries) {
+    for (const auto &entry : update.entries) {
         m_ignored.erase(entry.id.str());
     }
-    for (const auto &entry : news.ignored) {
+    for (const auto &entry : update.ignored) {
         const auto known = m_ignored.find(entry.name);
         if (known != m_ignored.end() && known->second == entry.reason) {
             continue;
@@ -286,50 +287,52 @@
 
 void store_feed::refreshTargets(std::function<void(bool)> done)
 {
-    m_store.listTargets([self = shared_from_this(), done = std::move(done)](const target_news &news) {
-        const bool isRead = news.failure == store_failure::None;
+    m_store.listTargets([self = shared_from_this(), done = std::move(done)](const target_update &update) {
+        const bool isRead = update.failure == store_failure::None;
         // The watch may have told of later changes already.
-        if (isRead && news.revision >= self->m_targetRevision) {
-            self->onTargets(news, self->m_targetsCurrentAt);
+        if (isRead && update.revision >= self->m_targetRevision) {
+            self->onTargets(update, self->m_targetsCurrentAt);
         }
         done(isRead);
     });
 }
 
-void store_feed::listDuties()
+void store_feed::listPromotionLeases()
 {
-    m_store.listDuties([self = shared_from_this(), askedAt = systemNow()](const duty_list_news &news) {
-        self->takeDuties(news, askedAt);
-    });
+    m_store.listPromotionLeases(
+        [self = shared_from_this(), askedAt = systemNow()](const promotion_lease_list_update &update) {
+            self->handleLeases(update, askedAt);
+        });
 }
 
-void store_feed::watchDuties()
+void store_feed::watchPromotionLeases()
 {
-    m_store.watchDuties(m_dutyRevision, dutyWait, [self = shared_from_this()](const duty_list_news &news) {
-        // An event is as new as its answer.
-        self->takeDuties(news, systemNow());
-    });
+    m_store.watchPromotionLeases(
+        m_leaseRevision, leaseWait, [self = shared_from_this()](const promotion_lease_list_update &update) {
+            // An event is as new as its answer.
+            self->handleLeases(update, systemNow());
+        });
 }
 
-void store_feed::takeDuties(const duty_list_news &news, time_point askedAt)
+void store_feed::handleLeases(const promotion_lease_list_update &update, time_point askedAt)
 {
     if (m_isStopped) {
         return;
     }
-    if (news.failure == store_failure::HistoryGone) {
-        listDuties();
+    if (update.failure == store_failure::HistoryGone) {
+        listPromotionLeases();
         return;
     }
-    if (news.failure != store_failure::None) {
-        waitForStore(&store_feed::listDuties);
+    if (update.failure != store_failure::None) {
+        waitForStore(&store_feed::listPromotionLeases);
         return;
     }
-    m_dutyRevision = news.revision;
-    onDuties(news, askedAt);
-    watchDuties();
+    m_leaseRevision = update.revision;
+    onLeases(update, askedAt);
+    watchPromotionLeases();
 }
 
-void store_feed::noteStore(const char *what, bool isReachable, const std::string &detail)
+void store_feed::recordStore(const char *what, bool isReachable, const std::string &detail)
 {
     if (isReachable == m_isStoreReachable) {
         return;
--- a/src/libcrocusdealfront/storefeed.h
+++ b/src/libcrocusdealfront/storefeed.h
@@ -20,9 +20,9 @@
 
     std::function<void(routing_configuration)> onConfiguration;
     /** With the time of the last answer that would have told of a change before. */
-    std::function<void(const target_news &, time_point changedAfter)> onTargets;
+    std::function<void(const target_update &, time_point changedAfter)> onTargets;
 
-    std::function<void(const duty_list_news &, time_point askedAt)> onDuties;
+    std::function<void(const promotion_lease_list_update &, time_point askedAt)> onLeases;
 
     void start();
     void stop();
@@ -37,20 +37,20 @@
     void readConfiguration();
     void watchConfiguration();
     void watchConfigurationAfterPause();
-    void takeConfiguration(const configuration_news &news, bool isWatch);
+    void handleConfiguration(const configuration_update &update, bool isWatch);
     /** A cheap second watch with a short wait finds out soon if the first has gone silent. */
     void checkConfiguration();
-    void takeConfigurationCheck(const configuration_news &news);
+    void handleConfigurationCheck(const configuration_update &update);
     void listTargets();
     void watchTargets();
-    void takeTargets(const target_news &news, time_point askedAt, duration wait);
-    void listDuties();
-    void watchDuties();
-    void takeDuties(const duty_list_news &news, time_point askedAt);
+    void handleTargets(const target_update &update, time_point askedAt, duration wait);
+    void listPromotionLeases();
+    void watchPromotionLeases();
+    void handleLeases(const promotion_lease_list_update &update, time_point askedAt);
     /** Logs each entry that names no target once, until it changes. */
-    void noteIgnored(const target_news &news);
-    void noteUnreadable(const configuration_news &news);
-    void noteStore(const char *what, bool isReachable, const std::string &detail);
+    void recordIgnored(const target_update &update);
+    void recordUnreadable(const configuration_update &update);
+    void recordStore(const char *what, bool isReachable, const std::string &detail);
     using step = void (store_feed::*)();
     void later(step next);
     /** Keeps @p next until the store answers a probe. */
@@ -71,7 +71,7 @@
     bool m_hasProbeFailed = false;
     std::uint64_t m_configurationRevision = 0;
     std::uint64_t m_targetRevision = 0;
-    std::uint64_t m_dutyRevision = 0;
+    std::uint64_t m_leaseRevision = 0;
     time_point m_configurationHeardAt = never;
     bool m_isStoreReachable = true;
     std::map<std::string, std::string> m_ignored; ///< Entries that name no target, with the reason.
--- a/src/libcrocusdealfront/targetlink.cpp
+++ b/src/libcrocusdealfront/targetlink.cpp
@@ -28,7 +28,7 @@
 {
     m_opening = std::move(done);
     const auto self = shared_from_this();
-    m_stream->onData = [self](std::string &inbound) { self->takeMessages(inbound); };
+    m_stream->onData = [self](std::string &inbound) { self->handleMessages(inbound); };
     m_stream->onClosed = [self](const std::string &reason) { self->end(reason); };
     m_openingLimit = m_deadlines.scheduleAfter(openingLimit, [self] { self->end("start-up timed out"); });
     m_stream->connect(address, [self, service, expectedTarget] {
@@ -71,7 +71,7 @@
     return m_pending.empty() ? never : m_pending.front().sentAt;
 }
 
-void target_link::takeMessages(std::string &inbound)
+void target_link::handleMessages(std::string &inbound)
 {
     std::size_t taken = 0;
     while (!m_isEnded) {
@@ -86,12 +86,12 @@
             break;
         }
         taken += used;
-        takeMessage(message);
+        handleMessage(message);
     }
     inbound.erase(0, taken);
 }
 
-void target_link::takeMessage(const target_message &message)
+void target_link::handleMessage(const target_message &message)
 {
     if (const auto *row = std::get_if<target_row>(&message)) {
         m_reply.rows.emplace_back(row->text);
--- a/src/libcrocusdealfront/targetlink.h
+++ b/src/libcrocusdealfront/targetlink.h
@@ -75,8 +75,8 @@
         time_point sentAt;
     };
 
-    void takeMessages(std::string &inbound);
-    void takeMessage(const target_message &message);
+    void handleMessages(std::string &inbound);
+    void handleMessage(const target_message &message);
     void finishReply();
     void finishOpening(const link_opening &opening);
     void end(const std::string &reason);
--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -139,9 +139,9 @@
         m_failureShare.record(true, now);
         return;
     }
-    noteAnswer(reply);
+    recordUntimedAnswer(reply);
     if (reply.error == error_code::Busy) {
-        noteRefused(reply, now);
+        recordRefused(reply, now);
     }
     if (reply.error == error_code::Failed || reply.error == error_code::Timeout) {
         m_failureShare.record(true, now);
@@ -153,7 +153,7 @@
     }
 }
 
-void target_pool::noteRefused(const target_reply &reply, time_point now)
+void target_pool::recordRefused(const target_reply &reply, time_point now)
 {
     m_window.recordBusy(reply.sentAt, now);
     if (m_holdTimer != 0) {
@@ -171,7 +171,7 @@
     });
 }
 
-void target_pool::noteAnswer(const target_reply &reply)
+void target_pool::recordUntimedAnswer(const target_reply &reply)
 {
     if (reply.isLost) {
         return;
@@ -306,7 +306,7 @@
                m_entry.id.str(),
                [self = shared_from_this(), link, begunAt, done = std::move(done)](const link_opening &opening) {
                    self->m_openings.extract(begunAt);
-                   self->noteOpened(opening, begunAt);
+                   self->recordOpened(opening, begunAt);
                    if (opening.isOpen) {
                        self->trackLink(link);
                    }
@@ -330,7 +330,7 @@
     };
 }
 
-void target_pool::noteOpened(const link_opening &opening, time_point begunAt)
+void target_pool::recordOpened(const link_opening &opening, time_point begunAt)
 {
     const auto now = systemNow();
     m_isReplaced = opening.refusal == error_code::WrongTarget;
@@ -345,7 +345,7 @@
         return;
     }
     if (opening.refusal == error_code::ConnectionLimit || opening.refusal == error_code::Busy) {
-        noteLimited(opening, now);
+        recordLimited(opening, now);
         return;
     }
     ++m_failures;
@@ -362,7 +362,7 @@
         .field("failures", m_failures);
 }
 
-void target_pool::noteLimited(const link_opening &opening, time_point now)
+void target_pool::recordLimited(const link_opening &opening, time_point now)
 {
     // The target lives and says nothing of its role: too many connections are open, perhaps of instances that are gone.
     m_failures = 0;
@@ -490,7 +490,7 @@
     call->askedAt = systemNow();
     call->link = m_controlLink;
     m_controlLink->send(encoded, [self = shared_from_this(), call](const target_reply &reply) {
-        self->noteAnswer(reply);
+        self->recordUntimedAnswer(reply);
         control_reply answer{std::nullopt, !reply.isLost, reply.isLost ? reply.reason : reply.errorText, reply.sentAt};
         if (reply.isSuccess() && !reply.rows.empty()) {
             answer.report = self->m_context.targets.decodeReport(reply.rows.front());
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -64,7 +64,7 @@
     double answerMs() const;
     void recordAnswer(const target_reply &reply);
     /** An answer that tells nothing of the time that statements of callers take. */
-    void noteAnswer(const target_reply &reply);
+    void recordUntimedAnswer(const target_reply &reply);
     /** The highest position that its log was seen to hold. */
     position knownPosition() const;
     replica_backoff &lag();
@@ -107,10 +107,10 @@
 private:
     struct control_call;
 
-    void noteRefused(const target_reply &reply, time_point now);
+    void recordRefused(const target_reply &reply, time_point now);
     void openLink(std::function<void(std::shared_ptr<target_link>, const link_opening &)> done);
-    void noteOpened(const link_opening &opening, time_point begunAt);
-    void noteLimited(const link_opening &opening, time_point now);
+    void recordOpened(const link_opening &opening, time_point begunAt);
+    void recordLimited(const link_opening &opening, time_point now);
     bool hasLinkForControl() const;
     void sendControl(const std::shared_ptr<control_call> &call);
     void finishControl(const std::shared_ptr<control_call> &call, control_reply reply);
--- a/tests/platform/frontfailovertest.cpp
+++ b/tests/platform/frontfailovertest.cpp
@@ -19,9 +19,12 @@
 /** Another instance has ordered the target and died; the order is carried out after @p delay. */
 void leaveOrderOpen(front_world &world, const std::string &target, duration delay)
 {
-    world.store.claimDuty(
-        service_id("svc"), "dead", promotion_lease_purpose::Promotion, std::nullopt, [](const duty_news &) {});
-    const auto token = world.store.duties.at("svc").revision;
+    world.store.claimPromotionLease(service_id("svc"),
+                                    "dead",
+                                    promotion_lease_purpose::Promotion,
+                                    std::nullopt,
+                                    [](const promotion_lease_update &) {});
+    const auto token = world.store.leases.at("svc").revision;
     world.store.loseOrders = true;
     world.store.orderDelay = delay;
     world.store.promote(
@@ -105,10 +108,10 @@
         CPPUNIT_ASSERT(writesAgain(world));
         world.group.at("a").listen();
         world.runFor(500_ms);
-        const auto leader = world.store.orders.back().target;
-        world.group.at(leader).crash();
+        const auto primary = world.store.orders.back().target;
+        world.group.at(primary).crash();
         CPPUNIT_ASSERT(writesAgain(world));
-        CPPUNIT_ASSERT(world.store.orders.back().target != leader);
+        CPPUNIT_ASSERT(world.store.orders.back().target != primary);
     }
 
     /** Guards against a second change of the primary while the first is carried out. */
@@ -161,7 +164,7 @@
             11000_ms));
         CPPUNIT_ASSERT(world.group.at("a").isPrimary);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world.group.at("b").pausedAt);
-        CPPUNIT_ASSERT(world.store.duties.at("svc").purpose == promotion_lease_purpose::Settled);
+        CPPUNIT_ASSERT(world.store.leases.at("svc").purpose == promotion_lease_purpose::Settled);
     }
 
     /**
@@ -225,17 +228,17 @@
         const auto client = world.connect("fresh");
         world.group.at("a").crash();
         world.ask(*client, "WRITE 1 x");
-        CPPUNIT_ASSERT(world.runUntil([&] { return world.store.duties.contains("svc"); }));
+        CPPUNIT_ASSERT(world.runUntil([&] { return world.store.leases.contains("svc"); }));
         world.runFor(1000_ms);
-        world.store.claimDuty(service_id("svc"),
-                              "other",
-                              promotion_lease_purpose::Promotion,
-                              world.store.duties.at("svc").revision,
-                              [](const duty_news &) {});
+        world.store.claimPromotionLease(service_id("svc"),
+                                        "other",
+                                        promotion_lease_purpose::Promotion,
+                                        world.store.leases.at("svc").revision,
+                                        [](const promotion_lease_update &) {});
         world.store.loseOrders = false;
         world.group.at("a").listen();
         world.runFor(4500_ms);
-        CPPUNIT_ASSERT_EQUAL(std::string("other"), world.store.duties.at("svc").holder);
+        CPPUNIT_ASSERT_EQUAL(std::string("other"), world.store.leases.at("svc").holder);
         CPPUNIT_ASSERT(world.store.orders.empty());
     }
 
@@ -276,7 +279,7 @@
         CPPUNIT_ASSERT(writesAgain(world));
     }
 
-    /** Guards against LOST: what an attempt saw before another instance held the duty says nothing of the present. */
+    /** Guards against LOST: what an attempt saw before another instance held the lease says nothing of the present. */
     void attemptEndsWhenAnotherInstanceTakesTheDuty()
     {
         front_world world;
@@ -289,11 +292,12 @@
         CPPUNIT_ASSERT(world.runUntil([&] { return world.group.at("b").pausedAt > 0; }, 2000_ms));
         world.runFor(1200_ms); // The claim is too old by now to order under it without a new one.
         bool isTaken = false;
-        world.store.claimDuty(service_id("svc"),
-                              "other",
-                              promotion_lease_purpose::Promotion,
-                              world.store.duties.at("svc").revision,
-                              [&](const duty_news &news) { isTaken = news.failure == store_failure::None; });
+        world.store.claimPromotionLease(
+            service_id("svc"),
+            "other",
+            promotion_lease_purpose::Promotion,
+            world.store.leases.at("svc").revision,
+            [&](const promotion_lease_update &update) { isTaken = update.failure == store_failure::None; });
         missing.listen();
         world.runFor(1500_ms);
         CPPUNIT_ASSERT(isTaken);
@@ -348,8 +352,8 @@
     {
         front_world world;
         world.start();
-        // It claims the duty and holds a token.
-        CPPUNIT_ASSERT(world.runUntil([&] { return !world.store.duties.empty(); }, 10000_ms));
+        // It claims the lease and holds a token.
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.store.leases.empty(); }, 10000_ms));
         world.store.isAway = true;
         world.runFor(100_ms);
         world.group.add("new");
@@ -368,7 +372,7 @@
     {
         front_world world;
         world.start();
-        CPPUNIT_ASSERT(world.runUntil([&] { return !world.store.duties.empty(); }, 10000_ms));
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.store.leases.empty(); }, 10000_ms));
         world.store.isAway = true;
         const auto client = world.connect("fresh");
         assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
@@ -384,8 +388,11 @@
     void changeOfAnotherInstanceGoesFirst()
     {
         front_world world;
-        world.store.claimDuty(
-            service_id("svc"), "other", promotion_lease_purpose::Standby, std::nullopt, [](const duty_news &) {});
+        world.store.claimPromotionLease(service_id("svc"),
+                                        "other",
+                                        promotion_lease_purpose::Standby,
+                                        std::nullopt,
+                                        [](const promotion_lease_update &) {});
         world.start();
         const auto client = world.connect("fresh");
         assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
@@ -428,7 +435,7 @@
         world.runFor(2500_ms);
         CPPUNIT_ASSERT(world.store.orders.empty());
         CPPUNIT_ASSERT(world.store.refusedOrders > 0);
-        CPPUNIT_ASSERT(static_cast<std::size_t>(world.store.refusedOrders) <= world.store.duties.at("svc").revision);
+        CPPUNIT_ASSERT(static_cast<std::size_t>(world.store.refusedOrders) <= world.store.leases.at("svc").revision);
     }
 
     /** Guards against holding what cannot be served until the caller has no time to go elsewhere. */
--- a/tests/platform/linedatabase.cpp
+++ b/tests/platform/linedatabase.cpp
@@ -90,7 +90,7 @@
     for (auto end = inbound.find("\r\n"); end != std::string::npos; end = inbound.find("\r\n")) {
         const auto line = inbound.substr(0, end);
         inbound.erase(0, end + 2);
-        takeLine(connection, line);
+        handleLine(connection, line);
     }
 }
 
@@ -102,7 +102,7 @@
     }));
 }
 
-void line_database::takeStartup(const std::shared_ptr<session> &connection, const std::string &line)
+void line_database::handleStartup(const std::shared_ptr<session> &connection, const std::string &line)
 {
     std::istringstream fields(line);
     std::string word;
@@ -126,22 +126,22 @@
     m_group.deadlines.scheduleAfter(faults.startupDelay, [stream = connection->stream, reply] { stream->send(reply); });
 }
 
-void line_database::takeLine(const std::shared_ptr<session> &connection, const std::string &line)
+void line_database::handleLine(const std::shared_ptr<session> &connection, const std::string &line)
 {
     std::istringstream fields(line);
     std::string word;
     std::string first;
     fields >> word >> first;
     if (word == "STARTUP") {
-        takeStartup(connection, line);
+        handleStartup(connection, line);
         return;
     }
     if (word == "QUERY") {
-        takeQuery(connection, first, line.substr(std::min(line.size(), word.size() + first.size() + 2)));
+        handleQuery(connection, first, line.substr(std::min(line.size(), word.size() + first.size() + 2)));
     }
 }
 
-void line_database::takeQuery(const std::shared_ptr<session> &connection, const std::string &id, std::string text)
+void line_database::handleQuery(const std::shared_ptr<session> &connection, const std::string &id, std::string text)
 {
     if (text.rfind("AFTER ", 0) == 0) {
         const auto end = text.find(' ', 6);
@@ -180,13 +180,13 @@
         connection->writes.clear();
         answer(connection, "COMPLETE -\r\n", false);
     } else if (word == "STATUS" || word == "PAUSE" || word == "RESUME" || word == "STEPDOWN") {
-        takeControl(connection, text);
+        handleControl(connection, text);
     } else {
-        takeData(connection, id, text);
+        handleData(connection, id, text);
     }
 }
 
-void line_database::takeControl(const std::shared_ptr<session> &connection, const std::string &text)
+void line_database::handleControl(const std::shared_ptr<session> &connection, const std::string &text)
 {
     std::istringstream fields(text);
     std::string word;
@@ -203,7 +203,9 @@
     answer(connection, "DATAROW " + report() + "\r\nCOMPLETE -\r\n", false);
 }
 
-void line_database::takeData(const std::shared_ptr<session> &connection, const std::string &id, const std::string &text)
+void line_database::handleData(const std::shared_ptr<session> &connection,
+                               const std::string &id,
+                               const std::string &text)
 {
     if (faults.refuseBusy > 0) {
         --faults.refuseBusy;
--- a/tests/platform/linedatabase.h
+++ b/tests/platform/linedatabase.h
@@ -64,12 +64,12 @@
 
     void acceptNext();
     void serve(const std::shared_ptr<session> &connection, std::string &inbound);
-    void takeStartup(const std::shared_ptr<session> &connection, const std::string &line);
+    void handleStartup(const std::shared_ptr<session> &connection, const std::string &line);
     int startedConnections() const;
-    void takeLine(const std::shared_ptr<session> &connection, const std::string &line);
-    void takeQuery(const std::shared_ptr<session> &connection, const std::string &id, std::string text);
-    void takeData(const std::shared_ptr<session> &connection, const std::string &id, const std::string &text);
-    void takeControl(const std::shared_ptr<session> &connection, const std::string &text);
+    void handleLine(const std::shared_ptr<session> &connection, const std::string &line);
+    void handleQuery(const std::shared_ptr<session> &connection, const std::string &id, std::string text);
+    void handleData(const std::shared_ptr<session> &connection, const std::string &id, const std::string &text);
+    void handleControl(const std::shared_ptr<session> &connection, const std::string &text);
     void commit(session &connection);
     void answer(const std::shared_ptr<session> &connection, const std::string &lines, bool isData);
     std::string ready(const session &connection) const;
--- a/tests/platform/memorystore.cpp
+++ b/tests/platform/memorystore.cpp
@@ -21,14 +21,14 @@
 {
 }
 
-template<typename News>
-void memory_store::answer(std::function<void(News)> done, News news)
+template<typename Update>
+void memory_store::answer(std::function<void(Update)> done, Update update)
 {
     if (isAway) {
-        news = {};
-        news.failure = store_failure::TurnedAway;
+        update = {};
+        update.failure = store_failure::TurnedAway;
     }
-    asio::post(m_io, [done = std::move(done), news = std::move(news)] { done(news); });
+    asio::post(m_io, [done = std::move(done), update = std::move(update)] { done(update); });
 }
 
 void memory_store::setConfiguration(const routing_configuration &configuration)
@@ -49,102 +49,102 @@
     m_targetRevision = ++m_revision;
 }
 
-void memory_store::readConfiguration(store_reading reading, std::function<void(configuration_news)> done)
+void memory_store::readConfiguration(store_reading reading, std::function<void(configuration_update)> done)
 {
     ++calls[reading == store_reading::Current ? "read" : "probe"];
-    configuration_news news;
-    news.revision = m_revision;
+    configuration_update update;
+    update.revision = m_revision;
     if (m_configurationRevision > 0) {
-        news.configuration = m_configuration;
+        update.configuration = m_configuration;
     }
-    answer(std::move(done), std::move(news));
+    answer(std::move(done), std::move(update));
 }
 
 void memory_store::watchConfiguration(std::uint64_t revision,
                                       duration,
                                       store_reading reading,
-                                      std::function<void(configuration_news)> done)
+                                      std::function<void(configuration_update)> done)
 {
     if (isWatchSilent && reading == store_reading::Current) {
         return;
     }
     m_deadlines.scheduleAfter(pollTime, [this, revision, done = std::move(done)] {
-        configuration_news news;
-        news.revision = m_revision;
+        configuration_update update;
+        update.revision = m_revision;
         if (m_configurationRevision > revision) {
             ++calls["configuration sent"];
-            news.configuration = m_configuration;
+            update.configuration = m_configuration;
         }
-        answer(done, std::move(news));
+        answer(done, std::move(update));
     });
 }
 
-void memory_store::listTargets(std::function<void(target_news)> done)
+void memory_store::listTargets(std::function<void(target_update)> done)
 {
     ++calls["list"];
-    target_news news;
-    news.isComplete = true;
-    news.revision = m_revision;
+    target_update update;
+    update.isComplete = true;
+    update.revision = m_revision;
     for (const auto &[id, entry] : m_targets) {
-        news.entries.push_back(entry);
+        update.entries.push_back(entry);
     }
-    answer(std::move(done), std::move(news));
+    answer(std::move(done), std::move(update));
 }
 
-void memory_store::watchTargets(std::uint64_t revision, duration, std::function<void(target_news)> done)
+void memory_store::watchTargets(std::uint64_t revision, duration, std::function<void(target_update)> done)
 {
     m_deadlines.scheduleAfter(pollTime, [this, revision, done = std::move(done)] {
         if (m_targetRevision > revision) {
             listTargets(done);
             return;
         }
-        target_news news;
-        news.revision = m_revision;
-        answer(done, std::move(news));
+        target_update update;
+        update.revision = m_revision;
+        answer(done, std::move(update));
     });
 }
 
-void memory_store::listDuties(std::function<void(duty_list_news)> done)
+void memory_store::listPromotionLeases(std::function<void(promotion_lease_list_update)> done)
 {
     ++calls["duties"];
-    duty_list_news news;
-    news.revision = m_revision;
-    for (const auto &[service, duty] : duties) {
-        news.entries.push_back({service_id(service), duty.holder, duty.revision, duty.purpose});
+    promotion_lease_list_update update;
+    update.revision = m_revision;
+    for (const auto &[service, lease] : leases) {
+        update.entries.push_back({service_id(service), lease.holder, lease.revision, lease.purpose});
     }
-    answer(std::move(done), std::move(news));
+    answer(std::move(done), std::move(update));
 }
 
-void memory_store::watchDuties(std::uint64_t, duration, std::function<void(duty_list_news)> done)
+void memory_store::watchPromotionLeases(std::uint64_t, duration, std::function<void(promotion_lease_list_update)> done)
 {
-    m_deadlines.scheduleAfter(pollTime, [this, done = std::move(done)] { listDuties(done); });
+    m_deadlines.scheduleAfter(pollTime, [this, done = std::move(done)] { listPromotionLeases(done); });
 }
 
-void memory_store::claimDuty(const service_id &service,
-                             const std::string &holder,
-                             promotion_lease_purpose purpose,
-                             std::optional<std::uint64_t> replaces,
-                             std::function<void(duty_news)> done)
+void memory_store::claimPromotionLease(const service_id &service,
+                                       const std::string &holder,
+                                       promotion_lease_purpose purpose,
+                                       std::optional<std::uint64_t> replaces,
+                                       std::function<void(promotion_lease_update)> done)
 {
-    const auto found = duties.find(service.str());
-    const bool isFirst = found == duties.end();
+    const auto found = leases.find(service.str());
+    const bool isFirst = found == leases.end();
     const bool isAllowed = isFirst ? !replaces : replaces == found->second.revision;
-    duty_news news;
+    promotion_lease_update update;
     ++calls["claim"];
     if (isAway) {
-        answer(std::move(done), std::move(news));
+        answer(std::move(done), std::move(update));
         return;
     }
     if (!isAllowed) {
-        news = found->second;
-        news.failure = store_failure::Conflict;
+        update = found->second;
+        update.failure = store_failure::Conflict;
     } else {
-        news.holder = holder;
-        news.revision = ++m_revision;
-        news.purpose = purpose;
-        duties[service.str()] = news;
+        update.holder = holder;
+        update.revision = ++m_revision;
+        update.purpose = purpose;
+        leases[service.str()] = update;
     }
-    answer(std::move(done), std::move(news));
+    answer(std::move(done), std::move(update));
 }
 
 void memory_store::announceMember(const fleet_member &member,
@@ -162,14 +162,14 @@
     members.erase(id);
 }
 
-void memory_store::listMembers(std::function<void(member_news)> done)
+void memory_store::listMembers(std::function<void(member_update)> done)
 {
-    member_news news;
-    news.failure = isAway ? store_failure::TurnedAway : store_failure::None;
+    member_update update;
+    update.failure = isAway ? store_failure::TurnedAway : store_failure::None;
     for (const auto &[id, member] : members) {
-        news.members.push_back(member);
+        update.members.push_back(member);
     }
-    answer(std::move(done), std::move(news));
+    answer(std::move(done), std::move(update));
 }
 
 void memory_store::promote(const service_id &,
--- a/tests/platform/memorystore.h
+++ b/tests/platform/memorystore.h
@@ -26,7 +26,7 @@
     std::map<std::string, int> calls; ///< By name, answered or not.
     bool loseOrders = false; ///< Orders are carried out and not answered.
     duration orderDelay{0}; ///< Orders that are not answered reach the authority so much later.
-    std::map<std::string, duty_news> duties;
+    std::map<std::string, promotion_lease_update> leases;
     struct order {
         std::string target;
         std::uint64_t token = 0;
@@ -35,24 +35,26 @@
     int refusedOrders = 0;
     line_database_group *group = nullptr;
 
-    void readConfiguration(store_reading reading, std::function<void(configuration_news)> done) override;
+    void readConfiguration(store_reading reading, std::function<void(configuration_update)> done) override;
     void watchConfiguration(std::uint64_t revision,
                             duration wait,
                             store_reading reading,
-                            std::function<void(configuration_news)> done) override;
-    void listTargets(std::function<void(target_news)> done) override;
-    void watchTargets(std::uint64_t revision, duration wait, std::function<void(target_news)> done) override;
-    void listDuties(std::function<void(duty_list_news)> done) override;
-    void watchDuties(std::uint64_t revision, duration wait, std::function<void(duty_list_news)> done) override;
-    void claimDuty(const service_id &service,
-                   const std::string &holder,
-                   promotion_lease_purpose purpose,
-                   std::optional<std::uint64_t> replaces,
-                   std::function<void(duty_news)> done) override;
+                            std::function<void(configuration_update)> done) override;
+    void listTargets(std::function<void(target_update)> done) override;
+    void watchTargets(std::uint64_t revision, duration wait, std::function<void(target_update)> done) override;
+    void listPromotionLeases(std::function<void(promotion_lease_list_update)> done) override;
+    void watchPromotionLeases(std::uint64_t revision,
+                              duration wait,
+                              std::function<void(promotion_lease_list_update)> done) override;
+    void claimPromotionLease(const service_id &service,
+                             const std::string &holder,
+                             promotion_lease_purpose purpose,
+                             std::optional<std::uint64_t> replaces,
+                             std::function<void(promotion_lease_update)> done) override;
     void announceMember(const fleet_member &member,
                         std::function<void(store_failure, std::uint64_t revision)> done) override;
     void withdrawMember(const instance_id &id, std::uint64_t revision) override;
-    void listMembers(std::function<void(member_news)> done) override;
+    void listMembers(std::function<void(member_update)> done) override;
     std::map<instance_id, fleet_member> members;
     void promote(const service_id &service,
                  const target_id &target,
@@ -64,8 +66,8 @@
     /** False if the token is lower than one that was seen. */
     bool carryOut(const target_id &target, std::uint64_t fencingToken);
 
-    template<typename News>
-    void answer(std::function<void(News)> done, News news);
+    template<typename Update>
+    void answer(std::function<void(Update)> done, Update update);
 
     asio::io_context &m_io;
     deadline_queue &m_deadlines;
--- a/tests/platform/objectstoretest.cpp
+++ b/tests/platform/objectstoretest.cpp
@@ -48,10 +48,10 @@
     return std::string(depth, '[') + std::string(depth, ']');
 }
 
-bool hasEntry(const target_news &news, const std::string &id)
+bool hasEntry(const target_update &update, const std::string &id)
 {
     return std::any_of(
-        news.entries.begin(), news.entries.end(), [&](const target_entry &entry) { return entry.id.str() == id; });
+        update.entries.begin(), update.entries.end(), [&](const target_entry &entry) { return entry.id.str() == id; });
 }
 
 }
@@ -110,12 +110,12 @@
             R"({"meta":7,"spec":8})",
         };
         for (const auto &odd : oddEntries) {
-            const auto news = list({listOf({goodEntry("a-1"), odd, goodEntry("z-1")})});
+            const auto update = list({listOf({goodEntry("a-1"), odd, goodEntry("z-1")})});
             const auto shown = odd.substr(0, 250);
-            CPPUNIT_ASSERT_MESSAGE(shown, news.failure == store_failure::None);
-            CPPUNIT_ASSERT_MESSAGE(shown, hasEntry(news, "a-1") && hasEntry(news, "z-1"));
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(shown, std::size_t{2}, news.entries.size());
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(shown, std::size_t{1}, news.ignored.size());
+            CPPUNIT_ASSERT_MESSAGE(shown, update.failure == store_failure::None);
+            CPPUNIT_ASSERT_MESSAGE(shown, hasEntry(update, "a-1") && hasEntry(update, "z-1"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(shown, std::size_t{2}, update.entries.size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(shown, std::size_t{1}, update.ignored.size());
         }
     }
 
@@ -125,9 +125,9 @@
         const auto odd = entryWith("m-odd", "slots", "1e999");
         const auto nameless = entryWith("m-odd", "name", "7");
         for (const auto &last : {odd, nameless}) {
-            const auto news = list({listOf({goodEntry("a-1"), last}, true), listOf({goodEntry("z-1")})});
-            CPPUNIT_ASSERT(news.failure == store_failure::None && news.isComplete);
-            CPPUNIT_ASSERT(hasEntry(news, "a-1") && hasEntry(news, "z-1"));
+            const auto update = list({listOf({goodEntry("a-1"), last}, true), listOf({goodEntry("z-1")})});
+            CPPUNIT_ASSERT(update.failure == store_failure::None && update.isComplete);
+            CPPUNIT_ASSERT(hasEntry(update, "a-1") && hasEntry(update, "z-1"));
         }
         // Without any name to go on from the list is not complete, and no target counts as gone.
         CPPUNIT_ASSERT(list({listOf({nameless}, true)}).failure != store_failure::None);
@@ -136,14 +136,14 @@
     /** Guards against a target that keeps getting work after its entry has become unreadable. */
     void oddEventRemovesItsTargetOnly()
     {
-        const auto news =
+        const auto update =
             watch(R"({"events":[{"removed":7,"object":)" + goodEntry("a-1") + R"(},{"removed":false,"object":)"
                   + entryWith("m-odd", "slots", "1e999") + R"(},{"removed":true,"object":)" + goodEntry("k-1")
                   + R"(},{"removed":true,"object":{"meta":8}},7,{"object":)" + nested(100000)
                   + R"(}],"store_revision":533})");
-        CPPUNIT_ASSERT(news.failure == store_failure::None && news.revision == 533);
-        CPPUNIT_ASSERT(hasEntry(news, "a-1") && news.entries.size() == 1);
-        CPPUNIT_ASSERT(news.removed == (std::vector<target_id>{target_id("m-odd"), target_id("k-1")}));
+        CPPUNIT_ASSERT(update.failure == store_failure::None && update.revision == 533);
+        CPPUNIT_ASSERT(hasEntry(update, "a-1") && update.entries.size() == 1);
+        CPPUNIT_ASSERT(update.removed == (std::vector<target_id>{target_id("m-odd"), target_id("k-1")}));
     }
 
     /** Guards against bytes that end the process or hide other targets; quotes and brackets are balanced by the store.
@@ -155,10 +155,10 @@
             for (const char c : bytes) {
                 text += (c == '"' || c == '\\' ? "\\" : "") + std::string(1, c);
             }
-            const auto news =
+            const auto update =
                 list({listOf({goodEntry("a-1"), entryWith("m-odd", "zone", '"' + text + '"'), goodEntry("z-1")})});
-            RC_ASSERT(news.failure == store_failure::None);
-            RC_ASSERT(hasEntry(news, "a-1") && hasEntry(news, "z-1"));
+            RC_ASSERT(update.failure == store_failure::None);
+            RC_ASSERT(hasEntry(update, "a-1") && hasEntry(update, "z-1"));
         });
     }
 
@@ -170,10 +170,10 @@
         for (const auto &odd : {entryWith("other", "slots", "1e999"), nested(100000), std::string("7")}) {
             canned_server server(m_io, {listOf({odd, configuration})});
             platform::object_store store(m_io, m_deadlines, server.address());
-            std::optional<configuration_news> news;
-            store.readConfiguration(store_reading::Current, [&](configuration_news got) { news = std::move(got); });
-            CPPUNIT_ASSERT(runUntil(m_io, [&] { return news.has_value(); }));
-            CPPUNIT_ASSERT(news->configuration && news->configuration->version == 9);
+            std::optional<configuration_update> update;
+            store.readConfiguration(store_reading::Current, [&](configuration_update got) { update = std::move(got); });
+            CPPUNIT_ASSERT(runUntil(m_io, [&] { return update.has_value(); }));
+            CPPUNIT_ASSERT(update->configuration && update->configuration->version == 9);
         }
     }
 
@@ -187,34 +187,34 @@
                                 nested(100000)}) {
             canned_server server(m_io, {listOf({odd, good})});
             platform::object_store store(m_io, m_deadlines, server.address());
-            std::optional<duty_list_news> news;
-            store.listDuties([&](duty_list_news got) { news = std::move(got); });
-            CPPUNIT_ASSERT(runUntil(m_io, [&] { return news.has_value(); }));
-            CPPUNIT_ASSERT(news->failure == store_failure::None);
-            const auto &last = news->entries.back();
+            std::optional<promotion_lease_list_update> update;
+            store.listPromotionLeases([&](promotion_lease_list_update got) { update = std::move(got); });
+            CPPUNIT_ASSERT(runUntil(m_io, [&] { return update.has_value(); }));
+            CPPUNIT_ASSERT(update->failure == store_failure::None);
+            const auto &last = update->entries.back();
             CPPUNIT_ASSERT(last.service == service_id("huvo") && last.revision == 8 && last.holder == "front-1");
         }
     }
 
 private:
-    target_news list(std::vector<std::string> bodies)
+    target_update list(std::vector<std::string> bodies)
     {
         canned_server server(m_io, std::move(bodies));
         platform::object_store store(m_io, m_deadlines, server.address());
-        std::optional<target_news> news;
-        store.listTargets([&](target_news got) { news = std::move(got); });
-        CPPUNIT_ASSERT(runUntil(m_io, [&] { return news.has_value(); }));
-        return *news;
+        std::optional<target_update> update;
+        store.listTargets([&](target_update got) { update = std::move(got); });
+        CPPUNIT_ASSERT(runUntil(m_io, [&] { return update.has_value(); }));
+        return *update;
     }
 
-    target_news watch(const std::string &body)
+    target_update watch(const std::string &body)
     {
         canned_server server(m_io, {body});
         platform::object_store store(m_io, m_deadlines, server.address());
-        std::optional<target_news> news;
-        store.watchTargets(530, duration{1000}, [&](target_news got) { news = std::move(got); });
-        CPPUNIT_ASSERT(runUntil(m_io, [&] { return news.has_value(); }));
-        return *news;
+        std::optional<target_update> update;
+        store.watchTargets(530, duration{1000}, [&](target_update got) { update = std::move(got); });
+        CPPUNIT_ASSERT(runUntil(m_io, [&] { return update.has_value(); }));
+        return *update;
     }
 
     asio::io_context m_io{1};
