--- a/src/libcrocusdealfront/localtransaction.cpp
+++ b/src/libcrocusdealfront/localtransaction.cpp
@@ -125,7 +125,7 @@
 void local_transaction::recordPrimary(const target_reply &reply)
 {
     const auto target = m_grant->target->entry().id;
-    // A commit that has nothing to write succeeds also where the lead is lost.
+    // A commit that has nothing to write succeeds also at a target that is no longer primary.
     const bool isProof = m_isPlain && (m_request->what.kind != statement_kind::Commit || m_hasWritten);
     if (isProof && reply.isSuccess()) {
         m_group->recordPrimary(target, reply.at, reply.sentAt);
--- a/src/libcrocusdealfront/primarykeeper.cpp
+++ b/src/libcrocusdealfront/primarykeeper.cpp
@@ -13,17 +13,18 @@
 {
 
 constexpr duration surveyInterval{80};
-constexpr duration urgentTime{5000};
+// A suspicion that lasts is a cut or a replica that is waited for; both end without a hurry to notice.
+constexpr duration lastingSuspicion{5000};
 constexpr duration lastingSurveyInterval{240};
 constexpr duration controlLimit{250};
-constexpr duration leftTime{2000};
+constexpr duration departureTime{2000}; // A draining target without an answer for so long has ended.
 constexpr duration stallTime{1000}; // Longer than a write waits in a busy target.
 constexpr duration retryTime{300};
-constexpr duration promotionTime{1000}; // From a command to the lead of its target, at most.
+constexpr duration promotionTime{1000}; // From an accepted command until its target is primary, at most.
 constexpr duration uninformedStandby{2500}; // The others need less for a change of the primary.
 constexpr duration idleClaimDelay{1000};
 constexpr duration idleClaimSpread{8000}; // Longer than a watch is late, so that few claims meet a record.
-constexpr duration fenceSpread{1500};
+constexpr duration fenceSpread{1500}; // One of the instances fences, and the others hear of it.
 
 }
 
@@ -215,8 +216,7 @@
         return;
     }
     surveyAll();
-    // Trouble that lasts is a cut or a replica that is waited for; both end without a hurry to notice.
-    const bool isLasting = m_suspectedSince != never && now - m_suspectedSince > urgentTime;
+    const bool isLasting = m_suspectedSince != never && now - m_suspectedSince > lastingSuspicion;
     scheduleTick(isLasting ? lastingSurveyInterval : surveyInterval);
 }
 
@@ -340,7 +340,7 @@
     // One that crashed comes back with its log. A cut may hide, or answer for, everything behind it, so that an address
     // without an answer tells only where others are reached.
     const auto since = pool.unreachableSince();
-    const bool isAway = pool.isNobodyListening() || (since != never && systemNow() - since >= leftTime);
+    const bool isAway = pool.isNobodyListening() || (since != never && systemNow() - since >= departureTime);
     return known->drainingSince && isAway && isAnswering(known->entry.dataCentre);
 }
 
--- a/src/libcrocusdealfront/primarykeeper.h
+++ b/src/libcrocusdealfront/primarykeeper.h
@@ -60,7 +60,7 @@
     bool isKnownGone(const target_id &target) const;
 
 private:
-    /** Asks the target that says of itself that it leads. */
+    /** Asks the target whose entry names it as primary. */
     void askClaimedPrimary();
     void scheduleTick(duration delay);
     /** A part of @p spread by name, so that the instances do not all act at once. */
--- a/src/libcrocusdealfront/servicegroup.h
+++ b/src/libcrocusdealfront/servicegroup.h
@@ -37,7 +37,7 @@
     std::shared_ptr<target_link> link;
     bool isPrimary = false;
     std::optional<position> after; ///< What the log of the target must hold.
-    /** Without a position the target has to prove that it leads, by accepting a transaction that may write. */
+    /** Without a position the target has to prove that it is primary, by accepting a transaction that may write. */
     bool needsProof = false;
 };
 
@@ -98,7 +98,7 @@
     bool needsPrimary(const target_need &need) const;
     /** A target has proved that it led when it answered; @p at covers what was acknowledged before @p askedAt. */
     void recordPrimary(const target_id &target, std::optional<position> at, time_point askedAt);
-    /** A target that was taken for the primary does not lead. */
+    /** A target that was taken for the primary is not. */
     void recordNotPrimary(const target_id &target, const char *why);
     /** From what the directory or a survey says. */
     void setPrimary(const target_id &target, const char *source);
--- a/src/libcrocusdealfront/statementrun.cpp
+++ b/src/libcrocusdealfront/statementrun.cpp
@@ -308,7 +308,7 @@
 void statement_run::handleSuccess(target_reply reply)
 {
     const auto target = m_grant->target->entry().id;
-    // A commit that has nothing to write succeeds also where the lead is lost.
+    // A commit that has nothing to write succeeds also at a target that is no longer primary.
     const bool isCommit = m_order.request.what.kind == statement_kind::Commit; // Of nothing: the first statement.
     const bool isProof = !isCommit && (m_grant->needsProof || opensPlain() || m_order.kind == effect::Write);
     if (isProof) {
--- a/src/libcrocusdealpolicy/primarychange.cpp
+++ b/src/libcrocusdealpolicy/primarychange.cpp
@@ -8,7 +8,7 @@
 
 /**
  * A planned change pauses every replica but the chosen one. The target of a command that is still carried out must not
- * be among the paused ones: it would lead without the commits that were acknowledged since.
+ * be among the paused ones: it would become primary without the commits that were acknowledged since.
  */
 bool isPlannedChangeSafe(const primary_situation &situation)
 {
--- a/src/libcrocusdealpolicy/primarychange.h
+++ b/src/libcrocusdealpolicy/primarychange.h
@@ -15,7 +15,8 @@
     bool isSurveyComplete = false; ///< Each target has answered or failed to answer.
     bool isOrderOpen = false; ///< A promotion command without an answer may still be carried out.
     bool isOrderedTargetKnown = false; ///< The only replica that the open command can name is known.
-    bool mayBePromoting = false; ///< A command may have been carried out just now, so that its target leads soon.
+    bool mayBePromoting =
+        false; ///< A command may have been carried out just now, so that its target becomes primary soon.
     bool mayFence = false; ///< The promotion lease may be claimed, and the primary in place is known.
     bool isRetryDue = false; ///< After the last attempt.
 };
