--- a/src/libcrocusdealfront/primarykeeper.cpp
+++ b/src/libcrocusdealfront/primarykeeper.cpp
@@ -20,7 +20,7 @@
 constexpr duration departureTime{2000}; // A draining target without an answer for so long has ended.
 constexpr duration stallTime{1000}; // Longer than a write waits in a busy target.
 constexpr duration retryTime{300};
-constexpr duration promotionTime{1000}; // From an accepted command until its target is primary, at most.
+constexpr duration promotionTime{2000}; // Longer than from an accepted command until its target is primary.
 constexpr duration uninformedStandby{2500}; // The others need less for a change of the primary.
 constexpr duration idleClaimDelay{1000};
 constexpr duration idleClaimSpread{8000}; // Longer than a watch is late, so that few claims meet a record.
