Write the accept loop and the read loop of relays once

Ruled out: a shared base class; two functions do, acceptConnections() beside openListener() and takeRelayMessages() beside decodeRelay(). Conclusion: behaviour stays, and a later fix is made in one place.

--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -89,7 +89,8 @@
     if (!problem.empty()) {
         return problem;
     }
-    acceptNext();
+    acceptConnections(
+        m_acceptor, [self = shared_from_this()](asio::ip::tcp::socket socket) { self->addSession(std::move(socket)); });
     return {};
 }
 
@@ -123,19 +124,6 @@
     return {};
 }
 
-void front::acceptNext()
-{
-    m_acceptor.async_accept([self = shared_from_this()](std::error_code error, asio::ip::tcp::socket socket) {
-        if (!self->m_acceptor.is_open()) {
-            return;
-        }
-        if (!error) {
-            self->addSession(std::move(socket));
-        }
-        self->acceptNext();
-    });
-}
-
 void front::addSession(asio::ip::tcp::socket socket)
 {
     session_surroundings surroundings;
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -34,7 +34,6 @@
 private:
     std::string listenForCallers();
     std::string listenForInstances();
-    void acceptNext();
     void addSession(asio::ip::tcp::socket socket);
     /** Runs a statement of a caller, here or at an instance that serves its service. */
     std::shared_ptr<running_statement> run(const statement_order &order,
--- a/src/libcrocusdealfront/httpmessage.cpp
+++ b/src/libcrocusdealfront/httpmessage.cpp
@@ -208,7 +208,9 @@
     if (!problem.empty()) {
         return problem;
     }
-    acceptNext();
+    acceptConnections(m_acceptor, [self = shared_from_this()](asio::ip::tcp::socket socket) {
+        self->serve(std::make_shared<byte_stream>(std::move(socket)));
+    });
     return {};
 }
 
@@ -218,19 +220,6 @@
     m_acceptor.close(ignored);
 }
 
-void http_server::acceptNext()
-{
-    m_acceptor.async_accept([self = shared_from_this()](std::error_code error, asio::ip::tcp::socket socket) {
-        if (!self->m_acceptor.is_open()) {
-            return;
-        }
-        if (!error) {
-            self->serve(std::make_shared<byte_stream>(std::move(socket)));
-        }
-        self->acceptNext();
-    });
-}
-
 void http_server::serve(const std::shared_ptr<byte_stream> &stream)
 {
     const auto parser = std::make_shared<std::optional<http::request_parser<http::string_body>>>();
--- a/src/libcrocusdealfront/httpmessage.h
+++ b/src/libcrocusdealfront/httpmessage.h
@@ -74,7 +74,6 @@
     void close();
 
 private:
-    void acceptNext();
     void serve(const std::shared_ptr<byte_stream> &stream);
 
     asio::ip::tcp::acceptor m_acceptor;
--- a/src/libcrocusdealfront/listener.cpp
+++ b/src/libcrocusdealfront/listener.cpp
@@ -3,6 +3,7 @@
 #include <asio/ip/address.hpp>
 
 #include <system_error>
+#include <utility>
 
 namespace crocusdeal
 {
@@ -27,4 +28,18 @@
     return error ? toString(address) + ": " + error.message() : std::string();
 }
 
+void acceptConnections(asio::ip::tcp::acceptor &acceptor, std::function<void(asio::ip::tcp::socket)> onConnection)
+{
+    acceptor.async_accept([&acceptor, onConnection = std::move(onConnection)](std::error_code error,
+                                                                              asio::ip::tcp::socket socket) mutable {
+        if (!acceptor.is_open()) {
+            return;
+        }
+        if (!error) {
+            onConnection(std::move(socket));
+        }
+        acceptConnections(acceptor, std::move(onConnection));
+    });
+}
+
 }
--- a/src/libcrocusdealfront/relaycodec.cpp
+++ b/src/libcrocusdealfront/relaycodec.cpp
@@ -260,4 +260,22 @@
     return decode_status::Decoded;
 }
 
+bool takeRelayMessages(std::string &inbound, const std::function<bool(relay_message &)> &handle)
+{
+    std::size_t taken = 0;
+    auto status = decode_status::Decoded;
+    for (bool isWanted = true; isWanted;) {
+        std::size_t used = 0;
+        relay_message message;
+        status = decodeRelay(std::string_view(inbound).substr(taken), used, message);
+        if (status != decode_status::Decoded) {
+            break;
+        }
+        taken += used;
+        isWanted = handle(message);
+    }
+    inbound.erase(0, taken);
+    return status == decode_status::Decoded || status == decode_status::Incomplete;
+}
+
 }
--- a/src/libcrocusdealfront/relaycodec.h
+++ b/src/libcrocusdealfront/relaycodec.h
@@ -2,6 +2,7 @@
 
 #include "relaymessages.h"
 
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -17,4 +18,10 @@
 /** Reads one message from the front of @p bytes and tells in @p used how many of them belong to it. */
 decode_status decodeRelay(std::string_view bytes, std::size_t &used, relay_message &message);
 
+/**
+ * Takes the complete messages off the front of @p inbound, each until @p handle returns false. Returns false if one of
+ * them cannot be read.
+ */
+bool takeRelayMessages(std::string &inbound, const std::function<bool(relay_message &)> &handle);
+
 }
--- a/src/libcrocusdealfront/relayhub.cpp
+++ b/src/libcrocusdealfront/relayhub.cpp
@@ -40,24 +40,13 @@
 {
     auto problem = openListener(m_acceptor, address);
     if (problem.empty()) {
-        acceptNext();
+        acceptConnections(m_acceptor, [self = shared_from_this()](asio::ip::tcp::socket socket) {
+            self->addSession(std::move(socket));
+        });
     }
     return problem;
 }
 
-void relay_hub::acceptNext()
-{
-    m_acceptor.async_accept([self = shared_from_this()](std::error_code error, asio::ip::tcp::socket socket) {
-        if (!self->m_acceptor.is_open()) {
-            return;
-        }
-        if (!error) {
-            self->addSession(std::move(socket));
-        }
-        self->acceptNext();
-    });
-}
-
 void relay_hub::addSession(asio::ip::tcp::socket socket)
 {
     const auto session =
--- a/src/libcrocusdealfront/relayhub.h
+++ b/src/libcrocusdealfront/relayhub.h
@@ -58,7 +58,6 @@
         bool isServedByAll = false;
     };
 
-    void acceptNext();
     void addSession(asio::ip::tcp::socket socket);
     const service_plan &planOf(const service_id &service);
     /** Opens links to the instances that may get statements of this one. */
--- a/src/libcrocusdealfront/relaysession.cpp
+++ b/src/libcrocusdealfront/relaysession.cpp
@@ -79,23 +79,17 @@
 
 void relay_session::handleData(std::string &inbound)
 {
+    if (m_isEnded) {
+        return;
+    }
     const auto self = shared_from_this();
-    std::size_t taken = 0;
-    while (!m_isEnded) {
-        std::size_t used = 0;
-        relay_message message;
-        const auto status = decodeRelay(std::string_view(inbound).substr(taken), used, message);
-        if (status == decode_status::Incomplete) {
-            break;
-        }
-        if (status != decode_status::Decoded) {
-            close("message cannot be read");
-            break;
-        }
-        taken += used;
+    const bool isReadable = takeRelayMessages(inbound, [this](relay_message &message) {
         handleMessage(message);
+        return !m_isEnded;
+    });
+    if (!isReadable) {
+        close("message cannot be read");
     }
-    inbound.erase(0, taken);
 }
 
 void relay_session::handleMessage(const relay_message &message)
--- a/tests/libcrocusdealfront/relaycodectest.cpp
+++ b/tests/libcrocusdealfront/relaycodectest.cpp
@@ -4,6 +4,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <vector>
+
 using namespace crocusdeal;
 
 namespace
@@ -68,6 +70,7 @@
     CPPUNIT_TEST(carriesEveryFieldOfARun);
     CPPUNIT_TEST(carriesEveryFieldOfAnAnswer);
     CPPUNIT_TEST(refusesOtherVersionsAndLengths);
+    CPPUNIT_TEST(takesWholeMessagesUntilToldToStop);
     CPPUNIT_TEST(survivesChangedBytes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -151,6 +154,32 @@
             decodeRelay(bytes, used, read);
         });
     }
+
+    /** Guards against messages that are handled twice, cut, or handled after the connection has ended. */
+    void takesWholeMessagesUntilToldToStop()
+    {
+        std::string bytes;
+        for (std::uint64_t number = 1; number <= 3; ++number) {
+            CPPUNIT_ASSERT(encodeRelay(relay_ping{number}, bytes));
+        }
+        const auto part = bytes.substr(0, bytes.size() / 3 - 1);
+        bytes += part;
+        std::vector<std::uint64_t> taken;
+        const auto takeUpTo = [&](std::uint64_t last) {
+            return [&taken, last](relay_message &message) {
+                taken.push_back(std::get<relay_ping>(message).number);
+                return taken.back() < last;
+            };
+        };
+        CPPUNIT_ASSERT(takeRelayMessages(bytes, takeUpTo(2)));
+        CPPUNIT_ASSERT(taken == (std::vector<std::uint64_t>{1, 2}));
+        CPPUNIT_ASSERT(takeRelayMessages(bytes, takeUpTo(9)));
+        CPPUNIT_ASSERT(taken == (std::vector<std::uint64_t>{1, 2, 3}));
+        CPPUNIT_ASSERT_EQUAL(part, bytes);
+        std::string unreadable(64, '\xff');
+        CPPUNIT_ASSERT(!takeRelayMessages(unreadable, takeUpTo(9)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, taken.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(relay_codec_test);
