Let the core decide when watches of the configuration end

Cause: platform/objectstore ended both watches whenever it was asked for a current reading; that is a decision, and platform/ only translates. The tests of the front also wrote the start-up line of the platform in three places. Ruled out: leaving it to each stand-in, as memory_store never did it and no test saw that. Before: hidden in readConfiguration(). Conclusion: the calls to the store are the same, the decision is where the others are.

--- a/src/libcrocusdealfront/metadatastore.h
+++ b/src/libcrocusdealfront/metadatastore.h
@@ -106,7 +106,8 @@
 public:
     virtual ~metadata_store() = default;
 
-    /** A current read ends the watches that are under way. */
+    /** Ends the watches of the configuration that are under way, without an answer. */
+    virtual void endConfigurationWatches() = 0;
     virtual void readConfiguration(store_reading reading, std::function<void(configuration_update)> done) = 0;
     /**
      * Waits up to @p wait for a change after @p revision; without one there is no configuration in the answer. There
--- a/src/libcrocusdealfront/storefeed.cpp
+++ b/src/libcrocusdealfront/storefeed.cpp
@@ -102,6 +102,7 @@
 void store_feed::readConfiguration()
 {
     ++m_configurationReads;
+    m_store.endConfigurationWatches();
     m_store.readConfiguration(
         store_reading::Current,
         [self = shared_from_this(), read = m_configurationReads](const configuration_update &update) {
--- a/tests/platform/frontfreezetest.cpp
+++ b/tests/platform/frontfreezetest.cpp
@@ -54,7 +54,7 @@
     void reconnect()
     {
         m_client = std::make_unique<line_client>(m_world.io, m_world.settings.callerAddress);
-        m_client->send("STARTUP " + m_database + " busy");
+        m_client->startUp(m_database);
     }
 
     front_world &m_world;
--- a/tests/platform/fronttest.cpp
+++ b/tests/platform/fronttest.cpp
@@ -50,7 +50,7 @@
         front_world world;
         world.start();
         line_client client(world.io, world.settings.callerAddress);
-        client.send("STARTUP nowhere tester");
+        client.startUp("nowhere");
         CPPUNIT_ASSERT(world.runUntil([&] { return client.isClosed(); }));
         assertContains("ERROR NOSUCHDB", client.takeAnswer());
     }
--- a/tests/platform/frontworld.cpp
+++ b/tests/platform/frontworld.cpp
@@ -43,6 +43,11 @@
     m_stream->close();
 }
 
+void line_client::startUp(const std::string &database)
+{
+    send("STARTUP " + database + " tester");
+}
+
 void line_client::send(const std::string &line)
 {
     m_stream->send(line + "\r\n");
@@ -185,7 +190,7 @@
 std::unique_ptr<line_client> front_world::connect(const std::string &database)
 {
     auto client = std::make_unique<line_client>(io, settings.callerAddress);
-    client->send("STARTUP " + database + " tester");
+    client->startUp(database);
     runUntil([&] { return client->hasAnswer() || client->isClosed(); });
     if (client->hasAnswer()) {
         client->takeAnswer();
--- a/tests/platform/frontworld.h
+++ b/tests/platform/frontworld.h
@@ -23,6 +23,7 @@
     line_client(const line_client &) = delete;
     line_client &operator=(const line_client &) = delete;
 
+    void startUp(const std::string &database);
     void send(const std::string &line);
     bool hasAnswer() const;
     /** All lines up to the next READY, without line ends, joined by '|'. */
--- a/tests/platform/memorystore.cpp
+++ b/tests/platform/memorystore.cpp
@@ -49,6 +49,11 @@
     m_targetRevision = ++m_revision;
 }
 
+void memory_store::endConfigurationWatches()
+{
+    // A watch of this store that is never answered holds nothing.
+}
+
 void memory_store::readConfiguration(store_reading reading, std::function<void(configuration_update)> done)
 {
     ++calls[reading == store_reading::Current ? "read" : "probe"];
--- a/tests/platform/memorystore.h
+++ b/tests/platform/memorystore.h
@@ -35,6 +35,7 @@
     int refusedOrders = 0;
     line_database_group *group = nullptr;
 
+    void endConfigurationWatches() override;
     void readConfiguration(store_reading reading, std::function<void(configuration_update)> done) override;
     void watchConfiguration(std::uint64_t revision,
                             duration wait,
