Sort the includes of a test by the format

Cause: a test that was moved into its own file got its includes in another order than clang-format wants. Ruled out: nothing else is reported. Before: the format check names waitqueuetest.cpp.

--- a/tests/libcrocusdealpolicy/waitqueuetest.cpp
+++ b/tests/libcrocusdealpolicy/waitqueuetest.cpp
@@ -1,5 +1,5 @@
-#include "placement.h"
 #include "waitqueue.h"
+#include "placement.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
