Run the queued stops of an instance before its process ends

Cause: shutdown posts the stop of each group to its strand and then stops the io_context. A strand whose turn had not come dropped its stop, so a control connection with an unanswered statement and its target_control kept each other alive.

Ruled out: a cut request (all records were whole), an ASan error in the sessions (the two reports kept hold control connections, their targets and the group monitor only), an exit by main itself (no log line).

Conclusion: the threads now leave first, then what is ready runs while the instance still exists. Open connections and timers don't hold that up.

--- a/src/crocusdeald/main.cpp
+++ b/src/crocusdeald/main.cpp
@@ -1,5 +1,6 @@
 #include "daemonsettings.h"
 #include "instance.h"
+#include "iothreads.h"
 #include "partlog.h"
 
 #include <asio/io_context.hpp>
@@ -13,7 +14,6 @@
 #include <iostream>
 #include <sstream>
 #include <thread>
-#include <vector>
 
 namespace
 {
@@ -83,15 +83,7 @@
         node->shutdown([&io] { io.stop(); });
     });
 
-    std::vector<std::thread> threads;
-    threads.reserve(static_cast<std::size_t>(workers) - 1);
-    for (int i = 1; i < workers; ++i) {
-        threads.emplace_back([&io] { io.run(); });
-    }
-    io.run();
-    for (auto &thread : threads) {
-        thread.join();
-    }
+    runOnThreads(io, workers);
     log.write(log_level::Info, "shut down");
     stopLogging();
     return exitDone;
