Let sessions share the registry that they leave at their end

A session whose start-up passed the check for draining just before the shutdown is in no list that is drained. Its last handler is dropped by the io_context, after the instance and with it the registry are gone; the destructor then wrote to freed memory.

Before: the destructor used a reference into the instance.

Conclusion: one owner more, no change of behaviour otherwise.

--- a/src/libcrocusdealnet/callersession.cpp
+++ b/src/libcrocusdealnet/callersession.cpp
@@ -44,7 +44,8 @@
                                strand executor,
                                frame_reader reader,
                                const session_options &options)
-    : m_context{.environment = environment,
+    : m_registry(environment.registry)
+    , m_context{.environment = environment,
                 .service = std::move(service),
                 .strand = std::move(executor),
                 .caller = caller_channel(std::move(stream), std::move(reader)),
@@ -55,12 +56,12 @@
 
 caller_session::~caller_session()
 {
-    m_context.environment.registry.remove(m_context.ticket.pid);
+    m_registry->remove(m_context.ticket.pid);
 }
 
 void caller_session::start(const std::string &greeting)
 {
-    m_context.ticket = m_context.environment.registry.add(shared_from_this());
+    m_context.ticket = m_registry->add(shared_from_this());
     m_context.caller.start(weak_from_this(),
                            {.onReceived =
                                 [this] {
@@ -317,7 +318,7 @@
     m_context.setPhase(session_phase::Closed);
     m_run.close();
     m_context.caller.close();
-    m_context.environment.registry.remove(m_context.ticket.pid);
+    m_registry->remove(m_context.ticket.pid);
     sessionLog().write(log_level::Debug, std::to_string(m_context.ticket.pid) + " ended");
 }
 
--- a/src/libcrocusdealnet/callersession.h
+++ b/src/libcrocusdealnet/callersession.h
@@ -55,6 +55,8 @@
     void endRequest();
     void closeNow();
 
+    /** The last handler of a session may be dropped after the environment of the instance has ended. */
+    const std::shared_ptr<session_registry> m_registry;
     session_context m_context;
     request_run m_run;
     bool m_draining = false;
--- a/src/libcrocusdealnet/callerstartup.cpp
+++ b/src/libcrocusdealnet/callerstartup.cpp
@@ -98,7 +98,7 @@
         answerTlsRequest(message.kind == startup_kind::TlsRequest);
         return;
     case startup_kind::Cancel:
-        m_environment.sessions.registry.cancel(message.cancelPid, message.cancelKey);
+        m_environment.sessions.registry->cancel(message.cancelPid, message.cancelKey);
         close();
         return;
     case startup_kind::Startup:
--- a/src/libcrocusdealnet/instance.cpp
+++ b/src/libcrocusdealnet/instance.cpp
@@ -106,7 +106,7 @@
 instance::instance(asio::io_context &io, daemon_settings settings)
     : m_io(io)
     , m_settings(std::move(settings))
-    , m_registry(randomSeed())
+    , m_registry(std::make_shared<session_registry>(randomSeed()))
     , m_statements(randomSeed())
     , m_sessions{io, m_registry, m_statements, nullptr, nullptr}
     , m_startup{m_sessions, nullptr, nullptr, nullptr}
@@ -327,7 +327,7 @@
     report.instance = m_settings.instance;
     report.dataCentre = m_settings.dataCentre;
     report.ready = isReady();
-    report.sessions = m_registry.size();
+    report.sessions = m_registry->size();
     report.members = m_control->members();
     report.control = m_control->health();
     for (const auto &[id, group] : groups()) {
@@ -581,19 +581,19 @@
         }
     }
     m_control->leave();
-    m_registry.forEach([](caller_session &session) { session.drain(); });
+    m_registry->forEach([](caller_session &session) { session.drain(); });
     closeSessions(std::move(done), systemNow() + shutdownLimit);
 }
 
 void instance::closeSessions(std::function<void()> done, time_point limit)
 {
-    if (m_registry.size() == 0) {
+    if (m_registry->size() == 0) {
         stopAll();
         done();
         return;
     }
     if (systemNow() >= limit) {
-        m_registry.forEach([](caller_session &session) { session.abort(); });
+        m_registry->forEach([](caller_session &session) { session.abort(); });
     }
     m_shutdownTimer.expires_after(shutdownPoll);
     m_shutdownTimer.async_wait([self = shared_from_this(), done = std::move(done), limit](std::error_code error) {
--- a/src/libcrocusdealnet/instance.h
+++ b/src/libcrocusdealnet/instance.h
@@ -74,7 +74,7 @@
 
     asio::io_context &m_io;
     const daemon_settings m_settings;
-    session_registry m_registry;
+    const std::shared_ptr<session_registry> m_registry;
     statement_cache m_statements;
     asio::thread_pool m_blocking{1};
     metric_registry m_metrics;
--- a/src/libcrocusdealnet/sessioncontext.h
+++ b/src/libcrocusdealnet/sessioncontext.h
@@ -25,7 +25,8 @@
 /** What all sessions of an instance share. */
 struct session_environment {
     asio::io_context &io;
-    session_registry &registry;
+    /** Shared with each session, which may be dropped after the instance has ended. */
+    std::shared_ptr<session_registry> registry;
     statement_cache &statements;
     std::function<void(std::function<void()>)> runBlocking; ///< Runs a call that may block on a thread of its own.
     /** For metrics: the time from the message to the answer. */
