Tell a late answer from a primary of an older term in a test

Ruled out: a lost or doubled row (checked just before), a write that an old primary accepted after the newer term had answered.

Before: any such answer failed the test. After: one fails if its write was sent after a write of a newer term had been answered, or if its place in the log is not before all writes of newer terms, which was not checked. A test shows one record of each kind.

Conclusion: narrowed for planned changes only, where the trace was seen; the checks after crashes, cuts and pauses stay as they are.

--- a/tests/process/plannedchangetest.cpp
+++ b/tests/process/plannedchangetest.cpp
@@ -1,3 +1,4 @@
+#include "position.h"
 #include "writeload.h"
 
 #include <cppunit/TestFixture.h>
@@ -8,6 +9,8 @@
 #include <iostream>
 #include <regex>
 #include <set>
+#include <string>
+#include <vector>
 
 using namespace crocusdeal;
 using namespace std::chrono_literals;
@@ -31,6 +34,27 @@
     return terms;
 }
 
+position positionOf(const load_record &record)
+{
+    return parsePosition(record.token.substr(record.token.rfind(':') + 1)).value();
+}
+
+/**
+ * Acknowledged writes of a term that was over: sent after a write of a newer term had been acknowledged, or at a place
+ * of the log that the newer term does not contain. An answer alone may come late, after a change that kept its write.
+ */
+std::vector<load_record> acknowledgedOnOtherHistory(const std::vector<load_record> &records)
+{
+    auto late = acknowledgedAfterNewerTerm(records);
+    std::erase_if(late, [&records](const load_record &old) {
+        return std::none_of(records.begin(), records.end(), [&old](const load_record &other) {
+            const bool isNewer = other.isAcknowledged() && other.term() > old.term();
+            return isNewer && (old.sent >= other.answered || positionOf(old).offset >= positionOf(other).offset);
+        });
+    });
+    return late;
+}
+
 /** Waits for writes through both instances, stops the load and compares it with the rows of the primary. */
 void checkWrites(const cluster &cluster, write_load &writes)
 {
@@ -42,7 +66,7 @@
     const auto primary = cluster.primary();
     CPPUNIT_ASSERT(primary.has_value());
     CPPUNIT_ASSERT_EQUAL(std::string(), contradictions(records, cluster.database(*primary)));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, acknowledgedAfterNewerTerm(records).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, acknowledgedOnOtherHistory(records).size());
 }
 
 }
@@ -53,6 +77,7 @@
     CPPUNIT_TEST(plannedChangeUnderWrites);
     CPPUNIT_TEST(drainedPrimaryUnderWrites);
     CPPUNIT_TEST(competingPromotions);
+    CPPUNIT_TEST(tellsLateAnswersFromAnotherHistory);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -130,6 +155,23 @@
             return primaries == 1;
         }));
     }
+
+    /** Guards against a check that misses a primary of an older term, or that takes a slow answer for one. */
+    void tellsLateAnswersFromAnotherHistory()
+    {
+        const load_clock::time_point start;
+        const auto write =
+            [&start](const char *token, std::chrono::milliseconds sent, std::chrono::milliseconds answered) {
+                return load_record{0, 0, {}, token, start + sent, start + answered};
+            };
+        const auto newer = write("orders:2/226", 965ms, 1073ms);
+        const auto slowAnswer = write("orders:1/222", 935ms, 1175ms);
+        CPPUNIT_ASSERT(acknowledgedOnOtherHistory({newer, slowAnswer}).empty());
+        const auto sentLater = write("orders:1/222", 1074ms, 1175ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, acknowledgedOnOtherHistory({newer, sentLater}).size());
+        const auto notContained = write("orders:1/226", 935ms, 1175ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, acknowledgedOnOtherHistory({newer, notContained}).size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(planned_change_test);
