--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run; TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/platform/crocusdealfront ] && [ -x target/review/standin ] || exit 2
-exec target/review/standin without-the-store review/2/record.txt
+exec target/review/standin deaf-replica review/2/record.txt
--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -46,6 +46,97 @@
     };
 }
 
+/** Records each call of the promotion duty. */
+void recordCalls(world &all)
+{
+    all.duty.onCall = [&all](const promotion_service::order &order) {
+        all.record(order.holder + " calls the platform: " + order.target + " is to lead, token "
+                   + std::to_string(order.token));
+        return false;
+    };
+}
+
+/** Three databases, two daemons, and a client at each that writes without end. */
+void beginWithTwoDaemons(world &all)
+{
+    all.addDatabase("i-aaaa0001", "sapporo-a", {});
+    all.addDatabase("i-bbbb0002", "ebetsu-b", {});
+    all.addDatabase("i-cccc0003", "chitose-c", {});
+    all.startFront("sapporo-a");
+    all.startFront("ebetsu-b");
+    recordCalls(all);
+    all.warmUp();
+    for (std::size_t front = 0; front < all.fronts.size(); ++front) {
+        const auto writer = all.addClient(front, "orders");
+        writer->next = writesOf("w" + std::to_string(front) + "x");
+        writer->pauseMs = 50;
+        writer->start();
+    }
+    all.events.runUntil(all.events.now() + 2000);
+}
+
+int judge(world &all, int lost, bool hasRun)
+{
+    all.record("acknowledged commits lost: " + std::to_string(lost) + " of " + std::to_string(all.acknowledged.size()));
+    return !hasRun || all.acknowledged.empty() ? couldNotRun : lost > 0 ? broken : held;
+}
+
+/** The primary and one replica crash together; both are back 2.5 s later, the primary with its log. */
+int primaryAndReplicaCrash(const std::string &recordFile, bool hasTrouble)
+{
+    constexpr std::int64_t downMs = 2500;
+    constexpr std::int64_t endMs = 9000;
+    world all(recordFile, 2);
+    int promotions = 0;
+    int lost = 0;
+    watchPromotions(all, promotions, lost);
+    beginWithTwoDaemons(all);
+    const auto begin = all.events.now();
+    if (hasTrouble) {
+        all.crash("i-aaaa0001");
+        all.crash("i-bbbb0002");
+        all.events.after(downMs, [&all] {
+            all.startAgain("i-aaaa0001", "i-aaaa0011");
+            all.startAgain("i-bbbb0002", "i-bbbb0012");
+        });
+    }
+    all.events.runUntil(begin + endMs);
+    return judge(all, lost, true);
+}
+
+/** One replica receives nothing; the other one and the primary crash, and the primary comes back after 7 s. */
+int crashBesideADeafReplica(const std::string &recordFile, bool hasTrouble)
+{
+    constexpr std::int64_t deafMs = 6500;
+    constexpr std::int64_t crashAfterMs = 3500;
+    constexpr std::int64_t replicaDownMs = 1000;
+    constexpr std::int64_t primaryDownMs = 7000;
+    constexpr std::int64_t endMs = 14000;
+    world all(recordFile, 2);
+    int promotions = 0;
+    int lost = 0;
+    watchPromotions(all, promotions, lost);
+    beginWithTwoDaemons(all);
+    const auto begin = all.events.now();
+    if (hasTrouble) {
+        all.record("i-cccc0003 receives nothing from now on");
+        all.databases.at("i-cccc0003").isDeaf = true;
+        all.events.after(deafMs, [&all] {
+            all.record("i-cccc0003 receives again");
+            all.databases.at("i-cccc0003").isDeaf = false;
+            all.databases.transferAll();
+        });
+        all.events.after(crashAfterMs, [&all] {
+            all.crash("i-bbbb0002");
+            all.crash("i-aaaa0001");
+        });
+        all.events.after(crashAfterMs + replicaDownMs, [&all] { all.startAgain("i-bbbb0002", "i-bbbb0012"); });
+        all.events.after(crashAfterMs + primaryDownMs, [&all] { all.startAgain("i-aaaa0001", "i-aaaa0011"); });
+    }
+    all.events.runUntil(begin + endMs);
+    return judge(all, lost, true);
+}
+
 /**
  * A primary is drained. The platform's promotion call is cut off for three seconds; the replica that was chosen
  * crashes 200 ms after the first call, and is back half a second later with an empty log that it receives anew.
@@ -125,11 +216,7 @@
     int promotions = 0;
     int lost = 0;
     watchPromotions(all, promotions, lost);
-    all.duty.onCall = [&all](const promotion_service::order &order) {
-        all.record(order.holder + " calls the platform: " + order.target + " is to lead, token "
-                   + std::to_string(order.token));
-        return false;
-    };
+    recordCalls(all);
     all.warmUp();
     for (std::size_t front = 0; front < all.fronts.size(); ++front) {
         const auto writer = all.addClient(front, "orders");
@@ -276,6 +363,8 @@
 int runCase(const std::string &name, const std::string &recordFile, bool hasTrouble)
 {
     const std::map<std::string, std::function<int(const std::string &, bool)>> cases{
+        {"primary-and-replica", primaryAndReplicaCrash},
+        {"deaf-replica", crashBesideADeafReplica},
         {"restarted-choice", drainWithARestartedChoice},
         {"without-the-store", promotionWithoutTheStore},
         {"smuggled", smuggledStatement},
--- a/review/standin/databases.cpp
+++ b/review/standin/databases.cpp
@@ -449,6 +449,16 @@
     }
 }
 
+void database_group::startAs(const std::string &oldId, const std::string &newId)
+{
+    const auto one = databases.at(oldId);
+    databases.erase(oldId);
+    one->m_id = newId;
+    databases[newId] = one;
+    one->start();
+    transferAll();
+}
+
 void database_group::transferAll()
 {
     for (const auto &[id, one] : databases) {
--- a/review/standin/databases.h
+++ b/review/standin/databases.h
@@ -132,6 +132,8 @@
     database *primary();
     /** A commit that was there before the run. */
     void seed(const std::string &request, const std::string &item, const std::string &data);
+    /** Starts a database that has ended under another id, at its address; one that led comes back with its log. */
+    void startAs(const std::string &oldId, const std::string &newId);
     /** Begins to make the database the primary of the next term; false if it is not running. */
     bool promote(const std::string &id, std::int64_t takesMs);
     /** Sends what the replica lacks, if it receives. */
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -252,6 +252,27 @@
                {"db_role", one.isPrimary ? "primary" : "replica"}});
 }
 
+void world::crash(const std::string &id)
+{
+    constexpr std::int64_t removedAfterMs = 3000; // Between two and three heartbeats of 1.2 s after the last one.
+    record(id + " crashes");
+    databases.at(id).kill();
+    events.after(removedAfterMs, [this, id] {
+        record("the entry of " + id + " is removed");
+        store.remove("servers", id);
+    });
+}
+
+void world::startAgain(const std::string &oldId, const std::string &newId)
+{
+    databases.startAs(oldId, newId);
+    m_zones[newId] = m_zones.at(oldId);
+    const auto &one = databases.at(newId);
+    const auto held = one.log.empty() ? std::string("nothing") : std::to_string(one.log.size()) + " commits";
+    record(newId + " is what " + oldId + " was, as " + (one.isPrimary ? "primary" : "replica") + ", and holds " + held);
+    publish(newId, false);
+}
+
 void world::startFront(const std::string &zone)
 {
     const auto number = std::to_string(fronts.size() + 1);
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -78,6 +78,10 @@
     /** Adds a database with its entry, which is written anew when its state changes. */
     void addDatabase(const std::string &id, const std::string &zone, database_figures figures);
     void publish(const std::string &id, bool isDraining);
+    /** The process ends; the entry goes after three heartbeats. */
+    void crash(const std::string &id);
+    /** It is back under another id. */
+    void startAgain(const std::string &oldId, const std::string &newId);
     void startFront(const std::string &zone);
     /** Runs until the daemons have had time to begin. */
     void warmUp();
