--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -338,7 +338,7 @@
     const auto one = all.addClient(0, "orders");
     one->next = [&, count = 0]() mutable {
         ++count;
-        const auto text = "WRITE note-" + std::to_string(count) + " data" + (count == 3 ? smuggled : "");
+        auto text = "WRITE note-" + std::to_string(count) + " data" + (count == 3 ? smuggled : "");
         sent["c1n" + std::to_string(count)] = text;
         return text;
     };
@@ -350,7 +350,9 @@
         const bool isSent = sent.contains(id) && sent.at(id) == text;
         foreign += isSent ? 0 : 1;
         if (!isSent) {
-            all.record("a database has run " + id + " with the text \"" + text + "\", which no client has sent");
+            std::string line = "a database has run ";
+            line.append(id).append(" with the text \"").append(text).append("\", which no client has sent");
+            all.record(line);
         }
     }
     all.record("statements that databases ran: " + std::to_string(all.databases.ran.size())
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -301,8 +301,7 @@
 
 std::shared_ptr<client> world::addClient(std::size_t front, const std::string &route)
 {
-    const auto one =
-        std::make_shared<client>(events, frontAddresses.at(front), route, "c" + std::to_string(++m_clients));
+    auto one = std::make_shared<client>(events, frontAddresses.at(front), route, "c" + std::to_string(++m_clients));
     one->onResult = [this](const client::result &result) {
         record(result.id + " sent at " + std::to_string(result.sentAt) + " ms: " + result.text + " -> "
                + (result.answer.empty() ? "no answer" : result.answer));
