--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -323,6 +323,56 @@
     return cut > 0 ? broken : held;
 }
 
+/**
+ * The primary crashes for two seconds. The call that names its successor gets no answer and is carried out 3.2 s later;
+ * the other replica crashes and is back, without its pause, before the primary is.
+ */
+int lateOrderAndRestart(const std::string &recordFile, bool hasTrouble)
+{
+    constexpr std::int64_t primaryDownMs = 2000;
+    constexpr std::int64_t lateMs = 3200;
+    constexpr std::int64_t crashAfterMs = 300;
+    constexpr std::int64_t downMs = 500;
+    constexpr std::int64_t endMs = 14000;
+    world all(recordFile, 2);
+    int promotions = 0;
+    int lost = 0;
+    watchPromotions(all, promotions, lost);
+    beginWithTwoDaemons(all);
+    const auto begin = all.events.now();
+    std::string other;
+    all.duty.onCall = [&](const promotion_service::order &order) {
+        all.record(order.holder + " calls the platform: " + order.target + " is to lead, token "
+                   + std::to_string(order.token) + (other.empty() ? ", carried out late" : ""));
+        if (!other.empty()) {
+            return false;
+        }
+        other = order.target == "i-bbbb0002" ? "i-cccc0003" : "i-bbbb0002";
+        all.events.after(lateMs, [&all, order] { all.duty.carryOut(order); });
+        all.events.after(crashAfterMs, [&all, &other] {
+            all.record(other + " crashes");
+            all.databases.at(other).kill();
+        });
+        all.events.after(crashAfterMs + downMs, [&all, &other] {
+            all.record(other + " has started again");
+            all.databases.at(other).start();
+            all.publish(other, false);
+        });
+        return true;
+    };
+    if (hasTrouble) {
+        all.record("i-aaaa0001 crashes");
+        all.databases.at("i-aaaa0001").kill();
+        all.events.after(primaryDownMs, [&all] {
+            all.record("i-aaaa0001 is back with its log");
+            all.databases.at("i-aaaa0001").start();
+            all.databases.transferAll();
+        });
+    }
+    all.events.runUntil(begin + endMs);
+    return judge(all, lost, true);
+}
+
 /** A client sends one message whose data has a line feed, which does not end a line; a line ends with CR LF. */
 int smuggledStatement(const std::string &recordFile, bool hasTrouble)
 {
@@ -368,6 +418,7 @@
         {"primary-and-replica", primaryAndReplicaCrash},
         {"deaf-replica", crashBesideADeafReplica},
         {"restarted-choice", drainWithARestartedChoice},
+        {"late-order", lateOrderAndRestart},
         {"without-the-store", promotionWithoutTheStore},
         {"smuggled", smuggledStatement},
         {"busy-sessions", stopUnderBusySessions},
