--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -74,6 +74,7 @@
         m_services.applyLeases(update, askedAt);
     };
     m_services.refreshTargets = [this](std::function<void(bool)> done) { m_feed->refreshTargets(std::move(done)); };
+    m_services.refreshLeases = [this](std::function<void()> done) { m_feed->refreshLeases(std::move(done)); };
     m_services.isStoreAway = [this] { return m_feed->isStoreAway(); };
     m_services.askInstances = [this](const service_id &service,
                                      std::function<void(const instance_survey::answers &)> done) {
@@ -254,6 +255,7 @@
     }
     if (now - m_missingCheckedAt >= missingCheckInterval) {
         m_missingCheckedAt = now;
+        m_services.refreshLeasesWhereNeeded();
         m_services.checkMissingTargets();
     }
     if (now - m_pausesCheckedAt >= pauseCheckInterval) {
--- a/src/libcrocusdealfront/localtransaction.cpp
+++ b/src/libcrocusdealfront/localtransaction.cpp
@@ -139,9 +139,6 @@
 {
     recordPrimary(reply);
     if (m_request->what.kind == statement_kind::Commit) {
-        if (m_hasWritten && reply.isSuccess() && reply.at) {
-            m_group->recordCommit(*reply.at);
-        }
         finishCommit(reply);
         return;
     }
@@ -188,11 +185,45 @@
         fail(m_hasWritten ? error_code::InDoubt : error_code::Aborted, "the answer of the target was lost");
         return;
     }
+    if (m_hasWritten && reply.isSuccess() && reply.at) {
+        answerWhenKept(target, reply);
+        return;
+    }
     statement_outcome outcome;
     outcome.reply = reply;
     answer(std::move(outcome));
 }
 
+void local_transaction::answerWhenKept(const target_id &primary, const target_reply &reply)
+{
+    m_limit = m_context.deadlines.schedule(m_arrivedAt + m_limitTime, [self = shared_from_this()] {
+        self->m_limit = 0;
+        self->m_group->cancelProof(std::exchange(self->m_proof, 0));
+        self->failInDoubt("the commit is not known to survive a change of the primary");
+    });
+    m_proof = m_group->proveCommit({primary, *reply.at, m_sentAt}, [self = shared_from_this(), reply](bool isKept) {
+        self->m_proof = 0;
+        self->m_context.deadlines.cancel(self->m_limit);
+        if (!isKept) {
+            self->failInDoubt("the primary has changed");
+            return;
+        }
+        self->m_group->recordCommit(*reply.at);
+        statement_outcome outcome;
+        outcome.reply = reply;
+        self->answer(std::move(outcome));
+    });
+}
+
+void local_transaction::failInDoubt(const char *reason)
+{
+    m_context.log.warn("commit_in_doubt")
+        .field("id", m_request->id)
+        .field("database", m_database)
+        .field("reason", reason);
+    fail(error_code::InDoubt, reason);
+}
+
 void local_transaction::hitLimit()
 {
     const bool isSent = m_isWithTarget;
@@ -212,10 +243,17 @@
 
 void local_transaction::end()
 {
+    const auto self = shared_from_this();
+    if (m_proof != 0) {
+        m_group->cancelProof(std::exchange(m_proof, 0));
+        m_context.deadlines.cancel(m_limit);
+        m_request.reset();
+        m_done = nullptr;
+        return;
+    }
     if (!m_grant) {
         return;
     }
-    const auto self = shared_from_this();
     if (!m_request) {
         rollBack();
         return;
--- a/src/libcrocusdealfront/localtransaction.h
+++ b/src/libcrocusdealfront/localtransaction.h
@@ -36,6 +36,9 @@
     void recordPrimary(const target_reply &reply);
     void finish(const target_reply &reply);
     void finishCommit(const target_reply &reply);
+    /** Answers once the commit is known to survive a change of the primary. */
+    void answerWhenKept(const target_id &primary, const target_reply &reply);
+    void failInDoubt(const char *reason);
     void hitLimit();
     void release(bool isReusable);
     void rollBack();
@@ -60,6 +63,7 @@
     time_point m_arrivedAt = never;
     time_point m_sentAt = never;
     int m_generation = 0; ///< Answers to earlier attempts are ignored.
+    commit_proof::ticket m_proof = 0;
     deadline_queue::handle m_limit = 0;
     deadline_queue::handle m_busyTimer = 0;
 };
--- a/src/libcrocusdealfront/metadatastore.h
+++ b/src/libcrocusdealfront/metadatastore.h
@@ -68,6 +68,7 @@
     std::string holder;
     std::uint64_t revision = 0;
     promotion_lease_purpose purpose = promotion_lease_purpose::Promotion;
+    std::optional<std::uint64_t> openSince; ///< As in promotion_lease_record.
 };
 
 /** Who promotes for which services. */
@@ -76,6 +77,14 @@
     std::string holder;
     std::uint64_t revision = 0; ///< Of the record.
     promotion_lease_purpose purpose = promotion_lease_purpose::Promotion;
+    std::optional<std::uint64_t> openSince; ///< As in promotion_lease_record.
+};
+
+/** What a claim writes. */
+struct promotion_lease_claim {
+    std::string holder;
+    promotion_lease_purpose purpose = promotion_lease_purpose::Promotion;
+    std::optional<std::uint64_t> openSince = 0; ///< As in promotion_lease_record.
 };
 
 /** All records, or those that have changed since a revision. */
@@ -127,8 +136,7 @@
                                       std::function<void(promotion_lease_list_update)> done) = 0;
     /** Creates the record, or replaces it if its revision is still @p replaces. */
     virtual void claimPromotionLease(const service_id &service,
-                                     const std::string &holder,
-                                     promotion_lease_purpose purpose,
+                                     const promotion_lease_claim &claim,
                                      std::optional<std::uint64_t> replaces,
                                      std::function<void(promotion_lease_update)> done) = 0;
     /** Creates or replaces the entry of an instance; tells the revision of the entry. */
--- a/src/libcrocusdealfront/primarykeeper.cpp
+++ b/src/libcrocusdealfront/primarykeeper.cpp
@@ -161,6 +161,7 @@
         resume(*m_lastOrdered);
     }
     m_context.deadlines.scheduleAfter(promotionTime, [self = shared_from_this(), paused = m_sightings.pausedTargets()] {
+        self->settleOrders();
         if (self->m_isStopped || self->m_attempt) {
             return; // The attempt ends the pauses that it finds.
         }
@@ -502,11 +503,16 @@
         return "without the store: " + std::string(standaloneVerdictNames.name(verdict));
     }
     m_group->recordCommit(highestCommit(answers));
+    m_group->recordUnrecordedCommand(systemNow());
     return {};
 }
 
 void primary_keeper::describe(std::function<void(const instance_knowledge &)> done)
 {
+    if (isStoreAway()) {
+        // The one that asks may promote with nothing in the lease that tells of it.
+        m_group->recordUnrecordedCommand(systemNow());
+    }
     const auto primary = m_group->primary();
     const auto found = primary ? m_group->targets().find(*primary) : m_group->targets().end();
     if (found == m_group->targets().end()) {
@@ -681,6 +687,14 @@
         });
 }
 
+void primary_keeper::settleOrders()
+{
+    const bool mayBePromoting = m_fencedAt != never && systemNow() - m_fencedAt < promotionTime;
+    if (!mayBePromoting) {
+        m_orders->settle();
+    }
+}
+
 void primary_keeper::finishAttempt(const promotion_attempt &attempt)
 {
     m_attempt.reset();
@@ -711,7 +725,7 @@
     if (outcome == attempt_outcome::Promoted) {
         m_orders->orderCarriedOut();
     }
-    m_orders->settle();
+    settleOrders();
     m_drainingSince = isPrimaryDraining() ? systemNow() : never;
     const bool isUnsafe = outcome == attempt_outcome::NotSafe && attempt.reason() == promotion_reason::PrimaryLost;
     m_retryAt = systemNow() + (isUnsafe ? unsafeRetryTime : retryTime);
--- a/src/libcrocusdealfront/primarykeeper.h
+++ b/src/libcrocusdealfront/primarykeeper.h
@@ -110,6 +110,8 @@
     std::vector<promotion_member> presentMembers() const;
     void run(promotion_attempt attempt);
     void finishAttempt(const promotion_attempt &attempt);
+    /** Tells the other instances that no order is open, unless one may take effect yet. */
+    void settleOrders();
     /** With the primary in place, so that what is open is not carried out behind its back. */
     void fenceOpenOrder(const target_id &primary);
 
--- a/src/libcrocusdealfront/promotionorders.cpp
+++ b/src/libcrocusdealfront/promotionorders.cpp
@@ -7,6 +7,16 @@
 namespace crocusdeal
 {
 
+namespace
+{
+
+promotion_lease_record recordOf(const promotion_lease_update &update)
+{
+    return {update.holder, update.revision, update.purpose, update.openSince};
+}
+
+}
+
 promotion_orders::promotion_orders(front_context &context,
                                    metadata_store &store,
                                    promotion_authority &authority,
@@ -88,15 +98,14 @@
     const auto sentAt = systemNow();
     const auto purpose = m_lease.purposeForAdvanceClaim();
     m_store.claimPromotionLease(m_service,
-                                m_self,
-                                purpose,
+                                {m_self, purpose, 0},
                                 m_lease.currentRevision(),
                                 [self = shared_from_this(), sentAt, purpose](const promotion_lease_update &update) {
                                     self->logClaim("in_advance", update);
                                     if (update.failure == store_failure::None) {
-                                        self->m_lease.claimAccepted(update.revision, purpose, sentAt);
+                                        self->m_lease.claimAccepted(update.revision, purpose, sentAt, 0);
                                     } else if (update.failure == store_failure::Conflict) {
-                                        self->m_lease.observe({update.holder, update.revision, update.purpose}, sentAt);
+                                        self->m_lease.observe(recordOf(update), sentAt);
                                     }
                                 });
 }
@@ -134,32 +143,32 @@
 {
     const auto sentAt = systemNow();
     const bool isTakingOver = m_lease.isForeignPromotionPending();
-    m_store.claimPromotionLease(
-        m_service,
-        m_self,
-        promotion_lease_purpose::Promotion,
-        replaces,
-        [self = shared_from_this(), sentAt, isTakingOver, done = std::move(done)](
-            const promotion_lease_update &update) {
-            switch (update.failure) {
-            case store_failure::None:
-                self->m_isOrderOpen = self->m_isOrderOpen || isTakingOver;
-                self->m_lease.claimAccepted(update.revision, promotion_lease_purpose::Promotion, sentAt);
-                done(claim_result::Claimed, update);
-                return;
-            case store_failure::Conflict:
-                self->m_lease.observe({update.holder, update.revision, update.purpose}, systemNow());
-                done(claim_result::TakenByAnother, update);
-                return;
-            case store_failure::NotFound:
-                self->m_lease.observeAbsent();
-                done(claim_result::TakenByAnother, update);
-                return;
-            default:
-                done(claim_result::StoreAway, update);
-                return;
-            }
-        });
+    const auto openSince = m_lease.openSinceForClaim(m_isOrderOpen);
+    m_store.claimPromotionLease(m_service,
+                                {m_self, promotion_lease_purpose::Promotion, openSince},
+                                replaces,
+                                [self = shared_from_this(), sentAt, isTakingOver, openSince, done = std::move(done)](
+                                    const promotion_lease_update &update) {
+                                    switch (update.failure) {
+                                    case store_failure::None:
+                                        self->m_isOrderOpen = self->m_isOrderOpen || isTakingOver;
+                                        self->m_lease.claimAccepted(
+                                            update.revision, promotion_lease_purpose::Promotion, sentAt, openSince);
+                                        done(claim_result::Claimed, update);
+                                        return;
+                                    case store_failure::Conflict:
+                                        self->m_lease.observe(recordOf(update), systemNow());
+                                        done(claim_result::TakenByAnother, update);
+                                        return;
+                                    case store_failure::NotFound:
+                                        self->m_lease.observeAbsent();
+                                        done(claim_result::TakenByAnother, update);
+                                        return;
+                                    default:
+                                        done(claim_result::StoreAway, update);
+                                        return;
+                                    }
+                                });
 }
 
 void promotion_orders::settle()
@@ -167,23 +176,22 @@
     if (m_isOrderOpen || !m_lease.isOwnPromotionPending()) {
         return;
     }
-    m_store.claimPromotionLease(
-        m_service,
-        m_self,
-        promotion_lease_purpose::Settled,
-        m_lease.fencingToken(),
-        [self = shared_from_this()](const promotion_lease_update &update) {
-            self->m_context.log.info("duty_settled")
-                .field("service", self->m_service.str())
-                .field("outcome", storeFailureNames.name(update.failure))
-                .field("revision", static_cast<std::int64_t>(update.revision));
-            if (update.failure == store_failure::None) {
-                self->m_lease.settlementAccepted(update.revision);
-            } else if (update.failure == store_failure::Conflict) {
-                self->m_lease.observe({update.holder, update.revision, update.purpose}, systemNow());
-            }
-            // Without an answer others fence what they must take for open, which changes nothing.
-        });
+    m_store.claimPromotionLease(m_service,
+                                {m_self, promotion_lease_purpose::Settled, 0},
+                                m_lease.fencingToken(),
+                                [self = shared_from_this()](const promotion_lease_update &update) {
+                                    self->m_context.log.info("duty_settled")
+                                        .field("service", self->m_service.str())
+                                        .field("outcome", storeFailureNames.name(update.failure))
+                                        .field("revision", static_cast<std::int64_t>(update.revision));
+                                    if (update.failure == store_failure::None) {
+                                        self->m_lease.settlementAccepted(update.revision);
+                                    } else if (update.failure == store_failure::Conflict) {
+                                        self->m_lease.observe(recordOf(update), systemNow());
+                                    }
+                                    // Without an answer others fence what they must take for open, which changes
+                                    // nothing.
+                                });
 }
 
 void promotion_orders::send(const target_id &target, const std::string &why, std::function<void(promotion_answer)> done)
@@ -249,9 +257,6 @@
                             const bool isFenced = answer == promotion_answer::Accepted;
                             self->m_isBusy = false;
                             self->m_isOrderOpen = !isFenced;
-                            if (isFenced) {
-                                self->settle();
-                            }
                             self->m_context.log.info("promotion_superseded")
                                 .field("service", self->m_service.str())
                                 .field("leader", primary.str())
--- a/src/libcrocusdealfront/promotionorders.h
+++ b/src/libcrocusdealfront/promotionorders.h
@@ -63,7 +63,8 @@
     void settle();
     /**
      * Fences what is open with a newer order that names the primary in place and so changes nothing, provided that
-     * @p isStillPrimary says that it is; @p done is told whether it could.
+     * @p isStillPrimary says that it is; @p done is told whether it could. An order that was accepted just before still
+     * takes effect, so settle() has to wait for that.
      */
     void fence(const target_id &primary, std::function<bool()> isStillPrimary, std::function<void(bool)> done);
 
--- a/src/libcrocusdealfront/servedservices.cpp
+++ b/src/libcrocusdealfront/servedservices.cpp
@@ -44,7 +44,7 @@
 
 void served_services::applyTargets(const target_update &update, time_point changedAfter)
 {
-    const directory_update_time at{systemNow(), changedAfter};
+    const directory_update_time at{systemNow(), changedAfter, update.revision};
     if (update.isComplete) {
         m_directory.replaceAll(update.entries, at);
         m_areTargetsKnown = true;
@@ -84,12 +84,33 @@
 {
     m_areLeasesKnown = true;
     m_leasesAskedAt = askedAt;
+    m_leasesRevision = std::max(m_leasesRevision, update.revision);
     for (const auto &entry : update.entries) {
-        m_leases[entry.service] = {entry.holder, entry.revision, entry.purpose};
+        auto &record = m_leases[entry.service];
+        if (entry.revision >= record.revision) {
+            record = {entry.holder, entry.revision, entry.purpose, entry.openSince};
+        }
     }
     for (const auto &[service, keeper] : m_keepers) {
         reportLease(service, *keeper);
+        reportWitnesses(service, *m_groups.at(service));
+    }
+}
+
+void served_services::reportWitnesses(const service_id &service, service_group &group) const
+{
+    const auto found = m_leases.find(service);
+    group.recordLease(found == m_leases.end() ? std::nullopt : std::optional(found->second), m_leasesRevision);
+}
+
+void served_services::refreshLeasesWhereNeeded()
+{
+    const bool isWanted =
+        std::any_of(m_groups.begin(), m_groups.end(), [](const auto &entry) { return entry.second->isLeaseWanted(); });
+    if (!isWanted || !m_areLeasesKnown || isStoreAway() || std::exchange(m_isLeaseRefreshPending, true)) {
+        return;
     }
+    refreshLeases([this] { m_isLeaseRefreshPending = false; });
 }
 
 void served_services::reportLease(const service_id &service, primary_keeper &keeper) const
@@ -120,6 +141,9 @@
 {
     auto group = std::make_shared<service_group>(m_context, service, m_settings.dataCentre, m_directory);
     m_groups[service] = group;
+    if (const auto command = m_unrecordedCommands.find(service); command != m_unrecordedCommands.end()) {
+        group->recordUnrecordedCommand(command->second);
+    }
     group->setPolicy(policy);
     group->recordCommit(m_commits[service]);
     group->adoptClaimedPrimary();
@@ -128,7 +152,9 @@
     keeper->start();
     if (m_areLeasesKnown) {
         reportLease(service, *keeper);
+        reportWitnesses(service, *group);
     }
+    refreshLeasesWhereNeeded();
     m_context.log.info("service_begun")
         .field("service", service.str())
         .field("targets", static_cast<std::int64_t>(group->targets().size()))
@@ -208,6 +234,7 @@
         group->refreshTargets();
         m_keepers.at(service)->directoryChanged();
     }
+    refreshLeasesWhereNeeded();
 }
 
 void served_services::watchSilence(time_point now)
@@ -291,6 +318,10 @@
 void served_services::describe(const service_id &service, std::function<void(const instance_knowledge &)> done)
 {
     const auto found = m_keepers.find(service);
+    if (isStoreAway()) {
+        // The one that asks may promote with nothing in the lease that tells of it.
+        m_unrecordedCommands[service] = systemNow();
+    }
     if (found != m_keepers.end()) {
         found->second->describe(std::move(done));
         return;
--- a/src/libcrocusdealfront/servedservices.h
+++ b/src/libcrocusdealfront/servedservices.h
@@ -27,6 +27,8 @@
 
     /** Reads the list of targets afresh, into applyTargets(); tells whether it could. */
     std::function<void(std::function<void(bool)>)> refreshTargets;
+    /** Reads the records of the promotion leases afresh, into applyLeases(). */
+    std::function<void(std::function<void()>)> refreshLeases;
     /** Whether the store is known not to answer this instance. */
     std::function<bool()> isStoreAway;
     /** A target has not answered a status. */
@@ -59,6 +61,8 @@
     /** Asks at the addresses of targets whose entries are gone, while their data centres can be reached. */
     void checkMissingTargets();
     void checkPauses();
+    /** Reads the promotion leases if targets have been listed since they were read last. */
+    void refreshLeasesWhereNeeded();
     /** Tells what this instance knows of a service, once its primary has been asked. */
     void describe(const service_id &service, std::function<void(const instance_knowledge &)> done);
     void stopKeepers();
@@ -76,6 +80,7 @@
     std::shared_ptr<primary_keeper> makeKeeper(const std::shared_ptr<service_group> &group);
     void recordEntry(const target_entry &entry, const target_update &update, const directory_update_time &at);
     void reportLease(const service_id &service, primary_keeper &keeper) const;
+    void reportWitnesses(const service_id &service, service_group &group) const;
     void refreshGroups();
     bool isAnswering(const data_centre_id &dataCentre) const;
     /** Asks some targets of the data centre, so that isAnswering() can tell. */
@@ -91,6 +96,9 @@
     bool m_areLeasesKnown = false;
     std::map<service_id, promotion_lease_record> m_leases;
     time_point m_leasesAskedAt = never;
+    std::uint64_t m_leasesRevision = 0; ///< Of the store, when they were read last.
+    bool m_isLeaseRefreshPending = false;
+    std::map<service_id, time_point> m_unrecordedCommands; ///< Other instances may have sent, without the store.
     std::map<service_id, position> m_commits; ///< Acknowledged for services that are not served any more.
     std::map<service_id, std::shared_ptr<service_group>> m_groups;
     std::map<service_id, std::shared_ptr<primary_keeper>> m_keepers;
--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -26,10 +26,16 @@
     , m_id(std::move(id))
     , m_dataCentre(std::move(dataCentre))
     , m_directory(directory)
+    , m_proofs(std::make_shared<commit_proof>(context, m_id, m_targets, m_witnesses))
     , m_lastUsedAt(systemNow())
 {
 }
 
+service_group::~service_group()
+{
+    m_proofs->stop(); // Answers that are under way keep it alive, but not the targets.
+}
+
 const service_id &service_group::id() const
 {
     return m_id;
@@ -76,9 +82,21 @@
         }
         it = m_targets.erase(it);
     }
+    refreshWitnesses();
     pump();
 }
 
+void service_group::refreshWitnesses()
+{
+    std::vector<listed_target> listed;
+    for (const auto &[id, pool] : m_targets) {
+        const auto *known = m_directory.find(id);
+        listed.push_back({id, known->entry.incarnation, known->listedAt});
+    }
+    m_witnesses.setTargets(listed, systemNow());
+    m_proofs->check();
+}
+
 const std::map<target_id, std::shared_ptr<target_pool>> &service_group::targets() const
 {
     return m_targets;
@@ -117,6 +135,7 @@
 void service_group::retire()
 {
     onPrimarySuspected = nullptr;
+    m_proofs->stop();
     for (const auto &[id, pool] : m_targets) {
         pool->retire();
     }
@@ -411,6 +430,36 @@
     }
 }
 
+commit_proof::ticket service_group::proveCommit(const sent_commit &commit, std::function<void(bool isKept)> done)
+{
+    if (m_policy.syncReplicas == 0) {
+        done(true);
+        return 0;
+    }
+    return m_proofs->prove(commit, std::move(done));
+}
+
+void service_group::cancelProof(commit_proof::ticket number)
+{
+    m_proofs->cancel(number);
+}
+
+void service_group::recordLease(const std::optional<promotion_lease_record> &record, std::uint64_t revision)
+{
+    m_witnesses.recordLease(record, revision, systemNow());
+    m_proofs->check();
+}
+
+void service_group::recordUnrecordedCommand(time_point now)
+{
+    m_witnesses.recordUnrecordedCommand(now);
+}
+
+bool service_group::isLeaseWanted() const
+{
+    return m_witnesses.isLeaseWanted();
+}
+
 void service_group::recordCommit(const position &at)
 {
     m_acknowledged.recordCommit(at);
--- a/src/libcrocusdealfront/servicegroup.h
+++ b/src/libcrocusdealfront/servicegroup.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "acknowledgedlog.h"
+#include "commitproof.h"
+#include "commitwitnesses.h"
 #include "freshness.h"
 #include "placement.h"
+#include "promotionlease.h"
 #include "routingconfiguration.h"
 #include "targetdirectory.h"
 #include "targetpool.h"
@@ -61,6 +64,9 @@
     using ticket = wait_queue::ticket;
 
     service_group(front_context &context, service_id id, data_centre_id dataCentre, const target_directory &directory);
+    ~service_group();
+    service_group(const service_group &) = delete;
+    service_group &operator=(const service_group &) = delete;
 
     /** Trouble with the primary was seen; asks for somebody to look. */
     std::function<void(const char *why)> onPrimarySuspected;
@@ -99,6 +105,15 @@
     bool needsPrimary(const target_need &need) const;
     /** A target has proved that it led when it answered; @p at covers what was acknowledged before @p askedAt. */
     void recordPrimary(const target_id &target, std::optional<position> at, time_point askedAt);
+    /** Holds a commit back until it survives promotions; see commit_proof::prove(). */
+    commit_proof::ticket proveCommit(const sent_commit &commit, std::function<void(bool isKept)> done);
+    void cancelProof(commit_proof::ticket number);
+    /** The record of the promotion lease, or none, at @p revision of the store. */
+    void recordLease(const std::optional<promotion_lease_record> &record, std::uint64_t revision);
+    /** Another instance may promote without the store, for the targets that are known now. */
+    void recordUnrecordedCommand(time_point now);
+    /** Whether a newer answer about the promotion lease is needed to tell which commits survive. */
+    bool isLeaseWanted() const;
     /** A commit at @p at is acknowledged to a caller. */
     void recordCommit(const position &at);
     /** What a new primary must hold, as far as it is known here. */
@@ -120,6 +135,7 @@
     time_point lastWriteAckedAt() const;
 
 private:
+    void refreshWitnesses();
     int opening() const;
     /** Opens a connection to the target that a read would go to if all had one. */
     void warmUpFor(std::vector<read_candidate> candidates, const std::vector<std::shared_ptr<target_pool>> &pools);
@@ -150,6 +166,8 @@
     wait_queue m_queue;
     position_samples m_samples;
     acknowledged_log m_acknowledged;
+    commit_witnesses m_witnesses;
+    std::shared_ptr<commit_proof> m_proofs;
     std::optional<target_id> m_primary;
     time_point m_primaryProvedAt = never;
     bool m_isPrimaryProved = false;
--- a/src/libcrocusdealfront/statementrun.cpp
+++ b/src/libcrocusdealfront/statementrun.cpp
@@ -295,9 +295,6 @@
     }
     if (std::exchange(m_isWriteOpen, false)) {
         m_group->writeEnded(m_sentAt, reply.isSuccess());
-        if (reply.isSuccess() && reply.at) {
-            m_group->recordCommit(*reply.at);
-        }
     }
     if (reply.isLost) {
         handleLoss(reply);
@@ -337,9 +334,35 @@
         dropGrant(true);
     }
     outcome.reply = std::move(reply);
+    const bool isOwnCommit = m_order.kind == effect::Write && !opensTransaction();
+    if (isOwnCommit && outcome.reply.at) {
+        finishWhenKept(target, std::move(outcome));
+        return;
+    }
     finish(std::move(outcome));
 }
 
+void statement_run::finishWhenKept(const target_id &primary, statement_outcome outcome)
+{
+    const auto at = *outcome.reply.at;
+    m_proof = m_group->proveCommit(
+        {primary, at, m_sentAt}, [self = shared_from_this(), at, outcome = std::move(outcome)](bool isKept) mutable {
+            self->m_proof = 0;
+            if (isKept) {
+                self->m_group->recordCommit(at);
+                self->finish(std::move(outcome));
+                return;
+            }
+            self->m_context.log.warn("statement_in_doubt")
+                .field("id", self->m_order.request.id)
+                .field("database", self->m_order.route.database)
+                .field("reason", "the primary has changed")
+                .field("commit", toString(at))
+                .field("ms", (systemNow() - self->m_order.arrivedAt).ms);
+            self->fail(error_code::InDoubt, "the primary has changed, perhaps without the write");
+        });
+}
+
 void statement_run::handleError(target_reply reply)
 {
     const auto code = *reply.error;
@@ -462,7 +485,7 @@
 void statement_run::hitLimit()
 {
     m_limit = 0;
-    const bool mayHaveRun = m_isSent && m_grant;
+    const bool mayHaveRun = m_isSent && (m_grant || m_proof != 0);
     m_context.log.warn("statement_timed_out")
         .field("id", m_order.request.id)
         .field("database", m_order.route.database)
@@ -512,6 +535,9 @@
     if (m_ticket != 0) {
         m_group->abandon(std::exchange(m_ticket, 0));
     }
+    if (m_proof != 0) {
+        m_group->cancelProof(std::exchange(m_proof, 0));
+    }
     const auto done = std::exchange(m_done, nullptr);
     if (done) {
         done(std::move(outcome));
--- a/src/libcrocusdealfront/statementrun.h
+++ b/src/libcrocusdealfront/statementrun.h
@@ -52,6 +52,8 @@
     void sendStatement();
     void handleReply(target_reply reply);
     void handleSuccess(target_reply reply);
+    /** Finishes once the commit is known to survive a change of the primary. */
+    void finishWhenKept(const target_id &primary, statement_outcome outcome);
     void armHedge();
     /** Sends a read to another target and leaves the silent one to answer when it can. */
     void hedge();
@@ -83,6 +85,7 @@
     };
     std::vector<orphan_grant> m_orphans; ///< Of reads that were sent elsewhere meanwhile.
     service_group::ticket m_ticket = 0;
+    commit_proof::ticket m_proof = 0;
     deadline_queue::handle m_limit = 0;
     deadline_queue::handle m_hedgeTimer = 0;
     bool m_isRollbackSent = false; ///< Its answer releases the grant.
--- a/src/libcrocusdealfront/storefeed.cpp
+++ b/src/libcrocusdealfront/storefeed.cpp
@@ -306,6 +306,17 @@
         });
 }
 
+void store_feed::refreshLeases(std::function<void()> done)
+{
+    m_store.listPromotionLeases([self = shared_from_this(), askedAt = systemNow(), done = std::move(done)](
+                                    const promotion_lease_list_update &update) {
+        if (!self->m_isStopped && update.failure == store_failure::None) {
+            self->onLeases(update, askedAt);
+        }
+        done();
+    });
+}
+
 void store_feed::watchPromotionLeases()
 {
     m_store.watchPromotionLeases(
--- a/src/libcrocusdealfront/storefeed.h
+++ b/src/libcrocusdealfront/storefeed.h
@@ -28,6 +28,8 @@
     void stop();
     /** Reads the list of targets at once, beside the watch; tells whether it could. */
     void refreshTargets(std::function<void(bool)> done);
+    /** Reads the records of the promotion leases at once, beside the watch; @p done is called in any case. */
+    void refreshLeases(std::function<void()> done);
     /** When the store last answered about the configuration. */
     time_point configurationHeardAt() const;
     /** Whether the store has failed a probe after other calls, and answered nothing since. */
--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -77,6 +77,8 @@
     for (const auto &link : links) {
         link->close("target has started again");
     }
+    m_isContactLost = false;
+    m_reconnectedAt = never;
 }
 
 void target_pool::retire()
@@ -233,6 +235,11 @@
     return m_unreachableSince;
 }
 
+time_point target_pool::reconnectedAt() const
+{
+    return m_reconnectedAt;
+}
+
 bool target_pool::isNobodyListening() const
 {
     return m_isNobodyListening;
@@ -324,6 +331,7 @@
         if (self->m_controlLink.get() == raw) {
             self->m_controlLink.reset();
         }
+        self->m_isContactLost = self->m_isContactLost || (self->m_links.empty() && !self->m_isClosingUnused);
         if (self->onCapacity) {
             self->onCapacity();
         }
@@ -341,6 +349,9 @@
         m_retryAt = never;
         m_unreachableSince = never;
         m_lastAnswerAt = now;
+        if (std::exchange(m_isContactLost, false)) {
+            m_reconnectedAt = now;
+        }
         m_openingMs += openingWeight * (static_cast<double>((now - begunAt).ms) - m_openingMs);
         return;
     }
@@ -349,6 +360,7 @@
         return;
     }
     ++m_failures;
+    m_isContactLost = true;
     if (m_unreachableSince == never) {
         m_unreachableSince = now;
     }
@@ -416,7 +428,9 @@
         if (now - link->idleSince <= (isScarce ? scarceUnusedTime : usual)) {
             return;
         }
+        m_isClosingUnused = true;
         link->close("not needed");
+        m_isClosingUnused = false;
     }
 }
 
@@ -475,6 +489,13 @@
     });
 }
 
+void target_pool::releaseControlLink()
+{
+    if (m_controlLink && m_controlLink->isIdle()) {
+        giveBack(std::exchange(m_controlLink, nullptr));
+    }
+}
+
 bool target_pool::hasLinkForControl() const
 {
     return (m_controlLink && m_controlLink->isOpen()) || hasIdle();
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -83,6 +83,8 @@
     bool isNobodyListening() const;
     /** Since when every attempt to connect has failed; never if the last one did not. */
     time_point unreachableSince() const;
+    /** When it was reached again after every connection had failed, so that it may have started again; else never. */
+    time_point reconnectedAt() const;
     /** When the oldest statement or start-up that is not answered yet was sent; never without one. */
     time_point silentSince() const;
 
@@ -101,6 +103,8 @@
     void closeUnused(time_point now);
     int connections() const;
 
+    /** Gives the connection for control statements to callers' statements, unless something is asked over it. */
+    void releaseControlLink();
     /** Sends a control statement over a connection of its own, with a limit on the time of the answer. */
     void control(control_statement what, std::uint64_t term, duration limit, std::function<void(control_reply)> done);
 
@@ -136,6 +140,9 @@
     int m_limitRefusals = 0; ///< In a row.
     time_point m_limitedAt = never;
     time_point m_unreachableSince = never;
+    time_point m_reconnectedAt = never;
+    bool m_isContactLost = false;
+    bool m_isClosingUnused = false;
     bool m_isReplaced = false;
     bool m_isNobodyListening = false;
     time_point m_lastAnswerAt = never;
--- /dev/null
+++ b/src/libcrocusdealpolicy/commitwitnesses.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "clock.h"
+#include "identifiers.h"
+#include "position.h"
+#include "promotionlease.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace crocusdeal
+{
+
+/** A target of the service as its entry describes it. */
+struct listed_target {
+    target_id id;
+    std::uint64_t incarnation = 0;
+    std::uint64_t listedAt = 0; ///< A revision of the store from which on it is listed in this incarnation.
+};
+
+/**
+ * Decides which targets of one service can prove that a commit survives each promotion that may be under way.
+ *
+ * The primary acknowledges a commit as soon as any replica has received it, also one that no instance knows yet. A
+ * promotion command is safe for what the targets hold that its sender knew: it reads their list after it has claimed
+ * the promotion lease. A target that may be missing from that list proves nothing, whatever it holds. It becomes a
+ * witness once every command that may be open is known to have been claimed after the target was listed, so that it was
+ * sent with the target taken into account. Revisions of the store give the order of these events, so that old answers
+ * do no harm. A command that has overlooked the target may have been carried out until then, so it proves only commits
+ * that were sent to the primary afterwards.
+ */
+class commit_witnesses
+{
+public:
+    /** Takes over the targets that are known now; one that is listed again in another incarnation is new. */
+    void setTargets(const std::vector<listed_target> &targets, time_point now);
+    /** The record of the lease, or none, as it was at @p revision of the store. */
+    void recordLease(const std::optional<promotion_lease_record> &record, std::uint64_t revision, time_point now);
+    /** Another instance may send a command that the lease does not tell of, for the targets that are known now. */
+    void recordUnrecordedCommand(time_point now);
+
+    /**
+     * Whether a commit that @p target holds, and that was sent to the primary at @p sentAt, survives each promotion.
+     * @p reconnectedAt is when the target was reached again after all connections to it had failed; never if they have
+     * not.
+     */
+    bool isWitness(const target_id &target, time_point reconnectedAt, time_point sentAt, time_point now) const;
+    /** Whether a newer answer about the lease can make more targets witnesses. */
+    bool isLeaseWanted() const;
+
+private:
+    struct witness_state {
+        std::uint64_t incarnation = 0;
+        std::uint64_t listedAt = 0;
+        time_point coveredAt = never; ///< Since when no command that overlooks it can be open; never if one can.
+        bool isNewSinceCommand = false; ///< Listed since recordUnrecordedCommand().
+    };
+
+    void coverTargets(time_point now);
+
+    std::map<target_id, witness_state> m_targets;
+    std::uint64_t m_leaseRevision = 0;
+    /** A target that was listed at this revision or earlier is overlooked by no open command. */
+    std::uint64_t m_coveredRevision = 0;
+    time_point m_unrecordedCommandAt = never;
+};
+
+/** Whether a log that ends at @p log holds the commit; a log of another term is not comparable. */
+bool holdsCommit(const position &log, const position &commit);
+
+}
--- a/src/libcrocusdealpolicy/promotionlease.cpp
+++ b/src/libcrocusdealpolicy/promotionlease.cpp
@@ -83,13 +83,25 @@
 
 void promotion_lease::settlementAccepted(std::uint64_t revision)
 {
-    m_record = promotion_lease_record{m_self, revision, promotion_lease_purpose::Settled};
+    m_record = promotion_lease_record{m_self, revision, promotion_lease_purpose::Settled, 0};
     m_fencingToken = revision;
 }
 
-void promotion_lease::claimAccepted(std::uint64_t revision, promotion_lease_purpose purpose, time_point sentAt)
+std::optional<std::uint64_t> promotion_lease::openSinceForClaim(bool isOwnCommandOpen) const
 {
-    m_record = promotion_lease_record{m_self, revision, purpose};
+    if (m_record && m_record->purpose == promotion_lease_purpose::Promotion) {
+        return m_record->openSince == 0 ? m_record->revision : m_record->openSince;
+    }
+    // A command that was sent without the store was sent under no claim that tells of it.
+    return isOwnCommandOpen ? std::nullopt : std::optional<std::uint64_t>(0);
+}
+
+void promotion_lease::claimAccepted(std::uint64_t revision,
+                                    promotion_lease_purpose purpose,
+                                    time_point sentAt,
+                                    std::optional<std::uint64_t> openSince)
+{
+    m_record = promotion_lease_record{m_self, revision, purpose, openSince};
     m_changedAt = sentAt;
     m_fencingToken = revision;
     m_claimedAt = sentAt;
--- a/src/libcrocusdealpolicy/promotionlease.h
+++ b/src/libcrocusdealpolicy/promotionlease.h
@@ -25,6 +25,11 @@
     std::string holder;
     std::uint64_t revision = 0; ///< Increases with each claim; serves as the holder's fencing token.
     promotion_lease_purpose purpose = promotion_lease_purpose::Promotion;
+    /**
+     * Every promotion command that may still be carried out was sent under a claim of this revision or a later one; 0
+     * stands for the revision of this record, nothing for what is not known.
+     */
+    std::optional<std::uint64_t> openSince{};
 
     friend bool operator==(const promotion_lease_record &, const promotion_lease_record &) = default;
 };
@@ -53,7 +58,12 @@
     std::optional<std::uint64_t> currentRevision() const;
 
     /** The store accepted a claim of this process, sent at @p sentAt. */
-    void claimAccepted(std::uint64_t revision, promotion_lease_purpose purpose, time_point sentAt);
+    void claimAccepted(std::uint64_t revision,
+                       promotion_lease_purpose purpose,
+                       time_point sentAt,
+                       std::optional<std::uint64_t> openSince = std::nullopt);
+    /** What the next claim has to say of earlier commands; @p isOwnCommandOpen tells of those of this process. */
+    std::optional<std::uint64_t> openSinceForClaim(bool isOwnCommandOpen) const;
     /**
      * The purpose to write with a claim that obtains a token in advance: Settled if a promotion command may have been
      * sent under the record, so that the lease of that command stays in force.
--- a/src/libcrocusdealpolicy/targetdirectory.cpp
+++ b/src/libcrocusdealpolicy/targetdirectory.cpp
@@ -26,7 +26,11 @@
 void target_directory::put(const target_entry &entry, const directory_update_time &at)
 {
     auto &target = m_targets[entry.id];
-    const bool isNewIncarnation = !target.entry.id.empty() && target.entry.incarnation != entry.incarnation;
+    const bool isNew = target.entry.id.empty();
+    const bool isNewIncarnation = !isNew && target.entry.incarnation != entry.incarnation;
+    if (isNew || isNewIncarnation) {
+        target.listedAt = entry.revision != 0 ? entry.revision : at.revision;
+    }
     target.entry = entry;
     target.removedAt.reset();
     if (isNewIncarnation || !entry.isDraining) {
--- a/src/libcrocusdealpolicy/targetdirectory.h
+++ b/src/libcrocusdealpolicy/targetdirectory.h
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "targetentry.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -15,6 +16,7 @@
     target_entry entry;
     std::optional<time_point> drainingSince;
     std::optional<time_point> removedAt; ///< When its entry was found to be missing.
+    std::uint64_t listedAt = 0; ///< A revision of the store that contains this incarnation.
     time_point newWorkUntil = never; ///< Applies if the target drains or its entry is missing.
 };
 
@@ -22,6 +24,7 @@
 struct directory_update_time {
     time_point receivedAt = never;
     time_point changedAfter = never; ///< Time of the last earlier answer that would have shown the change.
+    std::uint64_t revision = 0; ///< Of the store, at least.
 };
 
 /** The targets of all services, as their entries in the metadata store describe them. */
--- a/src/libcrocusdealpolicy/targetentry.h
+++ b/src/libcrocusdealpolicy/targetentry.h
@@ -20,6 +20,7 @@
     bool isWarmingUp = false;
     /** Start time; a different one under the same id means that the target holds none of its earlier state. */
     std::uint64_t incarnation = 0;
+    std::uint64_t revision = 0; ///< Of the store, with the last change of the entry; 0 if it is not known.
 
     friend bool operator==(const target_entry &, const target_entry &) = default;
 };
--- a/tests/libcrocusdealpolicy/promotionworld.cpp
+++ b/tests/libcrocusdealpolicy/promotionworld.cpp
@@ -14,11 +14,17 @@
 constexpr duration entryTimeout{3000}; // From a crash until the entry goes.
 constexpr duration lossTime{250}; // Without a primary, until an attempt begins.
 constexpr duration retryTime{300};
+constexpr duration fenceLimit{1000}; // Until a fence counts as not answered.
 constexpr duration changeAfterFence{2000};
 constexpr std::uint32_t watchDelaySteps = 20; // Steps until a watch tells of a change, on average.
 constexpr int mostControlDelay = 30;
 constexpr int mostListDelay = 10;
 constexpr int mostOrderDelay = 6000;
+constexpr int mostListingDelay = 500;
+constexpr int mostStoreDelay = 300;
+constexpr int mostStatusDelay = 20;
+constexpr std::size_t instanceCount = 3;
+constexpr duration callerLimit{800}; // A commit that is held longer is in doubt for its caller.
 
 target_id numbered(int number)
 {
@@ -30,6 +36,7 @@
 promotion_world::promotion_world(std::uint32_t seed, const world_troubles &troubles)
     : m_random(seed)
     , m_troubles(troubles)
+    , m_lateFencesLeft(troubles.lateFences)
     , m_lateOrdersLeft(troubles.lateOrders)
 {
     for (int i = 0; i < 3; ++i) {
@@ -40,6 +47,10 @@
         m_databases.push_back(std::move(one));
     }
     m_lastPrimary = m_databases.front().id;
+    for (std::size_t i = 0; i < instanceCount; ++i) {
+        m_instances.emplace_back().storeDelay = randomTime(mostStoreDelay);
+    }
+    writeStore();
 }
 
 bool promotion_world::run(duration length)
@@ -50,12 +61,15 @@
     plan(planned_event::kind::Join, m_troubles.joins);
     plan(planned_event::kind::Deafen, m_troubles.deafReplicas);
     plan(planned_event::kind::Drain, m_troubles.isDrained ? 1 : 0);
+    plan(planned_event::kind::Cut, m_troubles.cuts);
     while (m_now < m_end && m_areAllCommitsKept) {
         m_now = m_now + stepTime;
         carryOutEvents();
         replicate();
         carryOutControls();
         carryOutOrders();
+        hearFromStore();
+        handOutCommits();
         keep();
     }
     return m_areAllCommitsKept;
@@ -66,6 +80,11 @@
     return m_promotions;
 }
 
+int promotion_world::handedOut() const
+{
+    return m_handedOut;
+}
+
 const std::string &promotion_world::history() const
 {
     return m_history;
@@ -94,6 +113,15 @@
         if (one.unlistedAt != never && m_now >= one.unlistedAt) {
             one.unlistedAt = never;
             one.isListed = false;
+            writeStore();
+        }
+        if (one.listAt != never && m_now >= one.listAt) {
+            one.listAt = never;
+            one.isListed = true;
+            one.isKnown = true;
+            one.listedIncarnation = one.incarnation;
+            one.listedAt = m_store.size() + 1;
+            writeStore();
         }
     }
     std::vector<planned_event> due;
@@ -133,7 +161,10 @@
             one.id = numbered(m_nextId++);
             one.address = 100 + m_nextId;
             one.term = m_term;
+            one.isListed = false;
+            one.isKnown = false;
             tell(one.id.str() + " joins");
+            list(one, randomTime(mostListingDelay));
             m_databases.push_back(std::move(one));
             break;
         }
@@ -149,6 +180,10 @@
                 tell(leader->id.str() + " drains");
             }
             break;
+        case planned_event::kind::Cut:
+            m_cutUntil = m_now + duration{500} + randomTime(2500);
+            tell("the keeper is cut off from the primary");
+            break;
         case planned_event::kind::Restart:
             restart(event.who);
             break;
@@ -180,7 +215,8 @@
     if (m_random() % 2 == 0) {
         ++one->incarnation;
         one->isRunning = true;
-        one->isListed = true;
+        one->restartedAt = m_now;
+        list(*one, randomTime(mostListingDelay));
         tell(id.str() + " is back with " + std::to_string(one->received));
         return;
     }
@@ -189,7 +225,9 @@
     one->unlistedAt = m_now + randomTime(3000);
     successor.id = numbered(m_nextId++);
     successor.isRunning = true;
-    successor.isListed = true;
+    successor.isListed = false;
+    successor.isKnown = false;
+    list(successor, randomTime(mostListingDelay));
     tell(successor.id.str() + " is what " + id.str() + " was, with " + std::to_string(successor.received));
     m_databases.push_back(std::move(successor));
 }
@@ -200,7 +238,14 @@
     if (leader == nullptr) {
         return;
     }
-    leader->received += m_random() % 2;
+    if (m_random() % 2 == 0) {
+        ++leader->received;
+        const auto by = m_random() % instanceCount;
+        if (by != 0 || !isKeeperCut()) {
+            m_commits.push_back({leader->received, leader->id, m_term, by, m_now, false, never});
+        }
+    }
+    std::uint64_t furthest = 0;
     for (auto &one : m_databases) {
         const bool receives = one.isRunning && !one.isPrimary && one.pausedTerm == 0 && m_now >= one.deafUntil;
         if (!receives || m_random() % 3 == 0) {
@@ -210,10 +255,100 @@
         const auto part = std::max<std::uint64_t>(5, leader->received / 20);
         one.received = std::min(leader->received, one.received + part);
         one.term = m_term;
-        m_acknowledged = std::max(m_acknowledged, one.received);
+        furthest = std::max(furthest, one.received);
+    }
+    for (auto &commit : m_commits) {
+        commit.isAcknowledged = commit.isAcknowledged || (commit.term == m_term && commit.number <= furthest);
     }
 }
 
+void promotion_world::list(database &one, duration delay)
+{
+    one.listAt = m_now + (m_troubles.isListedLate ? delay : duration{});
+}
+
+void promotion_world::writeStore()
+{
+    store_state state;
+    state.revision = m_store.size() + 1;
+    state.since = m_now;
+    if (m_isLeaseOpen) {
+        m_openSince = m_openSince == 0 ? state.revision : m_openSince;
+        state.lease = {"keeper", state.revision, promotion_lease_purpose::Promotion, m_openSince};
+    } else {
+        m_openSince = 0;
+    }
+    for (const auto &one : m_databases) {
+        if (one.isListed) {
+            state.targets.push_back({one.id, one.listedIncarnation, one.listedAt});
+        }
+    }
+    m_store.push_back(std::move(state));
+}
+
+void promotion_world::hearFromStore()
+{
+    for (auto &instance : m_instances) {
+        while (instance.statesSeen < m_store.size()
+               && m_now >= m_store[instance.statesSeen].since + instance.storeDelay) {
+            const auto &state = m_store[instance.statesSeen];
+            instance.witnesses.setTargets(state.targets, m_now);
+            instance.witnesses.recordLease(state.lease, state.revision, m_now);
+            ++instance.statesSeen;
+        }
+    }
+}
+
+void promotion_world::handOutCommits()
+{
+    for (auto &instance : m_instances) {
+        const auto &seen = m_databases[m_random() % m_databases.size()];
+        if (seen.isRunning) {
+            instance.known[seen.id] = {seen.term, seen.received};
+        }
+    }
+    for (auto &commit : m_commits) {
+        if (commit.handedOutAt == never && commit.isAcknowledged && isProved(commit)) {
+            commit.handedOutAt = m_now + randomTime(mostStatusDelay);
+        }
+        if (commit.handedOutAt != never && m_now >= commit.handedOutAt) {
+            m_acknowledged = std::max(m_acknowledged, commit.number);
+            ++m_handedOut;
+            if (commit.instance == 0) {
+                m_log.recordCommit({1, commit.number});
+            }
+        }
+    }
+    std::erase_if(m_commits, [&](const open_commit &commit) {
+        const bool isHandedOut = commit.handedOutAt != never && m_now >= commit.handedOutAt;
+        const bool isLost = !commit.isAcknowledged && commit.term != m_term;
+        return isHandedOut || isLost || m_now - commit.sentAt >= callerLimit;
+    });
+}
+
+bool promotion_world::isProved(const open_commit &commit)
+{
+    const auto &instance = m_instances[commit.instance];
+    const position at{commit.term, commit.number};
+    const auto isWitness = [&](const target_id &id) {
+        const auto *one = find(id);
+        return one != nullptr && id != commit.primary
+            && instance.witnesses.isWitness(id, one->restartedAt, commit.sentAt, m_now);
+    };
+    for (const auto &[id, log] : instance.known) {
+        if (holdsCommit(log, at) && isWitness(id)) {
+            return true;
+        }
+    }
+    const auto &asked = m_databases[m_random() % m_databases.size()];
+    return asked.isRunning && holdsCommit({asked.term, asked.received}, at) && isWitness(asked.id);
+}
+
+bool promotion_world::isKeeperCut() const
+{
+    return m_now < m_cutUntil;
+}
+
 void promotion_world::carryOutControls()
 {
     const auto pending = std::exchange(m_controls, {});
@@ -240,7 +375,8 @@
     }
     auto *one = find(id);
     const bool isSameLife = one != nullptr && one->incarnation == control.incarnation;
-    if (one == nullptr || !one->isRunning || !isSameLife) {
+    const bool isCut = one != nullptr && one->isPrimary && isKeeperCut();
+    if (one == nullptr || !one->isRunning || !isSameLife || isCut) {
         if (m_attempt) {
             m_attempt->statusMissing(id, m_now);
             if (one == nullptr || isKnownGone(*one)) {
@@ -269,6 +405,9 @@
 
 void promotion_world::carryOutOrders()
 {
+    for (const auto &[at, token] : m_lateFences) {
+        m_highestToken = m_now >= at ? std::max(m_highestToken, token) : m_highestToken;
+    }
     const auto pending = std::exchange(m_orders, {});
     for (auto order : pending) {
         if (order.effectiveAt != never) {
@@ -316,7 +455,7 @@
 {
     for (auto it = m_incarnations.begin(); it != m_incarnations.end();) {
         const auto *known = find(it->first);
-        const bool isKept = known != nullptr && known->incarnation == it->second && !isKnownGone(*known);
+        const bool isKept = known != nullptr && known->listedIncarnation == it->second && !isKnownGone(*known);
         if (isKept) {
             ++it;
             continue;
@@ -328,15 +467,9 @@
         m_incarnations.emplace(member.id, member.incarnation);
     }
     const auto *leader = primary();
-    if (leader == nullptr) {
-        return;
-    }
-    if (m_random() % 8 == 0) {
+    if (leader != nullptr && !isKeeperCut() && m_random() % 8 == 0) {
         m_log.recordPrimary(leader->id, m_term, {1, leader->received}, m_now);
     }
-    if (m_random() % 2 == 0) {
-        m_log.recordCommit({1, m_acknowledged}); // The other half is acknowledged by other instances.
-    }
 }
 
 void promotion_world::keep()
@@ -348,7 +481,7 @@
         stepAttempt();
         return;
     }
-    const auto *leader = primary();
+    const auto *leader = isKeeperCut() ? nullptr : primary();
     if (leader == nullptr) {
         m_noPrimarySince = m_noPrimarySince == never ? m_now : m_noPrimarySince;
         const bool isLogKnown = m_log.isCovered(m_term);
@@ -360,9 +493,13 @@
     m_noPrimarySince = never;
     m_lastPrimary = leader->id;
     if (m_isOrderOpen) {
-        fenceOrder();
+        if (m_now >= m_retryAt) {
+            fenceOrder();
+        }
     } else if (m_heldUntil != never && m_now >= m_heldUntil) {
         m_heldUntil = never;
+        m_isLeaseOpen = false;
+        writeStore();
         endPauses();
     } else if (leader->isDraining && m_heldUntil == never && m_now >= m_retryAt) {
         beginAttempt(promotion_reason::PrimaryDraining);
@@ -373,11 +510,13 @@
 {
     std::vector<promotion_member> members;
     for (const auto &one : m_databases) {
-        if (!isKnownGone(one)) {
-            members.push_back({one.id, one.isDraining, false, false, one.incarnation});
+        if (one.isKnown && !isKnownGone(one)) {
+            members.push_back({one.id, one.isDraining, false, false, one.listedIncarnation});
         }
     }
     ++m_token;
+    m_isLeaseOpen = true;
+    writeStore();
     m_isListAsked = false;
     m_attempt.emplace(reason, m_lastPrimary, std::move(members), true, m_now);
     if (m_isOrderOpen) {
@@ -456,6 +595,10 @@
     }
     m_attempt.reset();
     m_noPrimarySince = never;
+    if (!m_isOrderOpen && m_heldUntil == never) {
+        m_isLeaseOpen = false;
+        writeStore();
+    }
     m_retryAt = m_now + retryTime;
 }
 
@@ -463,6 +606,13 @@
 {
     // Names the primary in place, so that nothing changes; the pauses end with it.
     ++m_token;
+    if (m_lateFencesLeft > 0) {
+        --m_lateFencesLeft;
+        m_lateFences.emplace_back(m_now + randomTime(mostOrderDelay), m_token);
+        m_retryAt = m_now + fenceLimit;
+        tell("the fence gets no answer");
+        return;
+    }
     m_highestToken = m_token;
     m_isOrderOpen = false;
     m_heldUntil = m_now + changeAfterFence;
@@ -495,7 +645,7 @@
     std::vector<promotion_member> members;
     for (const auto &one : m_databases) {
         if (one.isListed) {
-            members.push_back({one.id, one.isDraining, false, false, one.incarnation});
+            members.push_back({one.id, one.isDraining, false, false, one.listedIncarnation});
         }
     }
     return members;
--- a/tests/libcrocusdealpolicy/promotionworld.h
+++ b/tests/libcrocusdealpolicy/promotionworld.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "acknowledgedlog.h"
+#include "commitwitnesses.h"
 #include "promotionattempt.h"
 
 #include <cstdint>
@@ -21,14 +22,18 @@
     int deafReplicas = 0; ///< Receive nothing for a while.
     int lateOrders = 0; ///< Get no answer; carried out seconds later, if their token still holds.
     bool isDrained = false; ///< The primary is to be replaced.
+    int cuts = 0; ///< The keeper does not reach the primary for a while, which serves the other instances.
+    int lateFences = 0; ///< Get no answer, and are carried out seconds later.
+    bool isListedLate = false; ///< Databases receive as soon as they start, and are listed up to half a second later.
     bool mayOrderedTargetCrash = false; ///< Between the order that names it and its lead.
 };
 
 /**
- * A service and one instance that keeps its primary: databases crash, start again and join, orders are carried out
- * late.
+ * A service and its instances, of which the first keeps its primary: databases crash, start again and join, orders are
+ * carried out late.
  *
- * The instance does what promotion_run and primary_keeper do around promotion_attempt, without their delays by sockets.
+ * The keeper does what promotion_run and primary_keeper do around promotion_attempt, without their delays by sockets.
+ * All instances send commits and hand them out as commit_proof does; what they know of the store is old.
  */
 class promotion_world
 {
@@ -38,6 +43,8 @@
     /** False if an acknowledged commit was not in the log of a database that was promoted. */
     bool run(duration length);
     int promotions() const;
+    /** Commits that callers were told of. */
+    int handedOut() const;
     /** What happened, for a failed history. */
     const std::string &history() const;
 
@@ -47,9 +54,14 @@
         std::uint64_t incarnation = 1;
         int address = 0;
         bool isRunning = true;
+        time_point restartedAt = never; ///< The instances notice by their connections.
         bool isPrimary = false;
         bool isDraining = false;
         bool isListed = true;
+        bool isKnown = true; ///< Has been listed before.
+        std::uint64_t listedAt = 1; ///< Revision.
+        std::uint64_t listedIncarnation = 1;
+        time_point listAt = never; ///< When the entry of one that has started comes.
         std::uint64_t term = 1;
         std::uint64_t received = 0;
         std::uint64_t pausedTerm = 0;
@@ -57,7 +69,7 @@
         time_point unlistedAt = never; ///< When the entry of one that has crashed goes.
     };
     struct planned_event {
-        enum class kind { CrashReplica, CrashPrimary, Join, Deafen, Drain, Restart } what;
+        enum class kind { CrashReplica, CrashPrimary, Join, Deafen, Drain, Cut, Restart } what;
         time_point at;
         target_id who; ///< Of a restart.
     };
@@ -75,11 +87,41 @@
         bool isAnswered = true;
     };
 
+    /** What the store holds at one revision. */
+    struct store_state {
+        std::uint64_t revision = 0;
+        time_point since;
+        std::vector<listed_target> targets;
+        std::optional<promotion_lease_record> lease; ///< While a command may be open.
+    };
+    struct caller_instance {
+        commit_witnesses witnesses;
+        std::map<target_id, position> known; ///< Positions that were seen in answers.
+        duration storeDelay;
+        std::size_t statesSeen = 0;
+    };
+    struct open_commit {
+        std::uint64_t number = 0;
+        target_id primary;
+        std::uint64_t term = 0;
+        std::size_t instance = 0;
+        time_point sentAt;
+        bool isAcknowledged = false; ///< By the primary.
+        time_point handedOutAt = never;
+    };
+
     void plan(planned_event::kind what, int count);
     void carryOutEvents();
     void crash(database &one, duration downTime);
     void restart(const target_id &id);
     void replicate();
+    void writeStore();
+    void hearFromStore();
+    /** Hands out the commits that are known to survive. */
+    void handOutCommits();
+    bool isProved(const open_commit &commit);
+    bool isKeeperCut() const;
+    void list(database &one, duration delay);
     void carryOutControls();
     void answer(const pending_control &control);
     void carryOutOrders();
@@ -119,6 +161,14 @@
     bool m_isOrderOpen = false;
     bool m_isListAsked = false;
     time_point m_listAnswersAt = never;
+    std::vector<store_state> m_store;
+    std::vector<caller_instance> m_instances;
+    std::vector<open_commit> m_commits;
+    bool m_isLeaseOpen = false;
+    std::uint64_t m_openSince = 0;
+    time_point m_cutUntil = never;
+    int m_lateFencesLeft = 0;
+    std::vector<std::pair<time_point, std::uint64_t>> m_lateFences; ///< Tokens that arrive later.
     std::uint64_t m_token = 0;
     std::uint64_t m_highestToken = 0;
     std::uint64_t m_acknowledged = 0;
@@ -126,6 +176,7 @@
     int m_lateOrdersLeft = 0;
     int m_nextId = 3;
     int m_promotions = 0;
+    int m_handedOut = 0;
     bool m_areAllCommitsKept = true;
     std::string m_history;
 };
--- a/tests/libcrocusdealpolicy/promotionworldtest.cpp
+++ b/tests/libcrocusdealpolicy/promotionworldtest.cpp
@@ -22,14 +22,17 @@
 void assertCommitsAreKept(const world_troubles &troubles)
 {
     int promotions = 0;
+    int handedOut = 0;
     for (int seed = 0; seed < historyCount(); ++seed) {
         promotion_world world(static_cast<std::uint32_t>(seed), troubles);
         const bool isKept = world.run(12000_ms);
         CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + "\n" + world.history(), isKept);
         promotions += world.promotions();
+        handedOut += world.handedOut();
     }
     // Guards against a vacuous pass, in which hardly any history gets as far as a promotion.
     CPPUNIT_ASSERT(promotions > historyCount() / 4);
+    CPPUNIT_ASSERT(handedOut > historyCount() * 200);
 }
 
 }
@@ -44,6 +47,10 @@
     CPPUNIT_TEST(orderIsCarriedOutLate);
     CPPUNIT_TEST(plannedChangeIsCarriedOutLate);
     CPPUNIT_TEST(orderedTargetStartsAgainBeforeItLeads);
+    CPPUNIT_TEST(targetAcknowledgesBeforeItIsListed);
+    CPPUNIT_TEST(unlistedTargetAcknowledgesDuringAPlannedChange);
+    CPPUNIT_TEST(supersedingCommandIsCarriedOutLate);
+    CPPUNIT_TEST(replicaStartsAgainUnlisted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -115,6 +122,50 @@
         troubles.mayOrderedTargetCrash = true;
         assertCommitsAreKept(troubles);
     }
+
+    /** Guards against handing out what only a target holds that the list of the keeper did not name yet. */
+    void targetAcknowledgesBeforeItIsListed()
+    {
+        world_troubles troubles;
+        troubles.cuts = 2;
+        troubles.joins = 4;
+        troubles.isListedLate = true;
+        assertCommitsAreKept(troubles);
+    }
+
+    /** Guards against the same beside a primary that serves until it is replaced. */
+    void unlistedTargetAcknowledgesDuringAPlannedChange()
+    {
+        world_troubles troubles;
+        troubles.isDrained = true;
+        troubles.joins = 4;
+        troubles.isListedLate = true;
+        assertCommitsAreKept(troubles);
+    }
+
+    /** Guards against a command that could not be superseded and is carried out once nobody watches the targets. */
+    void supersedingCommandIsCarriedOutLate()
+    {
+        world_troubles troubles;
+        troubles.primaryCrashes = 1;
+        troubles.cuts = 1;
+        troubles.joins = 3;
+        troubles.lateOrders = 2;
+        troubles.lateFences = 3;
+        troubles.isListedLate = true;
+        assertCommitsAreKept(troubles);
+    }
+
+    /** Guards against taking a replica that has started again, without its log and its pause, for what it was. */
+    void replicaStartsAgainUnlisted()
+    {
+        world_troubles troubles;
+        troubles.cuts = 1;
+        troubles.replicaCrashes = 2;
+        troubles.joins = 1;
+        troubles.isListedLate = true;
+        assertCommitsAreKept(troubles);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(promotion_world_test);
--- /dev/null
+++ b/tests/platform/frontcommittest.cpp
@@ -0,0 +1,198 @@
+#include "frontworld.h"
+
+#include "systemclock.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace crocusdeal;
+using namespace crocusdeal::test;
+using namespace crocusdeal::literals;
+
+namespace
+{
+
+/** Another instance has claimed the lease, and paused the replicas that it knows. */
+void beginChangeOfAnother(front_world &world)
+{
+    const auto found = world.store.leases.find("svc");
+    world.store.claimPromotionLease(service_id("svc"),
+                                    {"other", promotion_lease_purpose::Promotion},
+                                    found == world.store.leases.end() ? std::nullopt
+                                                                      : std::optional(found->second.revision),
+                                    [](const promotion_lease_update &) {});
+    world.group.at("b").pausedAt = 5;
+    world.group.at("c").pausedAt = 5;
+}
+
+void settleChangeOfAnother(front_world &world)
+{
+    world.store.claimPromotionLease(service_id("svc"),
+                                    {"other", promotion_lease_purpose::Settled},
+                                    world.store.leases.at("svc").revision,
+                                    [](const promotion_lease_update &) {});
+}
+
+void settle(front_world &world)
+{
+    // The instance's own claim in advance comes after one to nine seconds.
+    CPPUNIT_ASSERT(world.runUntil([&] { return !world.store.leases.empty(); }, 10000_ms));
+    world.runFor(100_ms);
+}
+
+}
+
+class front_commit_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(front_commit_test);
+    CPPUNIT_TEST(commitThatOnlyAnUnlistedReplicaHoldsIsNotHandedOut);
+    CPPUNIT_TEST(commitOfATransactionIsHeldBackAsWell);
+    CPPUNIT_TEST(replicaListedDuringAChangeProvesNothingUntilItIsOver);
+    CPPUNIT_TEST(replicaListedWithoutAChangeProvesCommits);
+    CPPUNIT_TEST(heldCommitIsHandedOutOnceAKnownReplicaHasIt);
+    CPPUNIT_TEST(heldCommitIsInDoubtWhenThePrimaryChanges);
+    CPPUNIT_TEST(silentReplicaDoesNotHoldCommitsBack);
+    CPPUNIT_TEST(callerThatLeavesWhileItsCommitIsHeld);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against LOST: a replica that no list has yet acknowledges, while an order that overlooks it is open. */
+    void commitThatOnlyAnUnlistedReplicaHoldsIsNotHandedOut()
+    {
+        front_world world;
+        world.start();
+        settle(world);
+        const auto client = world.connect("fresh");
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        beginChangeOfAnother(world);
+        world.group.add("d");
+        assertContains("ERROR INDOUBT", world.ask(*client, "WRITE 2 y"));
+        CPPUNIT_ASSERT_EQUAL(1, timesRun(world.group.at("a"), "WRITE 2 y"));
+    }
+
+    /** Guards against LOST by a commit that takes another way than a single write. */
+    void commitOfATransactionIsHeldBackAsWell()
+    {
+        front_world world;
+        world.start();
+        settle(world);
+        const auto client = world.connect("fresh");
+        world.ask(*client, "BEGIN");
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        assertContains("COMPLETE sig", world.ask(*client, "COMMIT"));
+        beginChangeOfAnother(world);
+        world.group.add("d");
+        world.ask(*client, "BEGIN");
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 2 y"));
+        assertContains("ERROR INDOUBT", world.ask(*client, "COMMIT"));
+        assertContains("READY I", world.ask(*client, "ROLLBACK"));
+    }
+
+    /** Guards against LOST: the list that the other instance has read may be older than the entry. */
+    void replicaListedDuringAChangeProvesNothingUntilItIsOver()
+    {
+        front_world world;
+        world.start();
+        settle(world);
+        const auto client = world.connect("fresh");
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        beginChangeOfAnother(world);
+        world.addDatabase("d");
+        world.runFor(200_ms);
+        assertContains("ERROR INDOUBT", world.ask(*client, "WRITE 2 y"));
+        settleChangeOfAnother(world);
+        world.runFor(200_ms);
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 3 z"));
+    }
+
+    /** Guards against writes without an answer after a release that has replaced every replica. */
+    void replicaListedWithoutAChangeProvesCommits()
+    {
+        front_world world;
+        world.start();
+        settle(world);
+        const auto client = world.connect("fresh");
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        world.addDatabase("d");
+        world.runFor(200_ms);
+        world.group.at("b").faults.isDeaf = true;
+        world.group.at("c").faults.isDeaf = true;
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 2 y"));
+    }
+
+    /** Guards against an outcome in doubt where waiting a little is enough. */
+    void heldCommitIsHandedOutOnceAKnownReplicaHasIt()
+    {
+        front_world world;
+        world.start();
+        settle(world);
+        const auto client = world.connect("fresh");
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        auto &replica = world.group.at("b");
+        replica.faults.isDeaf = true;
+        world.group.at("c").faults.isDeaf = true;
+        client->send("QUERY 00000000000000aa WRITE 2 y");
+        world.runFor(150_ms);
+        CPPUNIT_ASSERT(!client->hasAnswer());
+        replica.received = world.group.at("a").received;
+        CPPUNIT_ASSERT(world.runUntil([&] { return client->hasAnswer(); }, 300_ms));
+        assertContains("COMPLETE sig", client->takeAnswer());
+    }
+
+    /** Guards against a wait for a proof that cannot come any more. */
+    void heldCommitIsInDoubtWhenThePrimaryChanges()
+    {
+        front_world world;
+        world.start();
+        settle(world);
+        const auto client = world.connect("fresh");
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        beginChangeOfAnother(world);
+        client->send("QUERY 00000000000000aa WRITE 2 y");
+        world.runFor(100_ms);
+        CPPUNIT_ASSERT(!client->hasAnswer());
+        world.group.promote("b");
+        CPPUNIT_ASSERT(world.runUntil([&] { return client->hasAnswer(); }, 300_ms));
+        assertContains("ERROR INDOUBT", client->takeAnswer());
+    }
+
+    /** Guards against commits that wait for the answer of one replica that has gone silent. */
+    void silentReplicaDoesNotHoldCommitsBack()
+    {
+        front_world world;
+        world.start();
+        settle(world);
+        const auto client = world.connect("fresh");
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        world.group.at("b").faults.controlDelay = 3000_ms;
+        for (int i = 0; i < 4; ++i) {
+            const auto sentAt = systemNow();
+            assertContains("COMPLETE sig", world.ask(*client, "WRITE 2 y"));
+            CPPUNIT_ASSERT((systemNow() - sentAt) < 150_ms);
+        }
+    }
+
+    /** Guards against an answer to a session that is gone, and against a connection that is left behind. */
+    void callerThatLeavesWhileItsCommitIsHeld()
+    {
+        front_world world;
+        world.start();
+        settle(world);
+        const auto client = world.connect("fresh");
+        world.ask(*client, "BEGIN");
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        world.group.at("b").faults.isDeaf = true;
+        world.group.at("c").faults.isDeaf = true;
+        client->send("QUERY 00000000000000aa COMMIT");
+        world.runFor(100_ms);
+        client->close();
+        world.runFor(100_ms);
+        world.group.at("b").faults.isDeaf = false;
+        world.group.at("c").faults.isDeaf = false;
+        const auto other = world.connect("fresh");
+        assertContains("COMPLETE sig", world.ask(*other, "WRITE 2 y"));
+        assertContains("COMPLETE sig", world.ask(*other, "READ 1"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(front_commit_test);
--- a/tests/platform/frontfailovertest.cpp
+++ b/tests/platform/frontfailovertest.cpp
@@ -21,8 +21,7 @@
 void leaveOrderOpen(front_world &world, const std::string &target, duration delay)
 {
     world.store.claimPromotionLease(service_id("svc"),
-                                    "dead",
-                                    promotion_lease_purpose::Promotion,
+                                    {"dead", promotion_lease_purpose::Promotion},
                                     std::nullopt,
                                     [](const promotion_lease_update &) {});
     const auto token = world.store.leases.at("svc").revision;
@@ -128,6 +127,7 @@
         world.group.at("c").faults.isDeaf = true;
         assertContains("COMPLETE", world.ask(*client, "WRITE 2 y"));
         world.group.at("a").crash();
+        world.group.at("c").faults.isDeaf = false; // A commit needs a replica that receives.
         const auto crashed = systemNow();
         CPPUNIT_ASSERT(writesAgain(world));
         CPPUNIT_ASSERT((systemNow() - crashed) < 1600_ms);
@@ -281,8 +281,7 @@
         CPPUNIT_ASSERT(world.runUntil([&] { return world.store.leases.contains("svc"); }));
         world.runFor(1000_ms);
         world.store.claimPromotionLease(service_id("svc"),
-                                        "other",
-                                        promotion_lease_purpose::Promotion,
+                                        {"other", promotion_lease_purpose::Promotion},
                                         world.store.leases.at("svc").revision,
                                         [](const promotion_lease_update &) {});
         world.store.loseOrders = false;
@@ -368,8 +367,7 @@
         bool isTaken = false;
         world.store.claimPromotionLease(
             service_id("svc"),
-            "other",
-            promotion_lease_purpose::Promotion,
+            {"other", promotion_lease_purpose::Promotion},
             world.store.leases.at("svc").revision,
             [&](const promotion_lease_update &update) { isTaken = update.failure == store_failure::None; });
         missing.listen();
@@ -443,6 +441,7 @@
         world.runFor(3000_ms);
         CPPUNIT_ASSERT(world.store.orders.empty());
         world.group.at("c").listen();
+        world.group.at("b").faults.isDeaf = false; // A commit needs a replica that receives.
         world.publishEntry("c", false);
         CPPUNIT_ASSERT(writesAgain(world));
         CPPUNIT_ASSERT_EQUAL(std::string("c"), world.store.orders.front().target);
@@ -491,8 +490,7 @@
     {
         front_world world;
         world.store.claimPromotionLease(service_id("svc"),
-                                        "other",
-                                        promotion_lease_purpose::Standby,
+                                        {"other", promotion_lease_purpose::Standby},
                                         std::nullopt,
                                         [](const promotion_lease_update &) {});
         world.start();
--- a/tests/platform/memorystore.cpp
+++ b/tests/platform/memorystore.cpp
@@ -39,8 +39,9 @@
 
 void memory_store::putTarget(const target_entry &entry)
 {
-    m_targets[entry.id.str()] = entry;
     m_targetRevision = ++m_revision;
+    auto &stored = m_targets[entry.id.str()] = entry;
+    stored.revision = m_targetRevision;
 }
 
 void memory_store::removeTarget(const std::string &id)
@@ -115,7 +116,7 @@
     promotion_lease_list_update update;
     update.revision = m_revision;
     for (const auto &[service, lease] : leases) {
-        update.entries.push_back({service_id(service), lease.holder, lease.revision, lease.purpose});
+        update.entries.push_back({service_id(service), lease.holder, lease.revision, lease.purpose, lease.openSince});
     }
     answer(std::move(done), std::move(update));
 }
@@ -126,8 +127,7 @@
 }
 
 void memory_store::claimPromotionLease(const service_id &service,
-                                       const std::string &holder,
-                                       promotion_lease_purpose purpose,
+                                       const promotion_lease_claim &claim,
                                        std::optional<std::uint64_t> replaces,
                                        std::function<void(promotion_lease_update)> done)
 {
@@ -144,9 +144,10 @@
         update = found->second;
         update.failure = store_failure::Conflict;
     } else {
-        update.holder = holder;
+        update.holder = claim.holder;
         update.revision = ++m_revision;
-        update.purpose = purpose;
+        update.purpose = claim.purpose;
+        update.openSince = claim.openSince;
         leases[service.str()] = update;
     }
     answer(std::move(done), std::move(update));
