--- a/src/libcrocusdealfront/commitproof.cpp
+++ b/src/libcrocusdealfront/commitproof.cpp
@@ -158,13 +158,14 @@
         const bool isUsable = !pool.isFailing(now) && !pool.isSilent(now);
         return std::tuple(isUsable, !pool.entry().isDraining, id == m_lastHolder, pool.connections() > 0);
     };
-    for (const auto &[id, pool] : m_targets) {
+    for (const auto &target : m_targets) {
+        const auto &id = target.first;
         const bool isOfUse = std::any_of(
             m_held.begin(), m_held.end(), [&](const held_commit &held) { return isWitness(id, held.commit); });
         if (!isOfUse || m_askedInRound.contains(id) || m_unanswered.contains(id)) {
             continue;
         }
-        if (!best || rank(id, *pool) > rank(*best, *m_targets.at(*best))) {
+        if (!best || rank(id, *target.second) > rank(*best, *m_targets.at(*best))) {
             best = id;
         }
     }
