Keep the sightings while a change of the primary is being claimed

What callers saw: writes of a service waited for 12 s and more beside a draining primary (review/standin restarted-choice, rc 2; the third entry of KNOWN-RED, not traced until now).

Cause: after an order without an answer a planned change may name only the replica that is left unpaused. The keeper learns it from its sightings, claims the lease, reads the list and looks at the sightings again. Meanwhile a waiting write reports that the draining primary takes no work; that suspicion discarded the sightings, the attempt did not begin, and the next claim met the same.

Ruled out: a replica that does not catch up (claims 112 to 191 of the kept logs have no attempt at all); a second holder.

--- a/src/libcrocusdealfront/primarykeeper.cpp
+++ b/src/libcrocusdealfront/primarykeeper.cpp
@@ -207,7 +207,10 @@
     }
     if (m_suspectedSince == never) {
         m_suspectedSince = systemNow();
-        m_sightings.discardReplies();
+        // A change that is being claimed begins from what was seen when it was decided.
+        if (!isClaiming()) {
+            m_sightings.discardReplies();
+        }
     }
     if (m_tick == 0) {
         scheduleTick({});
--- a/tests/platform/frontfailovertest.cpp
+++ b/tests/platform/frontfailovertest.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(orderLeftOpenByADeadInstanceIsFenced);
     CPPUNIT_TEST(targetOfADeadHoldersOrderIsNotPausedForAnother);
     CPPUNIT_TEST(changeWaitsForAPromotionUnderWay);
+    CPPUNIT_TEST(suspicionDuringAClaimDoesNotStopAPlannedChange);
     CPPUNIT_TEST(newerHolderIsNotDisplacedToFenceALateOrder);
     CPPUNIT_TEST(drainingPrimaryIsReplacedWithoutARefusal);
     CPPUNIT_TEST(missingReplicaHoldsThePromotionBack);
@@ -268,6 +269,33 @@
         CPPUNIT_ASSERT(world.runUntil([&] { return !world.group.at("a").isPrimary; }, 3000_ms));
     }
 
+    /**
+     * Guards against a planned change that is claimed again and again and never begins: writes that wait for a draining
+     * primary raise a suspicion during each claim, which made the instance forget which replica is the only unpaused
+     * one.
+     */
+    void suspicionDuringAClaimDoesNotStopAPlannedChange()
+    {
+        front_world world;
+        world.settings.drainTime = 1600_ms;
+        world.group.at("c").pausedAt = 2;
+        leaveOrderOpen(world, "b", 60000_ms);
+        world.start();
+        const auto client = world.connect("fresh");
+        world.publishEntry("a", true);
+        int writes = 0;
+        CPPUNIT_ASSERT(world.runUntil(
+            [&] {
+                if (client->hasAnswer()) {
+                    client->takeAnswer();
+                }
+                client->send("QUERY q" + std::to_string(++writes) + " WRITE 1 x");
+                world.runFor(5_ms);
+                return world.group.at("b").isPrimary;
+            },
+            15000_ms));
+    }
+
     /** Guards against ONE: two instances that take turns in ordering within the lease. */
     void newerHolderIsNotDisplacedToFenceALateOrder()
     {
