--- a/tests/platform/frontcommittest.cpp
+++ b/tests/platform/frontcommittest.cpp
@@ -33,11 +33,16 @@
                                     [](const promotion_lease_update &) {});
 }
 
-void settle(front_world &world)
+/** Starts the world and gives a caller that has written once, while no order is open. */
+std::unique_ptr<line_client> beginWriting(front_world &world)
 {
+    world.start();
     // The instance's own claim in advance comes after one to nine seconds.
     CPPUNIT_ASSERT(world.runUntil([&] { return !world.store.leases.empty(); }, 10000_ms));
     world.runFor(100_ms);
+    auto client = world.connect("fresh");
+    assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+    return client;
 }
 
 }
@@ -60,10 +65,7 @@
     void commitThatOnlyAnUnlistedReplicaHoldsIsNotHandedOut()
     {
         front_world world;
-        world.start();
-        settle(world);
-        const auto client = world.connect("fresh");
-        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        const auto client = beginWriting(world);
         beginChangeOfAnother(world);
         world.group.add("d");
         assertContains("ERROR INDOUBT", world.ask(*client, "WRITE 2 y"));
@@ -74,9 +76,7 @@
     void commitOfATransactionIsHeldBackAsWell()
     {
         front_world world;
-        world.start();
-        settle(world);
-        const auto client = world.connect("fresh");
+        const auto client = beginWriting(world);
         world.ask(*client, "BEGIN");
         assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
         assertContains("COMPLETE sig", world.ask(*client, "COMMIT"));
@@ -92,10 +92,7 @@
     void replicaListedDuringAChangeProvesNothingUntilItIsOver()
     {
         front_world world;
-        world.start();
-        settle(world);
-        const auto client = world.connect("fresh");
-        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        const auto client = beginWriting(world);
         beginChangeOfAnother(world);
         world.addDatabase("d");
         world.runFor(200_ms);
@@ -109,10 +106,7 @@
     void replicaListedWithoutAChangeProvesCommits()
     {
         front_world world;
-        world.start();
-        settle(world);
-        const auto client = world.connect("fresh");
-        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        const auto client = beginWriting(world);
         world.addDatabase("d");
         world.runFor(200_ms);
         world.group.at("b").faults.isDeaf = true;
@@ -124,10 +118,7 @@
     void heldCommitIsHandedOutOnceAKnownReplicaHasIt()
     {
         front_world world;
-        world.start();
-        settle(world);
-        const auto client = world.connect("fresh");
-        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        const auto client = beginWriting(world);
         auto &replica = world.group.at("b");
         replica.faults.isDeaf = true;
         world.group.at("c").faults.isDeaf = true;
@@ -143,10 +134,7 @@
     void heldCommitIsInDoubtWhenThePrimaryChanges()
     {
         front_world world;
-        world.start();
-        settle(world);
-        const auto client = world.connect("fresh");
-        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        const auto client = beginWriting(world);
         beginChangeOfAnother(world);
         client->send("QUERY 00000000000000aa WRITE 2 y");
         world.runFor(100_ms);
@@ -160,10 +148,7 @@
     void silentReplicaDoesNotHoldCommitsBack()
     {
         front_world world;
-        world.start();
-        settle(world);
-        const auto client = world.connect("fresh");
-        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        const auto client = beginWriting(world);
         world.group.at("b").faults.controlDelay = 3000_ms;
         const auto begunAt = systemNow();
         for (int i = 0; i < 4; ++i) {
@@ -177,9 +162,7 @@
     void callerThatLeavesWhileItsCommitIsHeld()
     {
         front_world world;
-        world.start();
-        settle(world);
-        const auto client = world.connect("fresh");
+        const auto client = beginWriting(world);
         world.ask(*client, "BEGIN");
         assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
         world.group.at("b").faults.isDeaf = true;
