Log what proved the last commit, and what an order relied on

Ruled out: a line for each commit (hundreds a second). Before: promotion_ordered names the target and a position. After: promotion_proof and promotion_member before each order, last_commit_told when the primary changes here, target_contact_lost and target_contact, and log_lost says why. At most a few lines a change. test_libcrocusdealpolicy 118 passed, test_platform 105 passed (plain build).

--- a/src/libcrocusdealfront/commitproof.cpp
+++ b/src/libcrocusdealfront/commitproof.cpp
@@ -33,7 +33,8 @@
 
 commit_proof::ticket commit_proof::prove(const sent_commit &commit, std::function<void(bool isKept)> done)
 {
-    if (isHeld(commit)) {
+    if (const auto holder = holderOf(commit)) {
+        recordTold(commit, *holder, false);
         done(true);
         return 0;
     }
@@ -73,16 +74,52 @@
         && m_witnesses.isWitness(target, found->second->reconnectedAt(), commit.sentAt, systemNow());
 }
 
-bool commit_proof::isHeld(const sent_commit &commit) const
+std::optional<target_id> commit_proof::holderOf(const sent_commit &commit) const
 {
-    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto &target) {
+    const auto found = std::find_if(m_targets.begin(), m_targets.end(), [&](const auto &target) {
         return holdsCommit(target.second->knownPosition(), commit.at) && isWitness(target.first, commit);
     });
+    return found == m_targets.end() ? std::nullopt : std::optional(found->first);
 }
 
 void commit_proof::finishHeld()
 {
-    finish([this](const held_commit &held) { return isHeld(held.commit) ? std::optional(true) : std::nullopt; });
+    finish([this](const held_commit &held) -> std::optional<bool> {
+        const auto holder = holderOf(held.commit);
+        if (!holder) {
+            return std::nullopt;
+        }
+        recordTold(held.commit, *holder, false);
+        return true;
+    });
+}
+
+void commit_proof::recordTold(const sent_commit &commit, const target_id &witness, bool wasAsked)
+{
+    if (!m_lastTold || m_lastTold->commit.at < commit.at) {
+        m_lastTold = {commit, witness, systemNow(), wasAsked};
+    }
+}
+
+void commit_proof::tellLast(const std::optional<target_id> &next) const
+{
+    if (!m_lastTold) {
+        return;
+    }
+    const auto now = systemNow();
+    const auto found = m_targets.find(m_lastTold->witness);
+    const bool isWitnessListed = found != m_targets.end();
+    m_context.log.info("last_commit_told")
+        .field("service", m_service.str())
+        .field("leader", next ? next->str() : "none")
+        .field("commit", toString(m_lastTold->commit.at))
+        .field("primary", m_lastTold->commit.primary.str())
+        .field("sent_ms_ago", (now - m_lastTold->commit.sentAt).ms)
+        .field("told_ms_ago", (now - m_lastTold->toldAt).ms)
+        .field("witness", m_lastTold->witness.str())
+        .field("by", m_lastTold->wasAsked ? "status" : "earlier_answer")
+        .field("incarnation", isWitnessListed ? static_cast<std::int64_t>(found->second->entry().incarnation) : 0)
+        .field("evidence", m_witnesses.describe(m_lastTold->witness, now));
 }
 
 void commit_proof::finish(const std::function<std::optional<bool>(const held_commit &)> &verdict)
@@ -188,6 +225,7 @@
         // A busy target refuses the status, and tells the position up to which it has applied its log.
         const bool isReceived = holdsCommit(known, at) || (reply.report && holdsCommit(reply.report->received, at));
         if (isReceived && isWitness(target, held.commit)) {
+            recordTold(held.commit, target, true);
             return true;
         }
         const bool isTermOver = reply.report && reply.report->term > at.term;
--- a/src/libcrocusdealfront/commitproof.h
+++ b/src/libcrocusdealfront/commitproof.h
@@ -47,6 +47,8 @@
     void cancel(ticket number);
     /** Looks again, since there may be more witnesses now. */
     void check();
+    /** Logs which commit was told last, and by which evidence; @p next leads from now on. */
+    void tellLast(const std::optional<target_id> &next) const;
     /** Asks no target any more. */
     void stop();
 
@@ -59,9 +61,18 @@
         std::function<void(bool)> done;
     };
 
+    /** The evidence for a commit that was told. */
+    struct told_commit {
+        sent_commit commit;
+        target_id witness;
+        time_point toldAt = never;
+        bool wasAsked = false; ///< Of its status, rather than known from an earlier answer.
+    };
+
     bool isWitness(const target_id &target, const sent_commit &commit) const;
-    /** Whether a witness is known to hold the commit, without asking. */
-    bool isHeld(const sent_commit &commit) const;
+    /** A witness that is known to hold the commit, without asking. */
+    std::optional<target_id> holderOf(const sent_commit &commit) const;
+    void recordTold(const sent_commit &commit, const target_id &witness, bool wasAsked);
     void finishHeld();
     void finish(const std::function<std::optional<bool>(const held_commit &)> &verdict);
     /** Asks one more witness, or ends the round of questions if all have been asked. */
@@ -80,6 +91,7 @@
     std::vector<held_commit> m_held;
     std::set<target_id> m_askedInRound;
     std::set<target_id> m_unanswered;
+    std::optional<told_commit> m_lastTold; ///< The highest one.
     std::optional<target_id> m_lastHolder; ///< The witness that held a commit last is asked first.
     ticket m_lastTicket = 0;
     int m_vainRounds = 0;
--- a/src/libcrocusdealfront/primarykeeper.cpp
+++ b/src/libcrocusdealfront/primarykeeper.cpp
@@ -584,9 +584,15 @@
             continue;
         }
         m_group->acknowledged().recordLostLog(it->first, now);
+        const bool hasStartedAgain = known != nullptr && known->entry.incarnation != it->second;
         m_context.log.info("log_lost")
             .field("service", m_group->id().str())
             .field("target", it->first.str())
+            .field("why",
+                   known == nullptr      ? "unlisted"
+                       : hasStartedAgain ? "started_again"
+                                         : "left")
+            .field("incarnation", static_cast<std::int64_t>(it->second))
             .field("required", toString(m_group->acknowledged().required()));
         it = m_incarnations.erase(it);
         isAnyLost = true;
--- a/src/libcrocusdealfront/promotionrun.cpp
+++ b/src/libcrocusdealfront/promotionrun.cpp
@@ -230,11 +230,28 @@
         return;
     }
     m_hasOrdered = true;
+    tellProof(target);
     m_orders->send(target, m_attempt.explanation(), [self = shared_from_this()](promotion_answer answer) {
         self->handleOrderAnswer(answer);
     });
 }
 
+void promotion_run::tellProof(const target_id &target) const
+{
+    const auto now = systemNow();
+    m_context.log.info("promotion_proof")
+        .field("service", m_group->id().str())
+        .field("target", target.str())
+        .field("committed", toString(m_group->acknowledged().committed()))
+        .field("proof", m_attempt.describeProof(now));
+    for (const auto &[id, text] : m_attempt.describeMembers(now)) {
+        m_context.log.info("promotion_member")
+            .field("service", m_group->id().str())
+            .field("target", id.str())
+            .field("known", text);
+    }
+}
+
 void promotion_run::handleOrderAnswer(promotion_answer answer)
 {
     if (m_hasEnded) {
--- a/src/libcrocusdealfront/promotionrun.h
+++ b/src/libcrocusdealfront/promotionrun.h
@@ -61,6 +61,8 @@
     void renewThenOrder(const target_id &target);
     void handleRenewal(claim_result result, const target_id &target);
     void sendOrder(const target_id &target);
+    /** Logs what the order is based on. */
+    void tellProof(const target_id &target) const;
     void handleOrderAnswer(promotion_answer answer);
 
     front_context &m_context;
--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -499,6 +499,7 @@
         .field("target", target.str())
         .field("before", m_primary ? m_primary->str() : "none")
         .field("source", source);
+    m_proofs->tellLast(target);
     m_primary = target;
     m_samples.clear();
     pump();
--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -331,7 +331,9 @@
         if (self->m_controlLink.get() == raw) {
             self->m_controlLink.reset();
         }
-        self->m_isContactLost = self->m_isContactLost || (self->m_links.empty() && !self->m_isClosingUnused);
+        if (self->m_links.empty() && !self->m_isClosingUnused) {
+            self->recordContactLost("the last connection has ended");
+        }
         if (self->onCapacity) {
             self->onCapacity();
         }
@@ -351,6 +353,11 @@
         m_lastAnswerAt = now;
         if (std::exchange(m_isContactLost, false)) {
             m_reconnectedAt = now;
+            m_context.log.info("target_contact")
+                .field("target", m_entry.id.str())
+                .field("service", m_entry.service.str())
+                .field("incarnation", static_cast<std::int64_t>(m_entry.incarnation))
+                .field("known", toString(m_known));
         }
         m_openingMs += openingWeight * (static_cast<double>((now - begunAt).ms) - m_openingMs);
         return;
@@ -360,7 +367,7 @@
         return;
     }
     ++m_failures;
-    m_isContactLost = true;
+    recordContactLost(opening.reason);
     if (m_unreachableSince == never) {
         m_unreachableSince = now;
     }
@@ -374,6 +381,19 @@
         .field("failures", m_failures);
 }
 
+void target_pool::recordContactLost(const std::string &reason)
+{
+    if (std::exchange(m_isContactLost, true)) {
+        return;
+    }
+    m_context.log.info("target_contact_lost")
+        .field("target", m_entry.id.str())
+        .field("service", m_entry.service.str())
+        .field("incarnation", static_cast<std::int64_t>(m_entry.incarnation))
+        .field("known", toString(m_known))
+        .field("reason", reason);
+}
+
 void target_pool::recordLimited(const link_opening &opening, time_point now)
 {
     // The target lives and says nothing of its role: too many connections are open, perhaps of instances that are gone.
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -114,6 +114,8 @@
     void recordRefused(const target_reply &reply, time_point now);
     void openLink(std::function<void(std::shared_ptr<target_link>, const link_opening &)> done);
     void recordOpened(const link_opening &opening, time_point begunAt);
+    /** Until it is reached again it may start again without a sign. */
+    void recordContactLost(const std::string &reason);
     void recordLimited(const link_opening &opening, time_point now);
     bool hasLinkForControl() const;
     void sendControl(const std::shared_ptr<control_call> &call);
--- a/src/libcrocusdealpolicy/commitwitnesses.cpp
+++ b/src/libcrocusdealpolicy/commitwitnesses.cpp
@@ -80,6 +80,25 @@
     return !mayCommandBeOpen && !mayHaveRestarted;
 }
 
+std::string commit_witnesses::describe(const target_id &target, time_point now) const
+{
+    const auto found = m_targets.find(target);
+    if (found == m_targets.end()) {
+        return "not listed";
+    }
+    const auto &state = found->second;
+    std::string text =
+        "incarnation " + std::to_string(state.incarnation) + " listed at " + std::to_string(state.listedAt);
+    text += ", lease known at " + std::to_string(m_leaseRevision);
+    text += ", covered up to " + std::to_string(m_coveredRevision);
+    text += state.coveredAt == never ? ", not covered"
+                                     : ", covered " + std::to_string((now - state.coveredAt).ms) + " ms ago";
+    if (m_unrecordedCommandAt != never) {
+        text += ", unrecorded command " + std::to_string((now - m_unrecordedCommandAt).ms) + " ms ago";
+    }
+    return text;
+}
+
 bool commit_witnesses::isLeaseWanted() const
 {
     return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto &target) {
--- a/src/libcrocusdealpolicy/commitwitnesses.h
+++ b/src/libcrocusdealpolicy/commitwitnesses.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace crocusdeal
@@ -47,6 +48,8 @@
      * not.
      */
     bool isWitness(const target_id &target, time_point reconnectedAt, time_point sentAt, time_point now) const;
+    /** What is known of a target as a witness, with revisions and ages, for the log. */
+    std::string describe(const target_id &target, time_point now) const;
     /** Whether a newer answer about the lease can make more targets witnesses. */
     bool isLeaseWanted() const;
 
--- a/src/libcrocusdealpolicy/promotionattempt.cpp
+++ b/src/libcrocusdealpolicy/promotionattempt.cpp
@@ -656,6 +656,35 @@
     return m_reason;
 }
 
+std::vector<std::pair<target_id, std::string>> promotion_attempt::describeMembers(time_point now) const
+{
+    std::vector<std::pair<target_id, std::string>> described;
+    for (const auto &state : m_members) {
+        std::string text = "incarnation " + std::to_string(state.member.incarnation);
+        text += state.member.isDraining ? ", draining" : "";
+        if (state.status) {
+            text += state.status->isPrimary ? ", primary" : ", replica";
+            text += " of term " + std::to_string(state.status->term) + " with " + toString(state.status->received);
+            text += state.isPaused ? ", paused" : "";
+            text += ", asked " + std::to_string((now - state.requestedAt).ms) + " ms ago";
+        }
+        text += state.isMissing ? ", silent" : "";
+        text += state.knownSince == never ? "" : ", known for " + std::to_string((now - state.knownSince).ms) + " ms";
+        text += isPartOfProof(state) ? ", in the proof" : "";
+        described.emplace_back(state.member.id, std::move(text));
+    }
+    return described;
+}
+
+std::string promotion_attempt::describeProof(time_point now) const
+{
+    std::string text = "chosen must hold " + toString(m_requiredPosition);
+    text += ", log required " + (m_requiredLog ? toString(*m_requiredLog) : std::string("unknown"));
+    text += ", list asked " + std::to_string((now - m_confirmationAskedAt).ms) + " ms ago";
+    text += ", attempt of " + std::to_string((now - m_startedAt).ms) + " ms";
+    return text;
+}
+
 bool promotion_attempt::isPlanned() const
 {
     return m_reason == promotion_reason::PrimaryDraining;
--- a/src/libcrocusdealpolicy/promotionattempt.h
+++ b/src/libcrocusdealpolicy/promotionattempt.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -144,6 +145,10 @@
     /** For the log: why this target was chosen, or why none was. */
     const std::string &explanation() const;
     promotion_reason reason() const;
+    /** What the attempt knows of each member, in words for the log. */
+    std::vector<std::pair<target_id, std::string>> describeMembers(time_point now) const;
+    /** What the chosen target must hold, and why; for the log. */
+    std::string describeProof(time_point now) const;
 
 private:
     enum class stage { Survey, Pausing, CatchingUp, Verifying, SendingPromotion, AwaitingPromotion, Ended };
