Trust a target's answers only over connections older than any order

Callers saw: commits that were acknowledged and are not in the log of the next primary (LOST). Cause: a time bound in a proof. A target that was reached again counted as a witness of commits after 700 ms, by when its new entry was supposed to be heard of. A store that is slow, or turns the database away, lists it later; an instance without a connection noticed nothing at all. Such a target has neither the pause nor the log that an open order relies on. Ruled out: a longer bound (no entry has one). Changed checks: reachedAgainMayHaveStartedAgain asked for trust after 1 s, which is the fault; connectionOpenedWhileACommandIsOpenProvesNothing and three more replace it. The two cases of an instance that hears of targets during a command now begin with an answer from before it: without one nothing is known of restarts, as instanceThatStartsWhileACommandIsOpenProvesNothing says. Conclusion: each order pauses what is at the other end of a connection that is older than it, so that its answers need no bound of time.

--- a/src/libcrocusdealfront/commitproof.cpp
+++ b/src/libcrocusdealfront/commitproof.cpp
@@ -67,17 +67,23 @@
     m_context.deadlines.cancel(m_nextQuestion);
 }
 
-bool commit_proof::isWitness(const target_id &target, const sent_commit &commit) const
+bool commit_proof::isWitness(const target_id &target, time_point connectedAt, const sent_commit &commit) const
 {
-    const auto found = m_targets.find(target);
-    return found != m_targets.end() && target != commit.primary
-        && m_witnesses.isWitness(target, found->second->reconnectedAt(), commit.sentAt, systemNow());
+    return target != commit.primary && m_witnesses.isWitness(target, connectedAt, commit.sentAt);
+}
+
+bool commit_proof::isOfUse(const target_id &target, const target_pool &pool, const sent_commit &commit) const
+{
+    // Without a connection the question opens one, over which the next round can be answered.
+    const auto connectedAt = pool.connectedSince();
+    return target != commit.primary && (connectedAt == never || isWitness(target, connectedAt, commit));
 }
 
 std::optional<target_id> commit_proof::holderOf(const sent_commit &commit) const
 {
     const auto found = std::find_if(m_targets.begin(), m_targets.end(), [&](const auto &target) {
-        return holdsCommit(target.second->knownPosition(), commit.at) && isWitness(target.first, commit);
+        return target.second->hasShown(
+            commit.at, [&](time_point connectedAt) { return isWitness(target.first, connectedAt, commit); });
     });
     return found == m_targets.end() ? std::nullopt : std::optional(found->first);
 }
@@ -197,9 +203,10 @@
     };
     for (const auto &target : m_targets) {
         const auto &id = target.first;
-        const bool isOfUse = std::any_of(
-            m_held.begin(), m_held.end(), [&](const held_commit &held) { return isWitness(id, held.commit); });
-        if (!isOfUse || m_askedInRound.contains(id) || m_unanswered.contains(id)) {
+        const bool isWanted = std::any_of(m_held.begin(), m_held.end(), [&](const held_commit &held) {
+            return isOfUse(id, *target.second, held.commit);
+        });
+        if (!isWanted || m_askedInRound.contains(id) || m_unanswered.contains(id)) {
             continue;
         }
         if (!best || rank(id, *target.second) > rank(*best, *m_targets.at(*best))) {
@@ -218,16 +225,19 @@
     if (found == m_targets.end()) {
         return;
     }
-    const auto known = found->second->knownPosition();
     const auto heldBefore = m_held.size();
     finish([&](const held_commit &held) -> std::optional<bool> {
         const auto &at = held.commit.at;
-        // A busy target refuses the status, and tells the position up to which it has applied its log.
-        const bool isReceived = holdsCommit(known, at) || (reply.report && holdsCommit(reply.report->received, at));
-        if (isReceived && isWitness(target, held.commit)) {
+        const bool isReceived = reply.report && holdsCommit(reply.report->received, at);
+        if (isReceived && isWitness(target, reply.connectedAt, held.commit)) {
             recordTold(held.commit, target, true);
             return true;
         }
+        // A busy target refuses the status, and tells the position up to which it has applied its log.
+        if (const auto holder = holderOf(held.commit)) {
+            recordTold(held.commit, *holder, false);
+            return true;
+        }
         const bool isTermOver = reply.report && reply.report->term > at.term;
         return isTermOver ? std::optional(false) : std::nullopt;
     });
--- a/src/libcrocusdealfront/commitproof.h
+++ b/src/libcrocusdealfront/commitproof.h
@@ -69,7 +69,10 @@
         bool wasAsked = false; ///< Of its status, rather than known from an earlier answer.
     };
 
-    bool isWitness(const target_id &target, const sent_commit &commit) const;
+    /** Whether what @p target tells proves the commit; over a connection that is open since @p connectedAt. */
+    bool isWitness(const target_id &target, time_point connectedAt, const sent_commit &commit) const;
+    /** Whether asking @p target may prove the commit. */
+    bool isOfUse(const target_id &target, const target_pool &pool, const sent_commit &commit) const;
     /** A witness that is known to hold the commit, without asking. */
     std::optional<target_id> holderOf(const sent_commit &commit) const;
     void recordTold(const sent_commit &commit, const target_id &witness, bool wasAsked);
--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -70,8 +70,8 @@
         m_services.applyTargets(update, changedAfter);
         keepPlannedServices();
     };
-    m_feed->onLeases = [this](const promotion_lease_list_update &update, time_point askedAt) {
-        m_services.applyLeases(update, askedAt);
+    m_feed->onLeases = [this](const promotion_lease_list_update &update, store_reading reading, time_point askedAt) {
+        m_services.applyLeases(update, reading, askedAt);
     };
     m_services.refreshTargets = [this](std::function<void(bool)> done) { m_feed->refreshTargets(std::move(done)); };
     m_services.refreshLeases = [this](std::function<void()> done) { m_feed->refreshLeases(std::move(done)); };
--- a/src/libcrocusdealfront/servedservices.cpp
+++ b/src/libcrocusdealfront/servedservices.cpp
@@ -80,10 +80,11 @@
         .field("revision", static_cast<std::int64_t>(update.revision));
 }
 
-void served_services::applyLeases(const promotion_lease_list_update &update, time_point askedAt)
+void served_services::applyLeases(const promotion_lease_list_update &update, store_reading reading, time_point askedAt)
 {
     m_areLeasesKnown = true;
     m_leasesAskedAt = askedAt;
+    m_leasesCurrentSince = reading == store_reading::Current ? askedAt : never;
     m_leasesRevision = std::max(m_leasesRevision, update.revision);
     for (const auto &entry : update.entries) {
         auto &record = m_leases[entry.service];
@@ -95,22 +96,33 @@
         reportLease(service, *keeper);
         reportWitnesses(service, *m_groups.at(service));
     }
+    refreshLeasesWhereNeeded();
 }
 
 void served_services::reportWitnesses(const service_id &service, service_group &group) const
 {
     const auto found = m_leases.find(service);
-    group.recordLease(found == m_leases.end() ? std::nullopt : std::optional(found->second), m_leasesRevision);
+    group.recordLease(
+        found == m_leases.end() ? std::nullopt : std::optional(found->second), m_leasesRevision, m_leasesCurrentSince);
 }
 
 void served_services::refreshLeasesWhereNeeded()
 {
     const bool isWanted =
         std::any_of(m_groups.begin(), m_groups.end(), [](const auto &entry) { return entry.second->isLeaseWanted(); });
-    if (!isWanted || !m_areLeasesKnown || isStoreAway() || std::exchange(m_isLeaseRefreshPending, true)) {
+    if (!isWanted || !m_areLeasesKnown || isStoreAway()) {
+        return;
+    }
+    if (std::exchange(m_isLeaseRefreshPending, true)) {
+        m_isLeaseRefreshStale = true;
         return;
     }
-    refreshLeases([this] { m_isLeaseRefreshPending = false; });
+    refreshLeases([this] {
+        m_isLeaseRefreshPending = false;
+        if (std::exchange(m_isLeaseRefreshStale, false)) {
+            refreshLeasesWhereNeeded();
+        }
+    });
 }
 
 void served_services::reportLease(const service_id &service, primary_keeper &keeper) const
@@ -155,6 +167,7 @@
         reportWitnesses(service, *group);
     }
     refreshLeasesWhereNeeded();
+    group->onLeaseWanted = [this] { refreshLeasesWhereNeeded(); };
     m_context.log.info("service_begun")
         .field("service", service.str())
         .field("targets", static_cast<std::int64_t>(group->targets().size()))
--- a/src/libcrocusdealfront/servedservices.h
+++ b/src/libcrocusdealfront/servedservices.h
@@ -42,7 +42,7 @@
     void setConfiguration(std::shared_ptr<const routing_configuration> configuration);
     /** @p changedAfter is when the store last answered without this update. */
     void applyTargets(const target_update &update, time_point changedAfter);
-    void applyLeases(const promotion_lease_list_update &update, time_point askedAt);
+    void applyLeases(const promotion_lease_list_update &update, store_reading reading, time_point askedAt);
     bool areTargetsKnown() const;
 
     /** Begins to serve the service if it does not yet; null if it is not configured. */
@@ -96,8 +96,10 @@
     bool m_areLeasesKnown = false;
     std::map<service_id, promotion_lease_record> m_leases;
     time_point m_leasesAskedAt = never;
+    time_point m_leasesCurrentSince = never; ///< When they were asked for last, as they were then.
     std::uint64_t m_leasesRevision = 0; ///< Of the store, when they were read last.
     bool m_isLeaseRefreshPending = false;
+    bool m_isLeaseRefreshStale = false; ///< A connection was opened since the pending one was begun.
     std::map<service_id, time_point> m_unrecordedCommands; ///< Other instances may have sent, without the store.
     std::map<service_id, position> m_commits; ///< Acknowledged for services that are not served any more.
     std::map<service_id, std::shared_ptr<service_group>> m_groups;
--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -66,6 +66,12 @@
                     self->pump();
                 }
             };
+            pool->onConnected = [weak = weak_from_this()] {
+                const auto self = weak.lock();
+                if (self && self->onLeaseWanted) {
+                    self->onLeaseWanted();
+                }
+            };
             continue;
         }
         pool->update(known.entry, m_policy.maxConnections);
@@ -135,6 +141,7 @@
 void service_group::retire()
 {
     onPrimarySuspected = nullptr;
+    onLeaseWanted = nullptr;
     m_proofs->stop();
     for (const auto &[id, pool] : m_targets) {
         pool->retire();
@@ -444,9 +451,11 @@
     m_proofs->cancel(number);
 }
 
-void service_group::recordLease(const std::optional<promotion_lease_record> &record, std::uint64_t revision)
+void service_group::recordLease(const std::optional<promotion_lease_record> &record,
+                                std::uint64_t revision,
+                                time_point currentSince)
 {
-    m_witnesses.recordLease(record, revision, systemNow());
+    m_witnesses.recordLease(record, revision, currentSince, systemNow());
     m_proofs->check();
 }
 
@@ -457,7 +466,13 @@
 
 bool service_group::isLeaseWanted() const
 {
-    return m_witnesses.isLeaseWanted();
+    if (m_policy.syncReplicas == 0) {
+        return false;
+    }
+    return m_witnesses.isLeaseWanted() || std::any_of(m_targets.begin(), m_targets.end(), [&](const auto &target) {
+               const auto connectedAt = target.second->connectedSince();
+               return connectedAt != never && m_witnesses.isLeaseWantedFor(connectedAt);
+           });
 }
 
 void service_group::recordCommit(const position &at)
--- a/src/libcrocusdealfront/servicegroup.h
+++ b/src/libcrocusdealfront/servicegroup.h
@@ -70,6 +70,8 @@
 
     /** Trouble with the primary was seen; asks for somebody to look. */
     std::function<void(const char *why)> onPrimarySuspected;
+    /** A current answer about the promotion lease is needed to tell which commits survive. */
+    std::function<void()> onLeaseWanted;
 
     const service_id &id() const;
     void setPolicy(const service_policy &policy);
@@ -109,7 +111,9 @@
     commit_proof::ticket proveCommit(const sent_commit &commit, std::function<void(bool isKept)> done);
     void cancelProof(commit_proof::ticket number);
     /** The record of the promotion lease, or none, at @p revision of the store. */
-    void recordLease(const std::optional<promotion_lease_record> &record, std::uint64_t revision);
+    void recordLease(const std::optional<promotion_lease_record> &record,
+                     std::uint64_t revision,
+                     time_point currentSince);
     /** Another instance may promote without the store, for the targets that are known now. */
     void recordUnrecordedCommand(time_point now);
     /** Whether a newer answer about the promotion lease is needed to tell which commits survive. */
--- a/src/libcrocusdealfront/storefeed.cpp
+++ b/src/libcrocusdealfront/storefeed.cpp
@@ -302,7 +302,7 @@
 {
     m_store.listPromotionLeases(
         [self = shared_from_this(), askedAt = systemNow()](const promotion_lease_list_update &update) {
-            self->handleLeases(update, askedAt);
+            self->handleLeases(update, store_reading::Current, askedAt);
         });
 }
 
@@ -311,7 +311,7 @@
     m_store.listPromotionLeases([self = shared_from_this(), askedAt = systemNow(), done = std::move(done)](
                                     const promotion_lease_list_update &update) {
         if (!self->m_isStopped && update.failure == store_failure::None) {
-            self->onLeases(update, askedAt);
+            self->onLeases(update, store_reading::Current, askedAt);
         }
         done();
     });
@@ -322,11 +322,11 @@
     m_store.watchPromotionLeases(
         m_leaseRevision, leaseWait, [self = shared_from_this()](const promotion_lease_list_update &update) {
             // An event is as new as its answer.
-            self->handleLeases(update, systemNow());
+            self->handleLeases(update, store_reading::MayBeOld, systemNow());
         });
 }
 
-void store_feed::handleLeases(const promotion_lease_list_update &update, time_point askedAt)
+void store_feed::handleLeases(const promotion_lease_list_update &update, store_reading reading, time_point askedAt)
 {
     if (m_isStopped) {
         return;
@@ -340,7 +340,7 @@
         return;
     }
     m_leaseRevision = update.revision;
-    onLeases(update, askedAt);
+    onLeases(update, reading, askedAt);
     watchPromotionLeases();
 }
 
--- a/src/libcrocusdealfront/storefeed.h
+++ b/src/libcrocusdealfront/storefeed.h
@@ -22,7 +22,7 @@
     /** With the time of the last answer that would have told of a change before. */
     std::function<void(const target_update &, time_point changedAfter)> onTargets;
 
-    std::function<void(const promotion_lease_list_update &, time_point askedAt)> onLeases;
+    std::function<void(const promotion_lease_list_update &, store_reading reading, time_point askedAt)> onLeases;
 
     void start();
     void stop();
@@ -48,7 +48,7 @@
     void handleTargets(const target_update &update, time_point askedAt, duration wait);
     void listPromotionLeases();
     void watchPromotionLeases();
-    void handleLeases(const promotion_lease_list_update &update, time_point askedAt);
+    void handleLeases(const promotion_lease_list_update &update, store_reading reading, time_point askedAt);
     /** Logs each entry that names no target once, until it changes. */
     void recordIgnored(const target_update &update);
     void recordUnreadable(const configuration_update &update);
--- a/src/libcrocusdealfront/targetlink.cpp
+++ b/src/libcrocusdealfront/targetlink.cpp
@@ -115,7 +115,9 @@
     m_reply.state = ready.state;
     m_reply.at = ready.at;
     lastAnswerAt = systemNow();
+    lastPosition = ready.at.value_or(lastPosition);
     if (m_opening) {
+        openedAt = lastAnswerAt;
         m_reply = {};
         finishOpening({true, std::nullopt, false, {}});
         return;
--- a/src/libcrocusdealfront/targetlink.h
+++ b/src/libcrocusdealfront/targetlink.h
@@ -66,6 +66,8 @@
     /** The connection has ended. */
     std::function<void()> onEnded;
     time_point idleSince = never;
+    time_point openedAt = never; ///< When the target answered to its start-up.
+    position lastPosition; ///< Of the target's log, as the last answer told.
     /** Of the last answer; a connection that stays silent under a statement may be dead without a reset. */
     time_point lastAnswerAt = never;
 
--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -1,5 +1,6 @@
 #include "targetpool.h"
 
+#include "commitwitnesses.h"
 #include "systemclock.h"
 
 #include <asio/post.hpp>
@@ -78,13 +79,13 @@
         link->close("target has started again");
     }
     m_isContactLost = false;
-    m_reconnectedAt = never;
 }
 
 void target_pool::retire()
 {
     m_isRetired = true;
     onCapacity = nullptr;
+    onConnected = nullptr;
     const auto idle = std::exchange(m_idle, {});
     for (const auto &link : idle) {
         link->close("target is gone");
@@ -235,9 +236,20 @@
     return m_unreachableSince;
 }
 
-time_point target_pool::reconnectedAt() const
+time_point target_pool::connectedSince() const
 {
-    return m_reconnectedAt;
+    auto oldest = never;
+    for (const auto &link : m_links) {
+        oldest = oldest == never ? link->openedAt : std::min(oldest, link->openedAt);
+    }
+    return oldest;
+}
+
+bool target_pool::hasShown(const position &commit, const std::function<bool(time_point)> &isTrusted) const
+{
+    return std::any_of(m_links.begin(), m_links.end(), [&](const std::shared_ptr<target_link> &link) {
+        return holdsCommit(link->lastPosition, commit) && isTrusted(link->openedAt);
+    });
 }
 
 bool target_pool::isNobodyListening() const
@@ -323,6 +335,7 @@
 
 void target_pool::trackLink(const std::shared_ptr<target_link> &link)
 {
+    const bool isFirst = m_links.empty();
     m_links.insert(link);
     link->onEnded = [self = shared_from_this(), raw = link.get()] {
         const auto isSame = [raw](const std::shared_ptr<target_link> &other) { return other.get() == raw; };
@@ -338,6 +351,9 @@
             self->onCapacity();
         }
     };
+    if (isFirst && onConnected) {
+        onConnected();
+    }
 }
 
 void target_pool::recordOpened(const link_opening &opening, time_point begunAt)
@@ -352,7 +368,6 @@
         m_unreachableSince = never;
         m_lastAnswerAt = now;
         if (std::exchange(m_isContactLost, false)) {
-            m_reconnectedAt = now;
             m_context.log.info("target_contact")
                 .field("target", m_entry.id.str())
                 .field("service", m_entry.service.str())
@@ -467,7 +482,7 @@
     if (!hasLinkForControl() && isAtConnectionLimit(systemNow())) {
         // One more attempt would only be refused, and takes a slot of the target.
         asio::post(m_context.io, [done = std::move(done)] {
-            done({std::nullopt, true, "connection limit", systemNow()});
+            done({std::nullopt, true, "connection limit", systemNow(), never});
         });
         return;
     }
@@ -480,7 +495,7 @@
             // The next control statement gets a fresh connection: this one may be dead without a reset.
             link->close("control statement not answered");
         }
-        self->finishControl(call, {std::nullopt, false, "not answered", call->askedAt});
+        self->finishControl(call, {std::nullopt, false, "not answered", call->askedAt, never});
     });
     if (m_controlLink && m_controlLink->isOpen()) {
         sendControl(call);
@@ -505,7 +520,7 @@
             return;
         }
         const bool isAnswered = opening.refusal.has_value() && *opening.refusal != error_code::WrongTarget;
-        self->finishControl(call, {std::nullopt, isAnswered, opening.reason, systemNow()});
+        self->finishControl(call, {std::nullopt, isAnswered, opening.reason, systemNow(), never});
     });
 }
 
@@ -530,9 +545,14 @@
     m_context.targets.addControl(encoded, call->what, std::nullopt, call->term);
     call->askedAt = systemNow();
     call->link = m_controlLink;
-    m_controlLink->send(encoded, [self = shared_from_this(), call](const target_reply &reply) {
+    const auto connectedAt = m_controlLink->openedAt;
+    m_controlLink->send(encoded, [self = shared_from_this(), call, connectedAt](const target_reply &reply) {
         self->recordUntimedAnswer(reply);
-        control_reply answer{std::nullopt, !reply.isLost, reply.isLost ? reply.reason : reply.errorText, reply.sentAt};
+        control_reply answer;
+        answer.isAnswered = !reply.isLost;
+        answer.detail = reply.isLost ? reply.reason : reply.errorText;
+        answer.askedAt = reply.sentAt;
+        answer.connectedAt = connectedAt;
         if (reply.isSuccess() && !reply.rows.empty()) {
             answer.report = self->m_context.targets.decodeReport(reply.rows.front());
         }
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -35,6 +35,7 @@
     bool isAnswered = false; ///< The target lives, also if it refused.
     std::string detail;
     time_point askedAt = never;
+    time_point connectedAt = never; ///< Since when the connection is open that the answer came over.
 };
 
 /** The connections of this instance to one target, and what it has seen of the target's load. */
@@ -45,6 +46,8 @@
 
     /** A connection or a permit has become free. */
     std::function<void()> onCapacity;
+    /** The first connection is open after there was none. */
+    std::function<void()> onConnected;
 
     const target_entry &entry() const;
     /** Takes over what changed; another life or address of the target ends the connections. */
@@ -83,8 +86,10 @@
     bool isNobodyListening() const;
     /** Since when every attempt to connect has failed; never if the last one did not. */
     time_point unreachableSince() const;
-    /** When it was reached again after every connection had failed, so that it may have started again; else never. */
-    time_point reconnectedAt() const;
+    /** Since when a connection to it has been open without a gap, by the oldest that is open; never without one. */
+    time_point connectedSince() const;
+    /** Whether an answer over a connection that @p isTrusted, told since when it is open, has shown the commit. */
+    bool hasShown(const position &commit, const std::function<bool(time_point openedAt)> &isTrusted) const;
     /** When the oldest statement or start-up that is not answered yet was sent; never without one. */
     time_point silentSince() const;
 
@@ -142,7 +147,6 @@
     int m_limitRefusals = 0; ///< In a row.
     time_point m_limitedAt = never;
     time_point m_unreachableSince = never;
-    time_point m_reconnectedAt = never;
     bool m_isContactLost = false;
     bool m_isClosingUnused = false;
     bool m_isReplaced = false;
--- a/src/libcrocusdealpolicy/commitwitnesses.cpp
+++ b/src/libcrocusdealpolicy/commitwitnesses.cpp
@@ -11,8 +11,12 @@
 
 // A command that got no answer is carried out up to 12 s later, and takes effect within one more second.
 constexpr duration longestUnrecordedCommand{15000};
-// A target that has started again is listed by then, in a new incarnation.
-constexpr duration longestListingDelay{700};
+constexpr std::size_t mostTrustedSpans = 8; // Older connections count as opened later, which only delays a proof.
+
+bool mayCommandBeOpen(const std::optional<promotion_lease_record> &record)
+{
+    return record && record->purpose == promotion_lease_purpose::Promotion;
+}
 
 }
 
@@ -37,6 +41,7 @@
 
 void commit_witnesses::recordLease(const std::optional<promotion_lease_record> &record,
                                    std::uint64_t revision,
+                                   time_point currentSince,
                                    time_point now)
 {
     if (revision < m_leaseRevision) {
@@ -44,13 +49,47 @@
     }
     m_leaseRevision = revision;
     m_coveredRevision = revision;
-    if (record && record->purpose == promotion_lease_purpose::Promotion) {
+    recordQuietLease(record, currentSince, now);
+    if (mayCommandBeOpen(record)) {
         // The list that a command relies on is read after its claim.
         m_coveredRevision = record->openSince == 0 ? record->revision : record->openSince.value_or(0);
     }
     coverTargets(now);
 }
 
+void commit_witnesses::recordQuietLease(const std::optional<promotion_lease_record> &record,
+                                        time_point currentSince,
+                                        time_point now)
+{
+    if (mayCommandBeOpen(record)) {
+        m_quietSince = never;
+        return;
+    }
+    // The same record again: nothing was claimed in between.
+    if (m_quietSince == never || record != m_quietRecord) {
+        m_quietSince = now;
+        m_quietRecord = record;
+    }
+    if (currentSince == never) {
+        return;
+    }
+    if (!m_trusted.empty() && m_trusted.back().since == m_quietSince) {
+        m_trusted.back().openedUntil = std::max(m_trusted.back().openedUntil, currentSince);
+        return;
+    }
+    m_trusted.push_back({currentSince, m_quietSince});
+    if (m_trusted.size() > mostTrustedSpans) {
+        m_trusted.erase(m_trusted.begin());
+    }
+}
+
+bool commit_witnesses::isTrusted(time_point connectedAt, time_point sentAt) const
+{
+    return std::any_of(m_trusted.begin(), m_trusted.end(), [&](const trusted_connections &span) {
+        return connectedAt <= span.openedUntil && sentAt >= span.since;
+    });
+}
+
 void commit_witnesses::coverTargets(time_point now)
 {
     for (auto &[id, state] : m_targets) {
@@ -65,19 +104,22 @@
     m_unrecordedCommandAt = now;
 }
 
-bool commit_witnesses::isWitness(const target_id &target,
-                                 time_point reconnectedAt,
-                                 time_point sentAt,
-                                 time_point now) const
+bool commit_witnesses::isWitness(const target_id &target, time_point connectedAt, time_point sentAt) const
 {
     const auto found = m_targets.find(target);
     if (found == m_targets.end() || found->second.coveredAt == never || sentAt < found->second.coveredAt) {
         return false;
     }
     const auto &state = found->second;
-    const bool mayCommandBeOpen = state.isNewSinceCommand && sentAt - m_unrecordedCommandAt < longestUnrecordedCommand;
-    const bool mayHaveRestarted = reconnectedAt != never && now - reconnectedAt < longestListingDelay;
-    return !mayCommandBeOpen && !mayHaveRestarted;
+    const bool isNewSinceCommand = state.isNewSinceCommand || connectedAt > m_unrecordedCommandAt;
+    const bool isOverlooked = m_unrecordedCommandAt != never && isNewSinceCommand
+        && sentAt - m_unrecordedCommandAt < longestUnrecordedCommand;
+    return !isOverlooked && isTrusted(connectedAt, sentAt);
+}
+
+bool commit_witnesses::isLeaseWantedFor(time_point connectedAt) const
+{
+    return m_trusted.empty() || connectedAt > m_trusted.back().openedUntil;
 }
 
 std::string commit_witnesses::describe(const target_id &target, time_point now) const
@@ -93,6 +135,9 @@
     text += ", covered up to " + std::to_string(m_coveredRevision);
     text += state.coveredAt == never ? ", not covered"
                                      : ", covered " + std::to_string((now - state.coveredAt).ms) + " ms ago";
+    text += m_trusted.empty()
+        ? ", no connection trusted"
+        : ", trusted if open for " + std::to_string((now - m_trusted.back().openedUntil).ms) + " ms";
     if (m_unrecordedCommandAt != never) {
         text += ", unrecorded command " + std::to_string((now - m_unrecordedCommandAt).ms) + " ms ago";
     }
--- a/src/libcrocusdealpolicy/commitwitnesses.h
+++ b/src/libcrocusdealpolicy/commitwitnesses.h
@@ -31,23 +31,34 @@
  * sent with the target taken into account. Revisions of the store give the order of these events, so that old answers
  * do no harm. A command that has overlooked the target may have been carried out until then, so it proves only commits
  * that were sent to the primary afterwards.
+ *
+ * A target may also start again, without its log and its pause, before its entry tells of it. So its answers count only
+ * over a connection that was open before a current answer about the lease was asked for that shows no open command:
+ * each later command pauses what is at the other end of that connection.
  */
 class commit_witnesses
 {
 public:
     /** Takes over the targets that are known now; one that is listed again in another incarnation is new. */
     void setTargets(const std::vector<listed_target> &targets, time_point now);
-    /** The record of the lease, or none, as it was at @p revision of the store. */
-    void recordLease(const std::optional<promotion_lease_record> &record, std::uint64_t revision, time_point now);
+    /**
+     * The record of the lease, or none, as it was at @p revision of the store. @p currentSince is when the answer was
+     * asked for if it is current; never if it may be old.
+     */
+    void recordLease(const std::optional<promotion_lease_record> &record,
+                     std::uint64_t revision,
+                     time_point currentSince,
+                     time_point now);
     /** Another instance may send a command that the lease does not tell of, for the targets that are known now. */
     void recordUnrecordedCommand(time_point now);
 
     /**
      * Whether a commit that @p target holds, and that was sent to the primary at @p sentAt, survives each promotion.
-     * @p reconnectedAt is when the target was reached again after all connections to it had failed; never if they have
-     * not.
+     * The target has told so over a connection that has been open since @p connectedAt.
      */
-    bool isWitness(const target_id &target, time_point reconnectedAt, time_point sentAt, time_point now) const;
+    bool isWitness(const target_id &target, time_point connectedAt, time_point sentAt) const;
+    /** Whether a newer answer about the lease can make answers count over a connection that is open since then. */
+    bool isLeaseWantedFor(time_point connectedAt) const;
     /** What is known of a target as a witness, with revisions and ages, for the log. */
     std::string describe(const target_id &target, time_point now) const;
     /** Whether a newer answer about the lease can make more targets witnesses. */
@@ -61,13 +72,24 @@
         bool isNewSinceCommand = false; ///< Listed since recordUnrecordedCommand().
     };
 
+    /** No command is open that was claimed after connections of then were opened. */
+    struct trusted_connections {
+        time_point openedUntil = never;
+        time_point since = never; ///< Nothing has been open since then; for commits that are sent from then on.
+    };
+
     void coverTargets(time_point now);
+    void recordQuietLease(const std::optional<promotion_lease_record> &record, time_point currentSince, time_point now);
+    bool isTrusted(time_point connectedAt, time_point sentAt) const;
 
     std::map<target_id, witness_state> m_targets;
     std::uint64_t m_leaseRevision = 0;
     /** A target that was listed at this revision or earlier is overlooked by no open command. */
     std::uint64_t m_coveredRevision = 0;
     time_point m_unrecordedCommandAt = never;
+    std::optional<promotion_lease_record> m_quietRecord; ///< The last record without an open command.
+    time_point m_quietSince = never; ///< Since when that record is known; never while a command may be open.
+    std::vector<trusted_connections> m_trusted; ///< The newest last.
 };
 
 /** Whether a log that ends at @p log holds the commit; a log of another term is not comparable. */
--- a/tests/libcrocusdealpolicy/commitwitnessestest.cpp
+++ b/tests/libcrocusdealpolicy/commitwitnessestest.cpp
@@ -16,10 +16,14 @@
     CPPUNIT_TEST(commitFromBeforeTheCoverIsNotProved);
     CPPUNIT_TEST(coveredTargetStaysAWitnessUnderALaterCommand);
     CPPUNIT_TEST(anotherIncarnationIsNew);
-    CPPUNIT_TEST(reachedAgainMayHaveStartedAgain);
+    CPPUNIT_TEST(connectionOpenedWhileACommandIsOpenProvesNothing);
+    CPPUNIT_TEST(answerThatMayBeOldTrustsNoConnection);
+    CPPUNIT_TEST(unchangedRecordTrustsForEarlierCommits);
+    CPPUNIT_TEST(commandWithoutARecordOverlooksLaterConnections);
     CPPUNIT_TEST(commandWithoutARecordOverlooksLaterTargets);
     CPPUNIT_TEST(logOfAnotherTermIsNotComparable);
     CPPUNIT_TEST(targetListedBeforeTheFirstOpenClaimIsAWitness);
+    CPPUNIT_TEST(instanceThatStartsWhileACommandIsOpenProvesNothing);
     CPPUNIT_TEST(takenOverCommandMayOverlookTheTarget);
     CPPUNIT_TEST_SUITE_END();
 
@@ -30,7 +34,7 @@
         m_witnesses.setTargets({m_old}, m_now);
         CPPUNIT_ASSERT(!proves(m_old, m_now + 10_ms));
         CPPUNIT_ASSERT(m_witnesses.isLeaseWanted());
-        m_witnesses.recordLease(std::nullopt, 5, m_now);
+        m_witnesses.recordLease(std::nullopt, 5, m_now, m_now);
         CPPUNIT_ASSERT(proves(m_old, m_now + 10_ms));
         CPPUNIT_ASSERT(!m_witnesses.isLeaseWanted());
     }
@@ -39,33 +43,33 @@
     void targetListedWhileACommandIsOpenProvesNothing()
     {
         m_witnesses.setTargets({m_old}, m_now);
-        m_witnesses.recordLease(std::nullopt, 5, m_now);
-        m_witnesses.recordLease(opened(8), 8, m_now + 10_ms);
+        m_witnesses.recordLease(std::nullopt, 5, m_now, m_now);
+        m_witnesses.recordLease(opened(8), 8, m_now + 10_ms, m_now + 10_ms);
         m_witnesses.setTargets({m_old, m_joined}, m_now + 20_ms);
-        m_witnesses.recordLease(opened(8), 12, m_now + 20_ms);
+        m_witnesses.recordLease(opened(8), 12, m_now + 20_ms, m_now + 20_ms);
         CPPUNIT_ASSERT(!proves(m_joined, m_now + 30_ms));
-        m_witnesses.recordLease(std::nullopt, 13, m_now + 40_ms);
+        m_witnesses.recordLease(std::nullopt, 13, m_now + 40_ms, m_now + 40_ms);
         CPPUNIT_ASSERT(proves(m_joined, m_now + 50_ms));
     }
 
     /** Guards against a reading that is seconds old: a command may have been sent since. */
     void oldAnswerAboutTheLeaseCoversNoNewTarget()
     {
-        m_witnesses.recordLease(std::nullopt, 5, m_now);
+        m_witnesses.recordLease(std::nullopt, 5, m_now, m_now);
         m_witnesses.setTargets({m_joined}, m_now);
         CPPUNIT_ASSERT(!proves(m_joined, m_now + 10_ms));
         CPPUNIT_ASSERT(m_witnesses.isLeaseWanted());
-        m_witnesses.recordLease(std::nullopt, 9, m_now + 10_ms);
+        m_witnesses.recordLease(std::nullopt, 9, m_now + 10_ms, m_now + 10_ms);
         CPPUNIT_ASSERT(!proves(m_joined, m_now + 20_ms));
-        m_witnesses.recordLease(std::nullopt, 10, m_now + 20_ms);
+        m_witnesses.recordLease(std::nullopt, 10, m_now + 20_ms, m_now + 20_ms);
         CPPUNIT_ASSERT(proves(m_joined, m_now + 30_ms));
     }
 
     /** Guards against a late answer that hides an open command. */
     void olderAnswerDoesNotReplaceANewerOne()
     {
-        m_witnesses.recordLease(opened(8), 20, m_now);
-        m_witnesses.recordLease(std::nullopt, 15, m_now);
+        m_witnesses.recordLease(opened(8), 20, m_now, m_now);
+        m_witnesses.recordLease(std::nullopt, 15, m_now, m_now);
         m_witnesses.setTargets({m_joined}, m_now);
         CPPUNIT_ASSERT(!proves(m_joined, m_now + 10_ms));
     }
@@ -74,7 +78,7 @@
     void commitFromBeforeTheCoverIsNotProved()
     {
         m_witnesses.setTargets({m_joined}, m_now);
-        m_witnesses.recordLease(std::nullopt, 13, m_now + 40_ms);
+        m_witnesses.recordLease(std::nullopt, 13, m_now + 40_ms, m_now + 40_ms);
         CPPUNIT_ASSERT(!proves(m_joined, m_now + 30_ms));
         CPPUNIT_ASSERT(proves(m_joined, m_now + 40_ms));
     }
@@ -83,8 +87,8 @@
     void coveredTargetStaysAWitnessUnderALaterCommand()
     {
         m_witnesses.setTargets({m_old}, m_now);
-        m_witnesses.recordLease(std::nullopt, 5, m_now);
-        m_witnesses.recordLease(opened(8), 8, m_now);
+        m_witnesses.recordLease(std::nullopt, 5, m_now, m_now);
+        m_witnesses.recordLease(opened(8), 8, m_now, m_now);
         m_witnesses.setTargets({m_old}, m_now);
         CPPUNIT_ASSERT(proves(m_old, m_now + 10_ms));
     }
@@ -93,8 +97,8 @@
     void anotherIncarnationIsNew()
     {
         m_witnesses.setTargets({m_old}, m_now);
-        m_witnesses.recordLease(std::nullopt, 5, m_now);
-        m_witnesses.recordLease(opened(8), 8, m_now);
+        m_witnesses.recordLease(std::nullopt, 5, m_now, m_now);
+        m_witnesses.recordLease(opened(8), 8, m_now, m_now);
         auto again = m_old;
         again.incarnation = 2;
         again.listedAt = 9;
@@ -102,27 +106,76 @@
         CPPUNIT_ASSERT(!proves(again, m_now + 10_ms));
     }
 
-    /** Guards against LOST: a replica that has started again answers before its entry tells so. */
-    void reachedAgainMayHaveStartedAgain()
+    /** Guards against LOST: a replica that has started again answers long before its entry tells so. */
+    void connectionOpenedWhileACommandIsOpenProvesNothing()
     {
         m_witnesses.setTargets({m_old}, m_now);
-        m_witnesses.recordLease(std::nullopt, 5, m_now);
-        const auto reconnectedAt = m_now + 100_ms;
-        const auto isWitness = [&](time_point now) {
-            return m_witnesses.isWitness(m_old.id, reconnectedAt, m_now + 50_ms, now);
-        };
-        CPPUNIT_ASSERT(!isWitness(m_now + 200_ms));
-        CPPUNIT_ASSERT(isWitness(m_now + 1000_ms));
+        m_witnesses.recordLease(std::nullopt, 5, m_now, m_now);
+        m_witnesses.recordLease(opened(8), 8, m_now + 50_ms, m_now + 50_ms);
+        const auto connectedAt = m_now + 100_ms;
+        m_witnesses.recordLease(opened(8), 9, m_now + 5000_ms, m_now + 5000_ms);
+        CPPUNIT_ASSERT(proves(m_old, m_now + 5000_ms));
+        CPPUNIT_ASSERT(!m_witnesses.isWitness(m_old.id, connectedAt, m_now + 5000_ms));
+        m_witnesses.recordLease(std::nullopt, 10, m_now + 5100_ms, m_now + 5100_ms);
+        CPPUNIT_ASSERT(!m_witnesses.isWitness(m_old.id, connectedAt, m_now + 5000_ms));
+        CPPUNIT_ASSERT(m_witnesses.isWitness(m_old.id, connectedAt, m_now + 5100_ms));
+    }
+
+    /** Guards against LOST: an answer from before the connection shows no command that was sent since. */
+    void answerThatMayBeOldTrustsNoConnection()
+    {
+        m_witnesses.setTargets({m_old}, m_now);
+        m_witnesses.recordLease(std::nullopt, 5, m_now, m_now);
+        const auto connectedAt = m_now + 100_ms;
+        m_witnesses.recordLease(std::nullopt, 6, never, m_now + 200_ms);
+        CPPUNIT_ASSERT(!m_witnesses.isWitness(m_old.id, connectedAt, m_now + 300_ms));
+        CPPUNIT_ASSERT(m_witnesses.isLeaseWantedFor(connectedAt));
+        m_witnesses.recordLease(std::nullopt, 6, m_now + 99_ms, m_now + 200_ms);
+        CPPUNIT_ASSERT(!m_witnesses.isWitness(m_old.id, connectedAt, m_now + 300_ms));
+        m_witnesses.recordLease(std::nullopt, 6, m_now + 150_ms, m_now + 200_ms);
+        CPPUNIT_ASSERT(m_witnesses.isWitness(m_old.id, connectedAt, m_now + 300_ms));
+        CPPUNIT_ASSERT(!m_witnesses.isLeaseWantedFor(connectedAt));
+    }
+
+    /** Guards against a write in doubt whose replicas were connected to only after it was sent. */
+    void unchangedRecordTrustsForEarlierCommits()
+    {
+        const promotion_lease_record settled{"other", 4, promotion_lease_purpose::Settled, 0};
+        m_witnesses.setTargets({m_old}, m_now);
+        m_witnesses.recordLease(settled, 5, m_now, m_now);
+        const auto connectedAt = m_now + 100_ms;
+        m_witnesses.recordLease(settled, 30, m_now + 110_ms, m_now + 120_ms);
+        CPPUNIT_ASSERT(m_witnesses.isWitness(m_old.id, connectedAt, m_now + 50_ms));
+        // Somebody has claimed and settled in between: a command may have been carried out.
+        auto settledAgain = settled;
+        settledAgain.revision = 40;
+        const auto connectedLater = m_now + 200_ms;
+        m_witnesses.recordLease(settledAgain, 41, m_now + 210_ms, m_now + 220_ms);
+        CPPUNIT_ASSERT(!m_witnesses.isWitness(m_old.id, connectedLater, m_now + 150_ms));
+        CPPUNIT_ASSERT(m_witnesses.isWitness(m_old.id, connectedLater, m_now + 220_ms));
+    }
+
+    /** Guards against LOST: a replica that has started again since a command that the lease does not tell of. */
+    void commandWithoutARecordOverlooksLaterConnections()
+    {
+        m_witnesses.setTargets({m_old}, m_now);
+        m_witnesses.recordLease(std::nullopt, 5, m_now, m_now);
+        m_witnesses.recordUnrecordedCommand(m_now + 10_ms);
+        const auto connectedAt = m_now + 20_ms;
+        m_witnesses.recordLease(std::nullopt, 6, m_now + 30_ms, m_now + 30_ms);
+        CPPUNIT_ASSERT(!m_witnesses.isWitness(m_old.id, connectedAt, m_now + 40_ms));
+        CPPUNIT_ASSERT(proves(m_old, m_now + 40_ms));
+        CPPUNIT_ASSERT(m_witnesses.isWitness(m_old.id, connectedAt, m_now + 16000_ms));
     }
 
     /** Guards against LOST: an instance that the store turns away promotes, and the lease does not tell. */
     void commandWithoutARecordOverlooksLaterTargets()
     {
         m_witnesses.setTargets({m_old}, m_now);
-        m_witnesses.recordLease(std::nullopt, 5, m_now);
+        m_witnesses.recordLease(std::nullopt, 5, m_now, m_now);
         m_witnesses.recordUnrecordedCommand(m_now);
         m_witnesses.setTargets({m_old, m_joined}, m_now + 10_ms);
-        m_witnesses.recordLease(std::nullopt, 12, m_now + 10_ms);
+        m_witnesses.recordLease(std::nullopt, 12, m_now + 10_ms, m_now + 10_ms);
         CPPUNIT_ASSERT(proves(m_old, m_now + 20_ms));
         CPPUNIT_ASSERT(!proves(m_joined, m_now + 20_ms));
         CPPUNIT_ASSERT(!proves(m_joined, m_now + 12000_ms));
@@ -140,27 +193,39 @@
         CPPUNIT_ASSERT(!holdsCommit({2, 11}, {3, 10}));
     }
 
-    /** Guards against an instance that starts while a command is open and takes no target for a witness. */
+    /** Guards against an instance that hears of targets while a command is open and takes none for a witness. */
     void targetListedBeforeTheFirstOpenClaimIsAWitness()
     {
+        m_witnesses.recordLease(std::nullopt, 2, m_now, m_now);
         m_witnesses.setTargets({m_old, m_joined}, m_now);
-        m_witnesses.recordLease(opened(8), 12, m_now);
+        m_witnesses.recordLease(opened(8), 12, m_now, m_now);
         CPPUNIT_ASSERT(proves(m_old, m_now + 10_ms));
         CPPUNIT_ASSERT(!proves(m_joined, m_now + 10_ms));
     }
 
+    /** Guards against LOST: a replica may have started again, unpaused, before the instance connects to it. */
+    void instanceThatStartsWhileACommandIsOpenProvesNothing()
+    {
+        m_witnesses.setTargets({m_old}, m_now);
+        m_witnesses.recordLease(opened(8), 12, m_now, m_now);
+        CPPUNIT_ASSERT(!proves(m_old, m_now + 10_ms));
+        m_witnesses.recordLease(std::nullopt, 13, m_now + 20_ms, m_now + 20_ms);
+        CPPUNIT_ASSERT(proves(m_old, m_now + 30_ms));
+    }
+
     /** Guards against LOST: the holder has taken over a command that was sent before the target was listed. */
     void takenOverCommandMayOverlookTheTarget()
     {
+        m_witnesses.recordLease(std::nullopt, 2, m_now, m_now);
         auto takenOver = opened(20);
         takenOver.openSince = 8;
         m_witnesses.setTargets({m_joined}, m_now);
-        m_witnesses.recordLease(takenOver, 20, m_now);
+        m_witnesses.recordLease(takenOver, 20, m_now, m_now);
         CPPUNIT_ASSERT(!proves(m_joined, m_now + 10_ms));
         takenOver.openSince.reset();
-        m_witnesses.recordLease(takenOver, 20, m_now);
+        m_witnesses.recordLease(takenOver, 20, m_now, m_now);
         CPPUNIT_ASSERT(!proves(m_joined, m_now + 10_ms));
-        m_witnesses.recordLease(opened(20), 20, m_now);
+        m_witnesses.recordLease(opened(20), 20, m_now, m_now);
         CPPUNIT_ASSERT(proves(m_joined, m_now + 10_ms));
     }
 
@@ -172,9 +237,10 @@
 
     bool proves(const listed_target &target, time_point sentAt) const
     {
-        return m_witnesses.isWitness(target.id, never, sentAt, sentAt + 5_ms);
+        return m_witnesses.isWitness(target.id, m_connectedAt, sentAt);
     }
 
+    const time_point m_connectedAt{90000}; ///< Of connections that have been open all the while.
     const time_point m_now{100000};
     const listed_target m_old{target_id("b"), 1, 3};
     const listed_target m_joined{target_id("d"), 1, 10};
--- a/tests/libcrocusdealpolicy/promotionworld.cpp
+++ b/tests/libcrocusdealpolicy/promotionworld.cpp
@@ -20,9 +20,10 @@
 constexpr int mostControlDelay = 30;
 constexpr int mostListDelay = 10;
 constexpr int mostOrderDelay = 6000;
-constexpr int mostListingDelay = 500;
 constexpr int mostStoreDelay = 300;
 constexpr int mostStatusDelay = 20;
+constexpr int mostLeaseDelay = 20; // Of the question and of the answer.
+constexpr std::uint32_t unusedConnectionSteps = 400; // Steps until a connection is closed as unused, on average.
 constexpr std::size_t instanceCount = 3;
 constexpr duration callerLimit{800}; // A commit that is held longer is in doubt for its caller.
 
@@ -164,7 +165,7 @@
             one.isListed = false;
             one.isKnown = false;
             tell(one.id.str() + " joins");
-            list(one, randomTime(mostListingDelay));
+            list(one);
             m_databases.push_back(std::move(one));
             break;
         }
@@ -216,7 +217,7 @@
         ++one->incarnation;
         one->isRunning = true;
         one->restartedAt = m_now;
-        list(*one, randomTime(mostListingDelay));
+        list(*one);
         tell(id.str() + " is back with " + std::to_string(one->received));
         return;
     }
@@ -227,7 +228,7 @@
     successor.isRunning = true;
     successor.isListed = false;
     successor.isKnown = false;
-    list(successor, randomTime(mostListingDelay));
+    list(successor);
     tell(successor.id.str() + " is what " + id.str() + " was, with " + std::to_string(successor.received));
     m_databases.push_back(std::move(successor));
 }
@@ -262,9 +263,9 @@
     }
 }
 
-void promotion_world::list(database &one, duration delay)
+void promotion_world::list(database &one)
 {
-    one.listAt = m_now + (m_troubles.isListedLate ? delay : duration{});
+    one.listAt = m_now + randomTime(static_cast<int>(m_troubles.listingDelay.ms) + 1);
 }
 
 void promotion_world::writeStore()
@@ -293,9 +294,43 @@
                && m_now >= m_store[instance.statesSeen].since + instance.storeDelay) {
             const auto &state = m_store[instance.statesSeen];
             instance.witnesses.setTargets(state.targets, m_now);
-            instance.witnesses.recordLease(state.lease, state.revision, m_now);
+            instance.witnesses.recordLease(state.lease, state.revision, never, m_now);
             ++instance.statesSeen;
         }
+        connect(instance);
+        askForLease(instance);
+    }
+}
+
+void promotion_world::connect(caller_instance &instance)
+{
+    for (const auto &one : m_databases) {
+        const auto found = instance.connectedAt.find(one.id);
+        const bool isOpen = found != instance.connectedAt.end() && one.isRunning && found->second >= one.restartedAt;
+        if (isOpen && m_random() % unusedConnectionSteps != 0) {
+            continue;
+        }
+        instance.known.erase(one.id);
+        instance.connectedAt.erase(one.id);
+        if (one.isRunning) {
+            instance.connectedAt[one.id] = m_now;
+        }
+    }
+}
+
+void promotion_world::askForLease(caller_instance &instance)
+{
+    if (instance.leaseAnsweredAt != never && m_now >= instance.leaseAnsweredAt) {
+        const auto &state = m_store.back();
+        instance.witnesses.recordLease(state.lease, state.revision, instance.leaseAskedAt, m_now);
+        instance.leaseAnsweredAt = never;
+    }
+    const bool isWanted = std::any_of(instance.connectedAt.begin(), instance.connectedAt.end(), [&](const auto &link) {
+        return instance.witnesses.isLeaseWantedFor(link.second);
+    });
+    if (isWanted && instance.leaseAnsweredAt == never) {
+        instance.leaseAskedAt = m_now;
+        instance.leaseAnsweredAt = m_now + randomTime(mostLeaseDelay);
     }
 }
 
@@ -303,7 +338,7 @@
 {
     for (auto &instance : m_instances) {
         const auto &seen = m_databases[m_random() % m_databases.size()];
-        if (seen.isRunning) {
+        if (instance.connectedAt.contains(seen.id)) {
             instance.known[seen.id] = {seen.term, seen.received};
         }
     }
@@ -331,9 +366,9 @@
     const auto &instance = m_instances[commit.instance];
     const position at{commit.term, commit.number};
     const auto isWitness = [&](const target_id &id) {
-        const auto *one = find(id);
-        return one != nullptr && id != commit.primary
-            && instance.witnesses.isWitness(id, one->restartedAt, commit.sentAt, m_now);
+        const auto found = instance.connectedAt.find(id);
+        return found != instance.connectedAt.end() && id != commit.primary
+            && instance.witnesses.isWitness(id, found->second, commit.sentAt);
     };
     for (const auto &[id, log] : instance.known) {
         if (holdsCommit(log, at) && isWitness(id)) {
--- a/tests/libcrocusdealpolicy/promotionworld.h
+++ b/tests/libcrocusdealpolicy/promotionworld.h
@@ -24,7 +24,7 @@
     bool isDrained = false; ///< The primary is to be replaced.
     int cuts = 0; ///< The keeper does not reach the primary for a while, which serves the other instances.
     int lateFences = 0; ///< Get no answer, and are carried out seconds later.
-    bool isListedLate = false; ///< Databases receive as soon as they start, and are listed up to half a second later.
+    duration listingDelay{0}; ///< Databases receive as soon as they start, and are listed so much later at most.
     bool mayOrderedTargetCrash = false; ///< Between the order that names it and its lead.
 };
 
@@ -96,7 +96,10 @@
     };
     struct caller_instance {
         commit_witnesses witnesses;
-        std::map<target_id, position> known; ///< Positions that were seen in answers.
+        std::map<target_id, position> known; ///< Positions that were seen in answers over the connections.
+        std::map<target_id, time_point> connectedAt; ///< When the connection to the target was opened.
+        time_point leaseAskedAt = never; ///< Of a current answer that is under way.
+        time_point leaseAnsweredAt = never;
         duration storeDelay;
         std::size_t statesSeen = 0;
     };
@@ -117,11 +120,15 @@
     void replicate();
     void writeStore();
     void hearFromStore();
+    /** Opens connections that have ended, and asks for a current answer about the lease where one is needed. */
+    void connect(caller_instance &instance);
+    void askForLease(caller_instance &instance);
     /** Hands out the commits that are known to survive. */
     void handOutCommits();
     bool isProved(const open_commit &commit);
     bool isKeeperCut() const;
-    void list(database &one, duration delay);
+    /** Writes its entry, perhaps later. */
+    void list(database &one);
     void carryOutControls();
     void answer(const pending_control &control);
     void carryOutOrders();
--- a/tests/libcrocusdealpolicy/promotionworldtest.cpp
+++ b/tests/libcrocusdealpolicy/promotionworldtest.cpp
@@ -12,6 +12,10 @@
 namespace
 {
 
+constexpr duration usualListingDelay{500};
+// The store may be slow, or turn a database away that starts.
+constexpr duration longListingDelay{3000};
+
 /** Number of random histories of each kind; CROCUSDEAL_HISTORIES sets another number for longer manual runs. */
 int historyCount()
 {
@@ -51,6 +55,7 @@
     CPPUNIT_TEST(unlistedTargetAcknowledgesDuringAPlannedChange);
     CPPUNIT_TEST(supersedingCommandIsCarriedOutLate);
     CPPUNIT_TEST(replicaStartsAgainUnlisted);
+    CPPUNIT_TEST(replicaIsListedLongAfterItsRestart);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -129,7 +134,7 @@
         world_troubles troubles;
         troubles.cuts = 2;
         troubles.joins = 4;
-        troubles.isListedLate = true;
+        troubles.listingDelay = usualListingDelay;
         assertCommitsAreKept(troubles);
     }
 
@@ -139,7 +144,7 @@
         world_troubles troubles;
         troubles.isDrained = true;
         troubles.joins = 4;
-        troubles.isListedLate = true;
+        troubles.listingDelay = usualListingDelay;
         assertCommitsAreKept(troubles);
     }
 
@@ -152,7 +157,7 @@
         troubles.joins = 3;
         troubles.lateOrders = 2;
         troubles.lateFences = 3;
-        troubles.isListedLate = true;
+        troubles.listingDelay = usualListingDelay;
         assertCommitsAreKept(troubles);
     }
 
@@ -163,7 +168,19 @@
         troubles.cuts = 1;
         troubles.replicaCrashes = 2;
         troubles.joins = 1;
-        troubles.isListedLate = true;
+        troubles.listingDelay = usualListingDelay;
+        assertCommitsAreKept(troubles);
+    }
+
+    /** Guards against trusting a restarted replica as a witness once a time has passed, before its entry tells of it.
+     */
+    void replicaIsListedLongAfterItsRestart()
+    {
+        world_troubles troubles;
+        troubles.cuts = 1;
+        troubles.replicaCrashes = 2;
+        troubles.joins = 1;
+        troubles.listingDelay = longListingDelay;
         assertCommitsAreKept(troubles);
     }
 };
--- a/tests/platform/frontcommittest.cpp
+++ b/tests/platform/frontcommittest.cpp
@@ -33,6 +33,17 @@
                                     [](const promotion_lease_update &) {});
 }
 
+/** Ends the database's connections; it is back at once with an empty log, and the store is not told. */
+void startAgain(line_database &database)
+{
+    database.crash();
+    database.received = 0;
+    database.log.clear();
+    database.items.clear();
+    database.pausedAt = 0;
+    database.listen();
+}
+
 /** Starts the world and gives a caller that has written once, while no order is open. */
 std::unique_ptr<line_client> beginWriting(front_world &world)
 {
@@ -54,6 +65,8 @@
     CPPUNIT_TEST(commitOfATransactionIsHeldBackAsWell);
     CPPUNIT_TEST(replicaListedDuringAChangeProvesNothingUntilItIsOver);
     CPPUNIT_TEST(replicaListedWithoutAChangeProvesCommits);
+    CPPUNIT_TEST(replicaThatStartsAgainUnlistedProvesNothing);
+    CPPUNIT_TEST(replicaConnectedToAgainProvesCommitsWithoutAChange);
     CPPUNIT_TEST(heldCommitIsHandedOutOnceAKnownReplicaHasIt);
     CPPUNIT_TEST(heldCommitIsInDoubtWhenThePrimaryChanges);
     CPPUNIT_TEST(silentReplicaDoesNotHoldCommitsBack);
@@ -114,6 +127,31 @@
         assertContains("COMPLETE sig", world.ask(*client, "WRITE 2 y"));
     }
 
+    /** Guards against LOST: its pause is gone, and no entry tells of its restart for as long as the store is slow. */
+    void replicaThatStartsAgainUnlistedProvesNothing()
+    {
+        front_world world;
+        const auto client = beginWriting(world);
+        beginChangeOfAnother(world);
+        startAgain(world.group.at("c"));
+        world.runFor(1500_ms);
+        assertContains("ERROR INDOUBT", world.ask(*client, "WRITE 2 y"));
+        settleChangeOfAnother(world);
+        world.runFor(200_ms);
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 3 z"));
+    }
+
+    /** Guards against writes in doubt after each end of a connection. */
+    void replicaConnectedToAgainProvesCommitsWithoutAChange()
+    {
+        front_world world;
+        const auto client = beginWriting(world);
+        startAgain(world.group.at("b"));
+        startAgain(world.group.at("c"));
+        world.runFor(300_ms);
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 2 y"));
+    }
+
     /** Guards against an outcome in doubt where waiting a little is enough. */
     void heldCommitIsHandedOutOnceAKnownReplicaHasIt()
     {
