Keep every open command without a record in the proof of commits

A current answer about the lease was also wanted while a command was known to be open, which no answer can help. Ruled out: the flag of targets listed since, which stays set. Before: secondCommandWithoutARecordHidesNoEarlierOne could not hold; by reading, not run apart. Conclusion: connections count from the first of all commands that may be open together.

--- a/src/libcrocusdealfront/commitproof.cpp
+++ b/src/libcrocusdealfront/commitproof.cpp
@@ -185,6 +185,7 @@
     m_askedInRound.insert(target);
     m_unanswered.insert(target);
     const auto pool = m_targets.at(target);
+    pool->releaseControlLink(); // The oldest connection proves most.
     pool->control(
         control_statement::Status, 0, askLimit, [self = shared_from_this(), target, pool](const control_reply &reply) {
             self->m_unanswered.erase(target);
--- a/src/libcrocusdealpolicy/commitwitnesses.cpp
+++ b/src/libcrocusdealpolicy/commitwitnesses.cpp
@@ -101,6 +101,9 @@
 
 void commit_witnesses::recordUnrecordedCommand(time_point now)
 {
+    if (m_unrecordedCommandAt == never || now - m_unrecordedCommandAt >= longestUnrecordedCommand) {
+        m_unrecordedSince = now;
+    }
     m_unrecordedCommandAt = now;
 }
 
@@ -111,7 +114,7 @@
         return false;
     }
     const auto &state = found->second;
-    const bool isNewSinceCommand = state.isNewSinceCommand || connectedAt > m_unrecordedCommandAt;
+    const bool isNewSinceCommand = state.isNewSinceCommand || connectedAt > m_unrecordedSince;
     const bool isOverlooked = m_unrecordedCommandAt != never && isNewSinceCommand
         && sentAt - m_unrecordedCommandAt < longestUnrecordedCommand;
     return !isOverlooked && isTrusted(connectedAt, sentAt);
@@ -119,7 +122,8 @@
 
 bool commit_witnesses::isLeaseWantedFor(time_point connectedAt) const
 {
-    return m_trusted.empty() || connectedAt > m_trusted.back().openedUntil;
+    const bool isTrusted = !m_trusted.empty() && connectedAt <= m_trusted.back().openedUntil;
+    return m_quietSince != never && !isTrusted;
 }
 
 std::string commit_witnesses::describe(const target_id &target, time_point now) const
--- a/src/libcrocusdealpolicy/commitwitnesses.h
+++ b/src/libcrocusdealpolicy/commitwitnesses.h
@@ -57,7 +57,10 @@
      * The target has told so over a connection that has been open since @p connectedAt.
      */
     bool isWitness(const target_id &target, time_point connectedAt, time_point sentAt) const;
-    /** Whether a newer answer about the lease can make answers count over a connection that is open since then. */
+    /**
+     * Whether a current answer about the lease can make answers count over a connection that is open since then; not
+     * while a command is known to be open.
+     */
     bool isLeaseWantedFor(time_point connectedAt) const;
     /** What is known of a target as a witness, with revisions and ages, for the log. */
     std::string describe(const target_id &target, time_point now) const;
@@ -86,7 +89,8 @@
     std::uint64_t m_leaseRevision = 0;
     /** A target that was listed at this revision or earlier is overlooked by no open command. */
     std::uint64_t m_coveredRevision = 0;
-    time_point m_unrecordedCommandAt = never;
+    time_point m_unrecordedSince = never; ///< The first of those that may be open together.
+    time_point m_unrecordedCommandAt = never; ///< The last one.
     std::optional<promotion_lease_record> m_quietRecord; ///< The last record without an open command.
     time_point m_quietSince = never; ///< Since when that record is known; never while a command may be open.
     std::vector<trusted_connections> m_trusted; ///< The newest last.
--- a/tests/libcrocusdealpolicy/commitwitnessestest.cpp
+++ b/tests/libcrocusdealpolicy/commitwitnessestest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(answerThatMayBeOldTrustsNoConnection);
     CPPUNIT_TEST(unchangedRecordTrustsForEarlierCommits);
     CPPUNIT_TEST(commandWithoutARecordOverlooksLaterConnections);
+    CPPUNIT_TEST(secondCommandWithoutARecordHidesNoEarlierOne);
     CPPUNIT_TEST(commandWithoutARecordOverlooksLaterTargets);
     CPPUNIT_TEST(logOfAnotherTermIsNotComparable);
     CPPUNIT_TEST(targetListedBeforeTheFirstOpenClaimIsAWitness);
@@ -168,6 +169,19 @@
         CPPUNIT_ASSERT(m_witnesses.isWitness(m_old.id, connectedAt, m_now + 16000_ms));
     }
 
+    /** Guards against LOST: a second question hides the command that followed the first. */
+    void secondCommandWithoutARecordHidesNoEarlierOne()
+    {
+        m_witnesses.setTargets({m_old}, m_now);
+        m_witnesses.recordLease(std::nullopt, 5, m_now, m_now);
+        m_witnesses.recordUnrecordedCommand(m_now + 10_ms);
+        const auto connectedAt = m_now + 20_ms;
+        m_witnesses.recordUnrecordedCommand(m_now + 5000_ms);
+        m_witnesses.recordLease(std::nullopt, 6, m_now + 5100_ms, m_now + 5100_ms);
+        CPPUNIT_ASSERT(!m_witnesses.isWitness(m_old.id, connectedAt, m_now + 5200_ms));
+        CPPUNIT_ASSERT(m_witnesses.isWitness(m_old.id, connectedAt, m_now + 21000_ms));
+    }
+
     /** Guards against LOST: an instance that the store turns away promotes, and the lease does not tell. */
     void commandWithoutARecordOverlooksLaterTargets()
     {
