Ask for a lease answer for each new connection to a replica

Cause: only the oldest connection to a replica was looked at. While a transaction rests on it, the status goes over a newer one whose answers prove nothing, and nobody asked for the answer that would make them count: writes were in doubt for as long (found by the review). Ruled out: one connection for proofs alone; each replica would need one more for good.

--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -491,8 +491,9 @@
         return false;
     }
     return m_witnesses.isLeaseWanted() || std::any_of(m_targets.begin(), m_targets.end(), [&](const auto &target) {
-               const auto connectedAt = target.second->connectedSince();
-               return connectedAt != never && m_witnesses.isLeaseWantedFor(connectedAt);
+               const auto connectedAt = target.second->lastConnectedAt();
+               const bool isReplica = target.first != m_primary;
+               return isReplica && connectedAt != never && m_witnesses.isLeaseWantedFor(connectedAt);
            });
 }
 
--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -246,6 +246,15 @@
     return oldest;
 }
 
+time_point target_pool::lastConnectedAt() const
+{
+    auto newest = never;
+    for (const auto &link : m_links) {
+        newest = std::max(newest, link->openedAt);
+    }
+    return newest;
+}
+
 bool target_pool::hasShown(const position &commit, const std::function<bool(time_point)> &isTrusted) const
 {
     return std::any_of(m_links.begin(), m_links.end(), [&](const std::shared_ptr<target_link> &link) {
@@ -343,11 +352,7 @@
     link->onEnded = [self = shared_from_this(), raw = link.get()] {
         const auto isSame = [raw](const std::shared_ptr<target_link> &other) { return other.get() == raw; };
         std::erase_if(self->m_idle, isSame);
-        const auto oldest = self->connectedSince();
         std::erase_if(self->m_links, isSame);
-        if (!self->m_links.empty() && self->connectedSince() != oldest && self->onConnected) {
-            self->onConnected();
-        }
         if (self->m_controlLink.get() == raw) {
             self->m_controlLink.reset();
         }
@@ -361,7 +366,7 @@
     if (isFirst && onReached) {
         onReached();
     }
-    if (isFirst && onConnected) {
+    if (onConnected) {
         onConnected();
     }
 }
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -46,7 +46,7 @@
 
     /** A connection or a permit has become free. */
     std::function<void()> onCapacity;
-    /** The oldest connection is another one than before. */
+    /** A connection is open. */
     std::function<void()> onConnected;
     /** The first connection is open after there was none, so that it may have started again; called before it is asked.
      */
@@ -91,6 +91,8 @@
     time_point unreachableSince() const;
     /** Since when a connection to it has been open without a gap, by the oldest that is open; never without one. */
     time_point connectedSince() const;
+    /** When the newest of the open connections was opened; never without one. */
+    time_point lastConnectedAt() const;
     /** Whether an answer over a connection that @p isTrusted, told since when it is open, has shown the commit. */
     bool hasShown(const position &commit, const std::function<bool(time_point openedAt)> &isTrusted) const;
     /** When the oldest statement or start-up that is not answered yet was sent; never without one. */
--- a/tests/platform/frontcommittest.cpp
+++ b/tests/platform/frontcommittest.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(replicaListedWithoutAChangeProvesCommits);
     CPPUNIT_TEST(replicaThatStartsAgainUnlistedProvesNothing);
     CPPUNIT_TEST(replicaConnectedToAgainProvesCommitsWithoutAChange);
+    CPPUNIT_TEST(transactionThatRestsAtAReplicaHoldsNoCommitsBack);
     CPPUNIT_TEST(heldCommitIsHandedOutOnceAKnownReplicaHasIt);
     CPPUNIT_TEST(heldCommitIsInDoubtWhenThePrimaryChanges);
     CPPUNIT_TEST(silentReplicaDoesNotHoldCommitsBack);
@@ -141,6 +142,22 @@
         assertContains("COMPLETE sig", world.ask(*client, "WRITE 2 y"));
     }
 
+    /** Guards against writes in doubt while transactions hold the oldest connections to all replicas. */
+    void transactionThatRestsAtAReplicaHoldsNoCommitsBack()
+    {
+        front_world world;
+        const auto client = beginWriting(world);
+        world.runFor(300_ms);
+        constexpr int count = 6;
+        std::vector<std::unique_ptr<line_client>> resting;
+        for (int i = 0; i < count; ++i) {
+            resting.push_back(world.connect("stale"));
+            world.ask(*resting.back(), "BEGIN READ");
+            world.ask(*resting.back(), "READ 1");
+        }
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 2 y"));
+    }
+
     /** Guards against an outcome in doubt where waiting a little is enough. */
     void heldCommitIsHandedOutOnceAKnownReplicaHasIt()
     {
