Tell a lost log in one place

Cause: the line was written twice, with a nested condition for its reason. Before and after: the same lines, but for the incarnation and the position, which target_contact and promotion_member tell.

--- a/src/libcrocusdealfront/primarykeeper.cpp
+++ b/src/libcrocusdealfront/primarykeeper.cpp
@@ -30,6 +30,15 @@
 constexpr duration idleClaimSpread{8000}; // Longer than a watch is late, so that few claims meet a record.
 constexpr duration fenceSpread{1500}; // One of the instances fences, and the others hear of it.
 
+/** Why the log of a target is lost that is known as @p known now, and was in @p incarnation. */
+const char *reasonOfLoss(const known_target *known, std::uint64_t incarnation)
+{
+    if (known == nullptr) {
+        return "unlisted";
+    }
+    return known->entry.incarnation != incarnation ? "started_again" : "left";
+}
+
 }
 
 primary_keeper::primary_keeper(front_context &context,
@@ -615,16 +624,7 @@
             continue;
         }
         m_group->acknowledged().recordLostLog(it->first, now);
-        const bool hasStartedAgain = known != nullptr && known->entry.incarnation != it->second;
-        m_context.log.info("log_lost")
-            .field("service", m_group->id().str())
-            .field("target", it->first.str())
-            .field("why",
-                   known == nullptr      ? "unlisted"
-                       : hasStartedAgain ? "started_again"
-                                         : "left")
-            .field("incarnation", static_cast<std::int64_t>(it->second))
-            .field("required", toString(m_group->acknowledged().required()));
+        tellLostLog(it->first, reasonOfLoss(known, it->second));
         it = m_incarnations.erase(it);
         isAnyLost = true;
     }
@@ -636,6 +636,15 @@
     }
 }
 
+void primary_keeper::tellLostLog(const target_id &target, const char *why) const
+{
+    m_context.log.info("log_lost")
+        .field("service", m_group->id().str())
+        .field("target", target.str())
+        .field("why", why)
+        .field("required", toString(m_group->acknowledged().required()));
+}
+
 void primary_keeper::recordReached(const target_id &target)
 {
     if (!m_incarnations.contains(target)) {
@@ -653,12 +662,7 @@
     if (!isLost) {
         return;
     }
-    m_context.log.info("log_lost")
-        .field("service", m_group->id().str())
-        .field("target", target.str())
-        .field("why", "shorter")
-        .field("received", toString(report.received))
-        .field("required", toString(m_group->acknowledged().required()));
+    tellLostLog(target, "shorter");
     askPrimaryNext();
 }
 
--- a/src/libcrocusdealfront/primarykeeper.h
+++ b/src/libcrocusdealfront/primarykeeper.h
@@ -104,6 +104,7 @@
     /** Records targets that have left, or started again, as lost logs; asks the primary, if it serves, how far it is.
      */
     void recordLostLogs();
+    void tellLostLog(const target_id &target, const char *why) const;
     void recordReached(const target_id &target);
     /** A log that has become shorter is lost, whatever the entry of its target says. */
     void recordSeenLog(const target_id &target, const replication_report &report, time_point askedAt);
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -48,8 +48,7 @@
     std::function<void()> onCapacity;
     /** A connection is open. */
     std::function<void()> onConnected;
-    /** The first connection is open after there was none, so that it may have started again; called before it is asked.
-     */
+    /** It is reached after there was no connection, so that it may have started again; called before it is asked. */
     std::function<void()> onReached;
 
     const target_entry &entry() const;
--- a/src/libcrocusdealpolicy/acknowledgedlog.h
+++ b/src/libcrocusdealpolicy/acknowledgedlog.h
@@ -39,9 +39,8 @@
     /** The targets whose logs are in doubt, and since when. */
     const std::map<target_id, time_point> &logsInDoubt() const;
     /**
-     * A target that is not primary answered at @p now to a question of @p askedAt: it is in @p term, and its log goes
-     * up to
-     * @p at. Returns whether the log has become shorter within the term, and so was lost.
+     * A target that is not primary answered at @p now to a question of @p askedAt, in @p term with a log up to @p at.
+     * Returns whether the log has become shorter within the term, and so was lost.
      */
     bool recordSeen(const target_id &target,
                     std::uint64_t term,
