End the connections of faultrun before its stand-ins are dropped

Ruled out: a broken rule (the run had no finding); a leak of the daemon (the report is of faultrun). Conclusion: the check stays as it was.

--- a/src/standins/faultrun/faultworld.cpp
+++ b/src/standins/faultrun/faultworld.cpp
@@ -26,6 +26,7 @@
 
 constexpr duration warmUp{4000};
 constexpr duration settling{25000}; // After the last fault, so that late calls are carried out before the check.
+constexpr duration closingTime{300};
 constexpr duration heartbeat{1200};
 constexpr duration restartDelay{300}; // Of a daemon that was killed.
 constexpr duration drainTime{7000};
@@ -136,10 +137,16 @@
 
 fault_world::~fault_world()
 {
+    m_isOver = true;
     for (const auto &one : m_instances) {
         ::kill(one.process, SIGKILL);
         ::waitpid(one.process, nullptr, 0);
     }
+    for (const auto &caller : m_callers) {
+        caller->reconnects = false;
+    }
+    // The stand-ins drop what they hold for a connection when they notice its end.
+    m_loop.runUntil(m_loop.now() + closingTime.ms);
 }
 
 void fault_world::run(const std::vector<planned_fault> &faults, duration length)
