Agree on the types that workspaces, budgets and evidence share

The configuration's workspaces, keys and limits were not read, and instances had no message for evidence of the store, hints on load, leases or budgets. Four parts need them, so they are agreed before.

A pong carries evidence and hints. Nothing uses them yet.

A changed check: the codec test asked for Malformed on an unknown kind of message. Such a message is now left out with its whole length, since instances of different versions meet in a rolling restart; the test asks for exactly that, and that the next message is read. The version of the protocol is raised, so that an older instance does not read the longer messages.

A parse error of the store's JSON names only the place, since the library quotes what it has read last, which may be a key.

--- a/src/libcrocusdealbase/jsonreader.cpp
+++ b/src/libcrocusdealbase/jsonreader.cpp
@@ -89,6 +89,20 @@
     return value.get<std::int64_t>();
 }
 
+leaf::result<double> readNumber(const nlohmann::json &value, number_range range)
+{
+    if (!value.is_number()) {
+        return wrongType("number");
+    }
+    const auto number = value.get<double>();
+    if (!(number >= range.min && number <= range.max)) {
+        return leaf::new_error(
+            json_error::OutOfRange,
+            expected_value{"number from " + std::to_string(range.min) + " to " + std::to_string(range.max)});
+    }
+    return number;
+}
+
 leaf::result<std::size_t> readChoice(const nlohmann::json &value, const std::vector<std::string> &names)
 {
     BOOST_LEAF_AUTO(text, readString(value));
@@ -277,6 +291,13 @@
     return value == nullptr ? std::nullopt : readInto(m_problems, pathOf(key), *value, read);
 }
 
+std::optional<double> object_reader::number(const std::string &key, presence needed, number_range range)
+{
+    const auto *value = find(key, needed);
+    const auto read = [range](const nlohmann::json &json) { return readNumber(json, range); };
+    return value == nullptr ? std::nullopt : readInto(m_problems, pathOf(key), *value, read);
+}
+
 std::optional<std::size_t> object_reader::choice(const std::string &key,
                                                  presence needed,
                                                  const std::vector<std::string> &names)
--- a/src/libcrocusdealbase/jsonreader.h
+++ b/src/libcrocusdealbase/jsonreader.h
@@ -33,6 +33,11 @@
 /** Reads JSON with comments; nothing if it is malformed or names a key twice, which is added to @p problems. */
 std::optional<nlohmann::json> parseJson(std::string_view text, problem_list &problems);
 
+struct number_range {
+    double min = 0;
+    double max = std::numeric_limits<double>::max();
+};
+
 struct integer_range {
     std::int64_t min = 0;
     std::int64_t max = std::numeric_limits<std::int64_t>::max();
@@ -55,6 +60,8 @@
     std::optional<std::string> name(const std::string &key, presence needed);
     std::optional<host_port> address(const std::string &key, presence needed);
     std::optional<std::int64_t> integer(const std::string &key, presence needed, integer_range range);
+    /** Any number, also one with a fraction. */
+    std::optional<double> number(const std::string &key, presence needed, number_range range);
     /** The position of the value within @p names. */
     std::optional<std::size_t> choice(const std::string &key, presence needed, const std::vector<std::string> &names);
     const nlohmann::json *object(const std::string &key, presence needed);
--- a/src/libcrocusdealbase/jsonsplit.cpp
+++ b/src/libcrocusdealbase/jsonsplit.cpp
@@ -214,8 +214,11 @@
         return nlohmann::json::parse(text.begin(), text.end(), checkDepth);
     } catch (const nested_too_deeply &) {
         problem = "nested deeper than " + std::to_string(limits.maxDepth);
+    } catch (const nlohmann::json::parse_error &error) {
+        // The library quotes what it has read last, which may be a secret.
+        problem = "not JSON at byte " + std::to_string(error.byte);
     } catch (const nlohmann::json::exception &error) {
-        problem = error.what();
+        problem = "not JSON, error " + std::to_string(error.id);
     }
     return std::nullopt;
 }
--- a/src/libcrocusdealfront/frontsettings.cpp
+++ b/src/libcrocusdealfront/frontsettings.cpp
@@ -15,6 +15,10 @@
 constexpr integer_range millisecondRange{100, 600000};
 constexpr integer_range secondRange{1, 600};
 constexpr std::int64_t msPerSecond = 1000;
+constexpr number_range overageRange{0, 10};
+constexpr number_range slackRange{0, 1e6};
+constexpr number_range processorRange{0.001, 1000};
+constexpr number_range linkRange{0.001, 1e6};
 
 void readReadiness(object_reader &top, front_settings &settings, problem_list &problems)
 {
@@ -31,6 +35,34 @@
     reader.finish();
 }
 
+void readRateLimitBound(object_reader &top, front_settings &settings, problem_list &problems)
+{
+    const auto *value = top.object("rate_limit", presence::Optional);
+    if (value == nullptr) {
+        return;
+    }
+    object_reader reader(*value, "rate_limit", problems);
+    auto &bound = settings.rateLimitBound;
+    const auto window = reader.integer("window_s", presence::Optional, secondRange);
+    bound.window = window ? duration{*window * msPerSecond} : bound.window;
+    bound.overage = reader.number("overage", presence::Optional, overageRange).value_or(bound.overage);
+    bound.slack = reader.number("slack", presence::Optional, slackRange).value_or(bound.slack);
+    reader.finish();
+}
+
+void readMachine(object_reader &top, front_settings &settings, problem_list &problems)
+{
+    const auto *value = top.object("machine", presence::Optional);
+    if (value == nullptr) {
+        return;
+    }
+    object_reader reader(*value, "machine", problems);
+    const auto share = reader.number("processor_share", presence::Optional, processorRange);
+    settings.processorShare = share.value_or(settings.processorShare);
+    settings.linkMbps = reader.number("link_mbps", presence::Optional, linkRange).value_or(settings.linkMbps);
+    reader.finish();
+}
+
 front_settings readSettings(const nlohmann::json &value, problem_list &problems)
 {
     front_settings settings;
@@ -51,6 +83,11 @@
     settings.configurationApplyTimeout = duration{apply.value_or(settings.configurationApplyTimeout.ms)};
     const auto heartbeat = top.integer("target_heartbeat_ms", presence::Optional, millisecondRange);
     settings.targetHeartbeat = duration{heartbeat.value_or(settings.targetHeartbeat.ms)};
+    if (const auto revocation = top.integer("key_revocation_ms", presence::Optional, millisecondRange)) {
+        settings.keyRevocationTime = duration{*revocation};
+    }
+    readRateLimitBound(top, settings, problems);
+    readMachine(top, settings, problems);
     const auto keep = top.integer("service_keep_ms", presence::Optional, millisecondRange);
     settings.serviceIdleTimeout = duration{keep.value_or(settings.serviceIdleTimeout.ms)};
     const auto level = top.choice("log_level", presence::Optional, {"trace", "debug", "info", "warn", "error"});
--- a/src/libcrocusdealfront/frontsettings.h
+++ b/src/libcrocusdealfront/frontsettings.h
@@ -4,6 +4,7 @@
 #include "hostport.h"
 #include "identifiers.h"
 #include "loglevel.h"
+#include "ratelimit.h"
 #include "settingsproblem.h"
 
 #include <optional>
@@ -29,6 +30,14 @@
     duration gracePeriod{6000}; ///< Time from SIGTERM to the exit of the process.
     duration configurationApplyTimeout{3000}; ///< Time within which all instances must apply a change.
     duration targetHeartbeat{1200}; ///< A target that has not written its entry for three of these is not listed.
+    /**
+     * Within this time of a change of the configuration nothing may be run with a key that it took away, also by an
+     * instance that is cut off from the store; without it a cut-off instance goes on with the keys that it knows.
+     */
+    std::optional<duration> keyRevocationTime;
+    rate_limit_bound rateLimitBound; ///< What the limits of workspaces are measured by.
+    double processorShare = 1; ///< Of a core.
+    double linkMbps = 1000; ///< Of this machine's link, in megabits a second.
     duration serviceIdleTimeout{30000}; ///< A service that no caller has used for this long is released.
     log_level logLevel = log_level::Info;
 };
--- a/src/libcrocusdealfront/relaycodec.cpp
+++ b/src/libcrocusdealfront/relaycodec.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t maxRows = 100'000;
 constexpr std::size_t maxTargets = 1'000; // Of one service.
 constexpr std::size_t maxValues = 10'000;
+constexpr std::size_t maxLoads = 64; // In one message.
+constexpr std::size_t maxLeases = 100'000;
 constexpr unsigned bitsPerByte = 8;
 
 template<typename Archive>
@@ -95,12 +97,30 @@
     archive(message.number);
 }
 
+template<typename Archive>
+void loadFields(Archive &archive, reported_load &load)
+{
+    idField(archive, load.target);
+    archive(load.incarnation);
+    durationField(archive, load.age);
+    archive(load.inFlight, load.answerMs);
+    flagField(archive, load.isFull);
+    optionalField(archive, load.behindAt, [](Archive &a, position &at) { positionField(a, at); });
+}
+
 template<typename Archive>
 void fields(Archive &archive, relay_pong &message)
 {
     archive(message.number);
     flagField(archive, message.isLeaving);
     flagField(archive, message.isIsolated);
+    flagField(archive, message.isStoreAway);
+    optionalField(archive, message.configuration, [](Archive &a, reported_configuration &configuration) {
+        a(configuration.version);
+        durationField(a, configuration.age);
+    });
+    listField<std::uint8_t>(
+        archive, message.loads, maxLoads, [](Archive &a, reported_load &load) { loadFields(a, load); });
 }
 
 template<typename Archive>
@@ -114,6 +134,9 @@
         enumField(a, kind, statement_kind::BeginRead);
     });
     routeFields(archive, message.route);
+    idField(archive, message.workspace);
+    archive(message.accessDecidedBy);
+    optionalField(archive, message.accessValidFor, [](Archive &a, duration &time) { durationField(a, time); });
     optionalField(archive, message.ownCommit, [](Archive &a, position &at) { positionField(a, at); });
     durationField(archive, message.arrivedAgo);
     durationField(archive, message.startedAgo);
@@ -202,6 +225,54 @@
     incarnationsField(archive, message.knowledge.incarnations);
 }
 
+template<typename Archive>
+void fields(Archive &archive, lease_question &message)
+{
+    archive(message.number);
+}
+
+template<typename Archive>
+void leaseFields(Archive &archive, promotion_lease_entry &entry)
+{
+    idField(archive, entry.service);
+    textPart(archive, entry.holder);
+    archive(entry.revision);
+    enumField(archive, entry.purpose, promotion_lease_purpose::Settled);
+    optionalField(archive, entry.openSince, [](Archive &a, std::uint64_t &revision) { a(revision); });
+}
+
+template<typename Archive>
+void fields(Archive &archive, lease_answer &message)
+{
+    archive(message.number);
+    flagField(archive, message.isRead);
+    archive(message.revision);
+    listField<std::uint32_t>(
+        archive, message.entries, maxLeases, [](Archive &a, promotion_lease_entry &entry) { leaseFields(a, entry); });
+}
+
+template<typename Archive>
+void fields(Archive &archive, budget_request &message)
+{
+    archive(message.number);
+    idField(archive, message.workspace);
+    archive(message.wanted);
+    flagField(archive, message.isFromHolder);
+}
+
+template<typename Archive>
+void fields(Archive &archive, budget_grant &message)
+{
+    archive(message.number, message.granted);
+    flagField(archive, message.isHolder);
+    durationField(archive, message.retryAfter);
+}
+
+template<typename Archive>
+void fields(Archive &, relay_unknown &)
+{
+}
+
 template<typename Message>
 void readInto(std::string_view payload, relay_message &message)
 {
@@ -224,7 +295,7 @@
         }
         readKind<Index + 1>(kind, payload, message);
     } else {
-        failDecoding("unknown kind of message");
+        message = relay_unknown{};
     }
 }
 
@@ -304,7 +375,8 @@
             break;
         }
         taken += used;
-        isWanted = handle(message);
+        // Instances of different versions meet while a fleet is replaced step by step.
+        isWanted = std::holds_alternative<relay_unknown>(message) || handle(message);
     }
     inbound.erase(0, taken);
     return status == decode_status::Decoded || status == decode_status::Incomplete;
--- a/src/libcrocusdealfront/relaycodec.h
+++ b/src/libcrocusdealfront/relaycodec.h
@@ -10,7 +10,7 @@
 {
 
 /** Both sides of a connection between instances must speak this version. */
-inline constexpr std::uint8_t relayProtocolVersion = 1;
+inline constexpr std::uint8_t relayProtocolVersion = 2;
 
 /** Appends the message with its length, version and kind; false, and nothing, if it is too long. */
 bool encodeRelay(const relay_message &message, std::string &out);
--- a/src/libcrocusdealfront/relayedstatement.cpp
+++ b/src/libcrocusdealfront/relayedstatement.cpp
@@ -103,6 +103,11 @@
     message.prepared = m_order.prepared;
     message.opens = m_order.opens;
     message.route = m_order.route;
+    message.workspace = m_order.access.workspace;
+    message.accessDecidedBy = m_order.access.decidedBy;
+    if (m_order.access.validUntil) {
+        message.accessValidFor = *m_order.access.validUntil - now;
+    }
     message.ownCommit = m_order.ownCommit;
     message.arrivedAgo = now - m_order.arrivedAt;
     message.startedAgo = now - m_order.startedAt;
--- a/src/libcrocusdealfront/relaymessages.h
+++ b/src/libcrocusdealfront/relaymessages.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "metadatastore.h"
 #include "promotionwithoutstore.h"
+#include "reportedconfiguration.h"
+#include "reportedload.h"
 #include "statementorder.h"
 
 #include <cstdint>
@@ -8,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace crocusdeal
 {
@@ -22,11 +26,14 @@
     std::uint64_t number = 0;
 };
 
-/** Answers a ping at once. */
+/** Answers a ping at once; its ages count from when this instance had asked. */
 struct relay_pong {
     std::uint64_t number = 0;
     bool isLeaving = false; ///< Takes no further work.
     bool isIsolated = false; ///< Reaches too few targets to serve.
+    bool isStoreAway = false;
+    std::optional<reported_configuration> configuration; ///< Evidence; none if the store was not heard lately.
+    std::vector<reported_load> loads; ///< Hints, a few at a time.
 };
 
 /** A statement on its own, or the first of a transaction. Its times are given as ages, since clocks differ. */
@@ -37,6 +44,9 @@
     std::optional<prepared_shape> prepared;
     std::optional<statement_kind> opens;
     database_route route;
+    workspace_id workspace; ///< As in caller_access.
+    std::uint64_t accessDecidedBy = 0;
+    std::optional<duration> accessValidFor;
     std::optional<position> ownCommit;
     duration arrivedAgo;
     duration startedAgo;
@@ -88,6 +98,37 @@
     instance_knowledge knowledge;
 };
 
+/** Asks what the store holds of the promotion leases; it is read after the question has come. */
+struct lease_question {
+    std::uint64_t number = 0;
+};
+
+struct lease_answer {
+    std::uint64_t number = 0;
+    bool isRead = false; ///< Else the store did not answer the other instance either.
+    std::uint64_t revision = 0; ///< Of the store.
+    std::vector<promotion_lease_entry> entries;
+};
+
+/** Asks for a part of the budget of a workspace. */
+struct budget_request {
+    std::uint64_t number = 0;
+    workspace_id workspace;
+    double wanted = 0; ///< Operations.
+    bool isFromHolder = false; ///< Of another part of the same budget.
+};
+
+struct budget_grant {
+    std::uint64_t number = 0;
+    double granted = 0; ///< Operations; they lapse a fixed time after the request was sent.
+    bool isHolder = true; ///< Else the other instance holds no part of this budget.
+    duration retryAfter; ///< When more is there, if less was granted than wanted.
+};
+
+/** Of a newer version of the product; it is left out. */
+struct relay_unknown {
+};
+
 using relay_message = std::variant<relay_hello,
                                    relay_ping,
                                    relay_pong,
@@ -98,6 +139,11 @@
                                    relay_answer,
                                    relay_not_served,
                                    service_question,
-                                   service_answer>;
+                                   service_answer,
+                                   lease_question,
+                                   lease_answer,
+                                   budget_request,
+                                   budget_grant,
+                                   relay_unknown>;
 
 }
--- a/src/libcrocusdealfront/relaysession.cpp
+++ b/src/libcrocusdealfront/relaysession.cpp
@@ -54,10 +54,19 @@
 void relay_session::announceState()
 {
     if (!m_peer.empty()) {
-        send(relay_pong{0, m_surroundings.isLeaving(), m_surroundings.isIsolated()});
+        send(stateOf(0));
     }
 }
 
+relay_pong relay_session::stateOf(std::uint64_t number) const
+{
+    relay_pong state;
+    state.number = number;
+    state.isLeaving = m_surroundings.isLeaving();
+    state.isIsolated = m_surroundings.isIsolated();
+    return state;
+}
+
 void relay_session::endTransactions()
 {
     // One with a statement under way goes on, as its caller waits for an answer.
@@ -103,7 +112,7 @@
         return;
     }
     if (const auto *ping = std::get_if<relay_ping>(&message)) {
-        send(relay_pong{ping->number, m_surroundings.isLeaving(), m_surroundings.isIsolated()});
+        send(stateOf(ping->number));
     } else if (const auto *run = std::get_if<relay_run>(&message)) {
         handleRun(*run);
     } else if (const auto *step = std::get_if<relay_step>(&message)) {
@@ -184,6 +193,11 @@
     order.prepared = message.prepared;
     order.opens = message.opens;
     order.route = message.route;
+    order.access.workspace = message.workspace;
+    order.access.decidedBy = message.accessDecidedBy;
+    if (message.accessValidFor) {
+        order.access.validUntil = now + *message.accessValidFor;
+    }
     order.ownCommit = message.ownCommit;
     order.arrivedAt = now - message.arrivedAgo;
     order.startedAt = now - message.startedAgo;
--- a/src/libcrocusdealfront/relaysession.h
+++ b/src/libcrocusdealfront/relaysession.h
@@ -64,6 +64,8 @@
     void handleAbandon(std::uint64_t number);
     void handleQuestion(const service_question &question);
     void endTransaction(std::uint64_t number);
+    /** What a pong tells; @p number is that of the ping, or 0. */
+    relay_pong stateOf(std::uint64_t number) const;
     bool isStepRunning(std::uint64_t transaction) const;
     void answerRun(std::uint64_t number, const statement_outcome &outcome);
     void answerStep(std::uint64_t number, std::uint64_t transaction, const statement_outcome &outcome);
--- a/src/libcrocusdealfront/statementorder.h
+++ b/src/libcrocusdealfront/statementorder.h
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "errorcode.h"
+#include "keyaccess.h"
 #include "position.h"
 #include "routingconfiguration.h"
 #include "sessionvalues.h"
@@ -26,6 +27,7 @@
     /** The transaction that the caller has begun and that this is the first statement of. */
     std::optional<statement_kind> opens;
     database_route route;
+    caller_access access;
     std::optional<position> ownCommit;
     time_point arrivedAt;
     time_point startedAt; ///< Of the operation: for the first statement of a transaction, when it was begun.
--- a/src/libcrocusdealfront/targetlink.cpp
+++ b/src/libcrocusdealfront/targetlink.cpp
@@ -23,17 +23,19 @@
 
 void target_link::open(const host_port &address,
                        const std::string &service,
+                       const workspace_id &owner,
                        const std::string &expectedTarget,
                        std::function<void(const link_opening &)> done)
 {
     m_opening = std::move(done);
+    workspace = owner;
     const auto self = shared_from_this();
     m_stream->onData = [self](std::string &inbound) { self->handleMessages(inbound); };
     m_stream->onClosed = [self](const std::string &reason) { self->end(reason); };
     m_openingLimit = m_deadlines.scheduleAfter(openingLimit, [self] { self->end("start-up timed out"); });
     m_stream->connect(address, [self, service, expectedTarget] {
         std::string startup;
-        self->m_protocol.addStartup(startup, service, expectedTarget);
+        self->m_protocol.addStartup(startup, service, self->workspace.str(), expectedTarget);
         self->m_stream->send(startup);
     });
 }
--- a/src/libcrocusdealfront/targetlink.h
+++ b/src/libcrocusdealfront/targetlink.h
@@ -4,6 +4,7 @@
 #include "deadlinequeue.h"
 #include "sessionvalues.h"
 #include "wireprotocol.h"
+#include "workspaceid.h"
 
 #include <deque>
 #include <functional>
@@ -47,8 +48,10 @@
 public:
     target_link(asio::io_context &io, deadline_queue &deadlines, const target_protocol &protocol);
 
+    /** Opens it on behalf of the workspace @p owner, or of none. */
     void open(const host_port &address,
               const std::string &service,
+              const workspace_id &owner,
               const std::string &expectedTarget,
               std::function<void(const link_opening &)> done);
     /** Sends one encoded statement. @p done is called once, also if the connection ends. */
@@ -63,6 +66,7 @@
     time_point oldestPendingAt() const;
 
     connection_values values;
+    workspace_id workspace; ///< On whose behalf it may be used; empty if on behalf of none.
     /** The connection has ended. */
     std::function<void()> onEnded;
     time_point idleSince = never;
--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -330,6 +330,7 @@
     auto link = std::make_shared<target_link>(m_context.io, m_context.deadlines, m_context.targets);
     link->open(m_entry.address,
                m_entry.service.str(),
+               {},
                m_entry.id.str(),
                [self = shared_from_this(), link, begunAt, done = std::move(done)](const link_opening &opening) {
                    self->m_openings.extract(begunAt);
--- a/src/libcrocusdealfront/wireprotocol.h
+++ b/src/libcrocusdealfront/wireprotocol.h
@@ -25,6 +25,7 @@
 
 struct session_startup {
     std::string database;
+    std::string key; ///< Of the caller; empty without one. Not to be kept or logged.
 };
 struct caller_request {
     std::string id;
@@ -93,7 +94,11 @@
 
     /** Whether @p text can be part of a message without ending it; one of a caller always can. */
     virtual bool canCarry(std::string_view text) const = 0;
-    virtual void addStartup(std::string &out, std::string_view service, std::string_view expectedTarget) const = 0;
+    /** @p workspace is on whose behalf the connection is used; empty for the product's own. */
+    virtual void addStartup(std::string &out,
+                            std::string_view service,
+                            std::string_view workspace,
+                            std::string_view expectedTarget) const = 0;
     /** A statement of a caller; @p after makes the target refuse it if its log lacks that position. */
     virtual void addStatement(std::string &out,
                               std::string_view id,
--- a/src/libcrocusdealpolicy/routingconfiguration.h
+++ b/src/libcrocusdealpolicy/routingconfiguration.h
@@ -3,10 +3,13 @@
 #include "clock.h"
 #include "identifiers.h"
 #include "nametable.h"
+#include "workspacedirectory.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace crocusdeal
 {
@@ -30,6 +33,7 @@
     duration latencyObjective{1000}; ///< For a whole operation.
     int priority = 0; ///< 0 is the highest.
     duration maxStaleness{0};
+    bool isPublic = false; ///< Needs no key, also where callers are told apart by workspaces.
 };
 
 struct service_policy {
@@ -43,6 +47,8 @@
     std::map<std::string, database_route, std::less<>> routes; ///< By database name.
     std::map<service_id, service_policy> services;
     duration transactionIdleTimeout{3000}; ///< A transaction that is idle for longer may be aborted.
+    std::optional<workspace_directory> workspaces; ///< Without them callers need no key and are not told apart.
+    std::vector<std::string> problems; ///< Parts that cannot be used, one sentence each, without secrets.
 };
 
 }
