--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -81,6 +81,12 @@
         askInstances(service, std::move(done));
     };
     m_services.onMissed = [this] { watchIsolationSoon(); };
+    m_services.servingByWorkspace = [this](const service_id &service) -> std::optional<int> {
+        if (!m_configuration || !m_configuration->workspaces) {
+            return std::nullopt;
+        }
+        return m_relays ? m_relays->servingCount(service) : 1;
+    };
     m_services.isPlannedHere = [this](const service_id &service) { return m_relays && m_relays->isRelayedTo(service); };
     m_feed->start();
     housekeep();
@@ -117,6 +123,9 @@
     surroundings.run = [this](const statement_order &order, const session_values &values, outcome_handler done) {
         return runHere(order, values, std::move(done));
     };
+    surroundings.mayRestOnLostKey = [this](const caller_access &access) {
+        return m_revocations.mayRestOnLostKey(access.workspace, access.decidedBy);
+    };
     surroundings.describe = [this](const service_id &service, std::function<void(const instance_knowledge &)> done) {
         m_services.describe(service, std::move(done));
     };
@@ -129,6 +138,9 @@
     m_fleet->onMembers = [this](const std::vector<fleet_member> &members) {
         m_relays->setMembers(members);
         m_survey->setMembers(members);
+        if (m_configuration) {
+            m_services.refreshPolicies();
+        }
         keepPlannedServices();
     };
     m_relays->onUnknownInstance = [this] { m_fleet->refreshSoon(); };
@@ -140,6 +152,7 @@
 {
     session_surroundings surroundings;
     surroundings.configuration = [this] { return m_configuration; };
+    surroundings.accessValidUntil = [this] { return accessValidUntil(); };
     surroundings.prepare = [this](const service_id &service) {
         if (!m_relays || m_relays->servesHere(service)) {
             m_services.groupOf(service);
@@ -165,14 +178,17 @@
                                               outcome_handler done)
 {
     const auto &service = order.route.service;
-    if (!m_relays || (!m_relays->next(service, {}) && !m_relays->isSettling(service))) {
+    const auto &workspace = order.access.workspace;
+    if (!m_relays || (!m_relays->next(service, workspace, {}) && !m_relays->isSettling(service, workspace))) {
         return runHere(order, values, std::move(done));
     }
     relay_choice choice;
-    choice.next = [relays = m_relays](const service_id &wanted, const std::set<instance_id> &avoid) {
-        return relays->next(wanted, avoid);
+    choice.next = [relays = m_relays, workspace](const service_id &wanted, const std::set<instance_id> &avoid) {
+        return relays->next(wanted, workspace, avoid);
+    };
+    choice.isSettling = [relays = m_relays, workspace](const service_id &wanted) {
+        return relays->isSettling(wanted, workspace);
     };
-    choice.isSettling = [relays = m_relays](const service_id &wanted) { return relays->isSettling(wanted); };
     choice.runHere = [self = shared_from_this()](
                          const statement_order &again, const session_values &state, outcome_handler handler) {
         return self->runHere(again, state, std::move(handler));
@@ -225,15 +241,42 @@
         .field("version", static_cast<std::int64_t>(configuration.version))
         .field("before", m_configuration ? static_cast<std::int64_t>(m_configuration->version) : 0)
         .field("routes", static_cast<std::int64_t>(configuration.routes.size()));
+    for (const auto &problem : configuration.problems) {
+        m_context.log.warn("configuration_part_ignored")
+            .field("version", static_cast<std::int64_t>(configuration.version))
+            .field("reason", problem);
+    }
+    const auto before = m_configuration;
     m_configuration = std::make_shared<const routing_configuration>(configuration);
     m_context.metrics.setConfigurationVersion(configuration.version);
-    m_services.setConfiguration(m_configuration);
     if (m_relays) {
-        m_relays->setPolicies(m_configuration->services);
-        keepPlannedServices();
+        m_relays->setPolicies(m_configuration->services, m_configuration->workspaces.has_value());
+    }
+    m_services.setConfiguration(m_configuration);
+    keepPlannedServices();
+    takeAwayKeys(before);
+}
+
+void front::takeAwayKeys(const std::shared_ptr<const routing_configuration> &before)
+{
+    if (!before || !before->workspaces) {
+        return;
+    }
+    const workspace_directory none;
+    m_revocations.recordChange(*before->workspaces,
+                               m_configuration->workspaces ? *m_configuration->workspaces : none,
+                               m_configuration->version);
+    const std::vector<std::shared_ptr<front_session>> sessions(m_sessions.begin(), m_sessions.end());
+    for (const auto &session : sessions) {
+        session->reviewAccess();
     }
 }
 
+std::optional<time_point> front::accessValidUntil() const
+{
+    return std::nullopt;
+}
+
 void front::housekeep()
 {
     const auto now = systemNow();
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -5,6 +5,7 @@
 #include "frontsettings.h"
 #include "httpmessage.h"
 #include "instancesurvey.h"
+#include "keyrevocations.h"
 #include "metadatastore.h"
 #include "relayhub.h"
 #include "servedservices.h"
@@ -48,6 +49,10 @@
     /** Begins to serve the services that others relay to this instance, before their first statement. */
     void keepPlannedServices();
     void applyConfiguration(const routing_configuration &configuration);
+    /** Ends what callers may do no more since @p before. */
+    void takeAwayKeys(const std::shared_ptr<const routing_configuration> &before);
+    /** Until when work with keys may be sent to targets, as things are known now; nothing if that is not bound. */
+    std::optional<time_point> accessValidUntil() const;
     void housekeep();
     /** How long this process did not run until just now, for its machine was suspended or had no processor. */
     duration recentStall(time_point now) const;
@@ -72,6 +77,7 @@
     std::shared_ptr<fleet_feed> m_fleet;
     std::shared_ptr<instance_survey> m_survey; ///< Null if this instance is the only one.
     std::shared_ptr<const routing_configuration> m_configuration;
+    key_revocations m_revocations;
     served_services m_services;
     std::set<std::shared_ptr<front_session>> m_sessions;
     std::function<void()> m_whenShutDown;
--- a/src/libcrocusdealfront/frontsession.cpp
+++ b/src/libcrocusdealfront/frontsession.cpp
@@ -115,29 +115,111 @@
 void front_session::handleStartup(const session_startup &startup)
 {
     const auto configuration = m_surroundings.configuration();
-    const bool isKnown = configuration && configuration->routes.contains(startup.database);
-    if (m_isStarted || !isKnown) {
-        const auto code = m_isStarted ? error_code::Malformed
-            : configuration           ? error_code::UnknownDatabase
-                                      : error_code::Busy;
-        m_context.log.info("session_refused")
-            .field("database", startup.database)
-            .field("code", errorCodeNames.name(code))
-            .field("configuration", configuration ? static_cast<std::int64_t>(configuration->version) : 0);
-        std::string out;
-        m_context.callers.addError(out, code, startup.database);
-        m_stream->send(out);
-        m_stream->closeAfterSending();
-        closed("session refused");
+    m_database = m_isStarted ? m_database : startup.database;
+    if (m_isStarted) {
+        refuseSession(error_code::Malformed, "started_twice");
+        return;
+    }
+    if (!configuration) {
+        refuseSession(error_code::Busy, "no_configuration");
+        return;
+    }
+    if (!configuration->routes.contains(startup.database)) {
+        refuseSession(error_code::UnknownDatabase, "no_route");
+        return;
+    }
+    if (configuration->workspaces && !startup.key.empty()) {
+        m_key = access_key_digest::of(startup.key);
+    }
+    const auto access = currentAccess();
+    if (access->refusal) {
+        refuseSession(error_code::AuthenticationFailed, accessRefusalNames.name(*access->refusal));
         return;
     }
     m_context.metrics.sessionOpened();
-    m_database = startup.database;
     m_isStarted = true;
     m_surroundings.prepare(configuration->routes.at(startup.database).service);
     finishAnswer(std::nullopt);
 }
 
+void front_session::refuseSession(error_code code, std::string_view reason)
+{
+    const auto configuration = m_surroundings.configuration();
+    m_context.log.info("session_refused")
+        .field("database", m_database)
+        .field("code", errorCodeNames.name(code))
+        .field("reason", reason)
+        .field("configuration", configuration ? static_cast<std::int64_t>(configuration->version) : 0);
+    m_context.metrics.statementRefused(reason);
+    std::string out;
+    m_context.callers.addError(out, code, m_database);
+    m_stream->send(out);
+    m_stream->closeAfterSending();
+    closed("session refused");
+}
+
+std::optional<access_decision> front_session::currentAccess()
+{
+    const auto configuration = m_surroundings.configuration();
+    const auto route = m_transactionRoute && m_state == transaction_state::Open ? m_transactionRoute : currentRoute();
+    return configuration && route ? std::optional(decideAccess(*configuration, *route, m_key)) : std::nullopt;
+}
+
+void front_session::reviewAccess()
+{
+    const auto access = m_isStarted && !m_isEnded ? currentAccess() : std::nullopt;
+    if (!access) {
+        return;
+    }
+    const bool isOfAnother = m_state == transaction_state::Open && access->workspace != m_transactionWorkspace;
+    if (!access->refusal && !isOfAnother) {
+        return;
+    }
+    abortTransaction("the key was taken away");
+    if (access->refusal) {
+        closeIfIdle();
+    }
+}
+
+bool front_session::isAccessGranted(const caller_request &request)
+{
+    const auto kind = request.what.kind;
+    const auto access = currentAccess();
+    if (kind == statement_kind::Rollback || m_state == transaction_state::Failed || !access) {
+        return true; // What needs a route is refused without one.
+    }
+    if (access->refusal) {
+        refuseAccess(request, error_code::AuthenticationFailed, accessRefusalNames.name(*access->refusal));
+        return false;
+    }
+    if (m_state == transaction_state::Open && access->workspace != m_transactionWorkspace) {
+        refuseAccess(request, error_code::Aborted, "workspace_changed");
+        return false;
+    }
+    const auto validUntil = access->workspace.empty() ? std::nullopt : m_surroundings.accessValidUntil();
+    if (validUntil && systemNow() >= *validUntil) {
+        refuseAccess(
+            request, m_state == transaction_state::Open ? error_code::Aborted : error_code::Busy, "access_unconfirmed");
+        return false;
+    }
+    return true;
+}
+
+void front_session::refuseAccess(const caller_request &request, error_code code, std::string_view reason)
+{
+    endTransaction();
+    const bool isEnd = request.what.kind == statement_kind::Commit;
+    if (m_state == transaction_state::Open) {
+        m_state = isEnd ? transaction_state::Idle : transaction_state::Failed;
+    }
+    m_context.metrics.statementRefused(reason);
+    m_context.log.info("statement_refused")
+        .field("id", request.id)
+        .field("database", m_database)
+        .field("reason", reason);
+    answerError(code, reason);
+}
+
 void front_session::handleRequest(const caller_request &request)
 {
     m_context.deadlines.cancel(m_idleLimit);
@@ -149,6 +231,9 @@
             return;
         }
     }
+    if (!isAccessGranted(request)) {
+        return;
+    }
     if (m_state == transaction_state::Failed) {
         handleInFailedTransaction(request);
         return;
@@ -221,6 +306,7 @@
         answerError(error_code::UnknownDatabase, m_database);
         return;
     }
+    m_transactionWorkspace = currentAccess()->workspace;
     m_transactionRoute = std::move(route);
     m_state = transaction_state::Open;
     m_begunBy = what.kind;
@@ -298,6 +384,10 @@
     order.prepared = std::move(prepared);
     order.opens = isInTransaction ? std::optional(m_begunBy) : std::nullopt;
     order.route = *route;
+    order.access = {currentAccess()->workspace, m_surroundings.configuration()->version, std::nullopt};
+    if (!order.access.workspace.empty()) {
+        order.access.validUntil = m_surroundings.accessValidUntil();
+    }
     order.arrivedAt = systemNow();
     order.startedAt = isInTransaction ? m_begunAt : order.arrivedAt;
     const auto commit = m_commits.find(route->service);
--- a/src/libcrocusdealfront/frontsession.h
+++ b/src/libcrocusdealfront/frontsession.h
@@ -17,6 +17,8 @@
 struct session_surroundings {
     /** The configuration in force; null before there is any. */
     std::function<std::shared_ptr<const routing_configuration>()> configuration;
+    /** Until when work with keys may be sent to targets, as things are known now; nothing if that is not bound. */
+    std::function<std::optional<time_point>()> accessValidUntil;
     /** A caller has come for the service. */
     std::function<void(const service_id &)> prepare;
     /** Runs a statement; null, and no outcome, if its service is not known. */
@@ -51,6 +53,8 @@
      */
     void leave(bool endsTransactions);
     void close();
+    /** Ends what the caller's key does not allow any more under the configuration in force. */
+    void reviewAccess();
     /** Rolls back the open transaction; its next statement is told so. */
     void abortTransaction(const char *why);
 
@@ -58,7 +62,13 @@
     void handleData(std::string &inbound);
     void handleMessage(const caller_message &message);
     void handleStartup(const session_startup &startup);
+    void refuseSession(error_code code, std::string_view reason);
     void handleRequest(const caller_request &request);
+    /** Whether the caller may go on; answers the request if not. */
+    bool isAccessGranted(const caller_request &request);
+    void refuseAccess(const caller_request &request, error_code code, std::string_view reason);
+    /** What the caller's key allows now; nothing without a route. */
+    std::optional<access_decision> currentAccess();
     void handleInFailedTransaction(const caller_request &request);
     void handleBegin(const statement &what);
     void handleSet(const statement &what);
@@ -91,6 +101,8 @@
     std::shared_ptr<byte_stream> m_stream;
     session_surroundings m_surroundings;
     std::string m_database;
+    std::optional<access_key_digest> m_key;
+    workspace_id m_transactionWorkspace; ///< Of the open transaction.
     bool m_isStarted = false;
     bool m_isBusy = false;
     bool m_isEnded = false;
--- a/src/libcrocusdealfront/relayhub.cpp
+++ b/src/libcrocusdealfront/relayhub.cpp
@@ -93,13 +93,14 @@
     openLinks(systemNow());
 }
 
-void relay_hub::setPolicies(const std::map<service_id, service_policy> &policies)
+void relay_hub::setPolicies(const std::map<service_id, service_policy> &policies, bool isByWorkspace)
 {
     m_policies = policies;
+    m_isByWorkspace = isByWorkspace;
     m_plans.clear();
 }
 
-const relay_hub::service_plan &relay_hub::planOf(const service_id &service)
+relay_hub::service_plan &relay_hub::planOf(const service_id &service)
 {
     const auto known = m_plans.find(service);
     if (known != m_plans.end()) {
@@ -110,16 +111,15 @@
     const int instances = static_cast<int>(std::max(m_known.size(), m_members.size()));
     const int connections =
         policy == m_policies.end() ? service_policy{}.maxConnections : policy->second.maxConnections;
-    const int serving = servingInstances(connections, instances, m_dataCentres);
+    const int serving = m_isByWorkspace ? servingInstancesByWorkspace(connections, instances, m_dataCentres)
+                                        : servingInstances(connections, instances, m_dataCentres);
+    plan.serving = serving;
     plan.isServedByAll = serving == instances;
     if (plan.isServedByAll) {
         plan.isServedHere = true;
         return plan;
     }
-    std::vector<instance_id> members;
-    for (const auto &[id, member] : m_members) {
-        members.push_back(id);
-    }
+    const auto members = membersHere();
     const auto &self = m_surroundings.self.id;
     plan.isServedHere = isServing(service, members, serving, self);
     plan.order = relayOrder(service, members, serving, self);
@@ -127,6 +127,35 @@
     return plan;
 }
 
+std::vector<instance_id> relay_hub::membersHere() const
+{
+    std::vector<instance_id> members;
+    for (const auto &[id, member] : m_members) {
+        members.push_back(id);
+    }
+    return members;
+}
+
+const std::vector<instance_id> &relay_hub::orderOf(const service_id &service, const workspace_id &workspace)
+{
+    auto &plan = planOf(service);
+    if (!m_isByWorkspace || workspace.empty()) {
+        return plan.order;
+    }
+    auto &order = plan.orderOfWorkspaces[workspace];
+    if (order.empty()) {
+        order = relayOrderOfWorkspace(service, workspace, membersHere(), plan.serving);
+        order.resize(plan.order.size());
+    }
+    return order;
+}
+
+int relay_hub::servingCount(const service_id &service)
+{
+    const auto &plan = planOf(service);
+    return plan.isServedByAll ? plan.serving : plan.serving * m_dataCentres;
+}
+
 bool relay_hub::isUnplanned() const
 {
     return !m_areMembersKnown && isYoung(systemNow());
@@ -143,16 +172,18 @@
     return plan.isServedHere && !plan.isServedByAll;
 }
 
-std::shared_ptr<relay_link> relay_hub::next(const service_id &service, const std::set<instance_id> &avoid)
+std::shared_ptr<relay_link> relay_hub::next(const service_id &service,
+                                            const workspace_id &workspace,
+                                            const std::set<instance_id> &avoid)
 {
     if (isUnplanned()) {
         return nullptr;
     }
     const auto &plan = planOf(service);
-    if (plan.isServedHere) {
+    if (plan.isServedByAll || (plan.isServedHere && !m_isByWorkspace)) {
         return nullptr;
     }
-    for (const auto &id : plan.order) {
+    for (const auto &id : orderOf(service, workspace)) {
         if (id == m_surroundings.self.id) {
             return nullptr; // This instance is the next to serve in the place of those that have failed.
         }
@@ -169,12 +200,12 @@
     return now - m_createdAt < youngTime;
 }
 
-bool relay_hub::isSettling(const service_id &service)
+bool relay_hub::isSettling(const service_id &service, const workspace_id &workspace)
 {
     if (isUnplanned()) {
         return true;
     }
-    return isYoung(systemNow()) && !planOf(service).isServedHere && !next(service, {});
+    return isYoung(systemNow()) && !planOf(service).isServedHere && !next(service, workspace, {});
 }
 
 bool relay_hub::areServersIsolated()
@@ -182,7 +213,7 @@
     std::size_t relayed = 0;
     std::size_t isolated = 0;
     for (const auto &[service, policy] : m_policies) {
-        const auto link = next(service, {});
+        const auto link = planOf(service).isServedHere ? nullptr : next(service, {}, {});
         relayed += link ? 1 : 0;
         isolated += link && link->isPeerIsolated() ? 1 : 0;
     }
@@ -194,7 +225,7 @@
     std::set<instance_id> wanted;
     for (const auto &[service, policy] : m_policies) {
         const auto &plan = planOf(service);
-        if (!plan.isServedHere) {
+        if (!plan.isServedHere || m_isByWorkspace) {
             wanted.insert(plan.order.begin(), plan.order.end());
         }
     }
--- a/src/libcrocusdealfront/relayhub.h
+++ b/src/libcrocusdealfront/relayhub.h
@@ -30,16 +30,21 @@
     /** Empty if it listens, else why not. */
     std::string listen(const host_port &address);
     void setMembers(const std::vector<fleet_member> &members);
-    void setPolicies(const std::map<service_id, service_policy> &policies);
+    /** @p isByWorkspace: whether connections to targets belong to workspaces. */
+    void setPolicies(const std::map<service_id, service_policy> &policies, bool isByWorkspace);
 
     /** Whether this instance is to hold connections to the targets of the service, as things are planned. */
     bool servesHere(const service_id &service);
     /** Whether other instances hand statements of the service to this one. */
     bool isRelayedTo(const service_id &service);
     /** The link to the instance that gets the next statement; null if that is this one. */
-    std::shared_ptr<relay_link> next(const service_id &service, const std::set<instance_id> &avoid);
+    std::shared_ptr<relay_link> next(const service_id &service,
+                                     const workspace_id &workspace,
+                                     const std::set<instance_id> &avoid);
+    /** Instances of the fleet that serve the service. */
+    int servingCount(const service_id &service);
     /** Whether this instance has just started and is still opening its links to those that serve. */
-    bool isSettling(const service_id &service);
+    bool isSettling(const service_id &service, const workspace_id &workspace);
     /** Whether the instances that serve most services for this one have said that they reach too few targets. */
     bool areServersIsolated();
 
@@ -54,12 +59,16 @@
 private:
     struct service_plan {
         std::vector<instance_id> order; ///< In which statements are handed over.
+        std::map<workspace_id, std::vector<instance_id>> orderOfWorkspaces; ///< Worked out when first needed.
+        int serving = 0; ///< In this data centre.
         bool isServedHere = false;
         bool isServedByAll = false;
     };
 
     void addSession(asio::ip::tcp::socket socket);
-    const service_plan &planOf(const service_id &service);
+    service_plan &planOf(const service_id &service);
+    const std::vector<instance_id> &orderOf(const service_id &service, const workspace_id &workspace);
+    std::vector<instance_id> membersHere() const;
     /** Opens links to the instances that may get statements of this one. */
     void openLinks(time_point now);
     void openLink(const fleet_member &member);
@@ -78,6 +87,7 @@
     std::map<instance_id, std::shared_ptr<relay_link>> m_links;
     std::set<std::shared_ptr<relay_session>> m_sessions;
     time_point m_createdAt;
+    bool m_isByWorkspace = false;
     bool m_areMembersKnown = false;
     bool m_isClosed = false;
 };
--- a/src/libcrocusdealfront/relaysession.cpp
+++ b/src/libcrocusdealfront/relaysession.cpp
@@ -17,6 +17,13 @@
 constexpr std::size_t maxRunning = 2000; // Of one other instance.
 constexpr std::size_t maxUnsentBytes = 8'388'608; // One that does not read is cut off.
 
+/** Whether the name can be one field of a message to a target. */
+bool isWord(const workspace_id &workspace)
+{
+    const auto &name = workspace.str();
+    return std::none_of(name.begin(), name.end(), [](char c) { return static_cast<unsigned char>(c) <= ' '; });
+}
+
 }
 
 relay_session::relay_session(front_context &context,
@@ -186,6 +193,10 @@
     if (!isCarried(message.number, message.request, message.prepared, message.values)) {
         return;
     }
+    if (!isWord(message.workspace)) {
+        refuse(message.number, error_code::Malformed, "the workspace cannot be named to a target");
+        return;
+    }
     const auto now = systemNow();
     statement_order order;
     order.request = message.request;
@@ -201,6 +212,15 @@
     order.ownCommit = message.ownCommit;
     order.arrivedAt = now - message.arrivedAgo;
     order.startedAt = now - message.startedAgo;
+    if (m_surroundings.mayRestOnLostKey(order.access)) {
+        m_context.log.info("relayed_access_refused")
+            .field("id", order.request.id)
+            .field("workspace", order.access.workspace.str())
+            .field("peer", m_peer.str())
+            .field("decided_by", static_cast<std::int64_t>(order.access.decidedBy));
+        refuse(message.number, error_code::Busy, "a key of the workspace was taken away since the access was decided");
+        return;
+    }
     session_values values;
     values.values = message.values;
     const auto number = message.number;
--- a/src/libcrocusdealfront/relaysession.h
+++ b/src/libcrocusdealfront/relaysession.h
@@ -25,6 +25,8 @@
     /** Runs a statement at targets of this instance; null if the service is not known here. */
     std::function<std::shared_ptr<running_statement>(const statement_order &, const session_values &, outcome_handler)>
         run;
+    /** Whether the access may rest on a key that a newer configuration has taken away here. */
+    std::function<bool(const caller_access &)> mayRestOnLostKey;
     /** Tells what this instance knows of a service, now or later. */
     std::function<void(const service_id &, std::function<void(const instance_knowledge &)>)> describe;
 };
--- a/src/libcrocusdealfront/servedservices.cpp
+++ b/src/libcrocusdealfront/servedservices.cpp
@@ -41,10 +41,15 @@
 void served_services::setConfiguration(std::shared_ptr<const routing_configuration> configuration)
 {
     m_configuration = std::move(configuration);
+    refreshPolicies();
+}
+
+void served_services::refreshPolicies()
+{
     for (const auto &[service, group] : m_groups) {
         const auto policy = m_configuration->services.find(service);
         if (policy != m_configuration->services.end()) {
-            group->setPolicy(policy->second);
+            group->setPolicy(policy->second, servingByWorkspace(service));
         }
     }
 }
@@ -171,7 +176,7 @@
     if (const auto command = m_unrecordedCommands.find(service); command != m_unrecordedCommands.end()) {
         group->recordUnrecordedCommand(command->second);
     }
-    group->setPolicy(policy);
+    group->setPolicy(policy, servingByWorkspace(service));
     group->recordCommit(m_commits[service]);
     group->adoptClaimedPrimary();
     const auto keeper = makeKeeper(group);
--- a/src/libcrocusdealfront/servedservices.h
+++ b/src/libcrocusdealfront/servedservices.h
@@ -39,10 +39,14 @@
     /** Asks the other instances what they know of a service; one that does not answer has no value. */
     std::function<void(const service_id &, std::function<void(const std::vector<std::optional<instance_knowledge>> &)>)>
         askInstances;
+    /** How many instances of the fleet serve the service, if connections belong to workspaces. */
+    std::function<std::optional<int>(const service_id &)> servingByWorkspace;
     /** Whether other instances relay statements of the service to this one, or are about to. */
     std::function<bool(const service_id &)> isPlannedHere;
 
     void setConfiguration(std::shared_ptr<const routing_configuration> configuration);
+    /** The members of the fleet have changed, and with them who serves. */
+    void refreshPolicies();
     /** @p changedAfter is when the store last answered without this update. */
     void applyTargets(const target_update &update, time_point changedAfter);
     void applyLeases(const promotion_lease_list_update &update, store_reading reading, time_point askedAt);
--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -15,6 +15,7 @@
 constexpr duration connectedTime{30000}; // After the last statement.
 constexpr duration ageMargin{30}; // A sample counts from when it was asked for; the clocks round to milliseconds.
 constexpr std::size_t longestQueue = 400;
+constexpr int largestShareDivisor = 3; // No instance takes more than a third of the connections of a target.
 constexpr duration passingTrouble{150}; // A survey that finds the primary in place takes less.
 
 }
@@ -42,9 +43,12 @@
     return m_id;
 }
 
-void service_group::setPolicy(const service_policy &policy)
+void service_group::setPolicy(const service_policy &policy, std::optional<int> servingByWorkspace)
 {
     m_policy = policy;
+    m_allowance = servingByWorkspace
+        ? allowanceByWorkspace(policy.maxConnections, *servingByWorkspace)
+        : connection_allowance{std::max(2, policy.maxConnections / largestShareDivisor), false};
     refreshTargets();
 }
 
@@ -61,7 +65,7 @@
         }
         auto &pool = m_targets[id];
         if (!pool) {
-            pool = std::make_shared<target_pool>(m_context, known.entry, m_policy.maxConnections);
+            pool = std::make_shared<target_pool>(m_context, known.entry, m_allowance);
             pool->onCapacity = [weak = weak_from_this()] {
                 if (const auto self = weak.lock()) {
                     self->pump();
@@ -81,7 +85,7 @@
             };
             continue;
         }
-        pool->update(known.entry, m_policy.maxConnections);
+        pool->update(known.entry, m_allowance);
     }
     for (auto it = m_targets.begin(); it != m_targets.end();) {
         const auto *known = m_directory.find(it->first);
@@ -180,6 +184,8 @@
     work.refuseAt = need.refuseAt;
     work.refuse = [this, need, refused = std::move(refused)] { refused(whyNotPlaced(need)); };
     work.tryPlace = [this, need, granted = std::move(granted)] { return tryPlace(need, granted); };
+    work.onEnded = [this, workspace = need.workspace] { recordWaiting(workspace, false); };
+    recordWaiting(need.workspace, true);
     const auto number = m_queue.add(std::move(work));
     pump();
     armRefusals();
@@ -224,10 +230,7 @@
     for (const auto &[id, pool] : m_targets) {
         const auto *known = m_directory.find(id);
         const bool isKept = isInUse && m_primary != id && known != nullptr && !known->removedAt;
-        pool->keepLast(isKept);
-        if (isKept && pool->connections() == 0 && pool->canOpen(now) && !pool->areConnectionsScarce(now)) {
-            pool->openMore();
-        }
+        pool->keepLast(isKept, now);
     }
 }
 
@@ -274,14 +277,14 @@
         candidate.isPrimary = m_primary == id;
         candidate.hasRequiredPosition = pool->knownPosition() >= *required;
         candidate.isWarmingUp = pool->entry().isWarmingUp;
-        candidate.hasIdleConnection = pool->hasIdle();
+        candidate.hasIdleConnection = pool->hasIdle(need.workspace);
         candidate.failureRate = pool->failureShare(now);
         candidates.push_back(candidate);
         pools.push_back(pool);
     }
     warmUpFor(candidates, pools);
     while (const auto best = placeRead(candidates)) {
-        if (grantAt(pools[*best], required, false, granted)) {
+        if (grantAt(pools[*best], need, required, false, granted)) {
             return true;
         }
         std::erase_if(candidates, [&](const read_candidate &candidate) { return candidate.index == *best; });
@@ -292,6 +295,9 @@
 void service_group::warmUpFor(std::vector<read_candidate> candidates,
                               const std::vector<std::shared_ptr<target_pool>> &pools)
 {
+    if (m_allowance.isByWorkspace) {
+        return; // What is opened before it is needed takes the place of another workspace.
+    }
     for (auto &candidate : candidates) {
         candidate.hasIdleConnection = true;
     }
@@ -300,8 +306,8 @@
         return;
     }
     auto &pool = *pools[*preferred];
-    if (pool.connections() == 0 && pool.canOpen(systemNow())) {
-        pool.openMore();
+    if (pool.connections() == 0 && pool.canOpen({}, systemNow())) {
+        pool.openMore({});
     }
 }
 
@@ -320,17 +326,19 @@
     if (!pool->hasRoom(systemNow())) {
         return false;
     }
-    return grantAt(pool, std::nullopt, !need.isWrite, granted);
+    return grantAt(pool, need, std::nullopt, !need.isWrite, granted);
 }
 
 bool service_group::grantAt(const std::shared_ptr<target_pool> &pool,
+                            const target_need &need,
                             std::optional<position> after,
                             bool needsProof,
                             const std::function<void(target_grant)> &granted)
 {
-    auto link = pool->takeIdle();
+    const auto workspace = m_allowance.isByWorkspace ? need.workspace : workspace_id();
+    auto link = pool->takeIdle(workspace);
     if (!link) {
-        openWhereNeeded(*pool);
+        openWhereNeeded(*pool, workspace);
         return false;
     }
     pool->addInFlight(1);
@@ -338,22 +346,42 @@
     return true;
 }
 
-void service_group::openWhereNeeded(target_pool &pool)
+void service_group::openWhereNeeded(target_pool &pool, const workspace_id &workspace)
 {
     // One for each statement that waits; a statement is tried once before it does.
     // Connections of transactions that rest are neither idle nor soon free.
-    const int working = pool.inFlight() + pool.opening();
-    const bool isWorth = isConnectionWorthOpening(m_queue.size(), working, pool.answerMs(), pool.openingMs());
-    if (isWorth && static_cast<std::size_t>(opening()) < m_queue.size() && pool.canOpen(systemNow())) {
-        pool.openMore();
+    const int used = m_allowance.isByWorkspace ? pool.connectionsOf(workspace) : pool.inFlight() + pool.opening();
+    const auto waiting = waitingOf(workspace);
+    const bool isWorth = isConnectionWorthOpening(waiting, used, pool.answerMs(), pool.openingMs());
+    const bool isWanted = static_cast<std::size_t>(openingFor(workspace)) < waiting;
+    if (isWorth && isWanted && pool.canOpen(workspace, systemNow())) {
+        pool.openMore(workspace);
+    }
+}
+
+std::size_t service_group::waitingOf(const workspace_id &workspace) const
+{
+    if (!m_allowance.isByWorkspace) {
+        return m_queue.size();
+    }
+    const auto found = m_waiting.find(workspace);
+    return found == m_waiting.end() ? 0 : found->second;
+}
+
+void service_group::recordWaiting(const workspace_id &workspace, bool isAdded)
+{
+    auto &waiting = m_waiting[workspace];
+    waiting = isAdded ? waiting + 1 : waiting - 1;
+    if (waiting == 0) {
+        m_waiting.erase(workspace);
     }
 }
 
-int service_group::opening() const
+int service_group::openingFor(const workspace_id &workspace) const
 {
     int sum = 0;
     for (const auto &[id, pool] : m_targets) {
-        sum += pool->opening();
+        sum += m_allowance.isByWorkspace ? pool->openingOf(workspace) : pool->opening();
     }
     return sum;
 }
@@ -491,7 +519,7 @@
         return false;
     }
     return m_witnesses.isLeaseWanted() || std::any_of(m_targets.begin(), m_targets.end(), [&](const auto &target) {
-               const auto connectedAt = target.second->lastConnectedAt();
+               const auto connectedAt = target.second->controlConnectedAt();
                const bool isReplica = target.first != m_primary;
                return isReplica && connectedAt != never && m_witnesses.isLeaseWantedFor(connectedAt);
            });
--- a/src/libcrocusdealfront/servicegroup.h
+++ b/src/libcrocusdealfront/servicegroup.h
@@ -29,6 +29,7 @@
     std::optional<position> ownCommit; ///< The session's last one; counts for read-your-writes.
     time_point arrivedAt;
     int priority = 0;
+    workspace_id workspace; ///< On whose behalf the connection is used; empty if on behalf of none.
     time_point wantedBy;
     time_point refuseAt; ///< If no target is free by then.
     bool mustBePrimary = false; ///< A replica has refused already.
@@ -52,10 +53,16 @@
     QueueFull,
     ExpectedWait,
     Shutdown,
+    AccessUnconfirmed, ///< The key may have been taken away meanwhile.
 };
 
-inline constexpr auto refusalReasonNames =
-    makeNameTable<refusal_reason>("no_primary", "no_target", "queue_time", "queue_full", "expected_wait", "shutdown");
+inline constexpr auto refusalReasonNames = makeNameTable<refusal_reason>("no_primary",
+                                                                         "no_target",
+                                                                         "queue_time",
+                                                                         "queue_full",
+                                                                         "expected_wait",
+                                                                         "shutdown",
+                                                                         "access_unconfirmed");
 
 /** The targets of one service as this instance sees them, and the work that waits for them. */
 class service_group : public std::enable_shared_from_this<service_group>
@@ -76,7 +83,8 @@
     std::function<void()> onLeaseWanted;
 
     const service_id &id() const;
-    void setPolicy(const service_policy &policy);
+    /** @p servingByWorkspace: how many instances serve, if connections belong to workspaces. */
+    void setPolicy(const service_policy &policy, std::optional<int> servingByWorkspace);
     const service_policy &policy() const;
     /** Takes over what the directory holds now. */
     void refreshTargets();
@@ -144,12 +152,17 @@
 
 private:
     void refreshWitnesses();
-    int opening() const;
+    /** Statements of the workspace that wait; of all where connections belong to none. */
+    std::size_t waitingOf(const workspace_id &workspace) const;
+    /** Connections that are being opened, and that such statements may use. */
+    int openingFor(const workspace_id &workspace) const;
+    void recordWaiting(const workspace_id &workspace, bool isAdded);
     /** Opens a connection to the target that a read would go to if all had one. */
     void warmUpFor(std::vector<read_candidate> candidates, const std::vector<std::shared_ptr<target_pool>> &pools);
     bool tryPlace(const target_need &need, const std::function<void(target_grant)> &granted);
     bool tryPlaceAtPrimary(const target_need &need, const std::function<void(target_grant)> &granted);
     bool grantAt(const std::shared_ptr<target_pool> &pool,
+                 const target_need &need,
                  std::optional<position> after,
                  bool needsProof,
                  const std::function<void(target_grant)> &granted);
@@ -163,13 +176,15 @@
     /** As needsPrimary(), or since every other target is behind or cannot be used. */
     bool isOnlyForPrimary(const target_need &need, time_point now) const;
     void armRefusals();
-    void openWhereNeeded(target_pool &pool);
+    void openWhereNeeded(target_pool &pool, const workspace_id &workspace);
 
     front_context &m_context;
     service_id m_id;
     data_centre_id m_dataCentre;
     const target_directory &m_directory;
     service_policy m_policy;
+    connection_allowance m_allowance; ///< At each target.
+    std::map<workspace_id, std::size_t> m_waiting; ///< Statements in the queue, by workspace.
     std::map<target_id, std::shared_ptr<target_pool>> m_targets;
     wait_queue m_queue;
     position_samples m_samples;
--- a/src/libcrocusdealfront/statementrun.cpp
+++ b/src/libcrocusdealfront/statementrun.cpp
@@ -101,6 +101,7 @@
     m_need.ownCommit = m_order.ownCommit;
     m_need.arrivedAt = m_order.startedAt;
     m_need.priority = route.priority;
+    m_need.workspace = m_order.access.workspace;
     m_need.wantedBy = m_order.arrivedAt + route.latencyObjective;
     const auto self = shared_from_this();
     m_limit = m_context.deadlines.schedule(m_order.arrivedAt + route.statementTimeout, [self] { self->hitLimit(); });
@@ -136,6 +137,11 @@
     m_grant = std::move(grant);
     ++m_attempts;
     m_context.metrics.waitedForTarget(systemNow() - m_acquiredAt);
+    if (!m_order.access.isValid(systemNow())) {
+        dropGrant(true);
+        refuse(refusal_reason::AccessUnconfirmed);
+        return;
+    }
     if (opensTransaction() || m_grant->needsProof) {
         sendBegin();
     } else {
@@ -151,6 +157,7 @@
         .field("id", m_order.request.id)
         .field("database", m_order.route.database)
         .field("service", m_group->id().str())
+        .field("workspace", m_order.access.workspace.str())
         .field("reason", refusalReasonNames.name(reason))
         .field("queued", static_cast<std::int64_t>(m_group->queued()))
         .field("waited_ms", (systemNow() - m_order.arrivedAt).ms)
@@ -320,6 +327,7 @@
     m_context.log.debug("statement_served")
         .field("id", m_order.request.id)
         .field("database", m_order.route.database)
+        .field("workspace", m_order.access.workspace.str())
         .field("target", target.str())
         .field("at_primary", m_grant->isPrimary ? 1 : 0)
         .field("attempts", m_attempts)
--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -33,7 +33,9 @@
 constexpr duration lastUnusedTime{4000};
 constexpr duration silentTime{250};
 constexpr int openingAtOnce = 2; // Each takes a slot of the target for its start-up.
-constexpr int largestShareDivisor = 3; // No instance takes more than a third of the connections of a target.
+// A connection of a workspace is worth a new one, and is closed early only for that of another workspace.
+constexpr duration workspaceUnusedTime{15000};
+constexpr duration scarceWorkspaceUnusedTime{800};
 
 }
 
@@ -47,10 +49,10 @@
     bool isFinished = false;
 };
 
-target_pool::target_pool(front_context &context, target_entry entry, int maxConnections)
+target_pool::target_pool(front_context &context, target_entry entry, connection_allowance allowance)
     : m_context(context)
     , m_entry(std::move(entry))
-    , m_maxConnections(maxConnections)
+    , m_allowance(allowance)
     , m_window(m_entry.slots)
     , m_answerMs(firstAnswerMs)
     , m_openingMs(firstOpeningMs)
@@ -62,9 +64,9 @@
     return m_entry;
 }
 
-void target_pool::update(const target_entry &entry, int maxConnections)
+void target_pool::update(const target_entry &entry, connection_allowance allowance)
 {
-    m_maxConnections = maxConnections;
+    m_allowance = allowance;
     const bool isAnotherLife = entry.incarnation != m_entry.incarnation || entry.address != m_entry.address;
     m_entry = entry;
     m_window.setMaximum(entry.slots);
@@ -246,8 +248,11 @@
     return oldest;
 }
 
-time_point target_pool::lastConnectedAt() const
+time_point target_pool::controlConnectedAt() const
 {
+    if (m_allowance.isByWorkspace) {
+        return m_controlLink ? m_controlLink->openedAt : never;
+    }
     auto newest = never;
     for (const auto &link : m_links) {
         newest = std::max(newest, link->openedAt);
@@ -269,7 +274,7 @@
 
 time_point target_pool::silentSince() const
 {
-    auto oldest = m_openings.empty() ? never : *m_openings.begin();
+    auto oldest = m_openings.empty() ? never : m_openings.front().begunAt;
     for (const auto &link : m_links) {
         const auto since = link->oldestPendingAt();
         if (since != never && (oldest == never || since < oldest)) {
@@ -279,40 +284,97 @@
     return oldest;
 }
 
-bool target_pool::hasIdle() const
+bool target_pool::hasIdle(const workspace_id &workspace) const
 {
-    return !m_idle.empty();
+    return std::any_of(m_idle.begin(), m_idle.end(), [&](const auto &link) { return link->workspace == workspace; });
 }
 
-bool target_pool::canOpen(time_point now) const
+bool target_pool::canOpen(const workspace_id &workspace, time_point now) const
 {
-    const int limit = std::max(2, m_maxConnections / largestShareDivisor);
-    return !m_isRetired && now >= m_retryAt && opening() < openingAtOnce && connections() < limit;
+    return !m_isRetired && now >= m_retryAt && opening() < openingAtOnce && isAllowed(workspace);
 }
 
-std::shared_ptr<target_link> target_pool::takeIdle()
+bool target_pool::isAllowed(const workspace_id &workspace) const
 {
-    while (!m_idle.empty()) {
-        auto link = std::move(m_idle.back());
-        m_idle.pop_back();
+    if (!m_allowance.isByWorkspace) {
+        return connections() < m_allowance.most;
+    }
+    return choiceFor(workspace).step != connection_step::Wait;
+}
+
+connection_choice target_pool::choiceFor(const workspace_id &workspace) const
+{
+    connection_census census;
+    census.all = connections();
+    census.ofWorkspace = connectionsOf(workspace);
+    for (const auto &link : m_idle) {
+        census.idle.push_back({link->workspace, link->idleSince});
+    }
+    return chooseConnection(m_allowance, workspace, census);
+}
+
+std::shared_ptr<target_link> target_pool::takeIdle(const workspace_id &workspace)
+{
+    for (auto i = m_idle.size(); i-- > 0;) {
+        const auto link = m_idle[i];
+        if (link->workspace != workspace) {
+            continue;
+        }
+        m_idle.erase(m_idle.begin() + static_cast<std::ptrdiff_t>(i));
         if (link->isIdle()) {
             return link;
         }
     }
     // Where no other can be opened, a connection is not kept for control statements.
-    const bool isLent = m_controlLink && m_controlLink->isIdle() && areConnectionsScarce(systemNow());
+    const bool isLent =
+        m_controlLink && m_controlLink->isIdle() && !m_allowance.isByWorkspace && areConnectionsScarce(systemNow());
     return isLent ? std::exchange(m_controlLink, nullptr) : nullptr;
 }
 
-void target_pool::openMore()
+void target_pool::openMore(const workspace_id &workspace)
 {
-    openLink([self = shared_from_this()](const std::shared_ptr<target_link> &link, const link_opening &opening) {
-        if (opening.isOpen) {
+    if (m_allowance.isByWorkspace) {
+        const auto choice = choiceFor(workspace);
+        if (choice.step == connection_step::Replace) {
+            closeAsUnused(m_idle[choice.closes]);
+        }
+    }
+    openLink(workspace,
+             [self = shared_from_this()](const std::shared_ptr<target_link> &link, const link_opening &opening) {
+                 if (opening.isOpen) {
+                     self->giveBack(link);
+                 }
+             });
+}
+
+void target_pool::openControlLink()
+{
+    openLink({}, [self = shared_from_this()](const std::shared_ptr<target_link> &link, const link_opening &opening) {
+        if (!opening.isOpen) {
+            return;
+        }
+        if (self->m_controlLink && self->m_controlLink->isOpen()) {
             self->giveBack(link);
+            return;
         }
+        self->m_controlLink = link;
     });
 }
 
+int target_pool::connectionsOf(const workspace_id &workspace) const
+{
+    const auto open =
+        std::count_if(m_links.begin(), m_links.end(), [&](const auto &link) { return link->workspace == workspace; });
+    return static_cast<int>(open) + openingOf(workspace);
+}
+
+int target_pool::openingOf(const workspace_id &workspace) const
+{
+    return static_cast<int>(std::count_if(m_openings.begin(), m_openings.end(), [&](const opening_link &opening) {
+        return opening.workspace == workspace;
+    }));
+}
+
 double target_pool::openingMs() const
 {
     return m_openingMs;
@@ -323,17 +385,21 @@
     return static_cast<int>(m_openings.size());
 }
 
-void target_pool::openLink(std::function<void(std::shared_ptr<target_link>, const link_opening &)> done)
+void target_pool::openLink(const workspace_id &workspace,
+                           std::function<void(std::shared_ptr<target_link>, const link_opening &)> done)
 {
     const auto begunAt = systemNow();
-    m_openings.insert(begunAt);
+    m_openings.push_back({workspace, begunAt});
     auto link = std::make_shared<target_link>(m_context.io, m_context.deadlines, m_context.targets);
     link->open(m_entry.address,
                m_entry.service.str(),
-               {},
+               workspace,
                m_entry.id.str(),
                [self = shared_from_this(), link, begunAt, done = std::move(done)](const link_opening &opening) {
-                   self->m_openings.extract(begunAt);
+                   const auto isSame = [&](const opening_link &other) {
+                       return other.begunAt == begunAt && other.workspace == link->workspace;
+                   };
+                   self->m_openings.erase(std::find_if(self->m_openings.begin(), self->m_openings.end(), isSame));
                    self->recordOpened(opening, begunAt);
                    if (opening.isOpen) {
                        self->trackLink(link);
@@ -467,13 +533,50 @@
     }
 }
 
-void target_pool::keepLast(bool isKept)
+void target_pool::keepLast(bool isKept, time_point now)
 {
     m_isLastKept = isKept;
+    const bool hasOne = m_allowance.isByWorkspace ? m_controlLink || openingOf({}) > 0 : connections() > 0;
+    if (!isKept || hasOne || areConnectionsScarce(now) || !canOpen({}, now)) {
+        return;
+    }
+    if (m_allowance.isByWorkspace) {
+        openControlLink();
+    } else {
+        openMore({});
+    }
+}
+
+void target_pool::closeAsUnused(const std::shared_ptr<target_link> &link)
+{
+    const auto kept = link;
+    m_isClosingUnused = true;
+    kept->close("not needed");
+    m_isClosingUnused = false;
+}
+
+void target_pool::closeUnusedOfWorkspaces(time_point now)
+{
+    const auto limit = areConnectionsScarce(now) ? scarceWorkspaceUnusedTime : workspaceUnusedTime;
+    const auto idle = m_idle;
+    for (const auto &link : idle) {
+        if (now - link->idleSince > limit) {
+            closeAsUnused(link);
+        }
+    }
+    const bool isControlUnused =
+        m_controlLink && m_controlLink->isIdle() && now - m_controlLink->lastAnswerAt > lastUnusedTime;
+    if (isControlUnused && !m_isLastKept) {
+        closeAsUnused(m_controlLink);
+    }
 }
 
 void target_pool::closeUnused(time_point now)
 {
+    if (m_allowance.isByWorkspace) {
+        closeUnusedOfWorkspaces(now);
+        return;
+    }
     const auto controlTime = areConnectionsScarce(now) ? scarceUnusedTime : unusedTime;
     if (m_controlLink && m_controlLink->isIdle() && now - m_controlLink->lastAnswerAt > controlTime) {
         giveBack(std::exchange(m_controlLink, nullptr));
@@ -488,9 +591,7 @@
         if (now - link->idleSince <= (isScarce ? scarceUnusedTime : usual)) {
             return;
         }
-        m_isClosingUnused = true;
-        link->close("not needed");
-        m_isClosingUnused = false;
+        closeAsUnused(link);
     }
 }
 
@@ -526,39 +627,41 @@
         sendControl(call);
         return;
     }
-    if (auto idle = takeIdle()) {
+    if (auto idle = takeIdle({})) {
         m_controlLink = std::move(idle);
         sendControl(call);
         return;
     }
-    openLink([self = shared_from_this(), call](const std::shared_ptr<target_link> &link, const link_opening &opening) {
-        if (opening.isOpen) {
-            const bool hasOther = self->m_controlLink && self->m_controlLink->isOpen();
-            if (!hasOther) {
-                self->m_controlLink = link;
-            }
-            self->sendControl(call);
-            if (hasOther) {
-                // Last, as giving a connection back places work, which may end any connection of this pool.
-                self->giveBack(link);
-            }
-            return;
-        }
-        const bool isAnswered = opening.refusal.has_value() && *opening.refusal != error_code::WrongTarget;
-        self->finishControl(call, {std::nullopt, isAnswered, opening.reason, systemNow(), never});
-    });
+    openLink({},
+             [self = shared_from_this(), call](const std::shared_ptr<target_link> &link, const link_opening &opening) {
+                 if (opening.isOpen) {
+                     const bool hasOther = self->m_controlLink && self->m_controlLink->isOpen();
+                     if (!hasOther) {
+                         self->m_controlLink = link;
+                     }
+                     self->sendControl(call);
+                     if (hasOther) {
+                         // Last, as giving a connection back places work, which may end any connection of this pool.
+                         self->giveBack(link);
+                     }
+                     return;
+                 }
+                 const bool isAnswered = opening.refusal.has_value() && *opening.refusal != error_code::WrongTarget;
+                 self->finishControl(call, {std::nullopt, isAnswered, opening.reason, systemNow(), never});
+             });
 }
 
 void target_pool::releaseControlLink()
 {
-    if (m_controlLink && m_controlLink->isIdle()) {
+    // One that belongs to no workspace is of no use for statements of callers.
+    if (m_controlLink && m_controlLink->isIdle() && !m_allowance.isByWorkspace) {
         giveBack(std::exchange(m_controlLink, nullptr));
     }
 }
 
 bool target_pool::hasLinkForControl() const
 {
-    return (m_controlLink && m_controlLink->isOpen()) || hasIdle();
+    return (m_controlLink && m_controlLink->isOpen()) || hasIdle({});
 }
 
 void target_pool::sendControl(const std::shared_ptr<control_call> &call)
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adaptiveconcurrencylimit.h"
+#include "connectionallowance.h"
 #include "eventlog.h"
 #include "failurerate.h"
 #include "frontmetrics.h"
@@ -42,7 +43,7 @@
 class target_pool : public std::enable_shared_from_this<target_pool>
 {
 public:
-    target_pool(front_context &context, target_entry entry, int maxConnections);
+    target_pool(front_context &context, target_entry entry, connection_allowance allowance);
 
     /** A connection or a permit has become free. */
     std::function<void()> onCapacity;
@@ -53,7 +54,7 @@
 
     const target_entry &entry() const;
     /** Takes over what changed; another life or address of the target ends the connections. */
-    void update(const target_entry &entry, int maxConnections);
+    void update(const target_entry &entry, connection_allowance allowance);
     /** Ends idle connections now and the others when their work ends. */
     void retire();
     /** Ends all connections now. */
@@ -90,26 +91,34 @@
     time_point unreachableSince() const;
     /** Since when a connection to it has been open without a gap, by the oldest that is open; never without one. */
     time_point connectedSince() const;
-    /** When the newest of the open connections was opened; never without one. */
-    time_point lastConnectedAt() const;
+    /**
+     * Since when the connection is open that control statements go over, never without one. Unless connections belong
+     * to workspaces that may be any of them, and the newest counts.
+     */
+    time_point controlConnectedAt() const;
     /** Whether an answer over a connection that @p isTrusted, told since when it is open, has shown the commit. */
     bool hasShown(const position &commit, const std::function<bool(time_point openedAt)> &isTrusted) const;
     /** When the oldest statement or start-up that is not answered yet was sent; never without one. */
     time_point silentSince() const;
 
-    bool hasIdle() const;
-    bool canOpen(time_point now) const;
-    /** An idle connection; null if there is none. */
-    std::shared_ptr<target_link> takeIdle();
-    /** Opens one more connection; onCapacity tells when it can be used. */
-    void openMore();
+    /** Whether an idle connection can be used on behalf of the workspace; an empty one stands for the product itself.
+     */
+    bool hasIdle(const workspace_id &workspace) const;
+    bool canOpen(const workspace_id &workspace, time_point now) const;
+    /** An idle connection of the workspace; null if there is none. */
+    std::shared_ptr<target_link> takeIdle(const workspace_id &workspace);
+    /** Opens one more connection, in place of an unused one if need be; onCapacity tells when it can be used. */
+    void openMore(const workspace_id &workspace);
+    /** Connections of the workspace, with those that are being opened. */
+    int connectionsOf(const workspace_id &workspace) const;
+    int openingOf(const workspace_id &workspace) const;
     /** How long opening a connection usually takes. */
     double openingMs() const;
     /** Connections that are being opened. */
     int opening() const;
     void giveBack(const std::shared_ptr<target_link> &link);
-    /** Whether the last connection stays open, used or not, unless connections are scarce. */
-    void keepLast(bool isKept);
+    /** Whether the last connection stays open, used or not, unless connections are scarce; opens one if need be. */
+    void keepLast(bool isKept, time_point now);
     /** Closes connections that nobody needed for a while, but for the last ones. */
     void closeUnused(time_point now);
     int connections() const;
@@ -123,7 +132,14 @@
     struct control_call;
 
     void recordRefused(const target_reply &reply, time_point now);
-    void openLink(std::function<void(std::shared_ptr<target_link>, const link_opening &)> done);
+    void openLink(const workspace_id &workspace,
+                  std::function<void(std::shared_ptr<target_link>, const link_opening &)> done);
+    connection_choice choiceFor(const workspace_id &workspace) const;
+    /** Whether the allowance lets the workspace have one more, perhaps in place of an unused one. */
+    bool isAllowed(const workspace_id &workspace) const;
+    void closeUnusedOfWorkspaces(time_point now);
+    void closeAsUnused(const std::shared_ptr<target_link> &link);
+    void openControlLink();
     void recordOpened(const link_opening &opening, time_point begunAt);
     /** Until it is reached again it may start again without a sign. */
     void recordContactLost(const std::string &reason);
@@ -135,11 +151,15 @@
 
     front_context &m_context;
     target_entry m_entry;
-    int m_maxConnections;
+    connection_allowance m_allowance;
     std::vector<std::shared_ptr<target_link>> m_idle; ///< The oldest last, which is used first and kept longest.
     std::set<std::shared_ptr<target_link>> m_links; ///< All, also those in use.
     std::shared_ptr<target_link> m_controlLink;
-    std::multiset<time_point> m_openings; ///< When those that are being opened were begun.
+    struct opening_link {
+        workspace_id workspace;
+        time_point begunAt;
+    };
+    std::vector<opening_link> m_openings; ///< Being opened, the oldest first.
     int m_inFlight = 0;
     adaptive_concurrency_limit m_window;
     failure_rate m_failureShare;
--- a/src/libcrocusdealpolicy/servingplan.h
+++ b/src/libcrocusdealpolicy/servingplan.h
@@ -2,6 +2,7 @@
 
 #include "hostport.h"
 #include "identifiers.h"
+#include "workspaceid.h"
 
 #include <cstdint>
 #include <vector>
@@ -28,6 +29,14 @@
  */
 int servingInstances(int maxConnections, int instances, int dataCentres);
 
+/**
+ * As servingInstances(), where a connection serves one workspace.
+ *
+ * Answers the load of more workspaces than a target has connections: fewer instances serve, so that each has a
+ * connection for many workspaces, and each workspace's statements meet at one of them.
+ */
+int servingInstancesByWorkspace(int maxConnections, int instances, int dataCentres);
+
 /**
  * The instances of one data centre in the order in which @p relay hands them statements of @p service.
  *
@@ -39,6 +48,12 @@
                                     int serving,
                                     const instance_id &relay);
 
+/** As relayOrder(), with the same order at all relays: by the workspace among those that serve. */
+std::vector<instance_id> relayOrderOfWorkspace(const service_id &service,
+                                               const workspace_id &workspace,
+                                               const std::vector<instance_id> &members,
+                                               int serving);
+
 /** Whether @p instance is one of the first @p serving for @p service. */
 bool isServing(const service_id &service,
                const std::vector<instance_id> &members,
--- a/src/libcrocusdealpolicy/waitqueue.cpp
+++ b/src/libcrocusdealpolicy/waitqueue.cpp
@@ -21,8 +21,13 @@
     if (found == m_keys.end()) {
         return;
     }
-    m_work.erase(found->second);
+    const auto work = m_work.find(found->second);
+    const auto onEnded = std::move(work->second.onEnded);
+    m_work.erase(work);
     m_keys.erase(found);
+    if (onEnded) {
+        onEnded();
+    }
 }
 
 void wait_queue::placeAll()
--- a/src/libcrocusdealpolicy/waitqueue.h
+++ b/src/libcrocusdealpolicy/waitqueue.h
@@ -19,6 +19,7 @@
     bool isForPrimary = false; ///< Whether only the primary could run it when it was added.
     std::function<bool()> tryPlace; ///< Places the work if a target can take it now; returns whether it did.
     std::function<void()> refuse;
+    std::function<void()> onEnded; ///< It does not wait any more, for whatever reason; may be empty.
 };
 
 /** Queue of waiting work, ordered by priority and then by wantedBy. */
