--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -350,7 +350,7 @@
 {
     // One for each statement that waits; a statement is tried once before it does.
     // Connections of transactions that rest are neither idle nor soon free.
-    const int used = m_allowance.isByWorkspace ? pool.connectionsOf(workspace) : pool.inFlight() + pool.opening();
+    const int used = m_allowance.isByWorkspace ? pool.workingOf(workspace) : pool.inFlight() + pool.opening();
     const auto waiting = waitingOf(workspace);
     const bool isWorth = isConnectionWorthOpening(waiting, used, pool.answerMs(), pool.openingMs());
     const bool isWanted = static_cast<std::size_t>(openingFor(workspace)) < waiting;
--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -363,11 +363,21 @@
 
 int target_pool::connectionsOf(const workspace_id &workspace) const
 {
-    const auto open =
-        std::count_if(m_links.begin(), m_links.end(), [&](const auto &link) { return link->workspace == workspace; });
+    const auto open = std::count_if(m_links.begin(), m_links.end(), [&](const auto &link) {
+        return link->workspace == workspace && link != m_controlLink;
+    });
     return static_cast<int>(open) + openingOf(workspace);
 }
 
+int target_pool::workingOf(const workspace_id &workspace) const
+{
+    // A connection of a transaction that rests has nothing under way and is not free either.
+    const auto working = std::count_if(m_links.begin(), m_links.end(), [&](const auto &link) {
+        return link->workspace == workspace && link != m_controlLink && link->oldestPendingAt() != never;
+    });
+    return static_cast<int>(working) + openingOf(workspace);
+}
+
 int target_pool::openingOf(const workspace_id &workspace) const
 {
     return static_cast<int>(std::count_if(m_openings.begin(), m_openings.end(), [&](const opening_link &opening) {
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -112,6 +112,8 @@
     /** Connections of the workspace, with those that are being opened. */
     int connectionsOf(const workspace_id &workspace) const;
     int openingOf(const workspace_id &workspace) const;
+    /** Of these, those that will be free soon: with a statement under way, or being opened. */
+    int workingOf(const workspace_id &workspace) const;
     /** How long opening a connection usually takes. */
     double openingMs() const;
     /** Connections that are being opened. */
--- a/tests/platform/frontconnectiontest.cpp
+++ b/tests/platform/frontconnectiontest.cpp
@@ -84,10 +84,10 @@
         entry.id = target_id("b");
         entry.service = service_id("svc");
         entry.address = database.address();
-        const auto pool = std::make_shared<target_pool>(world.context, entry, 12);
-        pool->openMore();
-        CPPUNIT_ASSERT(world.runUntil([&] { return pool->hasIdle(); }));
-        const auto idle = pool->takeIdle();
+        const auto pool = std::make_shared<target_pool>(world.context, entry, connection_allowance{4, false});
+        pool->openMore({});
+        CPPUNIT_ASSERT(world.runUntil([&] { return pool->hasIdle({}); }));
+        const auto idle = pool->takeIdle({});
         world.group.at("b").faults.startupDelay = 500_ms;
         world.group.at("b").faults.controlDelay = 200_ms;
         std::vector<control_reply> late;
--- a/tests/platform/frontworld.cpp
+++ b/tests/platform/frontworld.cpp
@@ -31,9 +31,9 @@
     m_stream->close();
 }
 
-void line_client::startUp(const std::string &database)
+void line_client::startUp(const std::string &database, const std::string &key)
 {
-    send("STARTUP " + database + " tester");
+    send("STARTUP " + database + (key.empty() ? "" : " " + key));
 }
 
 void line_client::send(const std::string &line)
@@ -181,10 +181,18 @@
     runUntil([end] { return systemNow() >= end; }, time + duration{1000});
 }
 
-std::unique_ptr<line_client> front_world::connect(const std::string &database)
+std::string front_world::answerToStartup(const std::string &database, const std::string &key)
+{
+    line_client client(io, settings.callerAddress);
+    client.startUp(database, key);
+    runUntil([&] { return client.hasAnswer() || client.isClosed(); });
+    return client.takeAnswer();
+}
+
+std::unique_ptr<line_client> front_world::connect(const std::string &database, const std::string &key)
 {
     auto client = std::make_unique<line_client>(io, settings.callerAddress);
-    client->startUp(database);
+    client->startUp(database, key);
     runUntil([&] { return client->hasAnswer() || client->isClosed(); });
     if (client->hasAnswer()) {
         client->takeAnswer();
--- a/tests/platform/frontworld.h
+++ b/tests/platform/frontworld.h
@@ -24,7 +24,8 @@
     line_client(const line_client &) = delete;
     line_client &operator=(const line_client &) = delete;
 
-    void startUp(const std::string &database);
+    /** @p key stands for who is connecting. */
+    void startUp(const std::string &database, const std::string &key = "tester");
     void send(const std::string &line);
     bool hasAnswer() const;
     /** All lines up to the next READY, without line ends, joined by '|'. */
@@ -56,7 +57,9 @@
     bool runUntil(const std::function<bool()> &isDone, duration limit = duration{5000});
     void runFor(duration time);
 
-    std::unique_ptr<line_client> connect(const std::string &database);
+    std::unique_ptr<line_client> connect(const std::string &database, const std::string &key = "tester");
+    /** Starts a session and gives the answer to its start-up. */
+    std::string answerToStartup(const std::string &database, const std::string &key);
     /** Sends a statement and gives the whole answer. */
     std::string ask(line_client &client, const std::string &text);
     /** The number of leading databases that the front has found is complete. */
--- a/tests/platform/linecodectest.cpp
+++ b/tests/platform/linecodectest.cpp
@@ -199,6 +199,9 @@
     CPPUNIT_TEST(readsAnEntry);
     CPPUNIT_TEST(ignoresEntriesOfOtherWriters);
     CPPUNIT_TEST(readsTheConfiguration);
+    CPPUNIT_TEST(readsWorkspaces);
+    CPPUNIT_TEST(leavesOutBadWorkspaces);
+    CPPUNIT_TEST(parseProblemsQuoteNothing);
     CPPUNIT_TEST(refusesWhatIsNoConfiguration);
     CPPUNIT_TEST_SUITE_END();
 
@@ -260,6 +263,67 @@
         CPPUNIT_ASSERT(configuration->transactionIdleTimeout == duration{2000});
     }
 
+    /** Guards against a workspace without its keys or limit, and against a public route that asks for a key. */
+    void readsWorkspaces()
+    {
+        auto spec = configurationWith(R"([{"name": "miny", "api_keys": ["one", "two"], "priority": 1,
+            "rate_per_s": 16.5, "burst": 16}, {"name": "lepu", "api_keys": []}])");
+        spec["routes"][0]["public"] = true;
+        std::string problem;
+        const auto configuration = decodeConfiguration(spec, problem);
+        CPPUNIT_ASSERT(configuration && configuration->workspaces && configuration->problems.empty());
+        const auto *found = configuration->workspaces->ofKey(*access_key_digest::of("two"));
+        CPPUNIT_ASSERT(found != nullptr && found->name == workspace_id("miny"));
+        CPPUNIT_ASSERT(found->limit == (rate_limit{16.5, 16}));
+        CPPUNIT_ASSERT(!configuration->workspaces->find(workspace_id("lepu"))->limit);
+        CPPUNIT_ASSERT(configuration->routes.at("fiti").isPublic);
+        spec.erase("tenants");
+        CPPUNIT_ASSERT(!decodeConfiguration(spec, problem)->workspaces);
+    }
+
+    /** Guards against a bad workspace that holds up the other parts of a version, and against a key in a message. */
+    void leavesOutBadWorkspaces()
+    {
+        const std::map<std::string, std::string> cases{
+            {R"([{"name": "", "api_keys": ["k3y-a"]}])", "tenants[0].name"},
+            {R"([{"api_keys": ["k3y-a"]}])", "tenants[0].name"},
+            {R"([{"name": "two words", "api_keys": ["k3y-a"]}])", "tenants[0].name"},
+            {R"([{"name": "a", "api_keys": "k3y-a"}])", "tenants[0].api_keys"},
+            {R"([{"name": "a", "api_keys": ["k3y-a", 17, ["k3y-b"], ""]}])", "tenants[0].api_keys[1]"},
+            {R"([{"name": "a", "api_keys": ["k3y-a"]}, {"name": "b", "api_keys": ["k3y-a"]}])", "stands twice"},
+            {R"([{"name": "a", "api_keys": ["k3y-a", "k3y-a"]}])", "stands twice"},
+            {R"([{"name": "a", "rate_per_s": "much"}])", "tenants[0].rate_per_s"},
+            {R"(["k3y-a"])", "tenants[0]"},
+            {R"("k3y-a")", "tenants"}};
+        for (const auto &[tenants, expected] : cases) {
+            std::string problem;
+            const auto configuration = decodeConfiguration(configurationWith(tenants), problem);
+            CPPUNIT_ASSERT_MESSAGE(tenants, configuration && configuration->routes.size() == 1);
+            CPPUNIT_ASSERT_MESSAGE(tenants, configuration->workspaces && !configuration->problems.empty());
+            std::string all;
+            for (const auto &text : configuration->problems) {
+                all += text + '\n';
+            }
+            CPPUNIT_ASSERT_MESSAGE(all, all.find(expected) != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(all, all.find("k3y") == std::string::npos);
+        }
+        const auto twice = R"([{"name": "a", "api_keys": ["k3y-a", "k3y-c"]}, {"name": "b", "api_keys": ["k3y-a"]}])";
+        std::string problem;
+        const auto configuration = decodeConfiguration(configurationWith(twice), problem);
+        CPPUNIT_ASSERT(configuration->workspaces->ofKey(*access_key_digest::of("k3y-a")) == nullptr);
+        CPPUNIT_ASSERT(configuration->workspaces->ofKey(*access_key_digest::of("k3y-c")) != nullptr);
+    }
+
+    /** Guards against a configuration that cannot be parsed and whose keys get into the log. */
+    void parseProblemsQuoteNothing()
+    {
+        configuration_update update;
+        takeConfigurationObject(R"({"meta":{"name":"main"},"spec":{"tenants":[{"api_keys":["k3y-a" "k3y-b"]}]}})",
+                                update);
+        CPPUNIT_ASSERT(!update.configuration);
+        CPPUNIT_ASSERT_MESSAGE(update.detail, update.detail.find("k3y") == std::string::npos);
+    }
+
     /** Guards against a broken object that replaces the configuration in force. */
     void refusesWhatIsNoConfiguration()
     {
@@ -270,6 +334,15 @@
     }
 
 private:
+    static nlohmann::json configurationWith(const std::string &tenants)
+    {
+        auto spec =
+            nlohmann::json::parse(R"({"config_version": 7, "services": [{"name": "huvo", "max_connections": 46}],
+            "routes": [{"name": "q", "host": "fiti", "route_type": "primary", "service": "huvo"}]})");
+        spec["tenants"] = nlohmann::json::parse(tenants);
+        return spec;
+    }
+
     static nlohmann::json good()
     {
         return nlohmann::json::parse(R"({"service": "huvo", "address": "10.1.0.9:80", "zone": "addis-a", "slots": 3,
--- a/tests/platform/linedatabase.cpp
+++ b/tests/platform/linedatabase.cpp
@@ -14,6 +14,7 @@
 struct line_database::session {
     std::shared_ptr<byte_stream> stream;
     bool isStarted = false;
+    std::string who;
     char state = 'I';
     bool isReadOnly = false;
     std::vector<std::string> writes; ///< Of the open transaction.
@@ -117,6 +118,8 @@
         connection->stream->closeAfterSending();
         return;
     }
+    startups.push_back(line);
+    connection->who = who;
     connection->isStarted = true;
     const auto reply = "READY I " + ready(*connection).substr(8);
     if (faults.startupDelay.ms == 0) {
@@ -235,6 +238,7 @@
         answer(connection, "ERROR READONLY " + m_id + "\r\n", false);
         return;
     }
+    workspaces.push_back(connection->who);
     statements.push_back(text);
     if (kind == "COMMIT") {
         connection->state = 'I';
--- a/tests/platform/linedatabase.h
+++ b/tests/platform/linedatabase.h
@@ -57,6 +57,8 @@
     int connectionsSeen = 0;
     int connectionsRefused = 0;
     std::vector<std::string> statements; ///< Texts of reads and writes in the order in which they ran.
+    std::vector<std::string> workspaces; ///< Who had named itself at the start-up of their connections.
+    std::vector<std::string> startups; ///< The whole lines.
     std::vector<std::string> controls;
 
 private:
--- a/tests/platform/relayworld.cpp
+++ b/tests/platform/relayworld.cpp
@@ -41,10 +41,12 @@
     }
 }
 
-std::unique_ptr<line_client> relay_world::connect(const std::string &front, const std::string &database)
+std::unique_ptr<line_client> relay_world::connect(const std::string &front,
+                                                  const std::string &database,
+                                                  const std::string &key)
 {
     auto client = std::make_unique<line_client>(world.io, m_settings.at(front).callerAddress);
-    client->send("STARTUP " + database + " tester");
+    client->startUp(database, key);
     world.runUntil([&] { return client->hasAnswer() || client->isClosed(); });
     if (client->hasAnswer()) {
         client->takeAnswer();
--- a/tests/platform/relayworld.h
+++ b/tests/platform/relayworld.h
@@ -21,7 +21,9 @@
     relay_world &operator=(const relay_world &) = delete;
 
     /** A caller of the front with this name. */
-    std::unique_ptr<line_client> connect(const std::string &front, const std::string &database);
+    std::unique_ptr<line_client> connect(const std::string &front,
+                                         const std::string &database,
+                                         const std::string &key = "tester");
     std::string ask(line_client &client, const std::string &text);
     /** Ends the front without a farewell, as a killed process does. */
     void kill(const std::string &front);
