Bind the use of keys to evidence of the configuration

An instance that is cut off from the store went on with keys that the newest configuration had taken away, for as long as it was cut off. Its own store calls alone would end the work of each instance that the store turns away, while other instances still reach it.

Ruled out: a time since the last answer of any kind. An answer that may be old, an event, or a watch that was cut off proves less than its arrival suggests. Each statement is therefore kept as: at this time no version above this one was in the store (configuration_evidence), counted from the question, also across pongs of other instances.

Before: nothing; accessValidUntil() did not exist and isReady() did not depend on the configuration's age.

After: front::accessValidUntil() and isReady() follow the evidence if key_revocation_ms is set and the configuration has workspaces. Otherwise the calls to the store are as they were.

Conclusion: the sessions do not use accessValidUntil() yet.

--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -39,6 +39,7 @@
     , m_settings(std::move(settings))
     , m_store(store)
     , m_acceptor(context.io)
+    , m_access(context, m_settings.instance, m_settings.dataCentre, m_settings.keyRevocationTime)
     , m_services(context, m_settings, store, authority)
 {
 }
@@ -66,6 +67,12 @@
     }
     m_feed = std::make_shared<store_feed>(m_context, m_store, m_settings.configurationApplyTimeout);
     m_feed->onConfiguration = [this](const routing_configuration &configuration) { applyConfiguration(configuration); };
+    m_feed->onConfigurationCurrent = [this](std::uint64_t version, time_point at) {
+        m_access.recordReading(version, at);
+    };
+    m_feed->configurationWait = [this] { return m_access.watchWait(systemNow()); };
+    m_access.askStore = [this] { m_feed->confirmConfiguration(); };
+    m_access.isStoreAway = [this] { return m_feed->isStoreAway(); };
     m_feed->onTargets = [this](const target_update &update, time_point changedAfter) {
         m_services.applyTargets(update, changedAfter);
         keepPlannedServices();
@@ -113,6 +120,8 @@
     surroundings.self = self;
     surroundings.isLeaving = [this] { return m_shutdownAt != never; };
     surroundings.isIsolated = [this] { return m_isolatedSince != never; };
+    surroundings.isStoreAway = [this] { return m_feed->isStoreAway(); };
+    surroundings.reportConfiguration = [this] { return m_access.report(systemNow()); };
     surroundings.recentStall = [this] { return recentStall(systemNow()); };
     surroundings.run = [this](const statement_order &order, const session_values &values, outcome_handler done) {
         return runHere(order, values, std::move(done));
@@ -129,8 +138,10 @@
     m_fleet->onMembers = [this](const std::vector<fleet_member> &members) {
         m_relays->setMembers(members);
         m_survey->setMembers(members);
+        m_access.setMembers(members);
         keepPlannedServices();
     };
+    m_relays->onPong = [this](const relay_pong &pong, time_point pingSentAt) { m_access.recordPong(pong, pingSentAt); };
     m_relays->onUnknownInstance = [this] { m_fleet->refreshSoon(); };
     m_fleet->start();
     return {};
@@ -226,6 +237,7 @@
         .field("before", m_configuration ? static_cast<std::int64_t>(m_configuration->version) : 0)
         .field("routes", static_cast<std::int64_t>(configuration.routes.size()));
     m_configuration = std::make_shared<const routing_configuration>(configuration);
+    m_access.setInForce(configuration);
     m_context.metrics.setConfigurationVersion(configuration.version);
     m_services.setConfiguration(m_configuration);
     if (m_relays) {
@@ -242,6 +254,7 @@
     if (m_relays) {
         m_relays->tick(now, stall);
     }
+    m_access.tick(systemNow());
     // While the store cannot be heard, entries that are missing may only have lapsed there.
     m_services.eraseExpired(now);
     m_services.watchSilence(now);
@@ -328,7 +341,12 @@
 {
     const bool isFleetKnown = !m_fleet || m_fleet->isKnown() || systemNow() - m_startedAt > longestFleetWait;
     return m_shutdownAt == never && m_configuration && m_services.areTargetsKnown() && isFleetKnown
-        && m_isolatedSince == never;
+        && m_isolatedSince == never && !m_access.isLapsed(systemNow());
+}
+
+std::optional<time_point> front::accessValidUntil() const
+{
+    return m_access.validUntil();
 }
 
 http_response front::answerReadiness(const std::string &path) const
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accessconfirmation.h"
 #include "fleetfeed.h"
 #include "frontsession.h"
 #include "frontsettings.h"
@@ -12,6 +13,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -29,6 +31,8 @@
     /** Ends gracefully; @p done is called when nothing is left, at the latest when the grace is over. */
     void shutdown(std::function<void()> done);
     bool isReady() const;
+    /** Until when work with keys may run; nothing if it is not bound to evidence of the configuration. */
+    std::optional<time_point> accessValidUntil() const;
     /** Ends everything at once; connections and their owners let go of each other in the next turn of the loop. */
     void close();
 
@@ -72,6 +76,7 @@
     std::shared_ptr<fleet_feed> m_fleet;
     std::shared_ptr<instance_survey> m_survey; ///< Null if this instance is the only one.
     std::shared_ptr<const routing_configuration> m_configuration;
+    access_confirmation m_access;
     served_services m_services;
     std::set<std::shared_ptr<front_session>> m_sessions;
     std::function<void()> m_whenShutDown;
--- a/src/libcrocusdealfront/frontmetrics.cpp
+++ b/src/libcrocusdealfront/frontmetrics.cpp
@@ -20,6 +20,8 @@
     , m_queueTime(m_registry.latency("crocusdeal_queue_seconds", "How long statements waited for a target"))
     , m_sessions(m_registry.gauge("crocusdeal_sessions", "Sessions of callers"))
     , m_version(m_registry.gauge("crocusdeal_configuration_version", "Version of the configuration in force"))
+    , m_age(m_registry.gauge("crocusdeal_configuration_age_milliseconds",
+                             "Time since the configuration in force was known to be the newest"))
     , m_queued(m_registry.gauge("crocusdeal_queued_statements", "Statements that wait for a target"))
     , m_connections(m_registry.gauge("crocusdeal_target_connections", "Connections to targets"))
     , m_leftOut(m_registry.gauge("crocusdeal_log_lines_left_out", "Log lines beyond the budget of their event"))
@@ -86,6 +88,11 @@
     m_version.set(static_cast<std::int64_t>(version));
 }
 
+void front_metrics::setConfigurationAge(duration age)
+{
+    m_age.set(age.ms);
+}
+
 void front_metrics::setQueued(std::int64_t count)
 {
     m_queued.set(count);
--- a/src/libcrocusdealfront/frontmetrics.h
+++ b/src/libcrocusdealfront/frontmetrics.h
@@ -30,6 +30,8 @@
     void sessionOpened();
     void sessionEnded();
     void setConfigurationVersion(std::uint64_t version);
+    /** Since when the configuration in force is not known to be the newest; negative if it never was. */
+    void setConfigurationAge(duration age);
     void setQueued(std::int64_t count);
     void setTargetConnections(std::int64_t count);
     void setLinesLeftOut(std::uint64_t count);
@@ -43,6 +45,7 @@
     latency_histogram &m_queueTime;
     metric_gauge &m_sessions;
     metric_gauge &m_version;
+    metric_gauge &m_age;
     metric_gauge &m_queued;
     metric_gauge &m_connections;
     metric_gauge &m_leftOut;
--- a/src/libcrocusdealfront/relayhub.cpp
+++ b/src/libcrocusdealfront/relayhub.cpp
@@ -223,6 +223,11 @@
 void relay_hub::openLink(const fleet_member &member)
 {
     const auto link = std::make_shared<relay_link>(m_context, m_surroundings.self, member);
+    link->onPong = [this](const relay_pong &pong, time_point pingSentAt) {
+        if (onPong) {
+            onPong(pong, pingSentAt);
+        }
+    };
     m_links.emplace(member.id, link);
     link->open();
 }
--- a/src/libcrocusdealfront/relayhub.h
+++ b/src/libcrocusdealfront/relayhub.h
@@ -26,6 +26,8 @@
 
     /** Another instance that is not known here has come; asks for a fresh list of the members. */
     std::function<void()> onUnknownInstance;
+    /** As relay_link::onPong, of any link. */
+    std::function<void(const relay_pong &, time_point pingSentAt)> onPong;
 
     /** Empty if it listens, else why not. */
     std::string listen(const host_port &address);
--- a/src/libcrocusdealfront/relaylink.cpp
+++ b/src/libcrocusdealfront/relaylink.cpp
@@ -133,6 +133,7 @@
     if (now - m_lastPingAt >= (m_pending.empty() ? idlePingInterval : busyPingInterval)) {
         m_lastPingAt = now;
         m_pingSentAt = now;
+        m_openPings.push_back({m_nextNumber, now});
         send(relay_ping{m_nextNumber});
     }
 }
@@ -170,6 +171,10 @@
     if (const auto *pong = std::get_if<relay_pong>(&message)) {
         m_isLeaving = pong->isLeaving;
         m_isIsolated = pong->isIsolated;
+        const auto pingSentAt = takePing(*pong);
+        if (onPong) {
+            onPong(*pong, pingSentAt);
+        }
     } else if (auto *answer = std::get_if<relay_answer>(&message)) {
         const auto number = answer->number;
         const bool isForgotten = !m_pending.contains(number);
@@ -184,6 +189,16 @@
     }
 }
 
+time_point relay_link::takePing(const relay_pong &pong)
+{
+    if (m_openPings.empty() || m_openPings.front().number != pong.number) {
+        return never; // The other instance announces its state unasked.
+    }
+    const auto sentAt = m_openPings.front().at;
+    m_openPings.pop_front();
+    return sentAt;
+}
+
 void relay_link::finish(std::uint64_t number, relay_result result)
 {
     const auto found = m_pending.find(number);
--- a/src/libcrocusdealfront/relaylink.h
+++ b/src/libcrocusdealfront/relaylink.h
@@ -6,6 +6,7 @@
 #include "servingplan.h"
 #include "targetpool.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -35,6 +36,9 @@
 
     relay_link(front_context &context, fleet_member self, fleet_member peer);
 
+    /** A pong has come; with when the ping that it answers was sent, or never if it answers none. */
+    std::function<void(const relay_pong &, time_point pingSentAt)> onPong;
+
     void open();
     void close(const std::string &reason);
     const fleet_member &peer() const;
@@ -55,6 +59,10 @@
     void tick(time_point now, duration ownStall);
 
 private:
+    struct sent_ping {
+        std::uint64_t number = 0;
+        time_point at;
+    };
     struct pending_work {
         handler done;
         bool isRepeatable = false;
@@ -62,6 +70,8 @@
 
     void handleData(std::string &inbound);
     void handleMessage(relay_message &message);
+    /** When the ping was sent that this pong answers; never if it answers none. */
+    time_point takePing(const relay_pong &pong);
     void finish(std::uint64_t number, relay_result result);
     /** Ends what may be run elsewhere. */
     void loseRepeatable(const std::string &reason);
@@ -77,6 +87,7 @@
     time_point m_openedAt = never;
     time_point m_pingSentAt = never; ///< Of a ping without an answer.
     time_point m_lastPingAt = never;
+    std::deque<sent_ping> m_openPings; ///< Pongs come in their order.
     time_point m_endedAt = never;
     bool m_isGreeted = false;
     bool m_isLeaving = false;
--- a/src/libcrocusdealfront/relaysession.cpp
+++ b/src/libcrocusdealfront/relaysession.cpp
@@ -64,6 +64,8 @@
     state.number = number;
     state.isLeaving = m_surroundings.isLeaving();
     state.isIsolated = m_surroundings.isIsolated();
+    state.isStoreAway = m_surroundings.isStoreAway();
+    state.configuration = m_surroundings.reportConfiguration();
     return state;
 }
 
--- a/src/libcrocusdealfront/relaysession.h
+++ b/src/libcrocusdealfront/relaysession.h
@@ -20,6 +20,9 @@
     std::function<bool(const instance_id &)> isMember;
     std::function<bool()> isLeaving;
     std::function<bool()> isIsolated;
+    std::function<bool()> isStoreAway;
+    /** Evidence of the configuration, as it is now; nothing if there is none to tell. */
+    std::function<std::optional<reported_configuration>()> reportConfiguration;
     /** How long this process had not run until just now; what was received may be older by so much. */
     std::function<duration()> recentStall;
     /** Runs a statement at targets of this instance; null if the service is not known here. */
--- a/src/libcrocusdealfront/storefeed.cpp
+++ b/src/libcrocusdealfront/storefeed.cpp
@@ -14,7 +14,7 @@
 
 constexpr duration retryTime{250};
 constexpr duration longestRetry{500}; // The configuration has to be in force soon after the store is back.
-constexpr duration configurationWait{25000}; // The check beside it finds out soon if this watch has gone silent.
+constexpr duration longestConfigurationWait{25000}; // The check beside it finds out soon if this watch has gone silent.
 constexpr duration targetWait{2000};
 constexpr duration promptAnswer{
     300}; // A later answer was held up, and says nothing of the time since it was asked for.
@@ -102,30 +102,52 @@
 void store_feed::readConfiguration()
 {
     ++m_configurationReads;
+    m_isConfigurationWatched = false;
+    m_isConfirming = false;
     m_store.endConfigurationWatches();
-    m_store.readConfiguration(
-        store_reading::Current,
-        [self = shared_from_this(), read = m_configurationReads](const configuration_update &update) {
-            if (read == self->m_configurationReads) {
-                self->handleConfiguration(update, false);
-            }
-        });
+    m_store.readConfiguration(store_reading::Current,
+                              [self = shared_from_this(), read = m_configurationReads, askedAt = systemNow()](
+                                  const configuration_update &update) {
+                                  if (read == self->m_configurationReads) {
+                                      self->handleConfiguration(update, askedAt, std::nullopt);
+                                  }
+                              });
 }
 
 void store_feed::watchConfiguration()
 {
-    m_store.watchConfiguration(
-        m_configurationRevision,
-        configurationWait,
-        store_reading::Current,
-        [self = shared_from_this(), read = m_configurationReads](const configuration_update &update) {
-            if (read == self->m_configurationReads) {
-                self->handleConfiguration(update, true);
-            }
-        });
+    watchConfigurationFor(configurationWait().value_or(longestConfigurationWait));
 }
 
-void store_feed::handleConfiguration(const configuration_update &update, bool isWatch)
+void store_feed::watchConfigurationFor(duration wait)
+{
+    m_isConfigurationWatched = true;
+    m_isConfirming = wait == duration{};
+    m_store.watchConfiguration(m_configurationRevision,
+                               wait,
+                               store_reading::Current,
+                               [self = shared_from_this(), read = m_configurationReads, askedAt = systemNow(), wait](
+                                   const configuration_update &update) {
+                                   if (read == self->m_configurationReads) {
+                                       self->handleConfiguration(update, askedAt, wait);
+                                   }
+                               });
+}
+
+void store_feed::confirmConfiguration()
+{
+    if (!m_isConfigurationWatched || m_isConfirming || m_isStopped) {
+        return; // What is under way answers soon, or the store is away.
+    }
+    ++m_configurationReads;
+    m_store.endConfigurationWatches();
+    watchConfigurationFor({});
+    checkConfiguration();
+}
+
+void store_feed::handleConfiguration(const configuration_update &update,
+                                     time_point askedAt,
+                                     std::optional<duration> wait)
 {
     if (m_isStopped) {
         return;
@@ -137,15 +159,20 @@
     recordStore("configuration", update.failure == store_failure::None, update.detail);
     if (update.failure != store_failure::None) {
         // A watch may have missed changes while it failed, so it starts from what is there now.
+        m_isConfigurationWatched = false;
         waitForStore(&store_feed::readConfiguration);
         return;
     }
     m_configurationHeardAt = systemNow();
     m_configurationRevision = update.revision;
+    m_isConfirming = false;
     recordUnreadable(update);
     if (update.configuration) {
         onConfiguration(*update.configuration);
-    } else if (!isWatch) {
+    }
+    recordConfigurationVersion(update, askedAt, wait);
+    const bool isWatch = wait.has_value();
+    if (!update.configuration && !isWatch) {
         later(&store_feed::readConfiguration);
         return;
     }
@@ -155,6 +182,10 @@
         checkConfiguration();
         return;
     }
+    if (update.configuration && !m_configurationVersion) {
+        readConfiguration(); // Tells which of several changes is there now.
+        return;
+    }
     if (update.configuration) {
         watchConfigurationAfterPause();
         return;
@@ -162,6 +193,23 @@
     watchConfiguration();
 }
 
+void store_feed::recordConfigurationVersion(const configuration_update &update,
+                                            time_point askedAt,
+                                            std::optional<duration> wait)
+{
+    if (!wait || update.configuration || !update.detail.empty()) {
+        // Of several changes in one answer the unreadable one may be the last.
+        const bool isReadable = update.configuration && update.detail.empty();
+        m_configurationVersion = isReadable ? std::optional(update.configuration->version) : std::nullopt;
+    }
+    if (!m_configurationVersion) {
+        return;
+    }
+    // A watch that was cut off, or that tells of something else, says nothing of the time after it was asked.
+    const bool isWhole = wait && !update.configuration && systemNow() - askedAt >= *wait;
+    onConfigurationCurrent(*m_configurationVersion, isWhole ? askedAt + *wait : askedAt);
+}
+
 void store_feed::recordUnreadable(const configuration_update &update)
 {
     if (!update.configuration && !update.detail.empty()) {
--- a/src/libcrocusdealfront/storefeed.h
+++ b/src/libcrocusdealfront/storefeed.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,10 @@
     store_feed(front_context &context, metadata_store &store, duration configurationApply);
 
     std::function<void(routing_configuration)> onConfiguration;
+    /** A current answer says that this version was the newest at @p at. */
+    std::function<void(std::uint64_t version, time_point at)> onConfigurationCurrent;
+    /** How long a watch of the configuration may wait; nothing if it may take its time. */
+    std::function<std::optional<duration>()> configurationWait;
     /** With the time of the last answer that would have told of a change before. */
     std::function<void(const target_update &, time_point changedAfter)> onTargets;
 
@@ -26,6 +31,8 @@
 
     void start();
     void stop();
+    /** Has the watch of the configuration answered at once, unless an answer is due anyway. */
+    void confirmConfiguration();
     /** Reads the list of targets at once, beside the watch; tells whether it could. */
     void refreshTargets(std::function<void(bool)> done);
     /** Reads the records of the promotion leases at once, beside the watch; @p done is called in any case. */
@@ -38,8 +45,13 @@
 private:
     void readConfiguration();
     void watchConfiguration();
+    void watchConfigurationFor(duration wait);
     void watchConfigurationAfterPause();
-    void handleConfiguration(const configuration_update &update, bool isWatch);
+    /** @p wait is that of a watch; nothing for a reading. */
+    void handleConfiguration(const configuration_update &update, time_point askedAt, std::optional<duration> wait);
+    void recordConfigurationVersion(const configuration_update &update,
+                                    time_point askedAt,
+                                    std::optional<duration> wait);
     /** A cheap second watch with a short wait finds out soon if the first has gone silent. */
     void checkConfiguration();
     void handleConfigurationCheck(const configuration_update &update);
@@ -72,6 +84,9 @@
     bool m_isProbing = false;
     bool m_hasProbeFailed = false;
     std::uint64_t m_configurationRevision = 0;
+    std::optional<std::uint64_t> m_configurationVersion; ///< In the store at that revision; nothing if unreadable.
+    bool m_isConfigurationWatched = false; ///< Else it is read, or the store is waited for.
+    bool m_isConfirming = false; ///< The watch under way answers at once.
     std::uint64_t m_targetRevision = 0;
     std::uint64_t m_leaseRevision = 0;
     time_point m_configurationHeardAt = never;
--- a/tests/platform/relayworld.cpp
+++ b/tests/platform/relayworld.cpp
@@ -8,7 +8,7 @@
 namespace crocusdeal::test
 {
 
-relay_world::relay_world(int count, int connections)
+relay_world::relay_world(int count, int connections, std::optional<duration> keyRevocationTime)
 {
     for (auto &[service, policy] : world.configuration.services) {
         policy.maxConnections = connections;
@@ -19,8 +19,11 @@
         settings.instance = instance_id("front-" + std::to_string(i));
         settings.callerAddress.port = freePort(world.io);
         settings.readinessAddress.port = freePort(world.io);
+        settings.keyRevocationTime = keyRevocationTime;
         settings.relayAddress = host_port{"127.0.0.1", freePort(world.io)};
-        const auto node = std::make_shared<front>(world.context, settings, world.store, world.store);
+        auto &view = stores[settings.instance.str()];
+        view = std::make_unique<store_view>(world.store, world.deadlines);
+        const auto node = std::make_shared<front>(world.context, settings, *view, world.store);
         if (const auto problem = node->start(); !problem.empty()) {
             throw std::runtime_error(problem);
         }
@@ -87,6 +90,11 @@
     return names;
 }
 
+store_view &relay_world::storeOf(const std::string &front)
+{
+    return *stores.at(front);
+}
+
 const front_settings &relay_world::settingsOf(const std::string &front) const
 {
     return m_settings.at(front);
--- a/tests/platform/relayworld.h
+++ b/tests/platform/relayworld.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "frontworld.h"
+#include "storeview.h"
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,7 +17,7 @@
 {
 public:
     /** Starts @p count fronts; the databases accept @p connections, which is too few for all of them. */
-    relay_world(int count, int connections);
+    relay_world(int count, int connections, std::optional<duration> keyRevocationTime = std::nullopt);
     ~relay_world();
     relay_world(const relay_world &) = delete;
     relay_world &operator=(const relay_world &) = delete;
@@ -29,8 +31,11 @@
     std::string serving() const;
     std::vector<std::string> relays() const;
     const front_settings &settingsOf(const std::string &front) const;
+    /** The store as this front reaches it. */
+    store_view &storeOf(const std::string &front);
 
     front_world world;
+    std::map<std::string, std::unique_ptr<store_view>> stores;
     std::map<std::string, std::shared_ptr<front>> fronts;
 
 private:
