--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -39,6 +39,7 @@
     , m_settings(std::move(settings))
     , m_store(store)
     , m_acceptor(context.io)
+    , m_access(context, m_settings.instance, m_settings.dataCentre, m_settings.keyRevocationTime)
     , m_services(context, m_settings, store, authority)
 {
 }
@@ -66,6 +67,12 @@
     }
     m_feed = std::make_shared<store_feed>(m_context, m_store, m_settings.configurationApplyTimeout);
     m_feed->onConfiguration = [this](const routing_configuration &configuration) { applyConfiguration(configuration); };
+    m_feed->onConfigurationCurrent = [this](std::uint64_t version, time_point at) {
+        m_access.recordReading(version, at);
+    };
+    m_feed->configurationWait = [this] { return m_access.watchWait(systemNow()); };
+    m_access.askStore = [this] { m_feed->confirmConfiguration(); };
+    m_access.isStoreAway = [this] { return m_feed->isStoreAway(); };
     m_feed->onTargets = [this](const target_update &update, time_point changedAfter) {
         m_services.applyTargets(update, changedAfter);
         keepPlannedServices();
@@ -119,6 +126,8 @@
     surroundings.self = self;
     surroundings.isLeaving = [this] { return m_shutdownAt != never; };
     surroundings.isIsolated = [this] { return m_isolatedSince != never; };
+    surroundings.isStoreAway = [this] { return m_feed->isStoreAway(); };
+    surroundings.reportConfiguration = [this] { return m_access.report(systemNow()); };
     surroundings.recentStall = [this] { return recentStall(systemNow()); };
     surroundings.run = [this](const statement_order &order, const session_values &values, outcome_handler done) {
         return runHere(order, values, std::move(done));
@@ -141,8 +150,10 @@
         if (m_configuration) {
             m_services.refreshPolicies();
         }
+        m_access.setMembers(members);
         keepPlannedServices();
     };
+    m_relays->onPong = [this](const relay_pong &pong, time_point pingSentAt) { m_access.recordPong(pong, pingSentAt); };
     m_relays->onUnknownInstance = [this] { m_fleet->refreshSoon(); };
     m_fleet->start();
     return {};
@@ -248,6 +259,7 @@
     }
     const auto before = m_configuration;
     m_configuration = std::make_shared<const routing_configuration>(configuration);
+    m_access.setInForce(configuration);
     m_context.metrics.setConfigurationVersion(configuration.version);
     if (m_relays) {
         m_relays->setPolicies(m_configuration->services, m_configuration->workspaces.has_value());
@@ -272,11 +284,6 @@
     }
 }
 
-std::optional<time_point> front::accessValidUntil() const
-{
-    return std::nullopt;
-}
-
 void front::housekeep()
 {
     const auto now = systemNow();
@@ -285,10 +292,12 @@
     if (m_relays) {
         m_relays->tick(now, stall);
     }
+    m_access.tick(systemNow());
     // While the store cannot be heard, entries that are missing may only have lapsed there.
     m_services.eraseExpired(now);
     m_services.watchSilence(now);
     watchIsolation(now);
+    closeUnconfirmedSessions(now);
     m_services.pump(now);
     if (now - m_leftOutToldAt >= leftOutInterval) {
         m_leftOutToldAt = now;
@@ -309,6 +318,19 @@
     m_context.deadlines.scheduleAfter(housekeepingInterval, [self = shared_from_this()] { self->housekeep(); });
 }
 
+void front::closeUnconfirmedSessions(time_point now)
+{
+    if (!m_access.isLapsed(now) || m_shutdownAt != never) {
+        return;
+    }
+    const std::vector<std::shared_ptr<front_session>> sessions(m_sessions.begin(), m_sessions.end());
+    for (const auto &session : sessions) {
+        if (session->usesKey()) {
+            session->closeIfIdle();
+        }
+    }
+}
+
 void front::watchIsolation(time_point now)
 {
     const auto services = m_services.count();
@@ -371,7 +393,12 @@
 {
     const bool isFleetKnown = !m_fleet || m_fleet->isKnown() || systemNow() - m_startedAt > longestFleetWait;
     return m_shutdownAt == never && m_configuration && m_services.areTargetsKnown() && isFleetKnown
-        && m_isolatedSince == never;
+        && m_isolatedSince == never && !m_access.isLapsed(systemNow());
+}
+
+std::optional<time_point> front::accessValidUntil() const
+{
+    return m_access.validUntil();
 }
 
 http_response front::answerReadiness(const std::string &path) const
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accessconfirmation.h"
 #include "fleetfeed.h"
 #include "frontsession.h"
 #include "frontsettings.h"
@@ -13,6 +14,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -30,6 +32,8 @@
     /** Ends gracefully; @p done is called when nothing is left, at the latest when the grace is over. */
     void shutdown(std::function<void()> done);
     bool isReady() const;
+    /** Until when work with keys may run; nothing if it is not bound to evidence of the configuration. */
+    std::optional<time_point> accessValidUntil() const;
     /** Ends everything at once; connections and their owners let go of each other in the next turn of the loop. */
     void close();
 
@@ -51,8 +55,8 @@
     void applyConfiguration(const routing_configuration &configuration);
     /** Ends what callers may do no more since @p before. */
     void takeAwayKeys(const std::shared_ptr<const routing_configuration> &before);
-    /** Until when work with keys may be sent to targets, as things are known now; nothing if that is not bound. */
-    std::optional<time_point> accessValidUntil() const;
+    /** Has callers with keys connect elsewhere while no key can be confirmed here. */
+    void closeUnconfirmedSessions(time_point now);
     void housekeep();
     /** How long this process did not run until just now, for its machine was suspended or had no processor. */
     duration recentStall(time_point now) const;
@@ -78,6 +82,7 @@
     std::shared_ptr<instance_survey> m_survey; ///< Null if this instance is the only one.
     std::shared_ptr<const routing_configuration> m_configuration;
     key_revocations m_revocations;
+    access_confirmation m_access;
     served_services m_services;
     std::set<std::shared_ptr<front_session>> m_sessions;
     std::function<void()> m_whenShutDown;
--- a/src/libcrocusdealfront/frontsession.cpp
+++ b/src/libcrocusdealfront/frontsession.cpp
@@ -35,6 +35,11 @@
     return m_state != transaction_state::Idle;
 }
 
+bool front_session::usesKey() const
+{
+    return m_key.has_value();
+}
+
 void front_session::closeIfIdle()
 {
     if (m_isEnded || !isIdle() || m_stream->hasBufferedInput() || m_stream->hasUnreadSocketData()) {
--- a/src/libcrocusdealfront/frontsession.h
+++ b/src/libcrocusdealfront/frontsession.h
@@ -44,6 +44,8 @@
     /** Nothing is running and no transaction is open. */
     bool isIdle() const;
     bool isInTransaction() const;
+    /** Whether it was let in by a key. */
+    bool usesKey() const;
     /** Ends an idle session without cutting a request that is on its way here. */
     void closeIfIdle();
     /**
