Share reads out among targets that cost about the same

Cause: every instance sent its reads to the target of the lowest expected cost. With old figures all of them follow the same one: targets are overrun in turns while others idle.

What is new: spreadRead() shares reads out at random among the targets that cost less than twice the best one, the nearer the more, and only among those that are no worse apart from their load. A bench in virtual time and a test show the swing. statement_served tells why a read went where it went.

--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -3,6 +3,7 @@
 #include "systemclock.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 #include <vector>
 
@@ -17,13 +18,21 @@
 constexpr std::size_t longestQueue = 400;
 constexpr duration passingTrouble{150}; // A survey that finds the primary in place takes less.
 
+std::function<double()> makeDraw()
+{
+    return [random = std::minstd_rand(std::random_device()())]() mutable {
+        return std::uniform_real_distribution<>(0, 1)(random);
+    };
+}
+
 }
 
 service_group::service_group(front_context &context,
                              service_id id,
                              data_centre_id dataCentre,
                              const target_directory &directory)
-    : m_context(context)
+    : draw(makeDraw())
+    , m_context(context)
     , m_id(std::move(id))
     , m_dataCentre(std::move(dataCentre))
     , m_directory(directory)
@@ -280,11 +289,17 @@
         pools.push_back(pool);
     }
     warmUpFor(candidates, pools);
-    while (const auto best = placeRead(candidates)) {
-        if (grantAt(pools[*best], required, false, granted)) {
+    while (const auto chosen = spreadRead(candidates, draw())) {
+        const auto isChosen = [&](const read_candidate &candidate) { return candidate.index == *chosen; };
+        target_grant grant;
+        grant.target = pools[*chosen];
+        grant.after = required;
+        grant.expectedMs = expectedMs(*std::find_if(candidates.begin(), candidates.end(), isChosen));
+        grant.candidates = static_cast<int>(candidates.size());
+        if (grantAt(std::move(grant), granted)) {
             return true;
         }
-        std::erase_if(candidates, [&](const read_candidate &candidate) { return candidate.index == *best; });
+        std::erase_if(candidates, isChosen);
     }
     return candidates.empty() && pools.empty() && tryPlaceAtPrimary(need, granted);
 }
@@ -295,12 +310,16 @@
     for (auto &candidate : candidates) {
         candidate.hasIdleConnection = true;
     }
-    const auto preferred = placeRead(candidates);
+    // Where connections are scarce, one to the best target has to do.
+    const auto now = systemNow();
+    const bool isScarce =
+        std::any_of(pools.begin(), pools.end(), [&](const auto &pool) { return pool->areConnectionsScarce(now); });
+    const auto preferred = isScarce ? placeRead(candidates) : spreadRead(candidates, draw());
     if (!preferred) {
         return;
     }
     auto &pool = *pools[*preferred];
-    if (pool.connections() == 0 && pool.canOpen(systemNow())) {
+    if (pool.connections() == 0 && pool.canOpen(now)) {
         pool.openMore();
     }
 }
@@ -320,21 +339,23 @@
     if (!pool->hasRoom(systemNow())) {
         return false;
     }
-    return grantAt(pool, std::nullopt, !need.isWrite, granted);
+    target_grant grant;
+    grant.target = pool;
+    grant.needsProof = !need.isWrite;
+    return grantAt(std::move(grant), granted);
 }
 
-bool service_group::grantAt(const std::shared_ptr<target_pool> &pool,
-                            std::optional<position> after,
-                            bool needsProof,
-                            const std::function<void(target_grant)> &granted)
+bool service_group::grantAt(target_grant grant, const std::function<void(target_grant)> &granted)
 {
-    auto link = pool->takeIdle();
-    if (!link) {
-        openWhereNeeded(*pool);
+    auto &pool = *grant.target;
+    grant.link = pool.takeIdle();
+    if (!grant.link) {
+        openWhereNeeded(pool);
         return false;
     }
-    pool->addInFlight(1);
-    granted({pool, std::move(link), m_primary == pool->entry().id, after, needsProof});
+    grant.isPrimary = m_primary == pool.entry().id;
+    pool.addInFlight(1);
+    granted(std::move(grant));
     return true;
 }
 
--- a/src/libcrocusdealfront/servicegroup.h
+++ b/src/libcrocusdealfront/servicegroup.h
@@ -43,6 +43,8 @@
     std::optional<position> after; ///< What the log of the target must hold.
     /** Without a position the target has to prove that it is primary, by accepting a transaction that may write. */
     bool needsProof = false;
+    double expectedMs = 0; ///< What a read was expected to take there when it was placed, with the surcharges.
+    int candidates = 0; ///< Targets that could have got the read; 0 if there was no choice.
 };
 
 enum class refusal_reason {
@@ -74,6 +76,8 @@
     std::function<void(const target_id &)> onTargetReached;
     /** A current answer about the promotion lease is needed to tell which commits survive. */
     std::function<void()> onLeaseWanted;
+    /** A random number from 0 up to but not including 1, by which reads are shared out; set from the start. */
+    std::function<double()> draw;
 
     const service_id &id() const;
     void setPolicy(const service_policy &policy);
@@ -149,10 +153,8 @@
     void warmUpFor(std::vector<read_candidate> candidates, const std::vector<std::shared_ptr<target_pool>> &pools);
     bool tryPlace(const target_need &need, const std::function<void(target_grant)> &granted);
     bool tryPlaceAtPrimary(const target_need &need, const std::function<void(target_grant)> &granted);
-    bool grantAt(const std::shared_ptr<target_pool> &pool,
-                 std::optional<position> after,
-                 bool needsProof,
-                 const std::function<void(target_grant)> &granted);
+    /** Gives @p grant with a connection to its target, if there is one. */
+    bool grantAt(target_grant grant, const std::function<void(target_grant)> &granted);
     std::optional<position> requiredPosition(const target_need &need) const;
     refusal_reason whyNotPlaced(const target_need &need) const;
     /** Whether the queue is too long for @p need to be placed before it is refused. */
--- a/src/libcrocusdealfront/statementrun.cpp
+++ b/src/libcrocusdealfront/statementrun.cpp
@@ -322,6 +322,8 @@
         .field("database", m_order.route.database)
         .field("target", target.str())
         .field("at_primary", m_grant->isPrimary ? 1 : 0)
+        .field("candidates", m_grant->candidates)
+        .field("expected_ms", static_cast<std::int64_t>(m_grant->expectedMs))
         .field("attempts", m_attempts)
         .field("ms", (systemNow() - m_order.arrivedAt).ms);
     statement_outcome outcome;
--- a/src/libcrocusdealpolicy/placement.h
+++ b/src/libcrocusdealpolicy/placement.h
@@ -32,7 +32,19 @@
  */
 bool isConnectionWorthOpening(std::size_t waiting, int working, double answerMs, double openingMs);
 
+/** The expected cost of one more read there: its time in milliseconds, with surcharges for what else it costs. */
+double expectedMs(const read_candidate &candidate);
+
 /** The index of the candidate with the lowest expected cost; nothing if no candidate has a free permit. */
 std::optional<std::size_t> placeRead(const std::vector<read_candidate> &candidates);
 
+/**
+ * Like placeRead(), but shares reads out among the candidates that cost little more than the best one, so that many
+ * instances with the same old knowledge do not all choose the same target. Of those, it takes only candidates that are
+ * no worse apart from their load: none that is further away, unlike the best one.
+ *
+ * @p draw is a random number from 0 up to but not including 1.
+ */
+std::optional<std::size_t> spreadRead(const std::vector<read_candidate> &candidates, double draw);
+
 }
--- a/src/standins/policybench/main.cpp
+++ b/src/standins/policybench/main.cpp
@@ -1,5 +1,6 @@
 #include "classifybench.h"
 #include "scenarios.h"
+#include "swingbench.h"
 
 #include <iostream>
 #include <string>
@@ -15,6 +16,10 @@
         const unsigned seeds = argc > 2 ? static_cast<unsigned>(std::stoul(argv[2])) : 3;
         return crocusdeal::runPolicyBench(seeds) ? 0 : 1;
     }
-    std::cerr << "usage: policybench classify | policybench policies [SEEDS]\n";
+    if (mode == "swing") {
+        crocusdeal::runSwingBench(argc > 2 ? static_cast<unsigned>(std::stoul(argv[2])) : 3);
+        return 0;
+    }
+    std::cerr << "usage: policybench classify | policybench policies [SEEDS] | policybench swing [SEEDS]\n";
     return 2;
 }
