Leave a replica alone for as long as it is behind

Cause: a replica that was behind by seconds was asked again by each instance within 1.2 s. Any read with a position that it served ended the backoff, also one that an old log may serve, and the next was refused again. Only the replica that was heard last was known to hold a position, and drew all reads.

It ends early only when the log holds what the refused read would need by now. A lagging replica still gets reads that its log can serve by then. Which replica holds a position is projected from its last answer.

Ruled out: a longer backoff by doubling alone, which also keeps a replica away that was behind only briefly.

--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -281,7 +281,7 @@
         candidate.answerMs = pool->answerMs();
         candidate.isLocal = pool->entry().dataCentre == m_dataCentre;
         candidate.isPrimary = m_primary == id;
-        candidate.hasRequiredPosition = pool->knownPosition() >= *required;
+        candidate.hasRequiredPosition = pool->progress().probablyHolds(*required, now, m_samples.growthPerMs());
         candidate.isWarmingUp = pool->entry().isWarmingUp;
         candidate.hasIdleConnection = pool->hasIdle();
         candidate.failureRate = pool->failureShare(now);
@@ -403,7 +403,8 @@
                               const position &required,
                               time_point now) const
 {
-    const bool isBehind = pool.isLagging(now) && pool.knownPosition() < required;
+    const bool isBehind =
+        pool.isLagging(now) && !pool.progress().holdsWhileLagging(required, now, m_samples.growthPerMs());
     return !isBehind && !need.avoid.contains(pool.entry().id) && isUsable(pool, now);
 }
 
@@ -547,6 +548,31 @@
     suspectPrimary(why);
 }
 
+void service_group::recordLagging(target_pool &pool, const target_reply &reply, std::optional<position> required)
+{
+    const auto now = systemNow();
+    duration behindBy{0};
+    if (required) {
+        pool.progress().recordRefused(*required, reply.at.value_or(pool.knownPosition()), now);
+        behindBy = timeBehind(reply.at.value_or(*required), *required, m_samples.growthPerMs());
+    }
+    pool.lag().recordLagging(reply.sentAt, now, behindBy, draw());
+}
+
+void service_group::recordCaughtUp(const target_grant &grant, const target_reply &reply)
+{
+    if (!grant.after) {
+        return;
+    }
+    const auto now = systemNow();
+    auto &pool = *grant.target;
+    const auto held = std::max(reply.at.value_or(*grant.after), *grant.after);
+    // A read that may be served from an older log tells nothing of those that were refused.
+    if (!pool.isLagging(now) || pool.progress().isCaughtUp(held, now, m_samples.growthPerMs())) {
+        pool.lag().recordCaughtUp(now);
+    }
+}
+
 void service_group::setPrimary(const target_id &target, const char *source)
 {
     if (m_primary == target) {
--- a/src/libcrocusdealfront/servicegroup.h
+++ b/src/libcrocusdealfront/servicegroup.h
@@ -133,6 +133,10 @@
     const acknowledged_log &acknowledged() const;
     /** A target that was taken for the primary is not. */
     void recordNotPrimary(const target_id &target, const char *why);
+    /** A read was refused by a replica whose log was behind. */
+    void recordLagging(target_pool &pool, const target_reply &reply, std::optional<position> required);
+    /** A replica has served a read whose position it had to hold. */
+    void recordCaughtUp(const target_grant &grant, const target_reply &reply);
     /** From what the directory or a survey says. */
     void setPrimary(const target_id &target, const char *source);
     time_point primaryProvedAt() const;
--- a/src/libcrocusdealfront/statementrun.cpp
+++ b/src/libcrocusdealfront/statementrun.cpp
@@ -314,9 +314,7 @@
     if (isProof) {
         m_group->recordPrimary(target, reply.at, reply.sentAt);
     }
-    if (m_grant->after) {
-        m_grant->target->lag().recordCaughtUp();
-    }
+    m_group->recordCaughtUp(*m_grant, reply);
     m_context.log.debug("statement_served")
         .field("id", m_order.request.id)
         .field("database", m_order.route.database)
@@ -407,7 +405,7 @@
             .field("target", target.str())
             .field("required", required ? toString(*required) : "none")
             .field("holds", reply.at ? toString(*reply.at) : "unknown");
-        pool->lag().recordLagging(reply.sentAt, systemNow());
+        m_group->recordLagging(*pool, reply, required);
         m_need.mustBePrimary = m_need.mustBePrimary || isAtPrimary || m_attempts >= 2;
         m_need.avoid.insert(target);
     }
--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -71,7 +71,7 @@
     if (!isAnotherLife) {
         return;
     }
-    m_known = {};
+    m_progress.forget();
     m_failures = 0;
     m_retryAt = never;
     const auto links = m_links;
@@ -136,6 +136,17 @@
     return m_answerMs;
 }
 
+time_point target_pool::timedAt() const
+{
+    return m_timedAt;
+}
+
+bool target_pool::isFull(time_point now) const
+{
+    const auto held = m_window.backoffUntil();
+    return isAtConnectionLimit(now) || (held != never && now < held);
+}
+
 void target_pool::recordAnswer(const target_reply &reply)
 {
     const auto now = systemNow();
@@ -153,6 +164,7 @@
     if (reply.isSuccess()) {
         m_failureShare.record(false, now);
         m_window.recordSuccess();
+        m_timedAt = now;
         m_answerMs += answerWeight * (static_cast<double>((now - reply.sentAt).ms) - m_answerMs);
     }
 }
@@ -182,13 +194,13 @@
     }
     m_lastAnswerAt = systemNow();
     if (reply.at) {
-        m_known = std::max(m_known, *reply.at);
+        m_progress.recordHeld(*reply.at, m_lastAnswerAt);
     }
 }
 
 position target_pool::knownPosition() const
 {
-    return m_known;
+    return m_progress.held();
 }
 
 replica_backoff &target_pool::lag()
@@ -196,6 +208,21 @@
     return m_lag;
 }
 
+const replica_backoff &target_pool::lag() const
+{
+    return m_lag;
+}
+
+replica_progress &target_pool::progress()
+{
+    return m_progress;
+}
+
+const replica_progress &target_pool::progress() const
+{
+    return m_progress;
+}
+
 bool target_pool::isLagging(time_point now) const
 {
     return m_lag.isBackingOff(now);
@@ -388,7 +415,7 @@
                 .field("target", m_entry.id.str())
                 .field("service", m_entry.service.str())
                 .field("incarnation", static_cast<std::int64_t>(m_entry.incarnation))
-                .field("known", toString(m_known));
+                .field("known", toString(m_progress.held()));
         }
         m_openingMs += openingWeight * (static_cast<double>((now - begunAt).ms) - m_openingMs);
         return;
@@ -421,7 +448,7 @@
         .field("target", m_entry.id.str())
         .field("service", m_entry.service.str())
         .field("incarnation", static_cast<std::int64_t>(m_entry.incarnation))
-        .field("known", toString(m_known))
+        .field("known", toString(m_progress.held()))
         .field("reason", reason);
 }
 
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -5,6 +5,7 @@
 #include "failurerate.h"
 #include "frontmetrics.h"
 #include "replicabackoff.h"
+#include "replicaprogress.h"
 #include "replicationreport.h"
 #include "targetentry.h"
 #include "targetlink.h"
@@ -67,12 +68,19 @@
     double failureShare(time_point now) const;
     void addInFlight(int difference);
     double answerMs() const;
+    /** When the last answer came that counts in answerMs(). */
+    time_point timedAt() const;
+    /** Whether it has just refused a statement or a connection, so that others would do better to go elsewhere. */
+    bool isFull(time_point now) const;
     void recordAnswer(const target_reply &reply);
     /** An answer that tells nothing of the time that statements of callers take. */
     void recordUntimedAnswer(const target_reply &reply);
     /** The highest position that its log was seen to hold. */
     position knownPosition() const;
     replica_backoff &lag();
+    const replica_backoff &lag() const;
+    replica_progress &progress();
+    const replica_progress &progress() const;
     bool isLagging(time_point now) const;
     /** Whether the target has refused connections by its limit lately; unused ones are closed soon then. */
     bool areConnectionsScarce(time_point now) const;
@@ -145,8 +153,9 @@
     failure_rate m_failureShare;
     deadline_queue::handle m_holdTimer = 0;
     double m_answerMs;
+    time_point m_timedAt = never;
     double m_openingMs;
-    position m_known;
+    replica_progress m_progress;
     replica_backoff m_lag;
     time_point m_retryAt = never;
     int m_failures = 0;
--- a/src/libcrocusdealpolicy/freshness.cpp
+++ b/src/libcrocusdealpolicy/freshness.cpp
@@ -8,6 +8,7 @@
 
 constexpr duration minSpacing{50};
 constexpr duration retention{10000};
+constexpr duration shortestGrowth{100}; // Over less time a single commit would count for too much.
 
 }
 
@@ -37,6 +38,25 @@
     return std::nullopt;
 }
 
+std::optional<position_samples::sample> position_samples::newest() const
+{
+    return m_samples.empty() ? std::nullopt : std::optional(m_samples.back());
+}
+
+double position_samples::growthPerMs() const
+{
+    if (m_samples.empty()) {
+        return 0;
+    }
+    const auto &first = m_samples.front();
+    const auto &last = m_samples.back();
+    const auto time = last.requestedAt - first.requestedAt;
+    if (time < shortestGrowth || first.at.term != last.at.term || last.at <= first.at) {
+        return 0;
+    }
+    return static_cast<double>(last.at.offset - first.at.offset) / static_cast<double>(time.ms);
+}
+
 void position_samples::clear()
 {
     m_samples.clear();
--- a/src/libcrocusdealpolicy/freshness.h
+++ b/src/libcrocusdealpolicy/freshness.h
@@ -25,6 +25,14 @@
      * enough.
      */
     std::optional<position> covering(time_point bound) const;
+    struct sample {
+        position at;
+        time_point requestedAt;
+    };
+
+    std::optional<sample> newest() const;
+    /** By how much the log has grown each millisecond, as far as the samples go back; 0 if they do not tell. */
+    double growthPerMs() const;
     /**
      * Removes all samples. Samples of a target that may no longer be the primary stay valid; those of a service that is
      * no longer tracked do not.
@@ -32,11 +40,6 @@
     void clear();
 
 private:
-    struct sample {
-        position at;
-        time_point requestedAt;
-    };
-
     std::deque<sample> m_samples; ///< Ordered by requestedAt, oldest first.
 };
 
