Tell other instances that a replica is behind

Cause: each instance learned by a refusal of its own that a replica lags.

What is new: a refusal goes out as a hint with the position that the replica held and its age. Who hears it leaves the replica alone for longer than the one that was refused, so that this one asks again first; a newer refusal puts the others off again. Reads that the replica can serve by then still go there. Hints of less than 300 ms of lag, or from before the replica has served this instance, are ignored. A hinted position is kept apart from what was seen.

Ruled out: taking a hinted position for a seen one, as a wrong one would stay.

Nothing tests the way from a pong to the backoff as a whole.

--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -17,6 +17,7 @@
 constexpr duration ageMargin{30}; // A sample counts from when it was asked for; the clocks round to milliseconds.
 constexpr std::size_t longestQueue = 400;
 constexpr duration longestHint{2000}; // What is older than that is not passed on.
+constexpr duration leastReportedLag{300}; // A shorter one is often over before others hear of it.
 constexpr duration passingTrouble{150}; // A survey that finds the primary in place takes less.
 
 /** Figures of targets that have not answered for long count less, one by one with @p loads. */
@@ -339,16 +340,22 @@
 void service_group::addLoads(time_point now, std::vector<reported_load> &loads) const
 {
     for (const auto &[id, pool] : m_targets) {
-        if (pool->timedAt() == never || now - pool->timedAt() > longestHint) {
+        const auto refusedAt = pool->lag().lastRefusedAt();
+        const bool isBehind = refusedAt != never && now - refusedAt <= longestHint;
+        const bool isTimed = pool->timedAt() != never && now - pool->timedAt() <= longestHint;
+        if (!isBehind && !isTimed) {
             continue;
         }
         reported_load load;
         load.target = id;
         load.incarnation = pool->entry().incarnation;
-        load.age = now - pool->timedAt();
+        load.age = now - (isBehind ? refusedAt : pool->timedAt());
         load.inFlight = pool->inFlight();
         load.answerMs = pool->answerMs();
         load.isFull = pool->isFull(now);
+        if (isBehind) {
+            load.behindAt = pool->progress().heldWhenRefused();
+        }
         loads.push_back(load);
     }
 }
@@ -361,6 +368,19 @@
         return;
     }
     m_loads.record(from, load, now);
+    const double growthPerMs = m_samples.growthPerMs();
+    const auto newest = m_samples.newest();
+    if (!load.behindAt || !newest || growthPerMs <= 0) {
+        return;
+    }
+    const auto refusedAt = now - load.age;
+    auto &pool = *found->second;
+    const auto behindBy = timeBehind(*load.behindAt, newest->at, growthPerMs) - (newest->requestedAt - refusedAt);
+    // What the read of the other instance needed is not known here; a usual lag may have been too much for it alone.
+    if (behindBy > leastReportedLag) {
+        pool.progress().recordReported(*load.behindAt, refusedAt);
+        pool.lag().recordReported(refusedAt, behindBy, draw());
+    }
 }
 
 void service_group::warmUpFor(std::vector<read_candidate> candidates,
--- a/src/libcrocusdealpolicy/replicaprogress.cpp
+++ b/src/libcrocusdealpolicy/replicaprogress.cpp
@@ -30,6 +30,12 @@
     }
 }
 
+void replica_progress::recordReported(position held, time_point at)
+{
+    m_reported = held;
+    m_reportedAt = at;
+}
+
 void replica_progress::recordRefused(position required, position held, time_point at)
 {
     m_refused = required;
@@ -57,8 +63,11 @@
     if (m_held >= required) {
         return true;
     }
-    const bool isComparable = m_heldAt != never && m_held.term == required.term;
-    return isComparable && grown(m_held, now - m_heldAt, growthPerMs) >= required;
+    const bool isReportNewer = m_reportedAt > m_heldAt;
+    const auto from = isReportNewer ? m_reported : m_held;
+    const auto seenAt = isReportNewer ? m_reportedAt : m_heldAt;
+    const bool isComparable = seenAt != never && from.term == required.term;
+    return isComparable && grown(from, now - seenAt, growthPerMs) >= required;
 }
 
 bool replica_progress::probablyHolds(position required, time_point now, double growthPerMs) const
--- a/src/libcrocusdealpolicy/replicaprogress.h
+++ b/src/libcrocusdealpolicy/replicaprogress.h
@@ -14,6 +14,8 @@
     void recordHeld(position held, time_point at);
     /** It refused a read that needed @p required, when it held @p held. */
     void recordRefused(position required, position held, time_point at);
+    /** Another instance says so; it counts until this one hears the target itself. */
+    void recordReported(position held, time_point at);
     /** The target has started again. */
     void forget();
 
@@ -35,6 +37,8 @@
 
     position m_held;
     time_point m_heldAt = never;
+    position m_reported;
+    time_point m_reportedAt = never;
     position m_refused;
     position m_heldWhenRefused;
     time_point m_refusedAt = never;
--- a/src/libcrocusdealpolicy/reportedload.h
+++ b/src/libcrocusdealpolicy/reportedload.h
@@ -14,7 +14,7 @@
 struct reported_load {
     target_id target;
     std::uint64_t incarnation = 0; ///< Of the target.
-    duration age; ///< Of the newest part, when the message was sent.
+    duration age; ///< Of the oldest part, when the message was sent: of the refusal if there is behindAt.
     int inFlight = 0; ///< Statements of that instance at the target.
     double answerMs = 0; ///< Smoothed, as that instance sees it.
     bool isFull = false; ///< Has refused statements or connections lately.
--- a/tests/libcrocusdealpolicy/replicaprogresstest.cpp
+++ b/tests/libcrocusdealpolicy/replicaprogresstest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(looserReadIsNoSignOfCatchingUp);
     CPPUNIT_TEST(backsOffForAsLongAsTheReplicaIsBehind);
     CPPUNIT_TEST(oldHintsAreIgnored);
+    CPPUNIT_TEST(wrongHintEndsWithTheNextAnswer);
     CPPUNIT_TEST(oneInstanceAsksForAll);
     CPPUNIT_TEST(samplesTellTheGrowth);
     CPPUNIT_TEST_SUITE_END();
@@ -112,6 +113,19 @@
         CPPUNIT_ASSERT(backoff.lastRefusedAt() == never); // Hints of others are not passed on.
     }
 
+    /** Guards against a false position of another instance that is believed for ever, or taken for one seen here. */
+    void wrongHintEndsWithTheNextAnswer()
+    {
+        replica_progress progress;
+        progress.recordHeld(logAt(900), {1000});
+        progress.recordReported(logAt(9000), {1100});
+        CPPUNIT_ASSERT(progress.held() == logAt(900));
+        progress.recordHeld(logAt(1000), {1200});
+        CPPUNIT_ASSERT(!progress.holdsWhileLagging(logAt(1200), {1200}, growth));
+        progress.recordReported(logAt(1000), {1400});
+        CPPUNIT_ASSERT(!progress.holdsWhileLagging(logAt(1200), {1500}, growth));
+    }
+
     /** Guards against a replica that is behind for long and is asked by each instance again and again. */
     void oneInstanceAsksForAll()
     {
