Take no lag from a hint that makes no sense

Cause: a hint with a negative age was left out of the load, but its lag was taken with a time in the future, which would keep a replica away for long. Ruled out: a check of its own for the lag; one check serves both. Before: only the load was checked. After: record() tells, and the lag of such a hint is not taken. Run: test_libcrocusdealpolicy load_estimate_test, 8 passed.

--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -367,7 +367,9 @@
     if (found == m_targets.end() || found->second->entry().incarnation != load.incarnation) {
         return;
     }
-    m_loads.record(from, load, now);
+    if (!m_loads.record(from, load, now)) {
+        return;
+    }
     const double growthPerMs = m_samples.growthPerMs();
     const auto newest = m_samples.newest();
     if (!load.behindAt || !newest || growthPerMs <= 0) {
--- a/src/libcrocusdealpolicy/loadestimate.cpp
+++ b/src/libcrocusdealpolicy/loadestimate.cpp
@@ -24,16 +24,17 @@
 
 }
 
-void load_estimates::record(const instance_id &from, const reported_load &load, time_point now)
+bool load_estimates::record(const instance_id &from, const reported_load &load, time_point now)
 {
     if (load.age > oldest || load.age < duration{0} || !std::isfinite(load.answerMs) || load.answerMs < 0) {
-        return;
+        return false;
     }
     auto &hints = m_hints[load.target];
     std::erase_if(hints, [&](const auto &entry) { return now - entry.second.at > oldest; });
     if (hints.contains(from) || hints.size() < maxReporters) {
         hints[from] = {load, now - load.age};
     }
+    return true;
 }
 
 load_estimate load_estimates::estimate(const target_id &target,
--- a/src/libcrocusdealpolicy/loadestimate.h
+++ b/src/libcrocusdealpolicy/loadestimate.h
@@ -28,8 +28,8 @@
 class load_estimates
 {
 public:
-    /** Ignores hints that are too old to tell anything, or of more instances than are of use. */
-    void record(const instance_id &from, const reported_load &load, time_point now);
+    /** Keeps the hint, unless enough are kept. False if it is too old to tell anything, or makes no sense. */
+    bool record(const instance_id &from, const reported_load &load, time_point now);
     /** Hints of another incarnation of the target do not count. */
     load_estimate estimate(const target_id &target,
                            std::uint64_t incarnation,
--- a/tests/libcrocusdealpolicy/loadestimatetest.cpp
+++ b/tests/libcrocusdealpolicy/loadestimatetest.cpp
@@ -106,9 +106,10 @@
     void nonsenseIsIgnored()
     {
         load_estimates estimates;
-        estimates.record(other, hint(std::numeric_limits<double>::quiet_NaN(), {0}), {10000});
-        estimates.record(other, hint(-1, {0}), {10000});
-        estimates.record(other, hint(1, {-1}), {10000});
+        CPPUNIT_ASSERT(!estimates.record(other, hint(std::numeric_limits<double>::quiet_NaN(), {0}), {10000}));
+        CPPUNIT_ASSERT(!estimates.record(other, hint(-1, {0}), {10000}));
+        CPPUNIT_ASSERT(!estimates.record(other, hint(1, {-1}), {10000}));
+        CPPUNIT_ASSERT(!estimates.record(other, hint(1, {4001}), {10000}));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, estimates.size());
     }
 
