--- a/src/libcrocusdealfront/relayhub.cpp
+++ b/src/libcrocusdealfront/relayhub.cpp
@@ -259,6 +259,11 @@
             onPong(pong, pingSentAt);
         }
     };
+    link->onLoads = [weak = weak_from_this(), from = member.id](const std::vector<reported_load> &loads) {
+        if (const auto self = weak.lock()) {
+            self->m_surroundings.heardLoads(from, loads);
+        }
+    };
     m_links.emplace(member.id, link);
     link->open();
 }
--- a/src/libcrocusdealfront/relaylink.cpp
+++ b/src/libcrocusdealfront/relaylink.cpp
@@ -175,6 +175,9 @@
         if (onPong) {
             onPong(*pong, pingSentAt);
         }
+        if (onLoads && !pong->loads.empty()) {
+            onLoads(pong->loads);
+        }
     } else if (auto *answer = std::get_if<relay_answer>(&message)) {
         const auto number = answer->number;
         const bool isForgotten = !m_pending.contains(number);
--- a/src/libcrocusdealfront/relaylink.h
+++ b/src/libcrocusdealfront/relaylink.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace crocusdeal
 {
@@ -38,6 +39,8 @@
 
     /** A pong has come; with when the ping that it answers was sent, or never if it answers none. */
     std::function<void(const relay_pong &, time_point pingSentAt)> onPong;
+    /** The other instance tells of the load of targets. */
+    std::function<void(const std::vector<reported_load> &)> onLoads;
 
     void open();
     void close(const std::string &reason);
--- a/src/libcrocusdealfront/relaysession.cpp
+++ b/src/libcrocusdealfront/relaysession.cpp
@@ -73,6 +73,7 @@
     state.isIsolated = m_surroundings.isIsolated();
     state.isStoreAway = m_surroundings.isStoreAway();
     state.configuration = m_surroundings.reportConfiguration();
+    state.loads = m_surroundings.loads();
     return state;
 }
 
--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -17,8 +17,21 @@
 constexpr duration ageMargin{30}; // A sample counts from when it was asked for; the clocks round to milliseconds.
 constexpr std::size_t longestQueue = 400;
 constexpr int largestShareDivisor = 3; // No instance takes more than a third of the connections of a target.
+constexpr duration longestHint{2000}; // What is older than that is not passed on.
+constexpr duration leastReportedLag{300}; // A shorter one is often over before others hear of it.
 constexpr duration passingTrouble{150}; // A survey that finds the primary in place takes less.
 
+/** Figures of targets that have not answered for long count less, one by one with @p loads. */
+void fadeSlowness(std::vector<read_candidate> &candidates, const std::vector<load_estimate> &loads)
+{
+    const auto isFaster = [](const read_candidate &a, const read_candidate &b) { return a.answerMs < b.answerMs; };
+    const auto fastest = std::min_element(candidates.begin(), candidates.end(), isFaster);
+    const double usualMs = fastest == candidates.end() ? 0 : fastest->answerMs;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        candidates[i].answerMs = fadedAnswerMs(candidates[i].answerMs, loads[i].age, usualMs);
+    }
+}
+
 std::function<double()> makeDraw()
 {
     return [random = std::minstd_rand(std::random_device()())]() mutable {
@@ -68,6 +81,7 @@
 
 void service_group::refreshTargets()
 {
+    m_loads.forgetOld(systemNow());
     for (const auto &[id, known] : m_directory.targets()) {
         if (known.entry.service != m_id) {
             continue;
@@ -272,25 +286,18 @@
     const auto now = systemNow();
     std::vector<read_candidate> candidates;
     std::vector<std::shared_ptr<target_pool>> pools;
+    std::vector<load_estimate> loads;
     for (const auto &[id, pool] : m_targets) {
         if (!isOffered(*pool, need, *required, now)) {
             continue;
         }
-        read_candidate candidate;
-        candidate.index = pools.size();
-        candidate.inFlight = pool->inFlight();
-        candidate.permits = pool->hasRoom(now) ? pool->permits() : 0;
-        candidate.slots = pool->entry().slots;
-        candidate.answerMs = pool->answerMs();
-        candidate.isLocal = pool->entry().dataCentre == m_dataCentre;
-        candidate.isPrimary = m_primary == id;
-        candidate.hasRequiredPosition = pool->knownPosition() >= *required;
-        candidate.isWarmingUp = pool->entry().isWarmingUp;
-        candidate.hasIdleConnection = pool->hasIdle(need.workspace);
-        candidate.failureRate = pool->failureShare(now);
-        candidates.push_back(candidate);
+        loads.push_back(estimateOf(*pool, now));
+        candidates.push_back(candidateOf(*pool, *required, loads.back(), now));
+        candidates.back().index = pools.size();
+        candidates.back().hasIdleConnection = pool->hasIdle(need.workspace);
         pools.push_back(pool);
     }
+    fadeSlowness(candidates, loads);
     warmUpFor(candidates, pools);
     while (const auto chosen = spreadRead(candidates, draw())) {
         const auto isChosen = [&](const read_candidate &candidate) { return candidate.index == *chosen; };
@@ -299,6 +306,8 @@
         grant.after = required;
         grant.expectedMs = expectedMs(*std::find_if(candidates.begin(), candidates.end(), isChosen));
         grant.candidates = static_cast<int>(candidates.size());
+        grant.knownAge = loads[*chosen].age;
+        grant.reporters = loads[*chosen].reporters;
         if (grantAt(std::move(grant), need.workspace, granted)) {
             return true;
         }
@@ -307,6 +316,78 @@
     return candidates.empty() && pools.empty() && tryPlaceAtPrimary(need, granted);
 }
 
+load_estimate service_group::estimateOf(const target_pool &pool, time_point now) const
+{
+    return m_loads.estimate(pool.entry().id, pool.entry().incarnation, {pool.answerMs(), pool.timedAt()}, now);
+}
+
+read_candidate service_group::candidateOf(const target_pool &pool,
+                                          const position &required,
+                                          const load_estimate &load,
+                                          time_point now) const
+{
+    read_candidate candidate;
+    candidate.inFlight = pool.inFlight();
+    candidate.permits = pool.hasRoom(now) ? pool.permits() : 0;
+    candidate.slots = pool.entry().slots;
+    // One that is full makes a read wait for about one more.
+    candidate.answerMs = load.answerMs * (1 + load.fullness);
+    candidate.isLocal = pool.entry().dataCentre == m_dataCentre;
+    candidate.isPrimary = m_primary == pool.entry().id;
+    candidate.hasRequiredPosition = pool.progress().probablyHolds(required, now, m_samples.growthPerMs());
+    candidate.isWarmingUp = pool.entry().isWarmingUp;
+    candidate.failureRate = pool.failureShare(now);
+    return candidate;
+}
+
+void service_group::addLoads(time_point now, std::vector<reported_load> &loads) const
+{
+    for (const auto &[id, pool] : m_targets) {
+        const auto refusedAt = pool->lag().lastRefusedAt();
+        const bool isBehind = refusedAt != never && now - refusedAt <= longestHint;
+        const bool isTimed = pool->timedAt() != never && now - pool->timedAt() <= longestHint;
+        if (!isBehind && !isTimed) {
+            continue;
+        }
+        reported_load load;
+        load.target = id;
+        load.incarnation = pool->entry().incarnation;
+        load.age = now - (isBehind ? refusedAt : pool->timedAt());
+        load.inFlight = pool->inFlight();
+        load.answerMs = pool->answerMs();
+        load.isFull = pool->isFull(now);
+        if (isBehind) {
+            load.behindAt = pool->progress().heldWhenRefused();
+        }
+        loads.push_back(load);
+    }
+}
+
+void service_group::recordLoad(const instance_id &from, const reported_load &load)
+{
+    const auto now = systemNow();
+    const auto found = m_targets.find(load.target);
+    if (found == m_targets.end() || found->second->entry().incarnation != load.incarnation) {
+        return;
+    }
+    if (!m_loads.record(from, load, now)) {
+        return;
+    }
+    const double growthPerMs = m_samples.growthPerMs();
+    const auto newest = m_samples.newest();
+    if (!load.behindAt || !newest || growthPerMs <= 0) {
+        return;
+    }
+    const auto refusedAt = now - load.age;
+    auto &pool = *found->second;
+    const auto behindBy = timeBehind(*load.behindAt, newest->at, growthPerMs) - (newest->requestedAt - refusedAt);
+    // What the read of the other instance needed is not known here; a usual lag may have been too much for it alone.
+    if (behindBy > leastReportedLag) {
+        pool.progress().recordReported(*load.behindAt, refusedAt);
+        pool.lag().recordReported(refusedAt, behindBy, draw());
+    }
+}
+
 void service_group::warmUpFor(std::vector<read_candidate> candidates,
                               const std::vector<std::shared_ptr<target_pool>> &pools)
 {
@@ -432,7 +513,8 @@
                               const position &required,
                               time_point now) const
 {
-    const bool isBehind = pool.isLagging(now) && pool.knownPosition() < required;
+    const bool isBehind =
+        pool.isLagging(now) && !pool.progress().holdsWhileLagging(required, now, m_samples.growthPerMs());
     return !isBehind && !need.avoid.contains(pool.entry().id) && isUsable(pool, now);
 }
 
@@ -576,6 +658,31 @@
     suspectPrimary(why);
 }
 
+void service_group::recordLagging(target_pool &pool, const target_reply &reply, std::optional<position> required)
+{
+    const auto now = systemNow();
+    duration behindBy{0};
+    if (required) {
+        pool.progress().recordRefused(*required, reply.at.value_or(pool.knownPosition()), now);
+        behindBy = timeBehind(reply.at.value_or(*required), *required, m_samples.growthPerMs());
+    }
+    pool.lag().recordLagging(reply.sentAt, now, behindBy, draw());
+}
+
+void service_group::recordCaughtUp(const target_grant &grant, const target_reply &reply)
+{
+    if (!grant.after) {
+        return;
+    }
+    const auto now = systemNow();
+    auto &pool = *grant.target;
+    const auto held = std::max(reply.at.value_or(*grant.after), *grant.after);
+    // A read that may be served from an older log tells nothing of those that were refused.
+    if (!pool.isLagging(now) || pool.progress().isCaughtUp(held, now, m_samples.growthPerMs())) {
+        pool.lag().recordCaughtUp(now);
+    }
+}
+
 void service_group::setPrimary(const target_id &target, const char *source)
 {
     if (m_primary == target) {
