Keep the stores of fronts for as long as the loop calls them

Cause: the views of the store in relay_world were destroyed before the world, whose last turns of the loop still call them.

Found by reading.

--- a/tests/platform/relayworld.h
+++ b/tests/platform/relayworld.h
@@ -34,8 +34,8 @@
     /** The store as this front reaches it. */
     store_view &storeOf(const std::string &front);
 
+    std::map<std::string, std::unique_ptr<store_view>> stores; ///< Outlive the calls that the world's loop ends.
     front_world world;
-    std::map<std::string, std::unique_ptr<store_view>> stores;
     std::map<std::string, std::shared_ptr<front>> fronts;
 
 private:
