Read the leases through another instance while the store is away

An instance that the store turns away, or does not answer, gets no current answer about the leases for new connections to replicas, so its commits wait without a witness (commit_held_back witnesses=0) until their limit, although other instances reach the store.

Ruled out: the last answer of another instance with its age.

--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -81,7 +81,7 @@
         m_services.applyLeases(update, reading, askedAt);
     };
     m_services.refreshTargets = [this](std::function<void(bool)> done) { m_feed->refreshTargets(std::move(done)); };
-    m_services.refreshLeases = [this](std::function<void()> done) { m_feed->refreshLeases(std::move(done)); };
+    beginReadingLeases();
     m_services.isStoreAway = [this] { return m_feed->isStoreAway(); };
     m_services.askInstances = [this](const service_id &service,
                                      std::function<void(const instance_survey::answers &)> done) {
@@ -122,6 +122,7 @@
     surroundings.isIsolated = [this] { return m_isolatedSince != never; };
     surroundings.isStoreAway = [this] { return m_feed->isStoreAway(); };
     surroundings.reportConfiguration = [this] { return m_access.report(systemNow()); };
+    surroundings.readLeases = [this](lease_reader::update_handler done) { m_leases->read(std::move(done)); };
     surroundings.recentStall = [this] { return recentStall(systemNow()); };
     surroundings.run = [this](const statement_order &order, const session_values &values, outcome_handler done) {
         return runHere(order, values, std::move(done));
@@ -147,6 +148,21 @@
     return {};
 }
 
+void front::beginReadingLeases()
+{
+    m_leases = std::make_shared<lease_reader>(m_context);
+    m_leases->readStore = [this](lease_reader::update_handler done) { m_feed->readLeases(std::move(done)); };
+    m_leases->isStoreAway = [this] { return m_feed->isStoreAway(); };
+    m_leases->onPeerAnswer = [this](const promotion_lease_list_update &update, time_point askedAt) {
+        m_services.applyLeases(update, store_reading::Current, askedAt);
+    };
+    if (m_relays) {
+        m_leases->links = [this] { return m_relays->storeLinks(); };
+        m_leases->seekLinks = [this] { m_relays->seekStore(true); };
+    }
+    m_services.refreshLeases = [this](std::function<void()> done) { m_leases->refresh(std::move(done)); };
+}
+
 void front::addSession(asio::ip::tcp::socket socket)
 {
     session_surroundings surroundings;
@@ -252,6 +268,7 @@
     const auto stall = recentStall(now);
     m_housekeptAt = now;
     if (m_relays) {
+        m_relays->seekStore(m_leases->areLinksWanted(now));
         m_relays->tick(now, stall);
     }
     m_access.tick(systemNow());
@@ -412,6 +429,7 @@
         m_metrics->close();
     }
     m_feed->stop();
+    m_leases->stop();
     if (m_relays) {
         m_fleet->stop();
         m_relays->close();
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -6,6 +6,7 @@
 #include "frontsettings.h"
 #include "httpmessage.h"
 #include "instancesurvey.h"
+#include "leasereader.h"
 #include "metadatastore.h"
 #include "relayhub.h"
 #include "servedservices.h"
@@ -39,6 +40,7 @@
 private:
     std::string listenForCallers();
     std::string listenForInstances();
+    void beginReadingLeases();
     void addSession(asio::ip::tcp::socket socket);
     /** Runs a statement of a caller, here or at an instance that serves its service. */
     std::shared_ptr<running_statement> run(const statement_order &order,
@@ -72,6 +74,7 @@
     std::shared_ptr<http_server> m_readiness;
     std::shared_ptr<http_server> m_metrics;
     std::shared_ptr<store_feed> m_feed;
+    std::shared_ptr<lease_reader> m_leases;
     std::shared_ptr<relay_hub> m_relays; ///< Null if this instance serves its callers alone.
     std::shared_ptr<fleet_feed> m_fleet;
     std::shared_ptr<instance_survey> m_survey; ///< Null if this instance is the only one.
--- a/src/libcrocusdealfront/frontmetrics.cpp
+++ b/src/libcrocusdealfront/frontmetrics.cpp
@@ -73,6 +73,15 @@
     m_ignoredEntries.add();
 }
 
+void front_metrics::leasesAsked(std::string_view outcome)
+{
+    m_registry
+        .counter("crocusdeal_leases_from_instances",
+                 "Readings of the leases through another instance, by outcome",
+                 {{"outcome", std::string(outcome)}})
+        .add();
+}
+
 void front_metrics::sessionOpened()
 {
     m_sessions.add(1);
--- a/src/libcrocusdealfront/frontmetrics.h
+++ b/src/libcrocusdealfront/frontmetrics.h
@@ -27,6 +27,8 @@
     void promotionEnded(std::string_view outcome);
     /** An entry of the metadata store names no target. */
     void entryIgnored();
+    /** Another instance was asked for the promotion leases. */
+    void leasesAsked(std::string_view outcome);
     void sessionOpened();
     void sessionEnded();
     void setConfigurationVersion(std::uint64_t version);
--- a/src/libcrocusdealfront/relayhub.cpp
+++ b/src/libcrocusdealfront/relayhub.cpp
@@ -1,6 +1,7 @@
 #include "relayhub.h"
 
 #include "listener.h"
+#include "rendezvous.h"
 #include "systemclock.h"
 
 #include <algorithm>
@@ -16,6 +17,9 @@
 // Instances that lose power together start together, and one listens a moment before the other.
 constexpr duration youngTime{2000};
 constexpr duration youngLinkRetry{60};
+constexpr std::size_t mostHelpers = 4;
+constexpr std::size_t enoughStoreLinks = 2;
+constexpr duration helperInterval{1000}; // The store may be away from all; then nobody needs to hurry.
 constexpr std::size_t standbys = 2; // Instances with a link that serve in the place of those that have failed.
 
 }
@@ -66,9 +70,13 @@
     std::map<instance_id, fleet_member> here{{self.id, self}};
     std::set<data_centre_id> dataCentres{self.dataCentre};
     m_known.clear();
+    m_others.clear();
     for (const auto &member : members) {
         m_known.insert(member.id);
         dataCentres.insert(member.dataCentre);
+        if (member.id != self.id) {
+            m_others.emplace(member.id, member);
+        }
         if (member.dataCentre == self.dataCentre && member.id != self.id) {
             here.emplace(member.id, member);
         }
@@ -198,13 +206,17 @@
             wanted.insert(plan.order.begin(), plan.order.end());
         }
     }
+    if (m_isStoreSought) {
+        chooseHelpers(now);
+        wanted.insert(m_helpers.begin(), m_helpers.end());
+    }
     wanted.erase(m_surroundings.self.id);
     const auto retry = isYoung(now) ? youngLinkRetry : linkRetry;
     const auto links = m_links;
     for (const auto &[id, link] : links) {
-        const auto member = m_members.find(id);
+        const auto *member = memberOf(id);
         // Another incarnation at the same address has ended the link itself.
-        const bool isReplaced = member == m_members.end() || member->second.relayAddress != link->peer().relayAddress;
+        const bool isReplaced = member == nullptr || member->relayAddress != link->peer().relayAddress;
         if (!link->isEnded() && (isReplaced || !wanted.contains(id))) {
             link->close("not needed");
         }
@@ -213,9 +225,9 @@
         }
     }
     for (const auto &id : wanted) {
-        const auto member = m_members.find(id);
-        if (member != m_members.end() && !m_links.contains(id)) {
-            openLink(member->second);
+        const auto *member = memberOf(id);
+        if (member != nullptr && !m_links.contains(id)) {
+            openLink(*member);
         }
     }
 }
@@ -232,6 +244,69 @@
     link->open();
 }
 
+const fleet_member *relay_hub::memberOf(const instance_id &id) const
+{
+    const auto found = m_others.find(id);
+    return found == m_others.end() ? nullptr : &found->second;
+}
+
+void relay_hub::seekStore(bool isWanted)
+{
+    if (isWanted == m_isStoreSought) {
+        return;
+    }
+    m_isStoreSought = isWanted;
+    m_helpers.clear(); // Links that are not needed any more end with the next tick.
+    m_helpersChosenAt = never;
+    if (isWanted && !m_isClosed) {
+        openLinks(systemNow());
+    }
+}
+
+std::vector<std::shared_ptr<relay_link>> relay_hub::storeLinks() const
+{
+    std::vector<std::shared_ptr<relay_link>> usable;
+    for (const auto &[id, link] : m_links) {
+        if (link->isUsable() && !link->isPeerStoreAway()) {
+            usable.push_back(link);
+        }
+    }
+    std::stable_partition(usable.begin(), usable.end(), [this](const auto &link) {
+        return link->peer().dataCentre == m_surroundings.self.dataCentre;
+    });
+    return usable;
+}
+
+std::vector<instance_id> relay_hub::helperOrder() const
+{
+    std::vector<instance_id> others;
+    for (const auto &[id, member] : m_others) {
+        others.push_back(id);
+    }
+    auto order = rendezvousOrder(m_surroundings.self.id.str(), std::move(others));
+    std::stable_partition(order.begin(), order.end(), [this](const instance_id &id) {
+        return m_others.at(id).dataCentre == m_surroundings.self.dataCentre;
+    });
+    return order;
+}
+
+void relay_hub::chooseHelpers(time_point now)
+{
+    if (now - m_helpersChosenAt < helperInterval) {
+        return;
+    }
+    m_helpersChosenAt = now;
+    std::erase_if(m_helpers, [this](const instance_id &id) {
+        const auto found = m_links.find(id);
+        return found == m_links.end() || !found->second->isUsable() || found->second->isPeerStoreAway();
+    });
+    const auto order = helperOrder();
+    const bool hasEnough = storeLinks().size() >= enoughStoreLinks;
+    for (std::size_t i = 0; i < order.size() && m_helpers.size() < mostHelpers && !hasEnough; ++i) {
+        m_helpers.insert(order[m_nextHelper++ % order.size()]);
+    }
+}
+
 void relay_hub::tick(time_point now, duration ownStall)
 {
     if (m_isClosed) {
--- a/src/libcrocusdealfront/relayhub.h
+++ b/src/libcrocusdealfront/relayhub.h
@@ -8,6 +8,7 @@
 
 #include <asio/ip/tcp.hpp>
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
@@ -45,6 +46,11 @@
     /** Whether the instances that serve most services for this one have said that they reach too few targets. */
     bool areServersIsolated();
 
+    /** Whether links to instances that reach the store are wanted, beside those for the work. */
+    void seekStore(bool isWanted);
+    /** Links to instances that have not said that the store is away; those of this data centre first. */
+    std::vector<std::shared_ptr<relay_link>> storeLinks() const;
+
     void tick(time_point now, duration ownStall);
     /** Tells the other instances at once whether this one leaves or reaches too few targets. */
     void announceState();
@@ -65,6 +71,12 @@
     /** Opens links to the instances that may get statements of this one. */
     void openLinks(time_point now);
     void openLink(const fleet_member &member);
+    /** Chooses who else is to be asked about the store, in place of those that do not reach it either. */
+    void chooseHelpers(time_point now);
+    /** All other instances; those of this data centre first, else in an order of this instance's own. */
+    std::vector<instance_id> helperOrder() const;
+    /** Null if no other instance of this name is known. */
+    const fleet_member *memberOf(const instance_id &id) const;
     bool isYoung(time_point now) const;
     /** Whether the members are about to be known, so that nothing can be planned yet. */
     bool isUnplanned() const;
@@ -74,6 +86,11 @@
     asio::ip::tcp::acceptor m_acceptor;
     std::map<instance_id, fleet_member> m_members; ///< Of this data centre, with this instance.
     std::set<instance_id> m_known; ///< Of all data centres.
+    std::map<instance_id, fleet_member> m_others; ///< Of all data centres, without this instance.
+    std::set<instance_id> m_helpers; ///< Those with a link for the sake of the store.
+    std::size_t m_nextHelper = 0; ///< In helperOrder().
+    time_point m_helpersChosenAt = never;
+    bool m_isStoreSought = false;
     int m_dataCentres = 1;
     std::map<service_id, service_policy> m_policies;
     std::map<service_id, service_plan> m_plans; ///< Worked out when first needed.
--- a/src/libcrocusdealfront/relaylink.cpp
+++ b/src/libcrocusdealfront/relaylink.cpp
@@ -66,6 +66,11 @@
     return m_isIsolated;
 }
 
+bool relay_link::isPeerStoreAway() const
+{
+    return m_isPeerStoreAway;
+}
+
 time_point relay_link::endedAt() const
 {
     return m_endedAt;
@@ -105,6 +110,28 @@
     send(relay_rollback{transaction});
 }
 
+void relay_link::askLeases(lease_handler done)
+{
+    if (m_isEnded) {
+        done(std::nullopt);
+        return;
+    }
+    const auto number = m_nextNumber++;
+    m_leaseQuestions.emplace(number, std::move(done));
+    send(lease_question{number});
+}
+
+void relay_link::handleLeases(const lease_answer &answer)
+{
+    const auto found = m_leaseQuestions.find(answer.number);
+    if (found == m_leaseQuestions.end()) {
+        return;
+    }
+    const auto done = std::move(found->second);
+    m_leaseQuestions.erase(found);
+    done(answer);
+}
+
 void relay_link::tick(time_point now, duration ownStall)
 {
     if (m_isEnded) {
@@ -171,6 +198,7 @@
     if (const auto *pong = std::get_if<relay_pong>(&message)) {
         m_isLeaving = pong->isLeaving;
         m_isIsolated = pong->isIsolated;
+        m_isPeerStoreAway = pong->isStoreAway;
         const auto pingSentAt = takePing(*pong);
         if (onPong) {
             onPong(*pong, pingSentAt);
@@ -182,6 +210,8 @@
             rollBack(number);
         }
         finish(number, {relay_end::Answered, std::move(*answer), {}});
+    } else if (const auto *leases = std::get_if<lease_answer>(&message)) {
+        handleLeases(*leases);
     } else if (const auto *refused = std::get_if<relay_not_served>(&message)) {
         finish(refused->number, {relay_end::NotServed, {}, "not served there"});
     } else {
@@ -248,6 +278,9 @@
     while (!m_pending.empty()) {
         finish(m_pending.begin()->first, {relay_end::Lost, {}, reason});
     }
+    for (const auto &[number, done] : std::exchange(m_leaseQuestions, {})) {
+        done(std::nullopt);
+    }
 }
 
 }
--- a/src/libcrocusdealfront/relaylink.h
+++ b/src/libcrocusdealfront/relaylink.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace crocusdeal
@@ -33,6 +34,7 @@
 {
 public:
     using handler = std::function<void(relay_result)>;
+    using lease_handler = std::function<void(const std::optional<lease_answer> &)>;
 
     relay_link(front_context &context, fleet_member self, fleet_member peer);
 
@@ -46,6 +48,8 @@
     bool isUsable() const;
     bool isEnded() const;
     bool isPeerIsolated() const;
+    /** Whether the other instance has said that the store does not answer it. */
+    bool isPeerStoreAway() const;
     time_point endedAt() const;
 
     /** Hands over a statement. One that changes nothing @p isRepeatable, and is lost as soon as the link is silent. */
@@ -54,6 +58,8 @@
     /** Nothing will be heard of the run or step; @p done is dropped. */
     void abandon(std::uint64_t number);
     void rollBack(std::uint64_t transaction);
+    /** Asks for the promotion leases; no answer if the link ends before one has come. */
+    void askLeases(lease_handler done);
 
     /** Sends a ping if one is due, and judges the silence. @p ownStall is how long this process did not run before. */
     void tick(time_point now, duration ownStall);
@@ -70,6 +76,7 @@
 
     void handleData(std::string &inbound);
     void handleMessage(relay_message &message);
+    void handleLeases(const lease_answer &answer);
     /** When the ping was sent that this pong answers; never if it answers none. */
     time_point takePing(const relay_pong &pong);
     void finish(std::uint64_t number, relay_result result);
@@ -83,6 +90,7 @@
     fleet_member m_peer;
     std::shared_ptr<byte_stream> m_stream;
     std::map<std::uint64_t, pending_work> m_pending;
+    std::map<std::uint64_t, lease_handler> m_leaseQuestions;
     std::uint64_t m_nextNumber = 1;
     time_point m_openedAt = never;
     time_point m_pingSentAt = never; ///< Of a ping without an answer.
@@ -92,6 +100,7 @@
     bool m_isGreeted = false;
     bool m_isLeaving = false;
     bool m_isIsolated = false;
+    bool m_isPeerStoreAway = false;
     bool m_isSilent = false;
     bool m_isEnded = false;
 };
--- a/src/libcrocusdealfront/relaysession.cpp
+++ b/src/libcrocusdealfront/relaysession.cpp
@@ -125,6 +125,8 @@
         endTransaction(rollback->transaction);
     } else if (const auto *question = std::get_if<service_question>(&message)) {
         handleQuestion(*question);
+    } else if (const auto *leases = std::get_if<lease_question>(&message)) {
+        handleLeaseQuestion(*leases);
     } else {
         close("message is not expected");
     }
@@ -138,6 +140,19 @@
                             });
 }
 
+void relay_session::handleLeaseQuestion(const lease_question &question)
+{
+    m_surroundings.readLeases(
+        [self = shared_from_this(), number = question.number](const promotion_lease_list_update &update) {
+            lease_answer answer;
+            answer.number = number;
+            answer.isRead = update.failure == store_failure::None;
+            answer.revision = update.revision;
+            answer.entries = update.entries;
+            self->send(answer);
+        });
+}
+
 void relay_session::handleHello(const relay_hello &hello)
 {
     if (!m_peer.empty() || m_waiting) {
--- a/src/libcrocusdealfront/relaysession.h
+++ b/src/libcrocusdealfront/relaysession.h
@@ -23,6 +23,8 @@
     std::function<bool()> isStoreAway;
     /** Evidence of the configuration, as it is now; nothing if there is none to tell. */
     std::function<std::optional<reported_configuration>()> reportConfiguration;
+    /** Reads the promotion leases from the store after this call, with an answer that is not allowed to be old. */
+    std::function<void(std::function<void(const promotion_lease_list_update &)>)> readLeases;
     /** How long this process had not run until just now; what was received may be older by so much. */
     std::function<duration()> recentStall;
     /** Runs a statement at targets of this instance; null if the service is not known here. */
@@ -66,6 +68,7 @@
                    const std::map<std::string, std::string> &values);
     void handleAbandon(std::uint64_t number);
     void handleQuestion(const service_question &question);
+    void handleLeaseQuestion(const lease_question &question);
     void endTransaction(std::uint64_t number);
     /** What a pong tells; @p number is that of the ping, or 0. */
     relay_pong stateOf(std::uint64_t number) const;
--- a/src/libcrocusdealfront/servedservices.cpp
+++ b/src/libcrocusdealfront/servedservices.cpp
@@ -119,7 +119,7 @@
 {
     const bool isWanted =
         std::any_of(m_groups.begin(), m_groups.end(), [](const auto &entry) { return entry.second->isLeaseWanted(); });
-    if (!isWanted || !m_areLeasesKnown || isStoreAway()) {
+    if (!isWanted || !m_areLeasesKnown) {
         return;
     }
     if (std::exchange(m_isLeaseRefreshPending, true)) {
--- a/src/libcrocusdealfront/servedservices.h
+++ b/src/libcrocusdealfront/servedservices.h
@@ -30,7 +30,7 @@
 
     /** Reads the list of targets afresh, into applyTargets(); tells whether it could. */
     std::function<void(std::function<void(bool)>)> refreshTargets;
-    /** Reads the records of the promotion leases afresh, into applyLeases(). */
+    /** Reads the records of the promotion leases afresh, here or through another instance, into applyLeases(). */
     std::function<void(std::function<void()>)> refreshLeases;
     /** Whether the store is known not to answer this instance. */
     std::function<bool()> isStoreAway;
--- a/src/libcrocusdealfront/storefeed.cpp
+++ b/src/libcrocusdealfront/storefeed.cpp
@@ -354,14 +354,14 @@
         });
 }
 
-void store_feed::refreshLeases(std::function<void()> done)
+void store_feed::readLeases(std::function<void(const promotion_lease_list_update &)> done)
 {
     m_store.listPromotionLeases([self = shared_from_this(), askedAt = systemNow(), done = std::move(done)](
                                     const promotion_lease_list_update &update) {
         if (!self->m_isStopped && update.failure == store_failure::None) {
             self->onLeases(update, store_reading::Current, askedAt);
         }
-        done();
+        done(update);
     });
 }
 
--- a/src/libcrocusdealfront/storefeed.h
+++ b/src/libcrocusdealfront/storefeed.h
@@ -35,8 +35,8 @@
     void confirmConfiguration();
     /** Reads the list of targets at once, beside the watch; tells whether it could. */
     void refreshTargets(std::function<void(bool)> done);
-    /** Reads the records of the promotion leases at once, beside the watch; @p done is called in any case. */
-    void refreshLeases(std::function<void()> done);
+    /** Reads the records of the promotion leases at once, beside the watch; the answer is not allowed to be old. */
+    void readLeases(std::function<void(const promotion_lease_list_update &)> done);
     /** When the store last answered about the configuration. */
     time_point configurationHeardAt() const;
     /** Whether the store has failed a probe after other calls, and answered nothing since. */
--- a/tests/libcrocusdealpolicy/promotionworld.h
+++ b/tests/libcrocusdealpolicy/promotionworld.h
@@ -25,6 +25,9 @@
     int cuts = 0; ///< The keeper does not reach the primary for a while, which serves the other instances.
     int lateFences = 0; ///< Get no answer, and are carried out seconds later.
     duration listingDelay{0}; ///< Databases receive as soon as they start, and are listed so much later at most.
+    /** Instances that the store turns away for a while; they read the leases through others that may not answer. */
+    int awayInstances = 0;
+    bool arePeersBehind = false; ///< The others answer by readings that may be old, which is a fault.
     bool mayOrderedTargetCrash = false; ///< Between the order that names it and its lead.
 };
 
@@ -100,6 +103,10 @@
         std::map<target_id, time_point> connectedAt; ///< When the connection to the target was opened.
         time_point leaseAskedAt = never; ///< Of a current answer that is under way.
         time_point leaseAnsweredAt = never;
+        time_point leaseReadAt = never; ///< When the instance that was asked reads the store; never if it has.
+        std::optional<store_state> leaseRead; ///< What it has read.
+        time_point awayFrom = never;
+        time_point awayUntil = never;
         duration storeDelay;
         std::size_t statesSeen = 0;
     };
@@ -123,6 +130,11 @@
     /** Opens connections that have ended, and asks for a current answer about the lease where one is needed. */
     void connect(caller_instance &instance);
     void askForLease(caller_instance &instance);
+    /** As askForLease(), of another instance. */
+    void askPeerForLease(caller_instance &instance);
+    void hearFromPeer(caller_instance &instance);
+    bool isLeaseWanted(const caller_instance &instance) const;
+    bool isAway(const caller_instance &instance) const;
     /** Hands out the commits that are known to survive. */
     void handOutCommits();
     bool isProved(const open_commit &commit);
--- /dev/null
+++ b/tests/platform/frontleasetest.cpp
@@ -0,0 +1,170 @@
+#include "leasereader.h"
+#include "relayworld.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace crocusdeal;
+using namespace crocusdeal::test;
+using namespace crocusdeal::literals;
+
+namespace
+{
+
+constexpr int manyConnections = 12; // Each front holds connections of its own.
+constexpr int fewConnections = 5; // One front serves for the others.
+
+/** A caller of the front that has written once, while no order is open and the store answers. */
+std::unique_ptr<line_client> beginWriting(relay_world &fleet, const std::string &front)
+{
+    auto client = fleet.connect(front, "fresh");
+    // The claim in advance comes after one to nine seconds.
+    CPPUNIT_ASSERT(fleet.world.runUntil([&] { return !fleet.world.store.leases.empty(); }, 10000_ms));
+    fleet.world.runFor(300_ms);
+    assertContains("COMPLETE sig", fleet.ask(*client, "WRITE 1 x"));
+    return client;
+}
+
+/** Ends the connections to both replicas, which are opened anew. */
+void renewConnections(relay_world &fleet)
+{
+    startAgain(fleet.world.group.at("b"));
+    startAgain(fleet.world.group.at("c"));
+    fleet.world.runFor(800_ms);
+}
+
+}
+
+class front_lease_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(front_lease_test);
+    CPPUNIT_TEST(frontThatTheStoreTurnsAwayProvesCommitsByAnother);
+    CPPUNIT_TEST(servingFrontThatTheStoreTurnsAwayProvesCommitsByAnother);
+    CPPUNIT_TEST(silentStoreHoldsNoCommitsBack);
+    CPPUNIT_TEST(nothingIsProvedWhileNobodyReachesTheStore);
+    CPPUNIT_TEST(answerThatShowsAnOpenOrderProvesNothing);
+    CPPUNIT_TEST(questionsThatWaitShareOneLaterReading);
+    CPPUNIT_TEST(silentStoreIsToldAsAFailure);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against writes in doubt, for as long as the store turns one instance away, after connections ended. */
+    void frontThatTheStoreTurnsAwayProvesCommitsByAnother()
+    {
+        relay_world fleet(2, manyConnections);
+        const auto client = beginWriting(fleet, "front-1");
+        fleet.storeOf("front-1").isAway = true;
+        fleet.world.runFor(1500_ms);
+        renewConnections(fleet);
+        assertContains("COMPLETE sig", fleet.ask(*client, "WRITE 2 y"));
+    }
+
+    /** Guards against the same where the other instances hand their work to the one that is turned away. */
+    void servingFrontThatTheStoreTurnsAwayProvesCommitsByAnother()
+    {
+        relay_world fleet(3, fewConnections);
+        const auto client = beginWriting(fleet, fleet.relays().front());
+        fleet.storeOf(fleet.serving()).isAway = true;
+        fleet.world.runFor(1500_ms);
+        renewConnections(fleet);
+        assertContains("COMPLETE sig", fleet.ask(*client, "WRITE 2 y"));
+    }
+
+    /** Guards against writes in doubt until a silent store is known to be away. */
+    void silentStoreHoldsNoCommitsBack()
+    {
+        relay_world fleet(2, manyConnections);
+        const auto client = beginWriting(fleet, "front-1");
+        fleet.storeOf("front-1").isSilent = true;
+        renewConnections(fleet);
+        assertContains("COMPLETE sig", fleet.ask(*client, "WRITE 2 y"));
+    }
+
+    /** Guards against proofs by instances that know no more than the one that asks. */
+    void nothingIsProvedWhileNobodyReachesTheStore()
+    {
+        relay_world fleet(2, manyConnections);
+        const auto client = beginWriting(fleet, "front-1");
+        for (const auto &[name, view] : fleet.stores) {
+            view->isAway = true;
+        }
+        fleet.world.runFor(1500_ms);
+        renewConnections(fleet);
+        assertContains("ERROR INDOUBT", fleet.ask(*client, "WRITE 2 y"));
+        fleet.storeOf("front-2").isAway = false;
+        fleet.world.runFor(2500_ms);
+        assertContains("COMPLETE sig", fleet.ask(*client, "WRITE 3 z"));
+    }
+
+    /** Guards against LOST: an order of an instance that reaches the store may overlook what has started again. */
+    void answerThatShowsAnOpenOrderProvesNothing()
+    {
+        relay_world fleet(2, manyConnections);
+        const auto client = beginWriting(fleet, "front-1");
+        fleet.storeOf("front-1").isAway = true;
+        fleet.world.runFor(1500_ms);
+        auto &leases = fleet.world.store.leases;
+        const auto revision = leases.at("svc").revision;
+        fleet.world.store.claimPromotionLease(service_id("svc"),
+                                              {"other", promotion_lease_purpose::Promotion},
+                                              revision,
+                                              [](const promotion_lease_update &) {});
+        fleet.world.group.at("b").pausedAt = 5;
+        renewConnections(fleet);
+        assertContains("ERROR INDOUBT", fleet.ask(*client, "WRITE 2 y"));
+    }
+
+    /** Guards against LOST by an answer from before the question, and against a reading for each question. */
+    void questionsThatWaitShareOneLaterReading()
+    {
+        front_world world;
+        const auto reader = std::make_shared<lease_reader>(world.context);
+        std::vector<lease_reader::update_handler> readings;
+        reader->isStoreAway = [] { return false; };
+        reader->readStore = [&](lease_reader::update_handler done) { readings.push_back(std::move(done)); };
+        std::vector<std::uint64_t> revisions;
+        const auto keep = [&](const promotion_lease_list_update &update) { revisions.push_back(update.revision); };
+        reader->read(keep);
+        reader->read(keep);
+        reader->read(keep);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, readings.size());
+        promotion_lease_list_update update;
+        update.revision = 1;
+        readings.front()(update);
+        CPPUNIT_ASSERT(revisions == std::vector<std::uint64_t>{1});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, readings.size());
+        update.revision = 2;
+        readings.back()(update);
+        const std::vector<std::uint64_t> expected{1, 2, 2};
+        CPPUNIT_ASSERT(revisions == expected);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, readings.size());
+    }
+
+    /** Guards against an instance that keeps another one waiting which could ask a third one. */
+    void silentStoreIsToldAsAFailure()
+    {
+        front_world world;
+        const auto reader = std::make_shared<lease_reader>(world.context);
+        bool isAway = false;
+        reader->isStoreAway = [&] { return isAway; };
+        reader->readStore = [](const lease_reader::update_handler &) {};
+        int failures = 0;
+        const auto count = [&](const promotion_lease_list_update &update) {
+            failures += update.failure == store_failure::None ? 0 : 1;
+        };
+        reader->read(count);
+        CPPUNIT_ASSERT(world.runUntil([&] { return failures == 1; }, 400_ms));
+        isAway = true;
+        reader->read(count);
+        CPPUNIT_ASSERT_EQUAL(2, failures);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(front_lease_test);
