--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -343,7 +343,7 @@
 std::shared_ptr<target_link> target_pool::takeIdle(const workspace_id &workspace)
 {
     for (auto i = m_idle.size(); i-- > 0;) {
-        const auto link = m_idle[i];
+        auto link = m_idle[i];
         if (link->workspace != workspace) {
             continue;
         }
@@ -584,11 +584,10 @@
     }
 }
 
-void target_pool::closeAsUnused(const std::shared_ptr<target_link> &link)
+void target_pool::closeAsUnused(std::shared_ptr<target_link> link)
 {
-    const auto kept = link;
     m_isClosingUnused = true;
-    kept->close("not needed");
+    link->close("not needed");
     m_isClosingUnused = false;
 }
 
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -148,7 +148,8 @@
     /** Whether the allowance lets the workspace have one more, perhaps in place of an unused one. */
     bool isAllowed(const workspace_id &workspace) const;
     void closeUnusedOfWorkspaces(time_point now);
-    void closeAsUnused(const std::shared_ptr<target_link> &link);
+    /** Takes the link by value, since closing it takes it out of the pool. */
+    void closeAsUnused(std::shared_ptr<target_link> link);
     void openControlLink();
     void recordOpened(const link_opening &opening, time_point begunAt);
     /** Until it is reached again it may start again without a sign. */
