Keep the limits of workspaces together with the other instances

Sessions ask operation_budget before they begin an operation; it asks holders over the links between instances, answers for its own parts, and reads and writes the table of holders in the store. Links to holders are kept or opened on demand, also to other data centres, and pinged seldom.

Before: no limit.

--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -64,6 +64,9 @@
     if (auto problem = listenForInstances(); !problem.empty()) {
         return problem;
     }
+    const fleet_member self{m_settings.instance, m_settings.dataCentre, {}, 0};
+    m_budget = std::make_shared<operation_budget>(
+        m_context, m_store, budget_surroundings{self, m_settings.rateLimitBound, m_relays});
     m_feed = std::make_shared<store_feed>(m_context, m_store, m_settings.configurationApplyTimeout);
     m_feed->onConfiguration = [this](const routing_configuration &configuration) { applyConfiguration(configuration); };
     m_feed->onTargets = [this](const target_update &update, time_point changedAfter) {
@@ -120,6 +123,9 @@
     surroundings.describe = [this](const service_id &service, std::function<void(const instance_knowledge &)> done) {
         m_services.describe(service, std::move(done));
     };
+    surroundings.grantBudget = [this](const budget_request &request, std::function<void(const budget_grant &)> done) {
+        m_budget->serve(request, std::move(done));
+    };
     m_relays = std::make_shared<relay_hub>(m_context, std::move(surroundings));
     if (auto problem = m_relays->listen(*m_settings.relayAddress); !problem.empty()) {
         return problem;
@@ -129,6 +135,7 @@
     m_fleet->onMembers = [this](const std::vector<fleet_member> &members) {
         m_relays->setMembers(members);
         m_survey->setMembers(members);
+        m_budget->setMembers(members);
         keepPlannedServices();
     };
     m_relays->onUnknownInstance = [this] { m_fleet->refreshSoon(); };
@@ -148,6 +155,12 @@
     surroundings.run = [this](const statement_order &order, const session_values &values, outcome_handler done) {
         return run(order, values, std::move(done));
     };
+    surroundings.admit = [budget = m_budget](const workspace_id &workspace, admission_handler done) {
+        budget->admit(workspace, std::move(done));
+    };
+    surroundings.refund = [budget = m_budget](const workspace_id &workspace, time_point lapsesAt) {
+        budget->refund(workspace, lapsesAt);
+    };
     const auto session = std::make_shared<front_session>(
         m_context, std::make_shared<byte_stream>(std::move(socket)), std::move(surroundings));
     session->onEnded = [self = shared_from_this(), weak = std::weak_ptr(session)] {
@@ -228,6 +241,7 @@
     m_configuration = std::make_shared<const routing_configuration>(configuration);
     m_context.metrics.setConfigurationVersion(configuration.version);
     m_services.setConfiguration(m_configuration);
+    m_budget->setConfiguration(*m_configuration);
     if (m_relays) {
         m_relays->setPolicies(m_configuration->services);
         keepPlannedServices();
@@ -242,6 +256,7 @@
     if (m_relays) {
         m_relays->tick(now, stall);
     }
+    m_budget->tick(now);
     // While the store cannot be heard, entries that are missing may only have lapsed there.
     m_services.eraseExpired(now);
     m_services.watchSilence(now);
@@ -328,7 +343,7 @@
 {
     const bool isFleetKnown = !m_fleet || m_fleet->isKnown() || systemNow() - m_startedAt > longestFleetWait;
     return m_shutdownAt == never && m_configuration && m_services.areTargetsKnown() && isFleetKnown
-        && m_isolatedSince == never;
+        && m_isolatedSince == never && m_budget && m_budget->isReady(systemNow());
 }
 
 http_response front::answerReadiness(const std::string &path) const
@@ -394,6 +409,7 @@
         m_metrics->close();
     }
     m_feed->stop();
+    m_budget->stop();
     if (m_relays) {
         m_fleet->stop();
         m_relays->close();
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -6,6 +6,7 @@
 #include "httpmessage.h"
 #include "instancesurvey.h"
 #include "metadatastore.h"
+#include "operationbudget.h"
 #include "relayhub.h"
 #include "servedservices.h"
 #include "storefeed.h"
@@ -71,6 +72,7 @@
     std::shared_ptr<relay_hub> m_relays; ///< Null if this instance serves its callers alone.
     std::shared_ptr<fleet_feed> m_fleet;
     std::shared_ptr<instance_survey> m_survey; ///< Null if this instance is the only one.
+    std::shared_ptr<operation_budget> m_budget;
     std::shared_ptr<const routing_configuration> m_configuration;
     served_services m_services;
     std::set<std::shared_ptr<front_session>> m_sessions;
--- a/src/libcrocusdealfront/frontmetrics.cpp
+++ b/src/libcrocusdealfront/frontmetrics.cpp
@@ -1,6 +1,7 @@
 #include "frontmetrics.h"
 
 #include <chrono>
+#include <cmath>
 
 namespace crocusdeal
 {
@@ -66,6 +67,22 @@
         .add();
 }
 
+void front_metrics::budgetCounted(std::string_view side, std::string_view what, double operations)
+{
+    auto &part = m_budgetParts[std::string(side) + "/" + std::string(what)];
+    part += operations;
+    const double whole = std::floor(part);
+    if (whole < 1) {
+        return;
+    }
+    part -= whole;
+    m_registry
+        .counter("crocusdeal_budget_operations",
+                 "Operations of the budgets of workspaces",
+                 {{"side", std::string(side)}, {"what", std::string(what)}})
+        .add(static_cast<std::uint64_t>(whole));
+}
+
 void front_metrics::entryIgnored()
 {
     m_ignoredEntries.add();
--- a/src/libcrocusdealfront/frontmetrics.h
+++ b/src/libcrocusdealfront/frontmetrics.h
@@ -5,6 +5,8 @@
 #include "metrics.h"
 #include "routingconfiguration.h"
 
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -25,6 +27,8 @@
     void targetAnswered(duration time);
     void waitedForTarget(duration time);
     void promotionEnded(std::string_view outcome);
+    /** Operations of the budgets of workspaces: @p side "holder" or "asker", @p what was done with them. */
+    void budgetCounted(std::string_view side, std::string_view what, double operations);
     /** An entry of the metadata store names no target. */
     void entryIgnored();
     void sessionOpened();
@@ -39,6 +43,7 @@
 
 private:
     metric_registry m_registry;
+    std::map<std::string, double, std::less<>> m_budgetParts; ///< Below one operation, by side and what.
     latency_histogram &m_targetTime;
     latency_histogram &m_queueTime;
     metric_gauge &m_sessions;
--- a/src/libcrocusdealfront/frontsession.cpp
+++ b/src/libcrocusdealfront/frontsession.cpp
@@ -8,6 +8,17 @@
 namespace crocusdeal
 {
 
+namespace
+{
+
+/** Whether a statement was surely not begun. A refusal of a target itself came from one that had got it. */
+bool hasNotRun(const statement_outcome &outcome)
+{
+    return outcome.error && hasNotRun(*outcome.error);
+}
+
+}
+
 front_session::front_session(front_context &context,
                              std::shared_ptr<byte_stream> stream,
                              session_surroundings surroundings)
@@ -308,6 +319,37 @@
     m_service = route->service;
     m_isBusy = true;
     m_arrivedAt = systemNow();
+    admitAndRun(std::move(order));
+}
+
+void front_session::admitAndRun(statement_order order)
+{
+    if (!m_surroundings.admit || order.access.workspace.empty()) {
+        runAdmitted(order);
+        return;
+    }
+    const auto workspace = order.access.workspace;
+    m_surroundings.admit(workspace, [self = shared_from_this(), order = std::move(order)](const admission &result) {
+        if (self->m_isEnded && result.isAdmitted) {
+            self->m_surroundings.refund(order.access.workspace, result.lapsesAt);
+            return;
+        }
+        if (self->m_isEnded) {
+            return;
+        }
+        if (!result.isAdmitted) {
+            self->refuseOverLimit(order, result);
+            return;
+        }
+        self->m_charged = order.access.workspace;
+        self->m_chargeLapsesAt = result.lapsesAt;
+        self->runAdmitted(order);
+    });
+}
+
+void front_session::runAdmitted(const statement_order &order)
+{
+    const auto request = order.request;
     m_isOutcomeDue = true;
     auto run =
         m_surroundings.run(order, m_values, [self = shared_from_this(), request](const statement_outcome &outcome) {
@@ -315,6 +357,7 @@
             self->finishRun(request, outcome);
         });
     if (!run) {
+        refundCharge();
         m_isBusy = false;
         refuseFirst(request, error_code::Busy, "no_targets_known");
     } else if (m_isOutcomeDue) {
@@ -322,6 +365,27 @@
     }
 }
 
+void front_session::refuseOverLimit(const statement_order &order, const admission &result)
+{
+    m_isBusy = false;
+    m_state = m_state == transaction_state::Open ? transaction_state::Failed : m_state;
+    m_context.log.info(result.isOverLimit ? "operation_over_limit" : "operation_without_budget")
+        .field("id", order.request.id)
+        .field("workspace", order.access.workspace.str())
+        .field("wait_ms", result.retryAfter.ms);
+    m_context.metrics.statementRefused(result.isOverLimit ? "over_limit" : "no_budget_holder");
+    const auto text =
+        result.isOverLimit ? "rate limit of the workspace" : "no holder of the workspace's budget answers";
+    answerError(error_code::Busy, std::string(text) + ", come back in " + std::to_string(result.retryAfter.ms) + " ms");
+}
+
+void front_session::refundCharge()
+{
+    if (const auto workspace = std::exchange(m_charged, std::nullopt)) {
+        m_surroundings.refund(*workspace, m_chargeLapsesAt);
+    }
+}
+
 void front_session::refuseFirst(const caller_request &request, error_code code, std::string_view reason)
 {
     m_state = m_state == transaction_state::Open ? transaction_state::Failed : m_state;
@@ -335,6 +399,10 @@
 void front_session::finishRun(const caller_request &request, const statement_outcome &outcome)
 {
     m_run.reset();
+    if (hasNotRun(outcome)) {
+        refundCharge();
+    }
+    m_charged.reset();
     const bool isInTransaction = m_state == transaction_state::Open;
     const bool isCommit = request.what.kind == statement_kind::Commit;
     countStatement(outcome.error ? outcome.error : outcome.reply.error);
--- a/src/libcrocusdealfront/frontsession.h
+++ b/src/libcrocusdealfront/frontsession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budgetdemand.h"
 #include "bytestream.h"
 #include "servicegroup.h"
 #include "statementorder.h"
@@ -22,6 +23,10 @@
     /** Runs a statement; null, and no outcome, if its service is not known. */
     std::function<std::shared_ptr<running_statement>(const statement_order &, const session_values &, outcome_handler)>
         run;
+    /** Tells, now or later, whether an operation of the workspace may begin. Null if nothing limits them. */
+    std::function<void(const workspace_id &, admission_handler)> admit;
+    /** An admitted operation was not run; its budget lapses at the given time. */
+    std::function<void(const workspace_id &, time_point)> refund;
 };
 
 /**
@@ -68,6 +73,12 @@
     void handleRollback();
     void handleData(const caller_request &request, effect kind, std::optional<prepared_shape> prepared);
     void runFirst(const caller_request &request, effect kind, std::optional<prepared_shape> prepared);
+    /** Runs the first statement of an operation, once its workspace may begin one. */
+    void admitAndRun(statement_order order);
+    void runAdmitted(const statement_order &order);
+    void refuseOverLimit(const statement_order &order, const admission &result);
+    /** Gives the budget of an operation back that was not begun at a target. */
+    void refundCharge();
     void sendInTransaction(const caller_request &request, std::optional<prepared_shape> prepared);
     /** Answers what cannot be run at all. */
     void refuseFirst(const caller_request &request, error_code code, std::string_view reason);
@@ -110,6 +121,8 @@
     time_point m_arrivedAt = never; ///< Of the statement that is running.
     deadline_queue::handle m_idleLimit = 0;
     std::shared_ptr<running_statement> m_run;
+    std::optional<workspace_id> m_charged; ///< Whose budget the operation that is beginning was taken from.
+    time_point m_chargeLapsesAt = never;
     bool m_isOutcomeDue = false; ///< Of m_run; an outcome may come before the run is known.
     std::string m_out;
 };
--- a/src/libcrocusdealfront/metadatastore.h
+++ b/src/libcrocusdealfront/metadatastore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budgetholders.h"
 #include "clock.h"
 #include "nametable.h"
 #include "promotionlease.h"
@@ -103,6 +104,13 @@
     std::vector<ignored_entry> ignored;
 };
 
+/** The table of the instances that hold the budgets of workspaces; NotFound if there is none. */
+struct budget_holder_update {
+    store_failure failure = store_failure::None;
+    std::string detail;
+    budget_holder_table table;
+};
+
 /** How new an answer of the store has to be. */
 enum class store_reading {
     Current,
@@ -146,6 +154,14 @@
     virtual void withdrawMember(const instance_id &id, std::uint64_t revision) = 0;
     /** May be seconds old. */
     virtual void listMembers(std::function<void(member_update)> done) = 0;
+    virtual void readBudgetHolders(store_reading reading, std::function<void(budget_holder_update)> done) = 0;
+    /**
+     * Creates the table, or replaces it if its revision is still @p replaces. Without an answer it may have been done,
+     * so that the table has to be read after it in any case.
+     */
+    virtual void writeBudgetHolders(const budget_holder_table &table,
+                                    std::optional<std::uint64_t> replaces,
+                                    std::function<void(store_failure)> done) = 0;
 };
 
 enum class promotion_answer {
--- a/src/libcrocusdealfront/relayhub.cpp
+++ b/src/libcrocusdealfront/relayhub.cpp
@@ -16,6 +16,7 @@
 // Instances that lose power together start together, and one listens a moment before the other.
 constexpr duration youngTime{2000};
 constexpr duration youngLinkRetry{60};
+constexpr duration budgetLinkTime{30000}; // For which a link on demand is kept after its last use.
 constexpr std::size_t standbys = 2; // Instances with a link that serve in the place of those that have failed.
 
 }
@@ -66,11 +67,14 @@
     std::map<instance_id, fleet_member> here{{self.id, self}};
     std::set<data_centre_id> dataCentres{self.dataCentre};
     m_known.clear();
+    m_elsewhere.clear();
     for (const auto &member : members) {
         m_known.insert(member.id);
         dataCentres.insert(member.dataCentre);
         if (member.dataCentre == self.dataCentre && member.id != self.id) {
             here.emplace(member.id, member);
+        } else if (member.dataCentre != self.dataCentre) {
+            m_elsewhere.emplace(member.id, member);
         }
     }
     m_known.insert(self.id);
@@ -189,6 +193,45 @@
     return relayed > 0 && isolated * 2 > relayed;
 }
 
+const fleet_member *relay_hub::memberOf(const instance_id &id) const
+{
+    if (const auto here = m_members.find(id); here != m_members.end()) {
+        return &here->second;
+    }
+    const auto elsewhere = m_elsewhere.find(id);
+    return elsewhere == m_elsewhere.end() ? nullptr : &elsewhere->second;
+}
+
+void relay_hub::setBudgetHolders(std::set<instance_id> holders)
+{
+    m_budgetHolders = std::move(holders);
+}
+
+std::shared_ptr<relay_link> relay_hub::budgetLink(const instance_id &id)
+{
+    const auto now = systemNow();
+    m_budgetsAskedAt[id] = now;
+    const auto found = m_links.find(id);
+    if (found != m_links.end()) {
+        return found->second->isAnswering() ? found->second : nullptr;
+    }
+    const auto *member = memberOf(id);
+    if (member != nullptr && !m_isClosed && id != m_surroundings.self.id) {
+        openLink(*member);
+    }
+    return nullptr;
+}
+
+std::set<instance_id> relay_hub::linksForBudgets(time_point now)
+{
+    std::erase_if(m_budgetsAskedAt, [&](const auto &asked) { return now - asked.second >= budgetLinkTime; });
+    auto wanted = m_budgetHolders;
+    for (const auto &[id, askedAt] : m_budgetsAskedAt) {
+        wanted.insert(id);
+    }
+    return wanted;
+}
+
 void relay_hub::openLinks(time_point now)
 {
     std::set<instance_id> wanted;
@@ -198,13 +241,16 @@
             wanted.insert(plan.order.begin(), plan.order.end());
         }
     }
+    const auto relayed = wanted;
+    wanted.merge(linksForBudgets(now));
     wanted.erase(m_surroundings.self.id);
     const auto retry = isYoung(now) ? youngLinkRetry : linkRetry;
     const auto links = m_links;
     for (const auto &[id, link] : links) {
-        const auto member = m_members.find(id);
+        const auto *member = memberOf(id);
         // Another incarnation at the same address has ended the link itself.
-        const bool isReplaced = member == m_members.end() || member->second.relayAddress != link->peer().relayAddress;
+        const bool isReplaced = member == nullptr || member->relayAddress != link->peer().relayAddress;
+        link->setPingedSeldom(!relayed.contains(id));
         if (!link->isEnded() && (isReplaced || !wanted.contains(id))) {
             link->close("not needed");
         }
@@ -213,9 +259,9 @@
         }
     }
     for (const auto &id : wanted) {
-        const auto member = m_members.find(id);
-        if (member != m_members.end() && !m_links.contains(id)) {
-            openLink(member->second);
+        const auto *member = memberOf(id);
+        if (member != nullptr && !m_links.contains(id)) {
+            openLink(*member);
         }
     }
 }
--- a/src/libcrocusdealfront/relayhub.h
+++ b/src/libcrocusdealfront/relayhub.h
@@ -43,6 +43,11 @@
     /** Whether the instances that serve most services for this one have said that they reach too few targets. */
     bool areServersIsolated();
 
+    /** Keeps links to these instances as well, of any data centre. */
+    void setBudgetHolders(std::set<instance_id> holders);
+    /** The link to ask an instance of any data centre for budgets; null while there is none, which opens one. */
+    std::shared_ptr<relay_link> budgetLink(const instance_id &id);
+
     void tick(time_point now, duration ownStall);
     /** Tells the other instances at once whether this one leaves or reaches too few targets. */
     void announceState();
@@ -63,6 +68,9 @@
     /** Opens links to the instances that may get statements of this one. */
     void openLinks(time_point now);
     void openLink(const fleet_member &member);
+    /** Null if no instance of this name is known. */
+    const fleet_member *memberOf(const instance_id &id) const;
+    std::set<instance_id> linksForBudgets(time_point now);
     bool isYoung(time_point now) const;
     /** Whether the members are about to be known, so that nothing can be planned yet. */
     bool isUnplanned() const;
@@ -71,6 +79,9 @@
     relay_surroundings m_surroundings;
     asio::ip::tcp::acceptor m_acceptor;
     std::map<instance_id, fleet_member> m_members; ///< Of this data centre, with this instance.
+    std::map<instance_id, fleet_member> m_elsewhere; ///< Of the other data centres.
+    std::set<instance_id> m_budgetHolders; ///< To keep links to.
+    std::map<instance_id, time_point> m_budgetsAskedAt; ///< Of links on demand.
     std::set<instance_id> m_known; ///< Of all data centres.
     int m_dataCentres = 1;
     std::map<service_id, service_policy> m_policies;
--- a/src/libcrocusdealfront/relaylink.cpp
+++ b/src/libcrocusdealfront/relaylink.cpp
@@ -15,6 +15,7 @@
 constexpr duration openingLimit{2000}; // The other instance may have to read the list of the instances first.
 constexpr duration busyPingInterval{100};
 constexpr duration idlePingInterval{400};
+constexpr duration seldomPingInterval{2000};
 // A live instance answers within milliseconds; work that changes nothing goes elsewhere then.
 constexpr duration silenceLimit{250};
 constexpr duration deadLimit{3000}; // A link that is silent for so long is opened anew.
@@ -53,7 +54,12 @@
 
 bool relay_link::isUsable() const
 {
-    return m_isGreeted && !m_isEnded && !m_isSilent && !m_isLeaving;
+    return isAnswering() && !m_isLeaving;
+}
+
+bool relay_link::isAnswering() const
+{
+    return m_isGreeted && !m_isEnded && !m_isSilent;
 }
 
 bool relay_link::isEnded() const
@@ -105,6 +111,37 @@
     send(relay_rollback{transaction});
 }
 
+void relay_link::askBudget(budget_request message, budget_handler done)
+{
+    const auto number = m_nextNumber++;
+    message.number = number;
+    if (m_isEnded || !send(message)) {
+        done(std::nullopt);
+        return;
+    }
+    m_budgets.emplace(number, std::move(done));
+}
+
+void relay_link::setPingedSeldom(bool isSeldom)
+{
+    m_isPingedSeldom = isSeldom;
+}
+
+duration relay_link::pingInterval() const
+{
+    if (!m_pending.empty() || !m_budgets.empty()) {
+        return busyPingInterval;
+    }
+    return m_isPingedSeldom ? seldomPingInterval : idlePingInterval;
+}
+
+void relay_link::loseBudgets()
+{
+    for (const auto &[number, done] : std::exchange(m_budgets, {})) {
+        done(std::nullopt);
+    }
+}
+
 void relay_link::tick(time_point now, duration ownStall)
 {
     if (m_isEnded) {
@@ -127,10 +164,11 @@
                 .field("silent_ms", silence.ms)
                 .field("pending", static_cast<std::int64_t>(m_pending.size()));
             loseRepeatable("the other instance is silent");
+            loseBudgets();
         }
         return;
     }
-    if (now - m_lastPingAt >= (m_pending.empty() ? idlePingInterval : busyPingInterval)) {
+    if (now - m_lastPingAt >= pingInterval()) {
         m_lastPingAt = now;
         m_pingSentAt = now;
         send(relay_ping{m_nextNumber});
@@ -179,6 +217,13 @@
         finish(number, {relay_end::Answered, std::move(*answer), {}});
     } else if (const auto *refused = std::get_if<relay_not_served>(&message)) {
         finish(refused->number, {relay_end::NotServed, {}, "not served there"});
+    } else if (const auto *grant = std::get_if<budget_grant>(&message)) {
+        const auto found = m_budgets.find(grant->number);
+        if (found != m_budgets.end()) {
+            const auto done = std::move(found->second);
+            m_budgets.erase(found);
+            done(*grant);
+        }
     } else {
         close("message is not expected");
     }
@@ -233,6 +278,7 @@
     while (!m_pending.empty()) {
         finish(m_pending.begin()->first, {relay_end::Lost, {}, reason});
     }
+    loseBudgets();
 }
 
 }
--- a/src/libcrocusdealfront/relaylink.h
+++ b/src/libcrocusdealfront/relaylink.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace crocusdeal
@@ -32,6 +33,7 @@
 {
 public:
     using handler = std::function<void(relay_result)>;
+    using budget_handler = std::function<void(const std::optional<budget_grant> &)>;
 
     relay_link(front_context &context, fleet_member self, fleet_member peer);
 
@@ -40,6 +42,8 @@
     const fleet_member &peer() const;
     /** Whether work may be handed over: the other instance answers, serves and does not leave. */
     bool isUsable() const;
+    /** Whether it answers questions; one that leaves does. */
+    bool isAnswering() const;
     bool isEnded() const;
     bool isPeerIsolated() const;
     time_point endedAt() const;
@@ -50,6 +54,10 @@
     /** Nothing will be heard of the run or step; @p done is dropped. */
     void abandon(std::uint64_t number);
     void rollBack(std::uint64_t transaction);
+    /** Asks for a part of a budget; nothing if the link is lost or silent before the answer. */
+    void askBudget(budget_request message, budget_handler done);
+    /** A link that is only kept for questions of budgets is pinged seldom while none is open. */
+    void setPingedSeldom(bool isSeldom);
 
     /** Sends a ping if one is due, and judges the silence. @p ownStall is how long this process did not run before. */
     void tick(time_point now, duration ownStall);
@@ -66,6 +74,8 @@
     /** Ends what may be run elsewhere. */
     void loseRepeatable(const std::string &reason);
     bool send(const relay_message &message);
+    void loseBudgets();
+    duration pingInterval() const;
     void ended(const std::string &reason);
 
     front_context &m_context;
@@ -73,11 +83,13 @@
     fleet_member m_peer;
     std::shared_ptr<byte_stream> m_stream;
     std::map<std::uint64_t, pending_work> m_pending;
+    std::map<std::uint64_t, budget_handler> m_budgets; ///< Questions without an answer.
     std::uint64_t m_nextNumber = 1;
     time_point m_openedAt = never;
     time_point m_pingSentAt = never; ///< Of a ping without an answer.
     time_point m_lastPingAt = never;
     time_point m_endedAt = never;
+    bool m_isPingedSeldom = false;
     bool m_isGreeted = false;
     bool m_isLeaving = false;
     bool m_isIsolated = false;
--- a/src/libcrocusdealfront/relaysession.cpp
+++ b/src/libcrocusdealfront/relaysession.cpp
@@ -123,6 +123,8 @@
         endTransaction(rollback->transaction);
     } else if (const auto *question = std::get_if<service_question>(&message)) {
         handleQuestion(*question);
+    } else if (const auto *request = std::get_if<budget_request>(&message)) {
+        handleBudgetRequest(*request);
     } else {
         close("message is not expected");
     }
@@ -136,6 +138,16 @@
                             });
 }
 
+void relay_session::handleBudgetRequest(const budget_request &request)
+{
+    m_surroundings.grantBudget(request,
+                               [self = shared_from_this(), number = request.number](const budget_grant &grant) {
+                                   auto message = grant;
+                                   message.number = number;
+                                   self->send(message);
+                               });
+}
+
 void relay_session::handleHello(const relay_hello &hello)
 {
     if (!m_peer.empty() || m_waiting) {
--- a/src/libcrocusdealfront/relaysession.h
+++ b/src/libcrocusdealfront/relaysession.h
@@ -27,6 +27,8 @@
         run;
     /** Tells what this instance knows of a service, now or later. */
     std::function<void(const service_id &, std::function<void(const instance_knowledge &)>)> describe;
+    /** Gives another instance a part of a budget, now or later. */
+    std::function<void(const budget_request &, std::function<void(const budget_grant &)>)> grantBudget;
 };
 
 /** The session of another instance, which hands over statements of its callers. */
@@ -63,6 +65,7 @@
                    const std::map<std::string, std::string> &values);
     void handleAbandon(std::uint64_t number);
     void handleQuestion(const service_question &question);
+    void handleBudgetRequest(const budget_request &request);
     void endTransaction(std::uint64_t number);
     /** What a pong tells; @p number is that of the ping, or 0. */
     relay_pong stateOf(std::uint64_t number) const;
--- a/tests/platform/memorystore.cpp
+++ b/tests/platform/memorystore.cpp
@@ -178,6 +178,29 @@
     answer(std::move(done), std::move(update));
 }
 
+void memory_store::readBudgetHolders(store_reading, std::function<void(budget_holder_update)> done)
+{
+    ++calls["budget holders"];
+    budget_holder_update update;
+    update.failure = budgetHolders ? store_failure::None : store_failure::NotFound;
+    update.table = budgetHolders.value_or(budget_holder_table{});
+    answer(std::move(done), std::move(update));
+}
+
+void memory_store::writeBudgetHolders(const budget_holder_table &table,
+                                      std::optional<std::uint64_t> replaces,
+                                      std::function<void(store_failure)> done)
+{
+    const std::uint64_t stored = budgetHolders ? budgetHolders->revision : 0;
+    const bool isAllowed = !isAway && replaces.value_or(0) == stored;
+    if (isAllowed) {
+        budgetHolders = table;
+        budgetHolders->revision = ++m_revision;
+    }
+    const auto failure = isAway ? store_failure::TurnedAway : isAllowed ? store_failure::None : store_failure::Conflict;
+    asio::post(m_io, [done = std::move(done), failure] { done(failure); });
+}
+
 void memory_store::promote(const service_id &,
                            const target_id &target,
                            const std::string &,
--- a/tests/platform/objectstoretest.cpp
+++ b/tests/platform/objectstoretest.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(anyBytesAsOneEntryHideNoOther);
     CPPUNIT_TEST(oddObjectBesideTheConfigurationHidesItNot);
     CPPUNIT_TEST(oddLeaseRecordHidesNoOther);
+    CPPUNIT_TEST(budgetHoldersAreRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -196,7 +197,36 @@
         }
     }
 
+    /** Guards against a table that loses names, and against one that is taken from a foreign object. */
+    void budgetHoldersAreRead()
+    {
+        const std::string good =
+            R"({"meta":{"name":"main","revision":8},"spec":{"names":{"a":["i1","i2"]},"before":{"b":["i3"]}}})";
+        const std::string foreign = R"({"meta":{"name":"other","revision":9},"spec":{"names":7}})";
+        const auto table = readHolders(listOf({foreign, good}));
+        CPPUNIT_ASSERT(table.failure == store_failure::None && table.table.revision == 8);
+        CPPUNIT_ASSERT(table.table.names
+                       == (budget_holder_names{{data_centre_id("a"), {instance_id("i1"), instance_id("i2")}}}));
+        CPPUNIT_ASSERT(table.table.before == (budget_holder_names{{data_centre_id("b"), {instance_id("i3")}}}));
+        CPPUNIT_ASSERT(readHolders(listOf({foreign})).failure == store_failure::NotFound);
+        for (const auto &odd : {std::string(R"({"meta":{"name":"main","revision":8},"spec":{"names":{"a":"i1"}}})"),
+                                std::string(R"({"meta":{"name":"main","revision":8},"spec":{"names":{"a":[1]}}})"),
+                                std::string(R"({"meta":{"name":"main"},"spec":{"names":{},"before":{}}})")}) {
+            CPPUNIT_ASSERT(readHolders(listOf({odd})).failure == store_failure::BadAnswer);
+        }
+    }
+
 private:
+    budget_holder_update readHolders(const std::string &body)
+    {
+        canned_server server(m_io, {body});
+        platform::object_store store(m_io, m_deadlines, server.address());
+        std::optional<budget_holder_update> update;
+        store.readBudgetHolders(store_reading::Current, [&](budget_holder_update got) { update = std::move(got); });
+        CPPUNIT_ASSERT(runUntil(m_io, [&] { return update.has_value(); }));
+        return *update;
+    }
+
     target_update list(std::vector<std::string> bodies)
     {
         canned_server server(m_io, std::move(bodies));
