--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -9,6 +9,7 @@
 #include "keyrevocations.h"
 #include "leasereader.h"
 #include "metadatastore.h"
+#include "operationbudget.h"
 #include "relayhub.h"
 #include "servedservices.h"
 #include "storefeed.h"
@@ -83,6 +84,7 @@
     std::shared_ptr<relay_hub> m_relays; ///< Null if this instance serves its callers alone.
     std::shared_ptr<fleet_feed> m_fleet;
     std::shared_ptr<instance_survey> m_survey; ///< Null if this instance is the only one.
+    std::shared_ptr<operation_budget> m_budget;
     std::shared_ptr<const routing_configuration> m_configuration;
     key_revocations m_revocations;
     access_confirmation m_access;
--- a/src/libcrocusdealfront/relayhub.cpp
+++ b/src/libcrocusdealfront/relayhub.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t mostHelpers = 4;
 constexpr std::size_t enoughStoreLinks = 2;
 constexpr duration helperInterval{1000}; // The store may be away from all; then nobody needs to hurry.
+constexpr duration budgetLinkTime{30000}; // For which a link on demand is kept after its last use.
 constexpr std::size_t standbys = 2; // Instances with a link that serve in the place of those that have failed.
 
 }
@@ -228,6 +229,36 @@
     return relayed > 0 && isolated * 2 > relayed;
 }
 
+void relay_hub::setBudgetHolders(std::set<instance_id> holders)
+{
+    m_budgetHolders = std::move(holders);
+}
+
+std::shared_ptr<relay_link> relay_hub::budgetLink(const instance_id &id)
+{
+    const auto now = systemNow();
+    m_budgetsAskedAt[id] = now;
+    const auto found = m_links.find(id);
+    if (found != m_links.end()) {
+        return found->second->isAnswering() ? found->second : nullptr;
+    }
+    const auto *member = memberOf(id);
+    if (member != nullptr && !m_isClosed && id != m_surroundings.self.id) {
+        openLink(*member);
+    }
+    return nullptr;
+}
+
+std::set<instance_id> relay_hub::linksForBudgets(time_point now)
+{
+    std::erase_if(m_budgetsAskedAt, [&](const auto &asked) { return now - asked.second >= budgetLinkTime; });
+    auto wanted = m_budgetHolders;
+    for (const auto &[id, askedAt] : m_budgetsAskedAt) {
+        wanted.insert(id);
+    }
+    return wanted;
+}
+
 void relay_hub::openLinks(time_point now)
 {
     std::set<instance_id> wanted;
@@ -241,6 +272,8 @@
         chooseHelpers(now);
         wanted.insert(m_helpers.begin(), m_helpers.end());
     }
+    const auto relayed = wanted;
+    wanted.merge(linksForBudgets(now));
     wanted.erase(m_surroundings.self.id);
     const auto retry = isYoung(now) ? youngLinkRetry : linkRetry;
     const auto links = m_links;
@@ -248,6 +281,7 @@
         const auto *member = memberOf(id);
         // Another incarnation at the same address has ended the link itself.
         const bool isReplaced = member == nullptr || member->relayAddress != link->peer().relayAddress;
+        link->setPingedSeldom(!relayed.contains(id));
         if (!link->isEnded() && (isReplaced || !wanted.contains(id))) {
             link->close("not needed");
         }
--- a/src/libcrocusdealfront/relayhub.h
+++ b/src/libcrocusdealfront/relayhub.h
@@ -55,6 +55,10 @@
     void seekStore(bool isWanted);
     /** Links to instances that have not said that the store is away; those of this data centre first. */
     std::vector<std::shared_ptr<relay_link>> storeLinks() const;
+    /** Keeps links to these instances as well, of any data centre. */
+    void setBudgetHolders(std::set<instance_id> holders);
+    /** The link to ask an instance of any data centre for budgets; null while there is none, which opens one. */
+    std::shared_ptr<relay_link> budgetLink(const instance_id &id);
 
     void tick(time_point now, duration ownStall);
     /** Tells the other instances at once whether this one leaves or reaches too few targets. */
@@ -86,6 +90,7 @@
     std::vector<instance_id> helperOrder() const;
     /** Null if no other instance of this name is known. */
     const fleet_member *memberOf(const instance_id &id) const;
+    std::set<instance_id> linksForBudgets(time_point now);
     bool isYoung(time_point now) const;
     /** Whether the members are about to be known, so that nothing can be planned yet. */
     bool isUnplanned() const;
@@ -94,6 +99,8 @@
     relay_surroundings m_surroundings;
     asio::ip::tcp::acceptor m_acceptor;
     std::map<instance_id, fleet_member> m_members; ///< Of this data centre, with this instance.
+    std::set<instance_id> m_budgetHolders; ///< To keep links to.
+    std::map<instance_id, time_point> m_budgetsAskedAt; ///< Of links on demand.
     std::set<instance_id> m_known; ///< Of all data centres.
     std::map<instance_id, fleet_member> m_others; ///< Of all data centres, without this instance.
     std::set<instance_id> m_helpers; ///< Those with a link for the sake of the store.
--- a/src/libcrocusdealfront/relaylink.h
+++ b/src/libcrocusdealfront/relaylink.h
@@ -36,6 +36,7 @@
 public:
     using handler = std::function<void(relay_result)>;
     using lease_handler = std::function<void(const std::optional<lease_answer> &)>;
+    using budget_handler = std::function<void(const std::optional<budget_grant> &)>;
 
     relay_link(front_context &context, fleet_member self, fleet_member peer);
 
@@ -49,6 +50,8 @@
     const fleet_member &peer() const;
     /** Whether work may be handed over: the other instance answers, serves and does not leave. */
     bool isUsable() const;
+    /** Whether it answers questions; one that leaves does. */
+    bool isAnswering() const;
     bool isEnded() const;
     bool isPeerIsolated() const;
     /** Whether the other instance has said that the store does not answer it. */
@@ -63,6 +66,10 @@
     void rollBack(std::uint64_t transaction);
     /** Asks for the promotion leases; no answer if the link ends before one has come. */
     void askLeases(lease_handler done);
+    /** Asks for a part of a budget; nothing if the link is lost or silent before the answer. */
+    void askBudget(budget_request message, budget_handler done);
+    /** A link that is only kept for questions of budgets is pinged seldom while none is open. */
+    void setPingedSeldom(bool isSeldom);
 
     /** Sends a ping if one is due, and judges the silence. @p ownStall is how long this process did not run before. */
     void tick(time_point now, duration ownStall);
@@ -86,6 +93,8 @@
     /** Ends what may be run elsewhere. */
     void loseRepeatable(const std::string &reason);
     bool send(const relay_message &message);
+    void loseBudgets();
+    duration pingInterval() const;
     void ended(const std::string &reason);
 
     front_context &m_context;
@@ -94,12 +103,14 @@
     std::shared_ptr<byte_stream> m_stream;
     std::map<std::uint64_t, pending_work> m_pending;
     std::map<std::uint64_t, lease_handler> m_leaseQuestions;
+    std::map<std::uint64_t, budget_handler> m_budgets; ///< Questions without an answer.
     std::uint64_t m_nextNumber = 1;
     time_point m_openedAt = never;
     time_point m_pingSentAt = never; ///< Of a ping without an answer.
     time_point m_lastPingAt = never;
     std::deque<sent_ping> m_openPings; ///< Pongs come in their order.
     time_point m_endedAt = never;
+    bool m_isPingedSeldom = false;
     bool m_isGreeted = false;
     bool m_isLeaving = false;
     bool m_isIsolated = false;
--- a/src/libcrocusdealfront/relaysession.cpp
+++ b/src/libcrocusdealfront/relaysession.cpp
@@ -135,6 +135,8 @@
         handleQuestion(*question);
     } else if (const auto *leases = std::get_if<lease_question>(&message)) {
         handleLeaseQuestion(*leases);
+    } else if (const auto *request = std::get_if<budget_request>(&message)) {
+        handleBudgetRequest(*request);
     } else {
         close("message is not expected");
     }
@@ -161,6 +163,16 @@
         });
 }
 
+void relay_session::handleBudgetRequest(const budget_request &request)
+{
+    m_surroundings.grantBudget(request,
+                               [self = shared_from_this(), number = request.number](const budget_grant &grant) {
+                                   auto message = grant;
+                                   message.number = number;
+                                   self->send(message);
+                               });
+}
+
 void relay_session::handleHello(const relay_hello &hello)
 {
     if (!m_peer.empty() || m_waiting) {
