--- a/tests/platform/storeview.cpp
+++ b/tests/platform/storeview.cpp
@@ -113,4 +113,20 @@
     m_store.listMembers(judged(std::move(done)));
 }
 
+void store_view::readBudgetHolders(store_reading reading, std::function<void(budget_holder_update)> done)
+{
+    m_store.readBudgetHolders(reading, judged(std::move(done)));
+}
+
+void store_view::writeBudgetHolders(const budget_holder_table &table,
+                                    std::optional<std::uint64_t> replaces,
+                                    std::function<void(store_failure)> done)
+{
+    if (isAway) {
+        done(store_failure::Unreachable);
+        return;
+    }
+    m_store.writeBudgetHolders(table, replaces, std::move(done));
+}
+
 }
--- a/tests/platform/storeview.h
+++ b/tests/platform/storeview.h
@@ -40,6 +40,10 @@
                         std::function<void(store_failure, std::uint64_t revision)> done) override;
     void withdrawMember(const instance_id &id, std::uint64_t revision) override;
     void listMembers(std::function<void(member_update)> done) override;
+    void readBudgetHolders(store_reading reading, std::function<void(budget_holder_update)> done) override;
+    void writeBudgetHolders(const budget_holder_table &table,
+                            std::optional<std::uint64_t> replaces,
+                            std::function<void(store_failure)> done) override;
 
 private:
     template<typename Update>
