--- a/src/libcrocusdealfront/frontsettings.cpp
+++ b/src/libcrocusdealfront/frontsettings.cpp
@@ -17,8 +17,6 @@
 constexpr std::int64_t msPerSecond = 1000;
 constexpr number_range overageRange{0, 10};
 constexpr number_range slackRange{0, 1e6};
-constexpr number_range processorRange{0.001, 1000};
-constexpr number_range linkRange{0.001, 1e6};
 
 void readReadiness(object_reader &top, front_settings &settings, problem_list &problems)
 {
@@ -50,19 +48,6 @@
     reader.finish();
 }
 
-void readMachine(object_reader &top, front_settings &settings, problem_list &problems)
-{
-    const auto *value = top.object("machine", presence::Optional);
-    if (value == nullptr) {
-        return;
-    }
-    object_reader reader(*value, "machine", problems);
-    const auto share = reader.number("processor_share", presence::Optional, processorRange);
-    settings.processorShare = share.value_or(settings.processorShare);
-    settings.linkMbps = reader.number("link_mbps", presence::Optional, linkRange).value_or(settings.linkMbps);
-    reader.finish();
-}
-
 front_settings readSettings(const nlohmann::json &value, problem_list &problems)
 {
     front_settings settings;
@@ -87,7 +72,6 @@
         settings.keyRevocationTime = duration{*revocation};
     }
     readRateLimitBound(top, settings, problems);
-    readMachine(top, settings, problems);
     const auto keep = top.integer("service_keep_ms", presence::Optional, millisecondRange);
     settings.serviceIdleTimeout = duration{keep.value_or(settings.serviceIdleTimeout.ms)};
     const auto level = top.choice("log_level", presence::Optional, {"trace", "debug", "info", "warn", "error"});
--- a/src/libcrocusdealfront/frontsettings.h
+++ b/src/libcrocusdealfront/frontsettings.h
@@ -36,8 +36,6 @@
      */
     std::optional<duration> keyRevocationTime;
     rate_limit_bound rateLimitBound; ///< What the limits of workspaces are measured by.
-    double processorShare = 1; ///< Of a core.
-    double linkMbps = 1000; ///< Of this machine's link, in megabits a second.
     duration serviceIdleTimeout{30000}; ///< A service that no caller has used for this long is released.
     log_level logLevel = log_level::Info;
 };
