Ask for leases once it is known what a new connection is used for

Cause: where connections belong to workspaces, only the connection for control statements proves commits, and whether a lease answer is wanted is judged by it.

Ruled out: more connections to replicas; the connections were there.

--- a/src/libcrocusdealfront/commitproof.cpp
+++ b/src/libcrocusdealfront/commitproof.cpp
@@ -75,7 +75,7 @@
 bool commit_proof::isOfUse(const target_id &target, const target_pool &pool, const sent_commit &commit) const
 {
     // Without a connection the question opens one, over which the next round can be answered.
-    const auto connectedAt = pool.connectedSince();
+    const auto connectedAt = pool.controlConnectedSince();
     return target != commit.primary && (connectedAt == never || isWitness(target, connectedAt, commit));
 }
 
--- a/src/libcrocusdealfront/targetpool.cpp
+++ b/src/libcrocusdealfront/targetpool.cpp
@@ -275,6 +275,11 @@
     return oldest;
 }
 
+time_point target_pool::controlConnectedSince() const
+{
+    return m_allowance.isByWorkspace ? controlConnectedAt() : connectedSince();
+}
+
 time_point target_pool::controlConnectedAt() const
 {
     if (m_allowance.isByWorkspace) {
@@ -442,6 +447,10 @@
                        self->trackLink(link);
                    }
                    done(link, opening);
+                   // Only now it is known what the connection is used for.
+                   if (opening.isOpen && self->onConnected) {
+                       self->onConnected();
+                   }
                    // Work may have waited with a connection of its own for this one to be opened.
                    if (self->onCapacity) {
                        self->onCapacity();
@@ -470,9 +479,6 @@
     if (isFirst && onReached) {
         onReached();
     }
-    if (onConnected) {
-        onConnected();
-    }
 }
 
 void target_pool::recordOpened(const link_opening &opening, time_point begunAt)
@@ -587,7 +593,7 @@
 void target_pool::closeAsUnused(std::shared_ptr<target_link> link)
 {
     m_isClosingUnused = true;
-    link->close("not needed");
+    std::exchange(link, nullptr)->close("not needed");
     m_isClosingUnused = false;
 }
 
--- a/src/libcrocusdealfront/targetpool.h
+++ b/src/libcrocusdealfront/targetpool.h
@@ -104,6 +104,8 @@
      * to workspaces that may be any of them, and the newest counts.
      */
     time_point controlConnectedAt() const;
+    /** Since when the oldest connection is open that a control statement may go over; never without one. */
+    time_point controlConnectedSince() const;
     /** Whether an answer over a connection that @p isTrusted, told since when it is open, has shown the commit. */
     bool hasShown(const position &commit, const std::function<bool(time_point openedAt)> &isTrusted) const;
     /** When the oldest statement or start-up that is not answered yet was sent; never without one. */
