--- a/tests/libcrocusdealpolicy/workspacetest.cpp
+++ b/tests/libcrocusdealpolicy/workspacetest.cpp
@@ -150,8 +150,10 @@
     /** Guards against one instance that serves all workspaces of a service while the others that serve it idle. */
     void workspacesSpreadOverThoseThatServe()
     {
+        constexpr int instances = 12;
         std::vector<instance_id> members;
-        for (int i = 0; i < 12; ++i) {
+        members.reserve(instances);
+        for (int i = 0; i < instances; ++i) {
             members.emplace_back("i" + std::to_string(i));
         }
         const service_id service("svc");
