--- a/tests/platform/budgetfleettest.cpp
+++ b/tests/platform/budgetfleettest.cpp
@@ -112,6 +112,10 @@
         surroundings.self = member;
         surroundings.isLeaving = [] { return false; };
         surroundings.isIsolated = [] { return false; };
+        surroundings.isStoreAway = [] { return false; };
+        surroundings.reportConfiguration = [] { return std::nullopt; };
+        surroundings.loads = [] { return std::vector<reported_load>(); };
+        surroundings.heardLoads = [](const instance_id &, const std::vector<reported_load> &) {};
         surroundings.recentStall = [] { return duration{}; };
         surroundings.grantBudget = [&added](const budget_request &request,
                                             std::function<void(const budget_grant &)> done) {
