Keep what a late hook of a test writes to alive

Cause: waitingWatchHoldsUpNoReadingOfLeases leaves its watch open, whose hook then wrote to a local variable of the test that had returned. Ruled out: a fault of the store's client; the address was on the test's stack. Before: build-asan/tests/test_platform object_store_test ended with stack-use-after-return. The checks are as before. Conclusion: what a watch writes to must outlive the test.

--- a/tests/platform/objectstoretest.cpp
+++ b/tests/platform/objectstoretest.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <memory>
 #include <string>
 
 using namespace crocusdeal;
@@ -222,16 +223,16 @@
     {
         canned_server server(m_io, {"", listOf({})});
         platform::object_store store(m_io, m_deadlines, server.address());
-        bool isWatchOver = false;
+        const auto isWatchOver = std::make_shared<bool>(false); // The watch ends after this test.
         store.watchPromotionLeases(
-            1, duration{25000}, [&](const promotion_lease_list_update &) { isWatchOver = true; });
+            1, duration{25000}, [isWatchOver](const promotion_lease_list_update &) { *isWatchOver = true; });
         m_io.run_for(std::chrono::milliseconds(50));
         std::optional<promotion_lease_list_update> list;
         store.listPromotionLeases([&](const promotion_lease_list_update &update) { list = update; });
         m_io.restart();
         m_io.run_for(std::chrono::milliseconds(300));
         CPPUNIT_ASSERT(list && list->failure == store_failure::None);
-        CPPUNIT_ASSERT(!isWatchOver);
+        CPPUNIT_ASSERT(!*isWatchOver);
         m_deadlines.cancelAll();
     }
 
