Log what an order relied on when a pause or an order ends

Ruled out: more lines per statement; these are written a few times per change of a primary. After: promotion_answer and promotion_superseded name target and token, primary_seen tells when a target leads a new term, pause_lifted and pause_ended tell why a replica receives again. No logic is changed. Conclusion: needed before the hypotheses can be tested.

--- a/src/libcrocusdealfront/pausewatch.cpp
+++ b/src/libcrocusdealfront/pausewatch.cpp
@@ -77,7 +77,8 @@
         .field("service", m_group->id().str())
         .field("target", target.str())
         .field("paused_ms", (systemNow() - m_pausedSince.at(target)).ms)
-        .field("term", static_cast<std::int64_t>(report.pausedTerm));
+        .field("term", static_cast<std::int64_t>(report.pausedTerm))
+        .field("lease", m_orders->describe(systemNow()));
     m_pausedSince.erase(target);
     found->second->control(control_statement::Resume, 0, controlLimit, [](const control_reply &) {});
 }
--- a/src/libcrocusdealfront/primarykeeper.cpp
+++ b/src/libcrocusdealfront/primarykeeper.cpp
@@ -184,6 +184,10 @@
 {
     const auto found = m_group->targets().find(target);
     if (found != m_group->targets().end()) {
+        m_context.log.info("pause_lifted")
+            .field("service", m_group->id().str())
+            .field("target", target.str())
+            .field("why", "fence");
         found->second->control(control_statement::Resume, 0, controlLimit, [](const control_reply &) {});
     }
 }
@@ -317,6 +321,9 @@
     }
     recordSeenLog(target, *reply.report, reply.askedAt);
     if (reply.report->isPrimary) {
+        if (m_lastPrimary != target || m_primaryTerm < reply.report->term) {
+            tellLead(target, *reply.report);
+        }
         m_lastPrimary = target;
         m_primaryTerm = reply.report->term;
         m_group->recordPrimary(target, std::nullopt, reply.askedAt);
@@ -326,6 +333,16 @@
     }
 }
 
+void primary_keeper::tellLead(const target_id &target, const replication_report &report) const
+{
+    m_context.log.info("primary_seen")
+        .field("service", m_group->id().str())
+        .field("leader", target.str())
+        .field("term", static_cast<std::int64_t>(report.term))
+        .field("log", toString(report.received))
+        .field("lease", m_orders->describe(systemNow()));
+}
+
 void primary_keeper::judge()
 {
     const auto now = systemNow();
--- a/src/libcrocusdealfront/primarykeeper.h
+++ b/src/libcrocusdealfront/primarykeeper.h
@@ -76,6 +76,8 @@
     bool hasWork(time_point now) const;
     void surveyAll();
     void handleSighting(const target_id &target, const control_reply &reply);
+    /** Logs that a target leads a term that this instance has not heard of, which ends an open order for it. */
+    void tellLead(const target_id &target, const replication_report &report) const;
     void judge();
     primary_situation situation(time_point now) const;
     /** Logs once that a lost primary is not replaced. */
--- a/src/libcrocusdealfront/promotionorders.cpp
+++ b/src/libcrocusdealfront/promotionorders.cpp
@@ -88,6 +88,11 @@
     return m_lease.leaseEndsAt();
 }
 
+std::string promotion_orders::describe(time_point now) const
+{
+    return m_lease.describe(now) + (m_isOrderOpen ? ", own order open" : "");
+}
+
 void promotion_orders::orderCarriedOut()
 {
     m_isOrderOpen = false;
@@ -207,9 +212,12 @@
         target,
         m_self,
         token,
-        [self = shared_from_this(), token, done = std::move(done)](promotion_answer answer, const std::string &detail) {
+        [self = shared_from_this(), target, token, done = std::move(done)](promotion_answer answer,
+                                                                           const std::string &detail) {
             self->m_context.log.info("promotion_answer")
                 .field("service", self->m_service.str())
+                .field("target", target.str())
+                .field("token", static_cast<std::int64_t>(token))
                 .field("answer", promotionAnswerNames.name(answer))
                 .field("detail", detail);
             if (answer == promotion_answer::Accepted) {
@@ -248,18 +256,20 @@
 
 void promotion_orders::sendFence(const target_id &primary, std::function<void(bool)> done)
 {
+    const auto token = *m_lease.fencingToken();
     m_authority.promote(m_service,
                         primary,
                         m_self,
-                        *m_lease.fencingToken(),
-                        [self = shared_from_this(), primary, done = std::move(done)](promotion_answer answer,
-                                                                                     const std::string &detail) {
+                        token,
+                        [self = shared_from_this(), primary, token, done = std::move(done)](promotion_answer answer,
+                                                                                            const std::string &detail) {
                             const bool isFenced = answer == promotion_answer::Accepted;
                             self->m_isBusy = false;
                             self->m_isOrderOpen = !isFenced;
                             self->m_context.log.info("promotion_superseded")
                                 .field("service", self->m_service.str())
                                 .field("leader", primary.str())
+                                .field("token", static_cast<std::int64_t>(token))
                                 .field("answer", promotionAnswerNames.name(answer))
                                 .field("detail", detail);
                             done(isFenced);
--- a/src/libcrocusdealfront/promotionorders.h
+++ b/src/libcrocusdealfront/promotionorders.h
@@ -48,6 +48,8 @@
     bool isOrderLeftOpen() const;
     /** When no order under the record can be new any more. */
     time_point leaseEndsAt() const;
+    /** What is known of the lease and of open orders, with the age of that knowledge, for the log. */
+    std::string describe(time_point now) const;
     /** An order has been carried out, so that none before it can be. */
     void orderCarriedOut();
 
--- a/src/libcrocusdealfront/promotionrun.cpp
+++ b/src/libcrocusdealfront/promotionrun.cpp
@@ -94,6 +94,11 @@
     } else if (const auto *pause = std::get_if<pause_target>(&action)) {
         ask(pause->target, control_statement::Pause, pause->term);
     } else if (const auto *resume = std::get_if<resume_target>(&action)) {
+        m_context.log.info("pause_lifted")
+            .field("service", m_group->id().str())
+            .field("target", resume->target.str())
+            .field("why", "attempt")
+            .field("outcome", attemptOutcomeNames.name(m_attempt.result()));
         ask(resume->target, control_statement::Resume, 0);
     } else if (const auto *stepDown = std::get_if<step_down_target>(&action)) {
         ask(stepDown->target, control_statement::StepDown, stepDown->term);
--- a/src/libcrocusdealpolicy/promotionlease.cpp
+++ b/src/libcrocusdealpolicy/promotionlease.cpp
@@ -107,6 +107,17 @@
     m_claimedAt = sentAt;
 }
 
+std::string promotion_lease::describe(time_point now) const
+{
+    if (!m_record) {
+        return "no record";
+    }
+    std::string text = std::string(promotionLeasePurposeNames.name(m_record->purpose)) + " of " + m_record->holder;
+    text += " at " + std::to_string(m_record->revision);
+    text += m_record->openSince ? ", open since " + std::to_string(*m_record->openSince) : ", open since unknown";
+    return text + ", known for " + std::to_string((now - m_changedAt).ms) + " ms";
+}
+
 void promotion_lease::tokenRejected(std::uint64_t token)
 {
     if (m_fencingToken && *m_fencingToken <= token) {
--- a/src/libcrocusdealpolicy/promotionlease.h
+++ b/src/libcrocusdealpolicy/promotionlease.h
@@ -83,6 +83,8 @@
     bool isOwnPromotionPending() const;
     /** From when on no promotion command under the record can be recent. */
     time_point leaseEndsAt() const;
+    /** What is known of the record, with the age of that knowledge, for the log. */
+    std::string describe(time_point now) const;
 
 private:
     std::string m_self;
