Keep an accepted order open until its target was seen to lead

Callers saw: commits that they had were missing at a new primary, seconds after an order that no one waited for any more. Cause: the answer "accepted" counted as the effect of an order. After 4 s without the effect the attempt ended and the lease was settled, so that a target that had joined meanwhile proved commits; then the order took effect without them. Before: front_failover_test::acceptedOrderThatTakesEffectLateLosesNoCommitOfATargetThatJoins on fails with "hasCommit(...) - 1 w0": duty_settled 4037 ms after the answer, the commit told after it, and the target leads 7 s after the answer with 1/1. After: the test passes, front_failover_test has 31 passed, 0 failed. An accepted order is open (open_orders) until its target was seen to lead, or does not live any more as what it was. While the old primary serves, the holder carries the order out on purpose, as a planned change to its target, so that the service does not wait for a time that nobody knows. Conclusion: fixed for the holder that has sent the order. A holder that takes the lease over does not know the target yet.

--- a/src/libcrocusdealfront/primarykeeper.cpp
+++ b/src/libcrocusdealfront/primarykeeper.cpp
@@ -180,14 +180,14 @@
     });
 }
 
-void primary_keeper::resume(const target_id &target)
+void primary_keeper::resume(const target_id &target, const char *why)
 {
     const auto found = m_group->targets().find(target);
     if (found != m_group->targets().end()) {
         m_context.log.info("pause_lifted")
             .field("service", m_group->id().str())
             .field("target", target.str())
-            .field("why", "fence");
+            .field("why", why);
         found->second->control(control_statement::Resume, 0, controlLimit, [](const control_reply &) {});
     }
 }
@@ -197,7 +197,7 @@
     // A command that was accepted just before the fence still takes effect. While its target alone receives, that one
     // holds whatever is acknowledged until then.
     if (m_lastOrdered) {
-        resume(*m_lastOrdered);
+        resume(*m_lastOrdered, "fence");
     }
     m_context.deadlines.scheduleAfter(promotionTime, [self = shared_from_this(), paused = m_sightings.pausedTargets()] {
         self->settleOrders();
@@ -205,11 +205,51 @@
             return; // The attempt ends the pauses that it finds.
         }
         for (const auto &id : paused) {
-            self->resume(id);
+            self->resume(id, "fence");
         }
     });
 }
 
+std::optional<target_id> primary_keeper::orderedTarget() const
+{
+    const auto accepted = m_orders->acceptedTarget();
+    if (!accepted) {
+        return m_sightings.onlyUnpausedReplica();
+    }
+    const auto found = m_group->targets().find(*accepted);
+    const auto now = systemNow();
+    const bool isUsable =
+        found != m_group->targets().end() && !found->second->isFailing(now) && !found->second->isSilent(now);
+    return isUsable ? accepted : std::nullopt;
+}
+
+void primary_keeper::orderEnded()
+{
+    m_context.log.info("orders_ended")
+        .field("service", m_group->id().str())
+        .field("lease", m_orders->describe(systemNow()));
+    if (m_isStopped || m_attempt || m_orders->isOrderOpen()) {
+        return;
+    }
+    settleOrders();
+    for (const auto &[id, pool] : m_group->targets()) {
+        if (id != m_group->primary()) {
+            resume(id, "order_ended");
+        }
+    }
+}
+
+void primary_keeper::endOrdersOfGone()
+{
+    const auto incarnationOf = [this](const target_id &id) {
+        const auto *known = m_directory.find(id);
+        return known == nullptr ? std::optional<std::uint64_t>() : known->entry.incarnation;
+    };
+    if (m_orders->endOrdersOfGone(incarnationOf)) {
+        orderEnded();
+    }
+}
+
 bool primary_keeper::isClaiming() const
 {
     return m_isRefreshing || m_orders->isBusy();
@@ -219,6 +259,7 @@
 {
     m_sightings.keepOnly([&](const target_id &id) { return m_group->targets().contains(id); });
     recordLostLogs();
+    endOrdersOfGone();
     if (m_attempt) {
         m_attempt->membersChanged(presentMembers());
     }
@@ -328,6 +369,9 @@
         m_primaryTerm = reply.report->term;
         m_group->recordPrimary(target, std::nullopt, reply.askedAt);
         m_group->acknowledged().recordPrimary(target, reply.report->term, reply.report->received, reply.askedAt);
+        if (m_orders->targetLeads(target, reply.askedAt)) {
+            orderEnded();
+        }
     } else if (m_group->primary() == target) {
         m_group->recordNotPrimary(target, "it answers as replica");
     }
@@ -410,7 +454,8 @@
     result.isOthersChange = !m_orders->isHeldHere() && m_sightings.isPrimaryChangeInProgress(now);
     result.isSurveyComplete = m_sightings.isSurveyComplete();
     result.isOrderOpen = m_orders->isOrderOpen();
-    result.isOrderedTargetKnown = m_sightings.onlyUnpausedReplica().has_value();
+    result.isOrderedTargetKnown = orderedTarget().has_value();
+    result.isOrderAccepted = m_orders->acceptedTarget().has_value();
     result.mayBePromoting = m_fencedAt != never && now - m_fencedAt < promotionTime;
     // Another instance that has claimed since may order as well; its orders fence the open one.
     result.mayFence = m_group->primary() && m_orders->mayClaim(now, m_suspectedSince);
@@ -478,7 +523,8 @@
 void primary_keeper::begin(promotion_reason reason)
 {
     const auto now = systemNow();
-    const auto since = reason == promotion_reason::PrimaryDraining ? m_drainingSince : m_suspectedSince;
+    const bool isDraining = reason == promotion_reason::PrimaryDraining && m_drainingSince != never;
+    const auto since = isDraining ? m_drainingSince : m_suspectedSince;
     if (!m_orders->mayClaim(now, since) || isOthersTurn(reason, now)) {
         scheduleTick(surveyInterval);
         return;
@@ -604,7 +650,7 @@
 void primary_keeper::startAttempt(promotion_reason reason)
 {
     const bool isChoiceRestricted = reason == promotion_reason::PrimaryDraining && m_orders->isOrderOpen();
-    const auto onlyChoice = isChoiceRestricted ? m_sightings.onlyUnpausedReplica() : std::nullopt;
+    const auto onlyChoice = isChoiceRestricted ? orderedTarget() : std::nullopt;
     if (isChoiceRestricted && !onlyChoice) {
         scheduleTick(surveyInterval);
         return;
@@ -854,7 +900,7 @@
         askPrimary();
     }
     if (outcome == attempt_outcome::Promoted) {
-        m_orders->orderCarriedOut();
+        m_orders->targetLeads(*attempt.chosen(), systemNow());
     }
     settleOrders();
     m_drainingSince = isPrimaryDraining() ? systemNow() : never;
--- a/src/libcrocusdealfront/primarykeeper.h
+++ b/src/libcrocusdealfront/primarykeeper.h
@@ -88,7 +88,13 @@
     bool isClaiming() const;
     /** Plans to fence what a holder that does not act any more may have left open. */
     void watchOpenOrder();
-    void resume(const target_id &target);
+    void resume(const target_id &target, const char *why);
+    /** The only target that an open order can name, if it is known and can be reached. */
+    std::optional<target_id> orderedTarget() const;
+    /** An order has ended by what was seen: if it was the last one, others may rely on the lease again. */
+    void orderEnded();
+    /** Ends the orders whose targets do not live any more as what they were. */
+    void endOrdersOfGone();
     /** After a fence: the target of the fenced command at once, the others when it cannot be about to lead any more. */
     void resumePaused();
     bool mayActWithoutStore() const;
--- a/src/libcrocusdealfront/promotionorders.cpp
+++ b/src/libcrocusdealfront/promotionorders.cpp
@@ -70,12 +70,12 @@
 
 bool promotion_orders::isOrderOpen() const
 {
-    return m_isOrderOpen || m_lease.isForeignPromotionPending();
+    return !m_open.isEmpty() || m_lease.isForeignPromotionPending();
 }
 
 bool promotion_orders::hasOwnOrderOpen() const
 {
-    return m_isOrderOpen;
+    return !m_open.isEmpty();
 }
 
 bool promotion_orders::isOrderLeftOpen() const
@@ -90,12 +90,23 @@
 
 std::string promotion_orders::describe(time_point now) const
 {
-    return m_lease.describe(now) + (m_isOrderOpen ? ", own order open" : "");
+    return m_lease.describe(now) + ", own orders open: " + m_open.describe();
 }
 
-void promotion_orders::orderCarriedOut()
+bool promotion_orders::targetLeads(const target_id &target, time_point askedAt)
 {
-    m_isOrderOpen = false;
+    return m_open.targetLeads(target, askedAt);
+}
+
+bool promotion_orders::endOrdersOfGone(
+    const std::function<std::optional<std::uint64_t>(const target_id &)> &incarnationOf)
+{
+    return m_open.endGone(incarnationOf);
+}
+
+std::optional<target_id> promotion_orders::acceptedTarget() const
+{
+    return m_open.acceptedTarget();
 }
 
 void promotion_orders::claimInAdvance()
@@ -148,7 +159,7 @@
 {
     const auto sentAt = systemNow();
     const bool isTakingOver = m_lease.isForeignPromotionPending();
-    const auto openSince = m_lease.openSinceForClaim(m_isOrderOpen);
+    const auto openSince = m_lease.openSinceForClaim(!m_open.isEmpty());
     m_store.claimPromotionLease(m_service,
                                 {m_self, promotion_lease_purpose::Promotion, openSince},
                                 replaces,
@@ -156,7 +167,9 @@
                                     const promotion_lease_update &update) {
                                     switch (update.failure) {
                                     case store_failure::None:
-                                        self->m_isOrderOpen = self->m_isOrderOpen || isTakingOver;
+                                        if (isTakingOver) {
+                                            self->m_open.leftOpen();
+                                        }
                                         self->m_lease.claimAccepted(
                                             update.revision, promotion_lease_purpose::Promotion, sentAt, openSince);
                                         done(claim_result::Claimed, update);
@@ -178,7 +191,7 @@
 
 void promotion_orders::settle()
 {
-    if (m_isOrderOpen || !m_lease.isOwnPromotionPending()) {
+    if (!m_open.isEmpty() || !m_lease.isOwnPromotionPending()) {
         return;
     }
     m_store.claimPromotionLease(m_service,
@@ -199,37 +212,46 @@
                                 });
 }
 
-void promotion_orders::send(const target_id &target, const std::string &why, std::function<void(promotion_answer)> done)
+void promotion_orders::send(const target_id &target,
+                            std::uint64_t incarnation,
+                            const std::string &why,
+                            std::function<void(promotion_answer)> done)
 {
     const auto token = *m_lease.fencingToken();
+    m_open.sent(target, incarnation, token, systemNow());
     m_context.log.info("promotion_ordered")
         .field("service", m_service.str())
         .field("target", target.str())
         .field("token", static_cast<std::int64_t>(token))
         .field("why", why);
-    m_authority.promote(
-        m_service,
-        target,
-        m_self,
-        token,
-        [self = shared_from_this(), target, token, done = std::move(done)](promotion_answer answer,
-                                                                           const std::string &detail) {
-            self->m_context.log.info("promotion_answer")
-                .field("service", self->m_service.str())
-                .field("target", target.str())
-                .field("token", static_cast<std::int64_t>(token))
-                .field("answer", promotionAnswerNames.name(answer))
-                .field("detail", detail);
-            if (answer == promotion_answer::Accepted) {
-                // The authority has seen a newer token than that of any order before.
-                self->m_isOrderOpen = false;
-            } else if (answer == promotion_answer::Refused) {
-                self->m_lease.tokenRejected(token);
-            } else if (answer == promotion_answer::Unanswered) {
-                self->m_isOrderOpen = true;
-            }
-            done(answer);
-        });
+    m_authority.promote(m_service,
+                        target,
+                        m_self,
+                        token,
+                        [self = shared_from_this(), target, token, done = std::move(done)](promotion_answer answer,
+                                                                                           const std::string &detail) {
+                            self->m_context.log.info("promotion_answer")
+                                .field("service", self->m_service.str())
+                                .field("target", target.str())
+                                .field("token", static_cast<std::int64_t>(token))
+                                .field("answer", promotionAnswerNames.name(answer))
+                                .field("detail", detail);
+                            switch (answer) {
+                            case promotion_answer::Accepted:
+                                self->m_open.accepted(token);
+                                break;
+                            case promotion_answer::Refused:
+                                self->m_open.refused(token);
+                                self->m_lease.tokenRejected(token);
+                                break;
+                            case promotion_answer::TurnedAway:
+                                self->m_open.refused(token);
+                                break;
+                            case promotion_answer::Unanswered:
+                                break;
+                            }
+                            done(answer);
+                        });
 }
 
 void promotion_orders::fence(const target_id &primary,
@@ -242,8 +264,8 @@
         [self = shared_from_this(), primary, isStillPrimary = std::move(isStillPrimary), done = std::move(done)](
             claim_result result, const promotion_lease_update &) {
             if (result == claim_result::TakenByAnother) {
-                // The orders of the newer holder fence it.
-                self->m_isOrderOpen = false;
+                // The record told the newer holder that an order may be open.
+                self->m_open.handOver();
             }
             if (result != claim_result::Claimed || !isStillPrimary()) {
                 self->m_isBusy = false;
@@ -265,7 +287,11 @@
                                                                                             const std::string &detail) {
                             const bool isFenced = answer == promotion_answer::Accepted;
                             self->m_isBusy = false;
-                            self->m_isOrderOpen = !isFenced;
+                            if (isFenced) {
+                                self->m_open.fenced();
+                            } else {
+                                self->m_open.leftOpen();
+                            }
                             self->m_context.log.info("promotion_superseded")
                                 .field("service", self->m_service.str())
                                 .field("leader", primary.str())
--- a/src/libcrocusdealfront/promotionorders.h
+++ b/src/libcrocusdealfront/promotionorders.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "metadatastore.h"
+#include "openorders.h"
 #include "promotionlease.h"
 #include "targetpool.h"
 
@@ -41,7 +42,7 @@
     bool isClaimStale(time_point now) const;
     /** Whether a claim or a fence is under way. */
     bool isBusy() const;
-    /** Whether an unanswered order, of this process or of another holder, may still be carried out. */
+    /** Whether an order, of this process or of another holder, may still take effect. */
     bool isOrderOpen() const;
     bool hasOwnOrderOpen() const;
     /** Whether it is another process that may have left one. */
@@ -50,8 +51,13 @@
     time_point leaseEndsAt() const;
     /** What is known of the lease and of open orders, with the age of that knowledge, for the log. */
     std::string describe(time_point now) const;
-    /** An order has been carried out, so that none before it can be. */
-    void orderCarriedOut();
+    /** The target was seen to lead, by a question of @p askedAt; returns whether that has ended an order for it. */
+    bool targetLeads(const target_id &target, time_point askedAt);
+    /** Ends the orders whose target, as @p incarnationOf tells, is gone or has started again; returns whether any was.
+     */
+    bool endOrdersOfGone(const std::function<std::optional<std::uint64_t>(const target_id &)> &incarnationOf);
+    /** The target of an order that was accepted, and that has not been seen to lead yet. */
+    std::optional<target_id> acceptedTarget() const;
 
     /** For a token in hand, which allows to act while the store is away. */
     void claimInAdvance();
@@ -59,14 +65,17 @@
     void claim(const char *reason, std::function<void(claim_result)> done);
     /** Claims again, unless anybody else has claimed since @p replaces. */
     void renew(std::optional<std::uint64_t> replaces, std::function<void(claim_result)> done);
-    /** Needs a token. */
-    void send(const target_id &target, const std::string &why, std::function<void(promotion_answer)> done);
+    /** Needs a token. @p incarnation is that of the target, 0 if it is not known. */
+    void send(const target_id &target,
+              std::uint64_t incarnation,
+              const std::string &why,
+              std::function<void(promotion_answer)> done);
     /** Tells the other instances that no order is open, unless one is. */
     void settle();
     /**
      * Fences what is open with a newer order that names the primary in place and so changes nothing, provided that
-     * @p isStillPrimary says that it is; @p done is told whether it could. An order that was accepted just before still
-     * takes effect, so settle() has to wait for that.
+     * @p isStillPrimary says that it is; @p done is told whether it could. One that was carried out just before without
+     * an answer still takes effect, so settle() has to wait for that.
      */
     void fence(const target_id &primary, std::function<bool()> isStillPrimary, std::function<void(bool)> done);
 
@@ -83,7 +92,7 @@
     std::string m_self;
     promotion_lease m_lease;
     bool m_isBusy = false;
-    bool m_isOrderOpen = false;
+    open_orders m_open; ///< Of this process, and those that it has taken over.
 };
 
 }
--- a/src/libcrocusdealfront/promotionrun.cpp
+++ b/src/libcrocusdealfront/promotionrun.cpp
@@ -236,7 +236,9 @@
     }
     m_hasOrdered = true;
     tellProof(target);
-    m_orders->send(target, m_attempt.explanation(), [self = shared_from_this()](promotion_answer answer) {
+    const auto found = m_group->targets().find(target);
+    const auto incarnation = found == m_group->targets().end() ? 0 : found->second->entry().incarnation;
+    m_orders->send(target, incarnation, m_attempt.explanation(), [self = shared_from_this()](promotion_answer answer) {
         self->handleOrderAnswer(answer);
     });
 }
--- /dev/null
+++ b/src/libcrocusdealpolicy/openorders.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "clock.h"
+#include "identifiers.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace crocusdeal
+{
+
+/** A promotion command that may still take effect. */
+struct open_order {
+    std::optional<target_id> target; ///< Nothing if another process has sent it, and did not tell for whom.
+    std::uint64_t incarnation = 0; ///< Of the target; 0 if it is not known.
+    std::uint64_t token = 0;
+    time_point sentAt = never;
+    bool isAccepted = false; ///< It is carried out; its target leads some time later.
+};
+
+/**
+ * The promotion commands for one service that may still take effect.
+ *
+ * An accepted command is carried out, but its target leads later, and no time bounds how much later. So a command ends
+ * only by what was seen: it was refused, its target leads, or its target does not live any more as what it was.
+ */
+class open_orders
+{
+public:
+    void sent(const target_id &target, std::uint64_t incarnation, std::uint64_t token, time_point now);
+    /** Another process may have sent one. */
+    void leftOpen();
+    /** The platform carries it out, and refuses every older one that it has not carried out by now. */
+    void accepted(std::uint64_t token);
+    /** It has not been carried out and will not be. */
+    void refused(std::uint64_t token);
+    /** A newer command that changes nothing was accepted, so that no older one can be accepted any more. */
+    void fenced();
+    /** The target was seen to lead, by a question of @p askedAt. Returns whether that has ended a command. */
+    bool targetLeads(const target_id &target, time_point askedAt);
+    /** Ends the commands whose target, as @p incarnationOf tells, is gone or has started again. */
+    template<typename Lookup>
+    bool endGone(const Lookup &incarnationOf);
+    /** Whoever has claimed the lease since answers for them. */
+    void handOver();
+
+    bool isEmpty() const;
+    /** The target of an accepted command, which will lead. */
+    std::optional<target_id> acceptedTarget() const;
+    /** For the log. */
+    std::string describe() const;
+
+private:
+    std::vector<open_order> m_orders;
+};
+
+template<typename Lookup>
+bool open_orders::endGone(const Lookup &incarnationOf)
+{
+    return std::erase_if(m_orders,
+                         [&](const open_order &order) {
+                             if (!order.target || order.incarnation == 0) {
+                                 return false;
+                             }
+                             const std::optional<std::uint64_t> now = incarnationOf(*order.target);
+                             return now != order.incarnation;
+                         })
+        > 0;
+}
+
+}
--- a/src/libcrocusdealpolicy/primarychange.cpp
+++ b/src/libcrocusdealpolicy/primarychange.cpp
@@ -18,7 +18,7 @@
 /** The command that a planned change sends is a fence as well. */
 bool isFenceNeeded(const primary_situation &situation)
 {
-    if (!situation.isOrderOpen) {
+    if (!situation.isOrderOpen || situation.isOrderAccepted) {
         return false;
     }
     return !situation.isPrimaryDraining || (situation.isSurveyComplete && !situation.isOrderedTargetKnown);
@@ -35,7 +35,9 @@
         const bool isToBeReplaced = situation.isPrimaryLost && situation.isLogKnown && !situation.isOthersChange;
         return isToBeReplaced ? primary_step::ReplaceLost : primary_step::None;
     }
-    if (situation.isPrimaryDraining && isPlannedChangeSafe(situation)) {
+    // A command that was accepted takes the lead at a time of its own. Carrying it out on purpose ends that.
+    const bool isChangeWanted = situation.isPrimaryDraining || (situation.isOrderAccepted && situation.mayFence);
+    if (isChangeWanted && isPlannedChangeSafe(situation)) {
         return primary_step::PlannedChange;
     }
     if (isFenceNeeded(situation) && situation.mayFence) {
--- a/src/libcrocusdealpolicy/primarychange.h
+++ b/src/libcrocusdealpolicy/primarychange.h
@@ -14,8 +14,9 @@
     bool isLogKnown = true; ///< No log is lost that may hold acknowledged commits besides the primary.
     bool isOthersChange = false; ///< Another instance seems to be replacing the lost primary.
     bool isSurveyComplete = false; ///< Each target has answered or failed to answer.
-    bool isOrderOpen = false; ///< A promotion command without an answer may still be carried out.
+    bool isOrderOpen = false; ///< A promotion command may still take effect.
     bool isOrderedTargetKnown = false; ///< The only replica that the open command can name is known.
+    bool isOrderAccepted = false; ///< An open command cannot be fenced any more: its target leads some time later.
     bool mayBePromoting =
         false; ///< A command may have been carried out just now, so that its target becomes primary soon.
     bool mayFence = false; ///< The promotion lease may be claimed, and the primary in place is known.
--- /dev/null
+++ b/tests/libcrocusdealpolicy/openorderstest.cpp
@@ -0,0 +1,93 @@
+#include "openorders.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace crocusdeal;
+using namespace crocusdeal::literals;
+
+class open_orders_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(open_orders_test);
+    CPPUNIT_TEST(acceptedOrderIsOpenUntilItsTargetLeads);
+    CPPUNIT_TEST(leadFromBeforeTheOrderEndsNothing);
+    CPPUNIT_TEST(fenceDoesNotEndAnAcceptedOrder);
+    CPPUNIT_TEST(refusedOrderIsNotOpen);
+    CPPUNIT_TEST(orderEndsWithTheLifeOfItsTarget);
+    CPPUNIT_TEST(orderOfAnotherProcessEndsByAFenceOnly);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** Guards against LOST: the answer to an order, or a time after it, passes for its effect. */
+    void acceptedOrderIsOpenUntilItsTargetLeads()
+    {
+        m_orders.sent(m_target, 1, 7, m_now);
+        m_orders.accepted(7);
+        CPPUNIT_ASSERT(!m_orders.isEmpty());
+        CPPUNIT_ASSERT(m_orders.acceptedTarget() == m_target);
+        CPPUNIT_ASSERT(!m_orders.targetLeads(m_other, m_now + 10_ms));
+        CPPUNIT_ASSERT(m_orders.targetLeads(m_target, m_now + 10_ms));
+        CPPUNIT_ASSERT(m_orders.isEmpty());
+    }
+
+    /** Guards against a late answer of a target that led before it was replaced and ordered again. */
+    void leadFromBeforeTheOrderEndsNothing()
+    {
+        m_orders.sent(m_target, 1, 7, m_now);
+        CPPUNIT_ASSERT(!m_orders.targetLeads(m_target, m_now - 1_ms));
+        CPPUNIT_ASSERT(!m_orders.isEmpty());
+    }
+
+    /** Guards against LOST: an order that names the primary in place takes back nothing that was accepted. */
+    void fenceDoesNotEndAnAcceptedOrder()
+    {
+        m_orders.sent(m_target, 1, 7, m_now);
+        m_orders.accepted(7);
+        m_orders.fenced();
+        CPPUNIT_ASSERT(!m_orders.isEmpty());
+    }
+
+    /** Guards against a service without commits after an order that was never carried out. */
+    void refusedOrderIsNotOpen()
+    {
+        m_orders.sent(m_target, 1, 7, m_now);
+        m_orders.refused(7);
+        CPPUNIT_ASSERT(m_orders.isEmpty());
+        m_orders.sent(m_target, 1, 8, m_now);
+        m_orders.sent(m_target, 1, 9, m_now);
+        m_orders.accepted(9);
+        m_orders.refused(8);
+        CPPUNIT_ASSERT(m_orders.acceptedTarget() == m_target);
+    }
+
+    /** Guards against a service without commits after the ordered target has gone for good. */
+    void orderEndsWithTheLifeOfItsTarget()
+    {
+        m_orders.sent(m_target, 1, 7, m_now);
+        m_orders.accepted(7);
+        const auto asItWas = [](const target_id &) { return std::optional<std::uint64_t>(1); };
+        CPPUNIT_ASSERT(!m_orders.endGone(asItWas));
+        const auto startedAgain = [](const target_id &) { return std::optional<std::uint64_t>(2); };
+        CPPUNIT_ASSERT(m_orders.endGone(startedAgain));
+        CPPUNIT_ASSERT(m_orders.isEmpty());
+    }
+
+    /** Guards against an end by sightings of an order whose target is not known. */
+    void orderOfAnotherProcessEndsByAFenceOnly()
+    {
+        m_orders.leftOpen();
+        CPPUNIT_ASSERT(!m_orders.targetLeads(m_target, m_now));
+        const auto gone = [](const target_id &) { return std::optional<std::uint64_t>(); };
+        CPPUNIT_ASSERT(!m_orders.endGone(gone));
+        m_orders.fenced();
+        CPPUNIT_ASSERT(m_orders.isEmpty());
+    }
+
+private:
+    open_orders m_orders;
+    target_id m_target{"i-1"};
+    target_id m_other{"i-2"};
+    time_point m_now{100000};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(open_orders_test);
--- a/tests/libcrocusdealpolicy/primarychangetest.cpp
+++ b/tests/libcrocusdealpolicy/primarychangetest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(plannedChangeKeepsToTheTargetOfAnOpenOrder);
     CPPUNIT_TEST(plannedChangeWaitsForAPromotionUnderWay);
     CPPUNIT_TEST(openOrderIsFencedWhileThePrimaryServes);
+    CPPUNIT_TEST(acceptedOrderIsCarriedOutAndNotFenced);
     CPPUNIT_TEST(lostPrimaryIsReplacedUnlessAnotherInstanceDoesIt);
     CPPUNIT_TEST(stalledPrimaryIsReplaced);
     CPPUNIT_TEST_SUITE_END();
@@ -53,6 +54,19 @@
         CPPUNIT_ASSERT(nextPrimaryStep(serving) == primary_step::None);
     }
 
+    /** Guards against LOST: a fence passes for the end of an order that still takes effect. */
+    void acceptedOrderIsCarriedOutAndNotFenced()
+    {
+        auto serving = servingPrimary();
+        serving.isOrderOpen = true;
+        serving.isOrderAccepted = true;
+        CPPUNIT_ASSERT(nextPrimaryStep(serving) == primary_step::None);
+        serving.isOrderedTargetKnown = true;
+        CPPUNIT_ASSERT(nextPrimaryStep(serving) == primary_step::PlannedChange);
+        serving.mayFence = false;
+        CPPUNIT_ASSERT(nextPrimaryStep(serving) == primary_step::None);
+    }
+
     /** Guards against two instances that replace one primary at the same time. */
     void lostPrimaryIsReplacedUnlessAnotherInstanceDoesIt()
     {
--- a/tests/platform/frontfailovertest.cpp
+++ b/tests/platform/frontfailovertest.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(targetOfADeadHoldersOrderIsNotPausedForAnother);
     CPPUNIT_TEST(changeWaitsForAPromotionUnderWay);
     CPPUNIT_TEST(suspicionDuringAClaimDoesNotStopAPlannedChange);
+    CPPUNIT_TEST(acceptedOrderThatTakesEffectLateLosesNoCommitOfATargetThatJoins);
     CPPUNIT_TEST(newerHolderIsNotDisplacedToFenceALateOrder);
     CPPUNIT_TEST(drainingPrimaryIsReplacedWithoutARefusal);
     CPPUNIT_TEST(missingReplicaHoldsThePromotionBack);
@@ -321,6 +322,20 @@
             15000_ms));
     }
 
+    /** Guards against LOST: an order counts as over after a time, a target joins, and the order takes effect. */
+    void acceptedOrderThatTakesEffectLateLosesNoCommitOfATargetThatJoins()
+    {
+        front_world world;
+        const auto client = beginBeforeAnOrder(world);
+        const auto ordered = orderSlowly(world, 7000_ms);
+        returnUnlisted(world);
+        // Longer than an attempt waits for the effect of its order.
+        world.runUntil([&] { return isSettled(world); }, 4500_ms);
+        world.publishEntry("a2", false);
+        world.addDatabase("d");
+        assertNoCommitIsLost(world, ordered);
+    }
+
     /** Guards against ONE: two instances that take turns in ordering within the lease. */
     void newerHolderIsNotDisplacedToFenceALateOrder()
     {
@@ -685,6 +700,51 @@
     }
 
 private:
+    /** The primary crashes, and the order that replaces it takes effect after @p delay; gives its target. */
+    static std::string orderSlowly(front_world &world, duration delay)
+    {
+        world.store.promotionTime = delay;
+        world.group.at("a").crash();
+        world.ask(*world.connect("fresh"), "WRITE 1 x");
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.store.orders.empty(); }, 2000_ms));
+        return world.store.orders.front().target;
+    }
+
+    /** The crashed primary leads again under another id, with its log, and is not listed yet. */
+    static void returnUnlisted(front_world &world)
+    {
+        auto &returned = world.group.add("a2");
+        returned.log = world.group.at("a").log;
+        returned.received = world.group.at("a").received;
+        returned.isPrimary = true;
+    }
+
+    static bool isSettled(front_world &world)
+    {
+        return world.store.leases.at("svc").purpose == promotion_lease_purpose::Settled;
+    }
+
+    /** Writes until the target of an open order leads; it must hold what was acknowledged, and serve afterwards. */
+    static void assertNoCommitIsLost(front_world &world, const std::string &ordered)
+    {
+        std::vector<std::string> acknowledged;
+        const auto client = world.connect("fresh");
+        CPPUNIT_ASSERT(world.runUntil(
+            [&] {
+                const auto change = "1 w" + std::to_string(acknowledged.size());
+                if (contains(world.ask(*client, "WRITE " + change), "COMPLETE sig")) {
+                    acknowledged.push_back(change);
+                }
+                world.runFor(10_ms);
+                return world.group.at(ordered).isPrimary;
+            },
+            12000_ms));
+        for (const auto &change : acknowledged) {
+            CPPUNIT_ASSERT_MESSAGE(change, hasCommit(world.group.at(ordered), change));
+        }
+        CPPUNIT_ASSERT(writesAgain(world));
+    }
+
     /** A listener that never answers stands for a machine behind a cut. */
     static std::unique_ptr<asio::ip::tcp::acceptor> silence(front_world &world, const std::string &id)
     {
--- a/tests/platform/memorystore.cpp
+++ b/tests/platform/memorystore.cpp
@@ -11,7 +11,6 @@
 {
 
 constexpr duration pollTime{20}; // A watch of this store answers by looking again.
-constexpr duration promotionTime{100};
 
 }
 
@@ -229,7 +228,11 @@
     m_highestToken = fencingToken;
     orders.push_back({target.str(), fencingToken});
     if (!group->at(target.str()).isPrimary) {
-        m_deadlines.scheduleAfter(promotionTime, [this, target] { group->promote(target.str()); });
+        m_deadlines.scheduleAfter(promotionTime, [this, target] {
+            if (!group->at(target.str()).isPrimary) {
+                group->promote(target.str());
+            }
+        });
     }
     return true;
 }
--- a/tests/platform/memorystore.h
+++ b/tests/platform/memorystore.h
@@ -26,6 +26,7 @@
     std::map<std::string, int> calls; ///< By name, answered or not.
     bool loseOrders = false; ///< Orders are carried out and not answered.
     duration orderDelay{0}; ///< Orders that are not answered reach the authority so much later.
+    duration promotionTime{100}; ///< From an accepted order until its target leads.
     std::map<std::string, promotion_lease_update> leases;
     struct order {
         std::string target;
