Name the targets of open orders in the record of the lease

Callers saw: as before, if the holder died after its order was accepted: commits that they had were missing at a new primary. Cause: the record told since when an order may be open, not for which target. Who took the lease over fenced it with the primary in place, waited 2 s and settled; an accepted order took effect after that. The same class: a time in place of an event. Before: front_failover_test::acceptedOrderOfADeadHolderIsOpenUntilItsTargetLeads, on the commit before without the new field, fails with "hasCommit(...) - 1 w0": settled after the fence, a target that had joined proved the commit, and the ordered one led without it. After: it passes. Each order is sent after the record names its target, so that a new holder carries the order out, or waits for the end of its target. The price: one more write to the store before each order. Conclusion: fixed as far as the store answers. An order that is sent while the store does not answer has no name in the record; who takes over then relies on the fence and 2 s, as before.

--- a/src/libcrocusdealfront/metadatastore.h
+++ b/src/libcrocusdealfront/metadatastore.h
@@ -70,6 +70,7 @@
     std::uint64_t revision = 0;
     promotion_lease_purpose purpose = promotion_lease_purpose::Promotion;
     std::optional<std::uint64_t> openSince; ///< As in promotion_lease_record.
+    std::optional<std::vector<target_id>> targets{}; ///< As in promotion_lease_record.
 };
 
 /** Who promotes for which services. */
@@ -79,6 +80,7 @@
     std::uint64_t revision = 0; ///< Of the record.
     promotion_lease_purpose purpose = promotion_lease_purpose::Promotion;
     std::optional<std::uint64_t> openSince; ///< As in promotion_lease_record.
+    std::optional<std::vector<target_id>> targets{}; ///< As in promotion_lease_record.
 };
 
 /** What a claim writes. */
@@ -86,6 +88,7 @@
     std::string holder;
     promotion_lease_purpose purpose = promotion_lease_purpose::Promotion;
     std::optional<std::uint64_t> openSince = 0; ///< As in promotion_lease_record.
+    std::optional<std::vector<target_id>> targets{}; ///< As in promotion_lease_record.
 };
 
 /** All records, or those that have changed since a revision. */
--- a/src/libcrocusdealfront/primarykeeper.cpp
+++ b/src/libcrocusdealfront/primarykeeper.cpp
@@ -194,8 +194,11 @@
 
 void primary_keeper::resumePaused()
 {
-    // A command that was accepted just before the fence still takes effect. While its target alone receives, that one
-    // holds whatever is acknowledged until then.
+    if (m_orders->acceptedTarget()) {
+        return; // Its effect ends the pauses.
+    }
+    // A command that was carried out just before the fence still takes effect. While its target alone receives, that
+    // one holds whatever is acknowledged until then.
     if (m_lastOrdered) {
         resume(*m_lastOrdered, "fence");
     }
@@ -455,7 +458,8 @@
     result.isSurveyComplete = m_sightings.isSurveyComplete();
     result.isOrderOpen = m_orders->isOrderOpen();
     result.isOrderedTargetKnown = orderedTarget().has_value();
-    result.isOrderAccepted = m_orders->acceptedTarget().has_value();
+    const auto accepted = m_orders->acceptedTarget();
+    result.isOrderAccepted = accepted && accepted != m_group->primary();
     result.mayBePromoting = m_fencedAt != never && now - m_fencedAt < promotionTime;
     // Another instance that has claimed since may order as well; its orders fence the open one.
     result.mayFence = m_group->primary() && m_orders->mayClaim(now, m_suspectedSince);
--- a/src/libcrocusdealfront/promotionorders.cpp
+++ b/src/libcrocusdealfront/promotionorders.cpp
@@ -12,7 +12,7 @@
 
 promotion_lease_record recordOf(const promotion_lease_update &update)
 {
-    return {update.holder, update.revision, update.purpose, update.openSince};
+    return {update.holder, update.revision, update.purpose, update.openSince, update.targets};
 }
 
 }
@@ -33,8 +33,13 @@
 
 void promotion_orders::observe(const std::optional<promotion_lease_record> &record, time_point askedAt)
 {
-    if (record) {
-        m_lease.observe(*record, askedAt);
+    if (!record) {
+        return;
+    }
+    const bool wasHeld = m_lease.fencingToken().has_value();
+    m_lease.observe(*record, askedAt);
+    if (wasHeld && !m_lease.fencingToken()) {
+        m_open.handOver();
     }
 }
 
@@ -106,7 +111,9 @@
 
 std::optional<target_id> promotion_orders::acceptedTarget() const
 {
-    return m_open.acceptedTarget();
+    const auto left = m_lease.isForeignPromotionPending() ? m_lease.targets() : std::nullopt;
+    const bool isAnyLeft = left && !left->empty();
+    return isAnyLeft ? std::optional(left->front()) : m_open.acceptedTarget();
 }
 
 void promotion_orders::claimInAdvance()
@@ -114,7 +121,7 @@
     const auto sentAt = systemNow();
     const auto purpose = m_lease.purposeForAdvanceClaim();
     m_store.claimPromotionLease(m_service,
-                                {m_self, purpose, 0},
+                                {m_self, purpose, 0, std::nullopt},
                                 m_lease.currentRevision(),
                                 [self = shared_from_this(), sentAt, purpose](const promotion_lease_update &update) {
                                     self->logClaim("in_advance", update);
@@ -130,6 +137,7 @@
 {
     m_isBusy = true;
     claimForOrder(m_lease.currentRevision(),
+                  std::nullopt,
                   [self = shared_from_this(), reason, done = std::move(done)](claim_result result,
                                                                               const promotion_lease_update &update) {
                       self->m_isBusy = false;
@@ -148,45 +156,75 @@
         .field("revision", static_cast<std::int64_t>(update.revision));
 }
 
-void promotion_orders::renew(std::optional<std::uint64_t> replaces, std::function<void(claim_result)> done)
+void promotion_orders::renew(std::optional<std::uint64_t> replaces,
+                             const target_id &target,
+                             std::function<void(claim_result)> done)
 {
-    claimForOrder(replaces,
-                  [done = std::move(done)](claim_result result, const promotion_lease_update &) { done(result); });
+    claimForOrder(replaces, target, [done = std::move(done)](claim_result result, const promotion_lease_update &) {
+        done(result);
+    });
+}
+
+std::optional<std::vector<target_id>> promotion_orders::targetsForClaim(const std::optional<target_id> &next) const
+{
+    auto targets = m_open.targets();
+    if (m_lease.isForeignPromotionPending()) {
+        const auto left = m_lease.targets();
+        if (!left || !targets) {
+            return std::nullopt;
+        }
+        targets->insert(targets->end(), left->begin(), left->end());
+    }
+    if (targets && next) {
+        targets->push_back(*next);
+    }
+    return targets;
 }
 
 void promotion_orders::claimForOrder(std::optional<std::uint64_t> replaces,
+                                     const std::optional<target_id> &target,
                                      std::function<void(claim_result, const promotion_lease_update &)> done)
 {
     const auto sentAt = systemNow();
     const bool isTakingOver = m_lease.isForeignPromotionPending();
     const auto openSince = m_lease.openSinceForClaim(!m_open.isEmpty());
-    m_store.claimPromotionLease(m_service,
-                                {m_self, promotion_lease_purpose::Promotion, openSince},
-                                replaces,
-                                [self = shared_from_this(), sentAt, isTakingOver, openSince, done = std::move(done)](
-                                    const promotion_lease_update &update) {
-                                    switch (update.failure) {
-                                    case store_failure::None:
-                                        if (isTakingOver) {
-                                            self->m_open.leftOpen();
-                                        }
-                                        self->m_lease.claimAccepted(
-                                            update.revision, promotion_lease_purpose::Promotion, sentAt, openSince);
-                                        done(claim_result::Claimed, update);
-                                        return;
-                                    case store_failure::Conflict:
-                                        self->m_lease.observe(recordOf(update), systemNow());
-                                        done(claim_result::TakenByAnother, update);
-                                        return;
-                                    case store_failure::NotFound:
-                                        self->m_lease.observeAbsent();
-                                        done(claim_result::TakenByAnother, update);
-                                        return;
-                                    default:
-                                        done(claim_result::StoreAway, update);
-                                        return;
-                                    }
-                                });
+    const auto targets = targetsForClaim(target);
+    m_recordedTarget.reset();
+    m_store.claimPromotionLease(
+        m_service,
+        {m_self, promotion_lease_purpose::Promotion, openSince, targets},
+        replaces,
+        [self = shared_from_this(),
+         sentAt,
+         isTakingOver,
+         openSince,
+         targets,
+         target,
+         left = m_lease.targets(),
+         done = std::move(done)](const promotion_lease_update &update) {
+            switch (update.failure) {
+            case store_failure::None:
+                if (isTakingOver) {
+                    self->m_open.leftOpen(left);
+                }
+                self->m_recordedTarget = target;
+                self->m_lease.claimAccepted(
+                    update.revision, promotion_lease_purpose::Promotion, sentAt, openSince, targets);
+                done(claim_result::Claimed, update);
+                return;
+            case store_failure::Conflict:
+                self->m_lease.observe(recordOf(update), systemNow());
+                done(claim_result::TakenByAnother, update);
+                return;
+            case store_failure::NotFound:
+                self->m_lease.observeAbsent();
+                done(claim_result::TakenByAnother, update);
+                return;
+            default:
+                done(claim_result::StoreAway, update);
+                return;
+            }
+        });
 }
 
 void promotion_orders::settle()
@@ -195,7 +233,7 @@
         return;
     }
     m_store.claimPromotionLease(m_service,
-                                {m_self, promotion_lease_purpose::Settled, 0},
+                                {m_self, promotion_lease_purpose::Settled, 0, std::nullopt},
                                 m_lease.fencingToken(),
                                 [self = shared_from_this()](const promotion_lease_update &update) {
                                     self->m_context.log.info("duty_settled")
@@ -218,7 +256,7 @@
                             std::function<void(promotion_answer)> done)
 {
     const auto token = *m_lease.fencingToken();
-    m_open.sent(target, incarnation, token, systemNow());
+    m_open.sent({target, incarnation, token, systemNow(), false, m_recordedTarget == target});
     m_context.log.info("promotion_ordered")
         .field("service", m_service.str())
         .field("target", target.str())
@@ -261,6 +299,7 @@
     m_isBusy = true;
     claimForOrder(
         m_lease.currentRevision(),
+        std::nullopt,
         [self = shared_from_this(), primary, isStillPrimary = std::move(isStillPrimary), done = std::move(done)](
             claim_result result, const promotion_lease_update &) {
             if (result == claim_result::TakenByAnother) {
--- a/src/libcrocusdealfront/promotionorders.h
+++ b/src/libcrocusdealfront/promotionorders.h
@@ -56,15 +56,15 @@
     /** Ends the orders whose target, as @p incarnationOf tells, is gone or has started again; returns whether any was.
      */
     bool endOrdersOfGone(const std::function<std::optional<std::uint64_t>(const target_id &)> &incarnationOf);
-    /** The target of an order that was accepted, and that has not been seen to lead yet. */
+    /** The target of an order that was accepted, or that another holder has left, and that has not been seen to lead. */
     std::optional<target_id> acceptedTarget() const;
 
     /** For a token in hand, which allows to act while the store is away. */
     void claimInAdvance();
     /** Claims to act at once. */
     void claim(const char *reason, std::function<void(claim_result)> done);
-    /** Claims again, unless anybody else has claimed since @p replaces. */
-    void renew(std::optional<std::uint64_t> replaces, std::function<void(claim_result)> done);
+    /** Claims again to order @p target, which the record names then, unless anybody has claimed since @p replaces. */
+    void renew(std::optional<std::uint64_t> replaces, const target_id &target, std::function<void(claim_result)> done);
     /** Needs a token. @p incarnation is that of the target, 0 if it is not known. */
     void send(const target_id &target,
               std::uint64_t incarnation,
@@ -80,7 +80,11 @@
     void fence(const target_id &primary, std::function<bool()> isStillPrimary, std::function<void(bool)> done);
 
 private:
+    /** What a claim has to tell of open orders, if @p next is to be ordered under it. */
+    std::optional<std::vector<target_id>> targetsForClaim(const std::optional<target_id> &next) const;
+    /** @p target is the one to be ordered next, if it is known. */
     void claimForOrder(std::optional<std::uint64_t> replaces,
+                       const std::optional<target_id> &target,
                        std::function<void(claim_result, const promotion_lease_update &)> done);
     void logClaim(const char *reason, const promotion_lease_update &update) const;
     void sendFence(const target_id &primary, std::function<void(bool)> done);
@@ -91,6 +95,7 @@
     service_id m_service;
     std::string m_self;
     promotion_lease m_lease;
+    std::optional<target_id> m_recordedTarget; ///< The last claim names it.
     bool m_isBusy = false;
     open_orders m_open; ///< Of this process, and those that it has taken over.
 };
--- a/src/libcrocusdealfront/promotionrun.cpp
+++ b/src/libcrocusdealfront/promotionrun.cpp
@@ -182,26 +182,24 @@
         m_attempt.promotionRefused();
         return;
     }
-    if (!m_orders->isClaimStale(systemNow())) {
-        sendOrder(target);
-        return;
-    }
     renewThenOrder(target);
 }
 
 void promotion_run::renewThenOrder(const target_id &target)
 {
-    // The attempt has waited, or the machine was suspended: another instance may hold the lease by now.
+    // The record has to name the target before the order goes out: whoever takes the lease over has to know it.
     if (m_surroundings.isStoreAway()) {
-        if (m_surroundings.mayActWithoutStore()) {
+        const bool isClaimFresh = !m_orders->isClaimStale(systemNow());
+        if (isClaimFresh || m_surroundings.mayActWithoutStore()) {
             sendOrder(target);
         } else {
             m_attempt.promotionRefused();
         }
         return;
     }
-    m_orders->renew(m_token,
-                    [self = shared_from_this(), target](claim_result result) { self->handleRenewal(result, target); });
+    m_orders->renew(m_token, target, [self = shared_from_this(), target](claim_result result) {
+        self->handleRenewal(result, target);
+    });
 }
 
 void promotion_run::handleRenewal(claim_result result, const target_id &target)
@@ -212,8 +210,9 @@
     if (result == claim_result::Claimed) {
         m_token = m_orders->token();
     }
-    const bool mayOrder = result == claim_result::Claimed
-        || (result == claim_result::StoreAway && m_orders->token() && m_surroundings.mayActWithoutStore());
+    const bool mayOrderUnrecorded = result == claim_result::StoreAway && m_orders->token()
+        && (!m_orders->isClaimStale(systemNow()) || m_surroundings.mayActWithoutStore());
+    const bool mayOrder = result == claim_result::Claimed || mayOrderUnrecorded;
     m_attempt.requireLog(m_surroundings.requiredLog());
     if (mayOrder && !m_attempt.isPromotionSafe()) {
         m_attempt.promotionNotSent(systemNow());
--- a/src/libcrocusdealfront/servedservices.cpp
+++ b/src/libcrocusdealfront/servedservices.cpp
@@ -101,8 +101,11 @@
     m_leasesRevision = std::max(m_leasesRevision, update.revision);
     for (const auto &entry : update.entries) {
         auto &record = m_leases[entry.service];
+        const bool isSame = entry.revision == record.revision;
         if (entry.revision >= record.revision) {
-            record = {entry.holder, entry.revision, entry.purpose, entry.openSince};
+            // Another instance does not tell the targets.
+            const auto targets = isSame && !entry.targets ? record.targets : entry.targets;
+            record = {entry.holder, entry.revision, entry.purpose, entry.openSince, targets};
         }
     }
     for (const auto &[service, keeper] : m_keepers) {
--- a/src/libcrocusdealpolicy/openorders.cpp
+++ b/src/libcrocusdealpolicy/openorders.cpp
@@ -5,16 +5,31 @@
 namespace crocusdeal
 {
 
-void open_orders::sent(const target_id &target, std::uint64_t incarnation, std::uint64_t token, time_point now)
+void open_orders::sent(const open_order &order)
 {
-    m_orders.push_back({target, incarnation, token, now, false});
+    m_orders.push_back(order);
 }
 
-void open_orders::leftOpen()
+void open_orders::leftOpen(const std::optional<std::vector<target_id>> &targets)
 {
-    const auto isUnknown = [](const open_order &order) { return !order.target; };
-    if (std::none_of(m_orders.begin(), m_orders.end(), isUnknown)) {
-        m_orders.emplace_back();
+    const bool isAnyNamed = targets && !targets->empty();
+    if (!isAnyNamed) {
+        add({});
+        return;
+    }
+    for (const auto &target : *targets) {
+        // Whether it was carried out is not known.
+        add({target, 0, 0, never, true, true});
+    }
+}
+
+void open_orders::add(const open_order &left)
+{
+    const bool isKnown = std::any_of(m_orders.begin(), m_orders.end(), [&](const open_order &order) {
+        return order.target == left.target && order.isAccepted == left.isAccepted;
+    });
+    if (!isKnown) {
+        m_orders.push_back(left);
     }
 }
 
@@ -45,7 +60,7 @@
 
 void open_orders::handOver()
 {
-    m_orders.clear();
+    std::erase_if(m_orders, [](const open_order &order) { return order.isRecorded || !order.target; });
 }
 
 bool open_orders::isEmpty() const
@@ -60,6 +75,21 @@
     return found == m_orders.end() ? std::nullopt : found->target;
 }
 
+std::optional<std::vector<target_id>> open_orders::targets() const
+{
+    std::vector<target_id> targets;
+    for (const auto &order : m_orders) {
+        if (!order.target) {
+            return std::nullopt;
+        }
+        const bool isNamed = std::find(targets.begin(), targets.end(), *order.target) != targets.end();
+        if (!isNamed) {
+            targets.push_back(*order.target);
+        }
+    }
+    return targets;
+}
+
 std::string open_orders::describe() const
 {
     std::string text;
--- a/src/libcrocusdealpolicy/openorders.h
+++ b/src/libcrocusdealpolicy/openorders.h
@@ -15,9 +15,10 @@
 struct open_order {
     std::optional<target_id> target; ///< Nothing if another process has sent it, and did not tell for whom.
     std::uint64_t incarnation = 0; ///< Of the target; 0 if it is not known.
-    std::uint64_t token = 0;
+    std::uint64_t token = 0; ///< 0 if another process has sent it.
     time_point sentAt = never;
-    bool isAccepted = false; ///< It is carried out; its target leads some time later.
+    bool isAccepted = false; ///< It is carried out, or may be; its target leads some time later.
+    bool isRecorded = false; ///< The record of the lease names its target.
 };
 
 /**
@@ -29,9 +30,9 @@
 class open_orders
 {
 public:
-    void sent(const target_id &target, std::uint64_t incarnation, std::uint64_t token, time_point now);
-    /** Another process may have sent one. */
-    void leftOpen();
+    void sent(const open_order &order);
+    /** Another process may have sent one; for one of @p targets, unless they are not known. */
+    void leftOpen(const std::optional<std::vector<target_id>> &targets = std::nullopt);
     /** The platform carries it out, and refuses every older one that it has not carried out by now. */
     void accepted(std::uint64_t token);
     /** It has not been carried out and will not be. */
@@ -43,16 +44,21 @@
     /** Ends the commands whose target, as @p incarnationOf tells, is gone or has started again. */
     template<typename Lookup>
     bool endGone(const Lookup &incarnationOf);
-    /** Whoever has claimed the lease since answers for them. */
+    /** Another process has claimed the lease, and answers for what its record tells. */
     void handOver();
 
     bool isEmpty() const;
     /** The target of an accepted command, which will lead. */
     std::optional<target_id> acceptedTarget() const;
+    /** The targets of all; nothing if one of them is not known. */
+    std::optional<std::vector<target_id>> targets() const;
     /** For the log. */
     std::string describe() const;
 
 private:
+    /** Adds what another process has left, once. */
+    void add(const open_order &left);
+
     std::vector<open_order> m_orders;
 };
 
--- a/src/libcrocusdealpolicy/primarychange.cpp
+++ b/src/libcrocusdealpolicy/primarychange.cpp
@@ -12,7 +12,8 @@
  */
 bool isPlannedChangeSafe(const primary_situation &situation)
 {
-    return !situation.mayBePromoting && (!situation.isOrderOpen || situation.isOrderedTargetKnown);
+    const bool isChoiceKnown = !situation.isOrderOpen || situation.isOrderedTargetKnown;
+    return isChoiceKnown && (!situation.mayBePromoting || situation.isOrderAccepted);
 }
 
 /** The command that a planned change sends is a fence as well. */
--- a/src/libcrocusdealpolicy/promotionlease.cpp
+++ b/src/libcrocusdealpolicy/promotionlease.cpp
@@ -23,6 +23,10 @@
 void promotion_lease::observe(const promotion_lease_record &record, time_point requestedAt)
 {
     if (m_record && record.revision <= m_record->revision) {
+        const bool isSame = record.revision == m_record->revision;
+        if (isSame && !m_record->targets) {
+            m_record->targets = record.targets; // It was heard of through another instance, which does not tell them.
+        }
         return;
     }
     // The lease runs from the claim under which the promotion command was sent. Settling it does not extend it.
@@ -64,6 +68,11 @@
     return m_record && m_record->purpose == promotion_lease_purpose::Promotion && !m_fencingToken;
 }
 
+std::optional<std::vector<target_id>> promotion_lease::targets() const
+{
+    return m_record ? m_record->targets : std::nullopt;
+}
+
 bool promotion_lease::isOwnPromotionPending() const
 {
     return m_record && m_record->purpose == promotion_lease_purpose::Promotion && m_fencingToken;
@@ -83,7 +92,7 @@
 
 void promotion_lease::settlementAccepted(std::uint64_t revision)
 {
-    m_record = promotion_lease_record{m_self, revision, promotion_lease_purpose::Settled, 0};
+    m_record = promotion_lease_record{m_self, revision, promotion_lease_purpose::Settled, 0, std::nullopt};
     m_fencingToken = revision;
 }
 
@@ -99,9 +108,10 @@
 void promotion_lease::claimAccepted(std::uint64_t revision,
                                     promotion_lease_purpose purpose,
                                     time_point sentAt,
-                                    std::optional<std::uint64_t> openSince)
+                                    std::optional<std::uint64_t> openSince,
+                                    const std::optional<std::vector<target_id>> &targets)
 {
-    m_record = promotion_lease_record{m_self, revision, purpose, openSince};
+    m_record = promotion_lease_record{m_self, revision, purpose, openSince, targets};
     m_changedAt = sentAt;
     m_fencingToken = revision;
     m_claimedAt = sentAt;
--- a/src/libcrocusdealpolicy/promotionlease.h
+++ b/src/libcrocusdealpolicy/promotionlease.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "clock.h"
+#include "identifiers.h"
 #include "nametable.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace crocusdeal
 {
@@ -30,6 +32,11 @@
      * stands for the revision of this record, nothing for what is not known.
      */
     std::optional<std::uint64_t> openSince{};
+    /**
+     * The targets of every promotion command that may still take effect: each is named here before its command is sent.
+     * Nothing if they are not known.
+     */
+    std::optional<std::vector<target_id>> targets{};
 
     friend bool operator==(const promotion_lease_record &, const promotion_lease_record &) = default;
 };
@@ -61,7 +68,8 @@
     void claimAccepted(std::uint64_t revision,
                        promotion_lease_purpose purpose,
                        time_point sentAt,
-                       std::optional<std::uint64_t> openSince = std::nullopt);
+                       std::optional<std::uint64_t> openSince = std::nullopt,
+                       const std::optional<std::vector<target_id>> &targets = std::nullopt);
     /** What the next claim has to say of earlier commands; @p isOwnCommandOpen tells of those of this process. */
     std::optional<std::uint64_t> openSinceForClaim(bool isOwnCommandOpen) const;
     /**
@@ -79,6 +87,8 @@
     bool isClaimStale(time_point now) const;
     /** Whether the record belongs to another process and a promotion command under it may still be carried out. */
     bool isForeignPromotionPending() const;
+    /** The targets of the commands under the record; nothing if they are not known, or there is no record. */
+    std::optional<std::vector<target_id>> targets() const;
     /** Whether the record belongs to this process and states that a promotion command under it may be pending. */
     bool isOwnPromotionPending() const;
     /** From when on no promotion command under the record can be recent. */
