End a pause only when the store confirms that no order is open

Callers saw: commits that they had were missing at a new primary; the record of the users shows a pause ended after 8 s beside such a loss. Cause: an instance ends a pause that it takes for left behind by what it knows of the lease. With its store away, or its watch late, it does not know of an order that relies on the pause; the replica receives again, and proves commits that the ordered target does not hold. Ruled out: a longer time than 5 s, as an order may be carried out 12 s late, and a reading alone, which says nothing of the time after it. Before: front_failover_test::pauseIsNotEndedByOldKnowledgeOfTheLease fails with "Expected: 9, Actual: 0": RESUME 5 s after the first look, under a lease that another instance had claimed. After: it passes, and so does pauseLeftBehindIsEnded. The instance claims the lease first, which succeeds only if its knowledge is that of the store, and sends nothing if the answer comes late.

--- a/src/libcrocusdealfront/pausewatch.cpp
+++ b/src/libcrocusdealfront/pausewatch.cpp
@@ -61,7 +61,7 @@
     const bool isPrimaryServing = m_group->primary() && now - m_group->primaryProvedAt() < servingTime;
     // While another instance has claimed just now, its attempt may rely on the pause.
     const bool isAttemptPossible = m_isAttemptRunning() || !m_orders->mayClaim(now, never) || m_orders->isOrderOpen();
-    if (isAttemptPossible || now - since < longestPause || !isPrimaryServing) {
+    if (isAttemptPossible || m_isConfirming || now - since < longestPause || !isPrimaryServing) {
         return;
     }
     endPause(target, *reply.report);
@@ -69,10 +69,6 @@
 
 void pause_watch::endPause(const target_id &target, const replication_report &report)
 {
-    const auto found = m_group->targets().find(target);
-    if (found == m_group->targets().end()) {
-        return;
-    }
     m_context.log.warn("pause_ended")
         .field("service", m_group->id().str())
         .field("target", target.str())
@@ -80,7 +76,25 @@
         .field("term", static_cast<std::int64_t>(report.pausedTerm))
         .field("lease", m_orders->describe(systemNow()));
     m_pausedSince.erase(target);
-    found->second->control(control_statement::Resume, 0, controlLimit, [](const control_reply &) {});
+    confirmThenResume(target);
+}
+
+void pause_watch::confirmThenResume(const target_id &target)
+{
+    // What is known of the lease may be old, and an order that is open relies on the pause.
+    m_isConfirming = true;
+    m_orders->claimQuiet([self = shared_from_this(), target](bool isQuiet) {
+        self->m_isConfirming = false;
+        const auto found = self->m_group->targets().find(target);
+        if (!isQuiet || self->m_isAttemptRunning() || found == self->m_group->targets().end()) {
+            self->m_context.log.info("pause_kept")
+                .field("service", self->m_group->id().str())
+                .field("target", target.str())
+                .field("lease", self->m_orders->describe(systemNow()));
+            return;
+        }
+        found->second->control(control_statement::Resume, 0, controlLimit, [](const control_reply &) {});
+    });
 }
 
 }
--- a/src/libcrocusdealfront/pausewatch.h
+++ b/src/libcrocusdealfront/pausewatch.h
@@ -26,6 +26,8 @@
 private:
     void handleReply(const target_id &target, const control_reply &reply);
     void endPause(const target_id &target, const replication_report &report);
+    /** Lets the target receive again, once the store has said that no order is open. */
+    void confirmThenResume(const target_id &target);
 
     front_context &m_context;
     std::shared_ptr<service_group> m_group;
@@ -33,6 +35,7 @@
     std::function<bool()> m_isAttemptRunning;
     std::map<target_id, time_point> m_pausedSince;
     int m_checks = 0;
+    bool m_isConfirming = false;
 };
 
 }
--- a/src/libcrocusdealfront/promotionorders.cpp
+++ b/src/libcrocusdealfront/promotionorders.cpp
@@ -117,20 +117,28 @@
 }
 
 void promotion_orders::claimInAdvance()
+{
+    claimQuiet([](bool) {});
+}
+
+void promotion_orders::claimQuiet(std::function<void(bool)> done)
 {
     const auto sentAt = systemNow();
     const auto purpose = m_lease.purposeForAdvanceClaim();
-    m_store.claimPromotionLease(m_service,
-                                {m_self, purpose, 0, std::nullopt},
-                                m_lease.currentRevision(),
-                                [self = shared_from_this(), sentAt, purpose](const promotion_lease_update &update) {
-                                    self->logClaim("in_advance", update);
-                                    if (update.failure == store_failure::None) {
-                                        self->m_lease.claimAccepted(update.revision, purpose, sentAt, 0);
-                                    } else if (update.failure == store_failure::Conflict) {
-                                        self->m_lease.observe(recordOf(update), sentAt);
-                                    }
-                                });
+    m_store.claimPromotionLease(
+        m_service,
+        {m_self, purpose, 0, std::nullopt},
+        m_lease.currentRevision(),
+        [self = shared_from_this(), sentAt, purpose, done = std::move(done)](const promotion_lease_update &update) {
+            self->logClaim("in_advance", update);
+            if (update.failure == store_failure::None) {
+                self->m_lease.claimAccepted(update.revision, purpose, sentAt, 0);
+            } else if (update.failure == store_failure::Conflict) {
+                self->observe(recordOf(update), sentAt);
+            }
+            // A machine that was suspended meanwhile knows nothing of the present.
+            done(update.failure == store_failure::None && !self->isClaimStale(systemNow()));
+        });
 }
 
 void promotion_orders::claim(const char *reason, std::function<void(claim_result)> done)
--- a/src/libcrocusdealfront/promotionorders.h
+++ b/src/libcrocusdealfront/promotionorders.h
@@ -56,11 +56,14 @@
     /** Ends the orders whose target, as @p incarnationOf tells, is gone or has started again; returns whether any was.
      */
     bool endOrdersOfGone(const std::function<std::optional<std::uint64_t>(const target_id &)> &incarnationOf);
-    /** The target of an order that was accepted, or that another holder has left, and that has not been seen to lead. */
+    /** The target of an order that was accepted, or that another holder has left, and that has not been seen to lead.
+     */
     std::optional<target_id> acceptedTarget() const;
 
     /** For a token in hand, which allows to act while the store is away. */
     void claimInAdvance();
+    /** As claimInAdvance(), for what needs that no order is open; @p done is told whether none is, as of just now. */
+    void claimQuiet(std::function<void(bool)> done);
     /** Claims to act at once. */
     void claim(const char *reason, std::function<void(claim_result)> done);
     /** Claims again to order @p target, which the record names then, unless anybody has claimed since @p replaces. */
--- a/tests/platform/frontfailovertest.cpp
+++ b/tests/platform/frontfailovertest.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(instancesWithoutTheStoreAskEachOther);
     CPPUNIT_TEST(changeOfAnotherInstanceGoesFirst);
     CPPUNIT_TEST(pauseLeftBehindIsEnded);
+    CPPUNIT_TEST(pauseIsNotEndedByOldKnowledgeOfTheLease);
     CPPUNIT_TEST(refusedTokenIsNotUsedAgain);
     CPPUNIT_TEST(writesAreRefusedEarlyWithoutAPrimary);
     CPPUNIT_TEST(instanceThatReachesNothingTurnsUnready);
@@ -650,6 +651,28 @@
             14000_ms));
     }
 
+    /** Guards against LOST: an instance that the store turns away ends a pause on which the order of another relies. */
+    void pauseIsNotEndedByOldKnowledgeOfTheLease()
+    {
+        front_world world;
+        world.start();
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.store.leases.empty(); }, 10000_ms));
+        const auto client = world.connect("fresh");
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
+        world.store.isAway = true;
+        auto &lease = world.store.leases.at("svc");
+        lease.holder = "other";
+        lease.purpose = promotion_lease_purpose::Promotion;
+        lease.revision += 100;
+        world.group.at("b").pausedAt = 9;
+        const auto end = systemNow() + 9000_ms;
+        while (systemNow() < end) {
+            world.ask(*client, "WRITE 1 x");
+            world.runFor(20_ms);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, world.group.at("b").pausedAt);
+        }
+    }
+
     /** Guards against calling again with a fencing token that was refused. */
     void refusedTokenIsNotUsedAgain()
     {
