Keep an order without an answer open beyond its fence

Callers saw: commits that they had were missing at a new primary, after an order without an answer had been fenced. Cause: a fence, an order that names the primary in place, counted as the end of everything before it, 2 s later. Ruled out: a longer wait; to ask the platform, which tells nothing back. The price: a change of the primary, with its short gap, where an order got no answer and the primary came back. Conclusion: fixed where the target of the order is known.

--- a/src/libcrocusdealfront/primarykeeper.cpp
+++ b/src/libcrocusdealfront/primarykeeper.cpp
@@ -194,8 +194,8 @@
 
 void primary_keeper::resumePaused()
 {
-    if (m_orders->acceptedTarget()) {
-        return; // Its effect ends the pauses.
+    if (m_orders->openTarget()) {
+        return; // Its lead ends the pauses.
     }
     // A command that was carried out just before the fence still takes effect. While its target alone receives, that
     // one holds whatever is acknowledged until then.
@@ -215,15 +215,15 @@
 
 std::optional<target_id> primary_keeper::orderedTarget() const
 {
-    const auto accepted = m_orders->acceptedTarget();
-    if (!accepted) {
+    const auto named = m_orders->openTarget();
+    if (!named) {
         return m_sightings.onlyUnpausedReplica();
     }
-    const auto found = m_group->targets().find(*accepted);
+    const auto found = m_group->targets().find(*named);
     const auto now = systemNow();
     const bool isUsable =
         found != m_group->targets().end() && !found->second->isFailing(now) && !found->second->isSilent(now);
-    return isUsable ? accepted : std::nullopt;
+    return isUsable ? named : std::nullopt;
 }
 
 void primary_keeper::orderEnded()
@@ -458,8 +458,9 @@
     result.isSurveyComplete = m_sightings.isSurveyComplete();
     result.isOrderOpen = m_orders->isOrderOpen();
     result.isOrderedTargetKnown = orderedTarget().has_value();
-    const auto accepted = m_orders->acceptedTarget();
-    result.isOrderAccepted = accepted && accepted != m_group->primary();
+    const auto named = m_orders->openTarget();
+    result.isOrderedTargetNamed = named && named != m_group->primary();
+    result.isFenceOfUse = m_orders->isFenceOfUse();
     result.mayBePromoting = m_fencedAt != never && now - m_fencedAt < promotionTime;
     // Another instance that has claimed since may order as well; its orders fence the open one.
     result.mayFence = m_group->primary() && m_orders->mayClaim(now, m_suspectedSince);
--- a/src/libcrocusdealfront/promotionorders.cpp
+++ b/src/libcrocusdealfront/promotionorders.cpp
@@ -109,11 +109,16 @@
     return m_open.endGone(incarnationOf);
 }
 
-std::optional<target_id> promotion_orders::acceptedTarget() const
+bool promotion_orders::isFenceOfUse() const
+{
+    return m_open.isFenceOfUse() || m_lease.isForeignPromotionPending();
+}
+
+std::optional<target_id> promotion_orders::openTarget() const
 {
     const auto left = m_lease.isForeignPromotionPending() ? m_lease.targets() : std::nullopt;
     const bool isAnyLeft = left && !left->empty();
-    return isAnyLeft ? std::optional(left->front()) : m_open.acceptedTarget();
+    return isAnyLeft ? std::optional(left->front()) : m_open.target();
 }
 
 void promotion_orders::claimInAdvance()
--- a/src/libcrocusdealfront/promotionorders.h
+++ b/src/libcrocusdealfront/promotionorders.h
@@ -56,9 +56,10 @@
     /** Ends the orders whose target, as @p incarnationOf tells, is gone or has started again; returns whether any was.
      */
     bool endOrdersOfGone(const std::function<std::optional<std::uint64_t>(const target_id &)> &incarnationOf);
-    /** The target of an order that was accepted, or that another holder has left, and that has not been seen to lead.
-     */
-    std::optional<target_id> acceptedTarget() const;
+    /** A target that an open order of this process, or of another holder, names. */
+    std::optional<target_id> openTarget() const;
+    /** Whether an open order may be carried out that has not been. */
+    bool isFenceOfUse() const;
 
     /** For a token in hand, which allows to act while the store is away. */
     void claimInAdvance();
--- a/src/libcrocusdealpolicy/openorders.cpp
+++ b/src/libcrocusdealpolicy/openorders.cpp
@@ -48,7 +48,10 @@
 
 void open_orders::fenced()
 {
-    std::erase_if(m_orders, [](const open_order &order) { return !order.isAccepted; });
+    std::erase_if(m_orders, [](const open_order &order) { return !order.target; });
+    for (auto &order : m_orders) {
+        order.isAccepted = true;
+    }
 }
 
 bool open_orders::targetLeads(const target_id &target, time_point askedAt)
@@ -68,13 +71,18 @@
     return m_orders.empty();
 }
 
-std::optional<target_id> open_orders::acceptedTarget() const
+std::optional<target_id> open_orders::target() const
 {
-    const auto found =
-        std::find_if(m_orders.begin(), m_orders.end(), [](const open_order &order) { return order.isAccepted; });
+    const auto found = std::find_if(
+        m_orders.begin(), m_orders.end(), [](const open_order &order) { return order.target.has_value(); });
     return found == m_orders.end() ? std::nullopt : found->target;
 }
 
+bool open_orders::isFenceOfUse() const
+{
+    return std::any_of(m_orders.begin(), m_orders.end(), [](const open_order &order) { return !order.isAccepted; });
+}
+
 std::optional<std::vector<target_id>> open_orders::targets() const
 {
     std::vector<target_id> targets;
--- a/src/libcrocusdealpolicy/openorders.h
+++ b/src/libcrocusdealpolicy/openorders.h
@@ -37,7 +37,10 @@
     void accepted(std::uint64_t token);
     /** It has not been carried out and will not be. */
     void refused(std::uint64_t token);
-    /** A newer command that changes nothing was accepted, so that no older one can be accepted any more. */
+    /**
+     * A newer command that changes nothing was accepted: what has not been carried out by now never will be. What has
+     * been still takes effect, so one whose target is known stays open.
+     */
     void fenced();
     /** The target was seen to lead, by a question of @p askedAt. Returns whether that has ended a command. */
     bool targetLeads(const target_id &target, time_point askedAt);
@@ -48,8 +51,10 @@
     void handOver();
 
     bool isEmpty() const;
-    /** The target of an accepted command, which will lead. */
-    std::optional<target_id> acceptedTarget() const;
+    /** A target that a command names. */
+    std::optional<target_id> target() const;
+    /** Whether one may be carried out that has not been. */
+    bool isFenceOfUse() const;
     /** The targets of all; nothing if one of them is not known. */
     std::optional<std::vector<target_id>> targets() const;
     /** For the log. */
--- a/src/libcrocusdealpolicy/primarychange.cpp
+++ b/src/libcrocusdealpolicy/primarychange.cpp
@@ -13,13 +13,13 @@
 bool isPlannedChangeSafe(const primary_situation &situation)
 {
     const bool isChoiceKnown = !situation.isOrderOpen || situation.isOrderedTargetKnown;
-    return isChoiceKnown && (!situation.mayBePromoting || situation.isOrderAccepted);
+    return isChoiceKnown && (!situation.mayBePromoting || situation.isOrderedTargetNamed);
 }
 
 /** The command that a planned change sends is a fence as well. */
 bool isFenceNeeded(const primary_situation &situation)
 {
-    if (!situation.isOrderOpen || situation.isOrderAccepted) {
+    if (!situation.isOrderOpen || !situation.isFenceOfUse) {
         return false;
     }
     return !situation.isPrimaryDraining || (situation.isSurveyComplete && !situation.isOrderedTargetKnown);
@@ -36,8 +36,10 @@
         const bool isToBeReplaced = situation.isPrimaryLost && situation.isLogKnown && !situation.isOthersChange;
         return isToBeReplaced ? primary_step::ReplaceLost : primary_step::None;
     }
-    // A command that was accepted takes the lead at a time of its own. Carrying it out on purpose ends that.
-    const bool isChangeWanted = situation.isPrimaryDraining || (situation.isOrderAccepted && situation.mayFence);
+    // What was carried out takes effect at a time of its own, and a fence does not take it back. A newer command for
+    // the same target ends the wait.
+    const bool isOrderToBeRepeated = situation.isOrderedTargetNamed && situation.mayFence;
+    const bool isChangeWanted = situation.isPrimaryDraining || isOrderToBeRepeated;
     if (isChangeWanted && isPlannedChangeSafe(situation)) {
         return primary_step::PlannedChange;
     }
--- a/src/libcrocusdealpolicy/primarychange.h
+++ b/src/libcrocusdealpolicy/primarychange.h
@@ -16,7 +16,8 @@
     bool isSurveyComplete = false; ///< Each target has answered or failed to answer.
     bool isOrderOpen = false; ///< A promotion command may still take effect.
     bool isOrderedTargetKnown = false; ///< The only replica that the open command can name is known.
-    bool isOrderAccepted = false; ///< An open command cannot be fenced any more: its target leads some time later.
+    bool isOrderedTargetNamed = false; ///< By the open command itself; it is not the primary in place.
+    bool isFenceOfUse = true; ///< The open command has perhaps not been carried out yet.
     bool mayBePromoting =
         false; ///< A command may have been carried out just now, so that its target becomes primary soon.
     bool mayFence = false; ///< The promotion lease may be claimed, and the primary in place is known.
