End an open order by its target's lead or departure only

Callers saw: nothing yet; the model found records that were settled while an order could still take effect. An attempt that ended as promoted resumed what an older open order relied on. Ruled out: to compare the time of the restart in the entry with that of the order; the clocks differ. Conclusion: fixed in the model.

--- a/src/libcrocusdealfront/primarykeeper.cpp
+++ b/src/libcrocusdealfront/primarykeeper.cpp
@@ -244,11 +244,7 @@
 
 void primary_keeper::endOrdersOfGone()
 {
-    const auto incarnationOf = [this](const target_id &id) {
-        const auto *known = m_directory.find(id);
-        return known == nullptr ? std::optional<std::uint64_t>() : known->entry.incarnation;
-    };
-    if (m_orders->endOrdersOfGone(incarnationOf)) {
+    if (m_orders->endOrdersOfGone([this](const target_id &id) { return m_directory.find(id) == nullptr; })) {
         orderEnded();
     }
 }
@@ -904,10 +900,11 @@
     if (outcome == attempt_outcome::Promoted || outcome == attempt_outcome::PrimaryFound) {
         askPrimary();
     }
-    if (outcome == attempt_outcome::Promoted) {
-        m_orders->targetLeads(*attempt.chosen(), systemNow());
+    if (outcome == attempt_outcome::Promoted && m_orders->targetLeads(*attempt.chosen(), systemNow())) {
+        orderEnded();
+    } else {
+        settleOrders();
     }
-    settleOrders();
     m_drainingSince = isPrimaryDraining() ? systemNow() : never;
     const bool isUnsafe = outcome == attempt_outcome::NotSafe && attempt.reason() == promotion_reason::PrimaryLost;
     m_retryAt = systemNow() + (isUnsafe ? unsafeRetryTime : retryTime);
--- a/src/libcrocusdealfront/primarykeeper.h
+++ b/src/libcrocusdealfront/primarykeeper.h
@@ -93,7 +93,7 @@
     std::optional<target_id> orderedTarget() const;
     /** An order has ended by what was seen: if it was the last one, others may rely on the lease again. */
     void orderEnded();
-    /** Ends the orders whose targets do not live any more as what they were. */
+    /** Ends the orders whose targets are gone for good. */
     void endOrdersOfGone();
     /** After a fence: the target of the fenced command at once, the others when it cannot be about to lead any more. */
     void resumePaused();
--- a/src/libcrocusdealfront/promotionorders.cpp
+++ b/src/libcrocusdealfront/promotionorders.cpp
@@ -103,10 +103,9 @@
     return m_open.targetLeads(target, askedAt);
 }
 
-bool promotion_orders::endOrdersOfGone(
-    const std::function<std::optional<std::uint64_t>(const target_id &)> &incarnationOf)
+bool promotion_orders::endOrdersOfGone(const std::function<bool(const target_id &)> &isGone)
 {
-    return m_open.endGone(incarnationOf);
+    return m_open.endGone(isGone);
 }
 
 bool promotion_orders::isFenceOfUse() const
@@ -263,13 +262,10 @@
                                 });
 }
 
-void promotion_orders::send(const target_id &target,
-                            std::uint64_t incarnation,
-                            const std::string &why,
-                            std::function<void(promotion_answer)> done)
+void promotion_orders::send(const target_id &target, const std::string &why, std::function<void(promotion_answer)> done)
 {
     const auto token = *m_lease.fencingToken();
-    m_open.sent({target, incarnation, token, systemNow(), false, m_recordedTarget == target});
+    m_open.sent({target, token, systemNow(), false, m_recordedTarget == target});
     m_context.log.info("promotion_ordered")
         .field("service", m_service.str())
         .field("target", target.str())
--- a/src/libcrocusdealfront/promotionorders.h
+++ b/src/libcrocusdealfront/promotionorders.h
@@ -53,9 +53,8 @@
     std::string describe(time_point now) const;
     /** The target was seen to lead, by a question of @p askedAt; returns whether that has ended an order for it. */
     bool targetLeads(const target_id &target, time_point askedAt);
-    /** Ends the orders whose target, as @p incarnationOf tells, is gone or has started again; returns whether any was.
-     */
-    bool endOrdersOfGone(const std::function<std::optional<std::uint64_t>(const target_id &)> &incarnationOf);
+    /** Ends the orders whose target is gone for good; returns whether any was. */
+    bool endOrdersOfGone(const std::function<bool(const target_id &)> &isGone);
     /** A target that an open order of this process, or of another holder, names. */
     std::optional<target_id> openTarget() const;
     /** Whether an open order may be carried out that has not been. */
@@ -69,11 +68,8 @@
     void claim(const char *reason, std::function<void(claim_result)> done);
     /** Claims again to order @p target, which the record names then, unless anybody has claimed since @p replaces. */
     void renew(std::optional<std::uint64_t> replaces, const target_id &target, std::function<void(claim_result)> done);
-    /** Needs a token. @p incarnation is that of the target, 0 if it is not known. */
-    void send(const target_id &target,
-              std::uint64_t incarnation,
-              const std::string &why,
-              std::function<void(promotion_answer)> done);
+    /** Needs a token. */
+    void send(const target_id &target, const std::string &why, std::function<void(promotion_answer)> done);
     /** Tells the other instances that no order is open, unless one is. */
     void settle();
     /**
--- a/src/libcrocusdealfront/promotionrun.cpp
+++ b/src/libcrocusdealfront/promotionrun.cpp
@@ -235,9 +235,7 @@
     }
     m_hasOrdered = true;
     tellProof(target);
-    const auto found = m_group->targets().find(target);
-    const auto incarnation = found == m_group->targets().end() ? 0 : found->second->entry().incarnation;
-    m_orders->send(target, incarnation, m_attempt.explanation(), [self = shared_from_this()](promotion_answer answer) {
+    m_orders->send(target, m_attempt.explanation(), [self = shared_from_this()](promotion_answer answer) {
         self->handleOrderAnswer(answer);
     });
 }
--- a/src/libcrocusdealpolicy/openorders.cpp
+++ b/src/libcrocusdealpolicy/openorders.cpp
@@ -19,7 +19,7 @@
     }
     for (const auto &target : *targets) {
         // Whether it was carried out is not known.
-        add({target, 0, 0, never, true, true});
+        add({target, 0, never, true, true});
     }
 }
 
@@ -35,9 +35,9 @@
 
 void open_orders::accepted(std::uint64_t token)
 {
-    std::erase_if(m_orders, [token](const open_order &order) { return !order.isAccepted && order.token < token; });
+    std::erase_if(m_orders, [](const open_order &order) { return !order.target; });
     for (auto &order : m_orders) {
-        order.isAccepted = order.isAccepted || order.token == token;
+        order.isAccepted = order.isAccepted || order.token <= token;
     }
 }
 
@@ -61,6 +61,11 @@
         > 0;
 }
 
+bool open_orders::endGone(const std::function<bool(const target_id &)> &isGone)
+{
+    return std::erase_if(m_orders, [&](const open_order &order) { return order.target && isGone(*order.target); }) > 0;
+}
+
 void open_orders::handOver()
 {
     std::erase_if(m_orders, [](const open_order &order) { return order.isRecorded || !order.target; });
--- a/src/libcrocusdealpolicy/openorders.h
+++ b/src/libcrocusdealpolicy/openorders.h
@@ -4,6 +4,7 @@
 #include "identifiers.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -14,7 +15,6 @@
 /** A promotion command that may still take effect. */
 struct open_order {
     std::optional<target_id> target; ///< Nothing if another process has sent it, and did not tell for whom.
-    std::uint64_t incarnation = 0; ///< Of the target; 0 if it is not known.
     std::uint64_t token = 0; ///< 0 if another process has sent it.
     time_point sentAt = never;
     bool isAccepted = false; ///< It is carried out, or may be; its target leads some time later.
@@ -33,7 +33,7 @@
     void sent(const open_order &order);
     /** Another process may have sent one; for one of @p targets, unless they are not known. */
     void leftOpen(const std::optional<std::vector<target_id>> &targets = std::nullopt);
-    /** The platform carries it out, and refuses every older one that it has not carried out by now. */
+    /** The platform carries it out, and refuses every older one that it has not carried out by now, as by a fence. */
     void accepted(std::uint64_t token);
     /** It has not been carried out and will not be. */
     void refused(std::uint64_t token);
@@ -44,9 +44,11 @@
     void fenced();
     /** The target was seen to lead, by a question of @p askedAt. Returns whether that has ended a command. */
     bool targetLeads(const target_id &target, time_point askedAt);
-    /** Ends the commands whose target, as @p incarnationOf tells, is gone or has started again. */
-    template<typename Lookup>
-    bool endGone(const Lookup &incarnationOf);
+    /**
+     * Ends the commands whose target is gone for good, as @p isGone tells. One that has started again may lead as what
+     * it is now: its entry does not tell whether it has done so since the command.
+     */
+    bool endGone(const std::function<bool(const target_id &)> &isGone);
     /** Another process has claimed the lease, and answers for what its record tells. */
     void handOver();
 
@@ -67,18 +69,4 @@
     std::vector<open_order> m_orders;
 };
 
-template<typename Lookup>
-bool open_orders::endGone(const Lookup &incarnationOf)
-{
-    return std::erase_if(m_orders,
-                         [&](const open_order &order) {
-                             if (!order.target || order.incarnation == 0) {
-                                 return false;
-                             }
-                             const std::optional<std::uint64_t> now = incarnationOf(*order.target);
-                             return now != order.incarnation;
-                         })
-        > 0;
-}
-
 }
--- a/src/libcrocusdealpolicy/promotionattempt.cpp
+++ b/src/libcrocusdealpolicy/promotionattempt.cpp
@@ -484,10 +484,9 @@
 {
     m_result = result;
     m_stage = stage::Ended;
-    const bool mayBeCarriedOut = m_arePausesKept && result != attempt_outcome::Promoted;
-    if (result == attempt_outcome::Refused || result == attempt_outcome::Unanswered || mayBeCarriedOut) {
-        // A newer lease holder, or a promotion command that may still be carried out, may rely on the pauses. Whoever
-        // fences that command resumes the targets.
+    if (result == attempt_outcome::Refused || result == attempt_outcome::Unanswered || m_arePausesKept) {
+        // A newer lease holder, or a promotion command that may still take effect, may rely on the pauses. Whoever sees
+        // the end of that command resumes the targets.
         return;
     }
     for (const auto &state : m_members) {
--- a/src/libcrocusdealpolicy/promotionattempt.h
+++ b/src/libcrocusdealpolicy/promotionattempt.h
@@ -97,7 +97,7 @@
 
     /** Lets a planned change promote no other target: the one that an unanswered command may name. */
     void restrictChoice(const target_id &only);
-    /** An earlier command may still be carried out: the pauses stay when the attempt ends, until that one is fenced. */
+    /** An earlier command may still take effect: the pauses stay when the attempt ends, until the end of that one. */
     void keepPauses();
     /**
      * What the new primary must hold at least, as acknowledged_log tells it; nothing if that is not known, since a log
--- a/tests/libcrocusdealpolicy/openorderstest.cpp
+++ b/tests/libcrocusdealpolicy/openorderstest.cpp
@@ -14,7 +14,8 @@
     CPPUNIT_TEST(fenceDoesNotEndAnAcceptedOrder);
     CPPUNIT_TEST(fenceDoesNotEndAnOrderWithoutAnAnswer);
     CPPUNIT_TEST(refusedOrderIsNotOpen);
-    CPPUNIT_TEST(orderEndsWithTheLifeOfItsTarget);
+    CPPUNIT_TEST(orderEndsWhenItsTargetIsGone);
+    CPPUNIT_TEST(newerOrderForAnotherTargetDoesNotEndAnOlderOne);
     CPPUNIT_TEST(orderOfAnotherProcessEndsByAFenceOnly);
     CPPUNIT_TEST(orderThatTheRecordNamesIsOpenForTheNextHolder);
     CPPUNIT_TEST(orderWithoutARecordIsNotHandedOver);
@@ -74,24 +75,31 @@
     }
 
     /** Guards against a service without commits after the ordered target has gone for good. */
-    void orderEndsWithTheLifeOfItsTarget()
+    void orderEndsWhenItsTargetIsGone()
     {
         m_orders.sent(order(7));
         m_orders.accepted(7);
-        const auto asItWas = [](const target_id &) { return std::optional<std::uint64_t>(1); };
-        CPPUNIT_ASSERT(!m_orders.endGone(asItWas));
-        const auto startedAgain = [](const target_id &) { return std::optional<std::uint64_t>(2); };
-        CPPUNIT_ASSERT(m_orders.endGone(startedAgain));
+        CPPUNIT_ASSERT(!m_orders.endGone([&](const target_id &id) { return id == m_other; }));
+        CPPUNIT_ASSERT(m_orders.endGone([&](const target_id &id) { return id == m_target; }));
         CPPUNIT_ASSERT(m_orders.isEmpty());
     }
 
+    /** Guards against LOST: the first one was carried out without an answer, and its target leads after the second. */
+    void newerOrderForAnotherTargetDoesNotEndAnOlderOne()
+    {
+        m_orders.sent(order(7));
+        m_orders.sent({m_other, 8, m_now, false, true});
+        m_orders.accepted(8);
+        CPPUNIT_ASSERT(m_orders.targetLeads(m_other, m_now));
+        CPPUNIT_ASSERT(m_orders.target() == m_target);
+    }
+
     /** Guards against an end by sightings of an order whose target is not known. */
     void orderOfAnotherProcessEndsByAFenceOnly()
     {
         m_orders.leftOpen();
         CPPUNIT_ASSERT(!m_orders.targetLeads(m_target, m_now));
-        const auto gone = [](const target_id &) { return std::optional<std::uint64_t>(); };
-        CPPUNIT_ASSERT(!m_orders.endGone(gone));
+        CPPUNIT_ASSERT(!m_orders.endGone([](const target_id &) { return true; }));
         m_orders.fenced();
         CPPUNIT_ASSERT(m_orders.isEmpty());
     }
@@ -111,7 +119,7 @@
     void orderWithoutARecordIsNotHandedOver()
     {
         m_orders.sent(order(7));
-        m_orders.sent({m_other, 1, 8, m_now, false, false});
+        m_orders.sent({m_other, 8, m_now, false, false});
         m_orders.handOver();
         CPPUNIT_ASSERT(m_orders.targets() == std::vector<target_id>{m_other});
     }
@@ -119,7 +127,7 @@
 private:
     open_order order(std::uint64_t token) const
     {
-        return {m_target, 1, token, m_now, false, true};
+        return {m_target, token, m_now, false, true};
     }
 
     open_orders m_orders;
--- a/tests/libcrocusdealpolicy/promotionworld.cpp
+++ b/tests/libcrocusdealpolicy/promotionworld.cpp
@@ -16,7 +16,7 @@
 constexpr duration lossTime{250}; // Without a primary, until an attempt begins.
 constexpr duration retryTime{300};
 constexpr duration fenceLimit{1000}; // Until a fence counts as not answered.
-constexpr duration changeAfterFence{2000};
+constexpr duration changeAfterFence{2000}; // Of a keeper that takes a fence for the end of an order.
 constexpr std::uint32_t watchDelaySteps = 20; // Steps until a watch tells of a change, on average.
 constexpr int mostControlDelay = 30;
 constexpr int mostListDelay = 10;
@@ -86,6 +86,11 @@
     return m_areAllCommitsKept;
 }
 
+bool promotion_world::isRecordTrue() const
+{
+    return m_isRecordTrue;
+}
+
 int promotion_world::promotions() const
 {
     return m_promotions;
@@ -285,7 +290,7 @@
     state.since = m_now;
     if (m_isLeaseOpen) {
         m_openSince = m_openSince == 0 ? state.revision : m_openSince;
-        state.lease = {"keeper", state.revision, promotion_lease_purpose::Promotion, m_openSince};
+        state.lease = {"keeper", state.revision, promotion_lease_purpose::Promotion, m_openSince, m_open.targets()};
     } else {
         m_openSince = 0;
     }
@@ -437,13 +442,19 @@
         return found != instance.connectedAt.end() && id != commit.primary
             && instance.witnesses.isWitness(id, found->second, commit.sentAt);
     };
-    for (const auto &[id, log] : instance.known) {
-        if (holdsCommit(log, at) && isWitness(id)) {
-            return true;
-        }
-    }
     const auto &asked = m_databases[m_random() % m_databases.size()];
-    return asked.isRunning && holdsCommit({asked.term, asked.received}, at) && isWitness(asked.id);
+    const auto holds = [&](const target_id &id) {
+        const auto found = instance.known.find(id);
+        const bool hasShown = found != instance.known.end() && holdsCommit(found->second, at);
+        const bool hasTold = id == asked.id && asked.isRunning && holdsCommit({asked.term, asked.received}, at);
+        return (hasShown || hasTold) && isWitness(id);
+    };
+    const auto &named = instance.witnesses.namedTargets();
+    const bool isHeldByNamed =
+        std::all_of(named.begin(), named.end(), [&](const target_id &id) { return id == commit.primary || holds(id); });
+    const bool isHeld =
+        std::any_of(m_databases.begin(), m_databases.end(), [&](const database &one) { return holds(one.id); });
+    return isHeld && isHeldByNamed;
 }
 
 bool promotion_world::isKeeperCut() const
@@ -514,9 +525,11 @@
     const auto pending = std::exchange(m_orders, {});
     for (auto order : pending) {
         if (order.effectiveAt != never) {
+            const auto *target = find(order.target);
+            const bool isFulfilled = target != nullptr && target->isPrimary; // See docs/questions.md.
             if (m_now >= order.effectiveAt) {
                 promote(order.target);
-            } else {
+            } else if (!isFulfilled) {
                 m_orders.push_back(order);
             }
             continue;
@@ -529,7 +542,7 @@
         const bool isAllowed = order.token >= m_highestToken && target != nullptr && target->isRunning;
         m_highestToken = std::max(m_highestToken, order.token);
         if (isAllowed) {
-            order.effectiveAt = m_now + promotionDelay;
+            order.effectiveAt = m_now + promotionDelay + randomTime(static_cast<int>(m_troubles.slowestEffect.ms) + 1);
             m_orders.push_back(order);
         }
     }
@@ -552,6 +565,9 @@
     }
     target->term = m_term;
     target->pausedTerm = 0;
+    if (m_troubles.doesLeadEndPauses) {
+        endPauses();
+    }
 }
 
 void promotion_world::recordLog()
@@ -594,6 +610,7 @@
 {
     if (m_random() % 4 == 0) {
         recordLog();
+        endOrdersOfGone();
     }
     if (m_attempt) {
         stepAttempt();
@@ -610,20 +627,69 @@
     }
     m_noPrimarySince = never;
     m_lastPrimary = leader->id;
-    if (m_isOrderOpen) {
-        if (m_now >= m_retryAt) {
-            fenceOrder();
-        }
+    if (m_open.targetLeads(leader->id, m_now) && m_open.isEmpty()) {
+        settle();
+        endPauses();
+    }
+    if (!m_open.isEmpty()) {
+        endOpenOrders(*leader);
     } else if (m_heldUntil != never && m_now >= m_heldUntil) {
         m_heldUntil = never;
-        m_isLeaseOpen = false;
-        writeStore();
+        settle();
         endPauses();
     } else if (leader->isDraining && m_heldUntil == never && m_now >= m_retryAt) {
         beginAttempt(promotion_reason::PrimaryDraining);
     }
 }
 
+void promotion_world::endOpenOrders(const database &leader)
+{
+    if (m_now < m_retryAt) {
+        return;
+    }
+    const auto named = m_open.target();
+    const auto *target = named ? find(*named) : nullptr;
+    const bool isRepeated = !m_troubles.doesFenceEndOrders;
+    if (isRepeated && target != nullptr && target->isRunning && target->id != leader.id) {
+        beginAttempt(promotion_reason::PrimaryDraining);
+        m_attempt->restrictChoice(target->id);
+    } else if (m_open.isFenceOfUse()) {
+        fenceOrder();
+    }
+}
+
+void promotion_world::endOrdersOfGone()
+{
+    const bool isAnyEnded = m_open.endGone([this](const target_id &id) {
+        const auto *known = find(id);
+        return known == nullptr || isKnownGone(*known);
+    });
+    if (isAnyEnded && m_open.isEmpty() && !m_attempt) {
+        settle();
+        endPauses();
+    }
+}
+
+void promotion_world::settle()
+{
+    m_isLeaseOpen = false;
+    writeStore();
+    for (const auto &order : m_orders) {
+        if (mayTakeEffect(order)) {
+            m_isRecordTrue = false;
+            tell("settled while the order for " + order.target.str() + " may take effect");
+        }
+    }
+}
+
+bool promotion_world::mayTakeEffect(const pending_order &order)
+{
+    const auto *target = find(order.target);
+    const bool isCarriedOut = order.effectiveAt != never;
+    const bool isAllowed = isCarriedOut || order.token >= m_highestToken;
+    return isAllowed && target != nullptr && target->isRunning && !target->isPrimary;
+}
+
 void promotion_world::beginAttempt(promotion_reason reason)
 {
     std::vector<promotion_member> members;
@@ -637,7 +703,7 @@
     writeStore();
     m_isListAsked = false;
     m_attempt.emplace(reason, m_lastPrimary, std::move(members), true, m_now);
-    if (m_isOrderOpen) {
+    if (!m_open.isEmpty()) {
         m_attempt->keepPauses();
     }
 }
@@ -694,13 +760,17 @@
     const auto *target = find(id);
     tell("order for " + id.str() + (order.isAnswered ? "" : ", carried out late") + ", it holds "
          + std::to_string(target == nullptr ? 0 : target->received) + " of " + std::to_string(m_acknowledged));
+    m_open.sent({id, m_token, m_now, false, true});
+    writeStore();
     if (order.isAnswered) {
         m_attempt->promotionAccepted(m_now);
+        m_open.accepted(m_token);
     } else {
         m_attempt->promotionUnanswered(m_now);
     }
-    m_isOrderOpen = !order.isAnswered;
-    m_ordered = id;
+    if (order.isAnswered && m_troubles.isAnswerTakenForEffect) {
+        m_open = {};
+    }
     m_orders.push_back(std::move(order));
 }
 
@@ -709,13 +779,13 @@
     const auto outcome = m_attempt->result();
     tell("attempt ended " + std::string(attemptOutcomeNames.name(outcome)) + ": " + m_attempt->explanation());
     if (outcome == attempt_outcome::Promoted) {
-        m_isOrderOpen = false;
+        m_open.targetLeads(*m_attempt->chosen(), m_now);
     }
     m_attempt.reset();
     m_noPrimarySince = never;
-    if (!m_isOrderOpen && m_heldUntil == never) {
-        m_isLeaseOpen = false;
-        writeStore();
+    if (m_open.isEmpty() && m_heldUntil == never) {
+        settle();
+        endPauses();
     }
     m_retryAt = m_now + retryTime;
 }
@@ -732,14 +802,18 @@
         return;
     }
     m_highestToken = m_token;
-    m_isOrderOpen = false;
-    m_heldUntil = m_now + changeAfterFence;
+    const auto ordered = m_open.target();
+    m_open.fenced();
     tell("the open order is fenced");
-    // An order that was accepted just before still takes effect. With its target alone receiving, nothing is lost by
-    // it.
-    auto *ordered = m_ordered ? find(*m_ordered) : nullptr;
-    if (ordered != nullptr) {
-        ordered->pausedTerm = 0;
+    if (!m_troubles.doesFenceEndOrders) {
+        m_retryAt = m_now + retryTime;
+        return;
+    }
+    m_open = {};
+    m_heldUntil = m_now + changeAfterFence;
+    auto *target = ordered ? find(*ordered) : nullptr;
+    if (target != nullptr) {
+        target->pausedTerm = 0;
     }
 }
 
--- a/tests/libcrocusdealpolicy/promotionworld.h
+++ b/tests/libcrocusdealpolicy/promotionworld.h
@@ -2,6 +2,7 @@
 
 #include "acknowledgedlog.h"
 #include "commitwitnesses.h"
+#include "openorders.h"
 #include "promotionattempt.h"
 
 #include <cstdint>
@@ -28,6 +29,11 @@
     /** Instances that the store turns away for a while; they read the leases through others that may not answer. */
     int awayInstances = 0;
     bool arePeersBehind = false; ///< The others answer by readings that may be old, which is a fault.
+    duration slowestEffect{0}; ///< Accepted orders take effect so much later than usual, at most.
+    bool isAnswerTakenForEffect = false; ///< The keeper does so for accepted orders, which is a fault.
+    bool doesFenceEndOrders =
+        false; ///< The keeper takes a fence for the end of what was carried out, which is a fault.
+    bool doesLeadEndPauses = false; ///< Of all databases, not of the one that leads only.
     bool mayOrderedTargetCrash = false; ///< Between the order that names it and its lead.
 };
 
@@ -45,6 +51,8 @@
 
     /** False if an acknowledged commit was not in the log of a database that was promoted. */
     bool run(duration length);
+    /** False if the record told that no order is open while one could still take effect. */
+    bool isRecordTrue() const;
     int promotions() const;
     /** Commits that callers were told of. */
     int handedOut() const;
@@ -154,6 +162,12 @@
     void stepAttempt();
     void finishAttempt();
     void fenceOrder();
+    /** What the keeper does about open orders while the primary serves. */
+    void endOpenOrders(const database &leader);
+    /** Ends the orders whose targets do not live any more as what they were. */
+    void endOrdersOfGone();
+    void settle();
+    bool mayTakeEffect(const pending_order &order);
     void endPauses();
     void sendOrder(const target_id &id);
     bool isKnownGone(const database &one) const;
@@ -179,8 +193,8 @@
     time_point m_noPrimarySince = never;
     time_point m_retryAt = never;
     time_point m_heldUntil = never; ///< Planned changes and the end of pauses, after a fence.
-    std::optional<target_id> m_ordered; ///< By the command that got no answer.
-    bool m_isOrderOpen = false;
+    open_orders m_open;
+    bool m_isRecordTrue = true;
     bool m_isListAsked = false;
     time_point m_listAnswersAt = never;
     std::vector<store_state> m_store;
--- a/tests/libcrocusdealpolicy/promotionworldtest.cpp
+++ b/tests/libcrocusdealpolicy/promotionworldtest.cpp
@@ -17,6 +17,7 @@
 constexpr int handedOutInMuchTrouble = 100;
 // The store may be slow, or turn a database away that starts.
 constexpr duration longListingDelay{3000};
+constexpr duration slowestEffect{7000}; // Longer than an attempt waits for the effect of its order.
 constexpr std::uint32_t mostHistoriesUntilLoss = 20000;
 
 /** Number of random histories of each kind; CROCUSDEAL_HISTORIES sets another number for longer manual runs. */
@@ -40,6 +41,50 @@
     return troubles;
 }
 
+/** Orders take effect seconds after their answer, while replicas join and the primary is out of reach for a while. */
+world_troubles troublesOfSlowOrders()
+{
+    world_troubles troubles;
+    troubles.cuts = 2;
+    troubles.primaryCrashes = 1;
+    troubles.joins = 4;
+    troubles.slowestEffect = slowestEffect;
+    troubles.listingDelay = usualListingDelay;
+    return troubles;
+}
+
+world_troubles troublesOfSlowLateOrders()
+{
+    auto troubles = troublesOfSlowOrders();
+    troubles.lateOrders = 2;
+    troubles.deafReplicas = 2;
+    troubles.doesLeadEndPauses = true;
+    return troubles;
+}
+
+bool isAnyLost(const world_troubles &troubles)
+{
+    for (std::uint32_t seed = 0; seed < mostHistoriesUntilLoss; ++seed) {
+        promotion_world world(seed, troubles);
+        if (!world.run(12000_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool isAnyRecordFalse(const world_troubles &troubles)
+{
+    for (std::uint32_t seed = 0; seed < mostHistoriesUntilLoss; ++seed) {
+        promotion_world world(seed, troubles);
+        world.run(12000_ms);
+        if (!world.isRecordTrue()) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void assertCommitsAreKept(const world_troubles &troubles, int leastHandedOut = usuallyHandedOut)
 {
     int promotions = 0;
@@ -48,6 +93,7 @@
         promotion_world world(static_cast<std::uint32_t>(seed), troubles);
         const bool isKept = world.run(12000_ms);
         CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + "\n" + world.history(), isKept);
+        CPPUNIT_ASSERT_MESSAGE("record, seed " + std::to_string(seed) + "\n" + world.history(), world.isRecordTrue());
         promotions += world.promotions();
         handedOut += world.handedOut();
     }
@@ -75,6 +121,10 @@
     CPPUNIT_TEST(replicaIsListedLongAfterItsRestart);
     CPPUNIT_TEST(leasesComeThroughOtherInstances);
     CPPUNIT_TEST(commitsAreLostByInstancesThatAnswerFromMemory);
+    CPPUNIT_TEST(orderTakesEffectLongAfterItsAnswer);
+    CPPUNIT_TEST(orderTakesEffectLongAfterItsFence);
+    CPPUNIT_TEST(commitsAreLostIfAnAnswerPassesForAnEffect);
+    CPPUNIT_TEST(recordIsFalseIfAFencePassesForAnEffect);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -214,12 +264,35 @@
     {
         auto troubles = troublesOfAwayInstances();
         troubles.arePeersBehind = true;
-        bool isLost = false;
-        for (std::uint32_t seed = 0; seed < mostHistoriesUntilLoss && !isLost; ++seed) {
-            promotion_world world(seed, troubles);
-            isLost = !world.run(12000_ms);
-        }
-        CPPUNIT_ASSERT(isLost);
+        CPPUNIT_ASSERT(isAnyLost(troubles));
+    }
+
+    /** Guards against LOST: an order counts as over once it is answered, or some time later. */
+    void orderTakesEffectLongAfterItsAnswer()
+    {
+        assertCommitsAreKept(troublesOfSlowOrders(), handedOutInMuchTrouble);
+    }
+
+    /** Guards against LOST: an order that was carried out without an answer counts as over once it is fenced. */
+    void orderTakesEffectLongAfterItsFence()
+    {
+        assertCommitsAreKept(troublesOfSlowLateOrders(), handedOutInMuchTrouble);
+    }
+
+    /** Guards against a model that is blind to what orderTakesEffectLongAfterItsAnswer guards against. */
+    void commitsAreLostIfAnAnswerPassesForAnEffect()
+    {
+        auto troubles = troublesOfSlowOrders();
+        troubles.isAnswerTakenForEffect = true;
+        CPPUNIT_ASSERT(isAnyLost(troubles));
+    }
+
+    /** Guards against a model that is blind to what orderTakesEffectLongAfterItsFence guards against. */
+    void recordIsFalseIfAFencePassesForAnEffect()
+    {
+        auto troubles = troublesOfSlowLateOrders();
+        troubles.doesFenceEndOrders = true;
+        CPPUNIT_ASSERT(isAnyRecordFalse(troubles));
     }
 };
 
