Settle the record also when the ordered target leads just after a fence

Callers saw: targets that joined never proved a commit, as the record stayed open. Found by reading, after the trace. Cause: a record is not settled within 2 s of a fence, and nothing asked again; so a holder that takes over an order whose target leads already fenced, saw the lead 80 ms later, and left the record open for good. Besides, a planned change passed over the target of an open order that drains, and the end of an order during an attempt left the pauses to pause_watch. Ruled out: to settle at once, as an order without a name may have been carried out just before the fence. Before: front_failover_test::orderOfADeadHolderIsSettledOnceItsTargetLeads on the commit before fails at "isSettled(world)" after 11 s. After: it passes. Conclusion: fixed; settling is asked for again once the wait is over.

--- a/src/libcrocusdealfront/primarykeeper.cpp
+++ b/src/libcrocusdealfront/primarykeeper.cpp
@@ -228,12 +228,12 @@
 
 void primary_keeper::orderEnded()
 {
-    m_context.log.info("orders_ended")
-        .field("service", m_group->id().str())
-        .field("lease", m_orders->describe(systemNow()));
     if (m_isStopped || m_attempt || m_orders->isOrderOpen()) {
         return;
     }
+    m_context.log.info("orders_ended")
+        .field("service", m_group->id().str())
+        .field("lease", m_orders->describe(systemNow()));
     settleOrders();
     for (const auto &[id, pool] : m_group->targets()) {
         if (id != m_group->primary()) {
@@ -670,7 +670,8 @@
     if (onlyChoice) {
         attempt.restrictChoice(*onlyChoice);
     }
-    if (m_orders->isOrderOpen()) {
+    m_werePausesKept = m_orders->isOrderOpen();
+    if (m_werePausesKept) {
         attempt.keepPauses();
     }
     run(std::move(attempt));
@@ -870,7 +871,13 @@
     const bool mayBePromoting = m_fencedAt != never && systemNow() - m_fencedAt < promotionTime;
     if (!mayBePromoting) {
         m_orders->settle();
+        return;
     }
+    m_context.deadlines.schedule(m_fencedAt + promotionTime, [self = shared_from_this()] {
+        if (!self->m_isStopped && !self->m_attempt) {
+            self->settleOrders();
+        }
+    });
 }
 
 void primary_keeper::finishAttempt(const promotion_attempt &attempt)
@@ -900,7 +907,11 @@
     if (outcome == attempt_outcome::Promoted || outcome == attempt_outcome::PrimaryFound) {
         askPrimary();
     }
-    if (outcome == attempt_outcome::Promoted && m_orders->targetLeads(*attempt.chosen(), systemNow())) {
+    if (outcome == attempt_outcome::Promoted) {
+        m_orders->targetLeads(*attempt.chosen(), systemNow());
+    }
+    const bool wereOrdersOpen = std::exchange(m_werePausesKept, false);
+    if (wereOrdersOpen) {
         orderEnded();
     } else {
         settleOrders();
--- a/src/libcrocusdealfront/primarykeeper.h
+++ b/src/libcrocusdealfront/primarykeeper.h
@@ -91,7 +91,8 @@
     void resume(const target_id &target, const char *why);
     /** The only target that an open order can name, if it is known and can be reached. */
     std::optional<target_id> orderedTarget() const;
-    /** An order has ended by what was seen: if it was the last one, others may rely on the lease again. */
+    /** An order has ended by what was seen: if it was the last one, the pauses end, and others may rely on the lease.
+     */
     void orderEnded();
     /** Ends the orders whose targets are gone for good. */
     void endOrdersOfGone();
@@ -159,6 +160,7 @@
     deadline_queue::handle m_primaryQuestion = 0;
     time_point m_storeSeenAwayAt = never;
     bool m_isFenceDue = false;
+    bool m_werePausesKept = false; ///< By the attempt that is running, for an order from before it.
     bool m_isHeldBack = false;
     bool m_isRefreshing = false; ///< The list of targets, under a claim.
     bool m_isLeaseKnown = false;
--- a/src/libcrocusdealpolicy/promotionattempt.cpp
+++ b/src/libcrocusdealpolicy/promotionattempt.cpp
@@ -171,10 +171,11 @@
             !state.status->isPaused(), !state.member.isWarmingUp, state.member.isLocal, state.status->received);
     };
     for (const auto &state : m_members) {
-        if (state.member.id == m_oldPrimary || state.member.isDraining || !state.status) {
+        if (state.member.id == m_oldPrimary || !state.status) {
             continue;
         }
-        if (m_onlyChoice && state.member.id != m_onlyChoice) {
+        // The target of an open command may lead at any time, also while it drains.
+        if (m_onlyChoice ? state.member.id != m_onlyChoice : state.member.isDraining) {
             continue;
         }
         if (best == nullptr || rank(state) > rank(*best)) {
--- a/tests/platform/frontfailovertest.cpp
+++ b/tests/platform/frontfailovertest.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(acceptedOrderThatTakesEffectLateLosesNoCommitOfATargetThatJoins);
     CPPUNIT_TEST(orderCarriedOutJustBeforeItsFenceLosesNoCommit);
     CPPUNIT_TEST(acceptedOrderOfADeadHolderIsOpenUntilItsTargetLeads);
+    CPPUNIT_TEST(orderOfADeadHolderIsSettledOnceItsTargetLeads);
     CPPUNIT_TEST(newerHolderIsNotDisplacedToFenceALateOrder);
     CPPUNIT_TEST(drainingPrimaryIsReplacedWithoutARefusal);
     CPPUNIT_TEST(missingReplicaHoldsThePromotionBack);
@@ -380,6 +381,22 @@
         assertNoCommitIsLost(world, "c");
     }
 
+    /** Guards against targets that join and never prove a commit, as nobody tells that the order is over. */
+    void orderOfADeadHolderIsSettledOnceItsTargetLeads()
+    {
+        front_world world;
+        const auto client = beginBeforeAnOrder(world);
+        world.group.at("b").pausedAt = 2;
+        world.store.claimPromotionLease(
+            service_id("svc"),
+            {"dead", promotion_lease_purpose::Promotion, 0, std::vector<target_id>{target_id("a")}},
+            std::nullopt,
+            [](const promotion_lease_update &) {});
+        CPPUNIT_ASSERT(world.runUntil([&] { return isSettled(world); }, 11000_ms));
+        CPPUNIT_ASSERT(world.runUntil([&] { return world.group.at("b").pausedAt == 0; }, 3000_ms));
+        CPPUNIT_ASSERT(world.group.at("a").isPrimary);
+    }
+
     /** Guards against ONE: two instances that take turns in ordering within the lease. */
     void newerHolderIsNotDisplacedToFenceALateOrder()
     {
