Repair what the review of the open orders found

Callers saw: nothing yet; found by a review that had not seen the work, by reading. Cause and change, one a line: - A fence that was refused or got no answer added an order without a name, and the next claim then wrote no names at all. Now a refused fence adds nothing, an unanswered one names its primary, and known names are never given up (unknownOrderHidesNoKnownTarget). - An order went out without its name in the record if the renewal was refused or unanswered. Now the proof is made again, unless an order without the store is allowed. - A target whose entry this instance had never seen counted as gone. Now only one that was listed here before can be gone. - RESUME went out beside the settlement. Now it waits for its success. - A 409 made the own record foreign, and its target stayed named. Now the record is settled before the token goes. - Statuses of replicas were remembered beyond their connection. Now they count at their own reply only. - The end of a pause regards a claim or a fence under way; a newer foreign record always hands own recorded orders over; a record is not settled while a fence is under way. Ruled out: to relay the names of targets to instances that the store turns away now; it changes the messages between instances. Listed as open. Conclusion: repaired as far as read and tested here; the model still has one keeper, so it shows no handover.

--- a/src/libcrocusdealfront/commitproof.cpp
+++ b/src/libcrocusdealfront/commitproof.cpp
@@ -82,22 +82,16 @@
 bool commit_proof::isHeldBy(const target_id &target, const sent_commit &commit) const
 {
     const auto pool = m_targets.find(target);
-    if (pool == m_targets.end()) {
-        return false;
-    }
-    const auto status = m_statuses.find(target);
-    const bool hasTold = status != m_statuses.end() && holdsCommit(status->second.received, commit.at)
-        && isWitness(target, status->second.connectedAt, commit);
-    return hasTold || pool->second->hasShown(commit.at, [&](time_point connectedAt) {
+    return pool != m_targets.end() && pool->second->hasShown(commit.at, [&](time_point connectedAt) {
         return isWitness(target, connectedAt, commit);
     });
 }
 
-bool commit_proof::isHeldByNamed(const sent_commit &commit) const
+bool commit_proof::isHeldByNamed(const sent_commit &commit, const std::optional<target_id> &told) const
 {
     const auto &named = m_witnesses.namedTargets();
     return std::all_of(named.begin(), named.end(), [&](const target_id &target) {
-        return target == commit.primary || isHeldBy(target, commit);
+        return target == commit.primary || target == told || isHeldBy(target, commit);
     });
 }
 
@@ -105,7 +99,7 @@
 {
     const auto found = std::find_if(
         m_targets.begin(), m_targets.end(), [&](const auto &target) { return isHeldBy(target.first, commit); });
-    const bool isKept = found != m_targets.end() && isHeldByNamed(commit);
+    const bool isKept = found != m_targets.end() && isHeldByNamed(commit, std::nullopt);
     return isKept ? std::optional(found->first) : std::nullopt;
 }
 
@@ -250,14 +244,17 @@
         return;
     }
     const auto heldBefore = m_held.size();
-    if (reply.report) {
-        m_statuses[target] = {reply.report->received, reply.connectedAt};
-    }
     finish([&](const held_commit &held) -> std::optional<bool> {
         const auto &at = held.commit.at;
+        const bool isReceived = reply.report && holdsCommit(reply.report->received, at);
+        const bool isProof = isReceived && isWitness(target, reply.connectedAt, held.commit);
+        if (isProof && isHeldByNamed(held.commit, target)) {
+            recordTold(held.commit, target, true);
+            return true;
+        }
         // A busy target refuses the status, and tells the position up to which it has applied its log.
         if (const auto holder = holderOf(held.commit)) {
-            recordTold(held.commit, *holder, holder == target && reply.report);
+            recordTold(held.commit, *holder, false);
             return true;
         }
         const bool isTermOver = reply.report && reply.report->term > at.term;
--- a/src/libcrocusdealfront/commitproof.h
+++ b/src/libcrocusdealfront/commitproof.h
@@ -61,11 +61,6 @@
         std::function<void(bool)> done;
     };
 
-    struct seen_status {
-        position received;
-        time_point connectedAt = never; ///< Of the connection over which it came.
-    };
-
     /** The evidence for a commit that was told. */
     struct told_commit {
         sent_commit commit;
@@ -76,11 +71,10 @@
 
     /** Whether what @p target tells proves the commit; over a connection that is open since @p connectedAt. */
     bool isWitness(const target_id &target, time_point connectedAt, const sent_commit &commit) const;
-    /** Whether @p target has told, by its status or by any answer, that it holds the commit, and counts as a witness.
-     */
+    /** Whether any answer of @p target over a connection that is still open tells that it holds the commit. */
     bool isHeldBy(const target_id &target, const sent_commit &commit) const;
-    /** Whether every target that an open order names holds the commit. */
-    bool isHeldByNamed(const sent_commit &commit) const;
+    /** Whether every target that an open order names holds the commit; @p told has just told so by its status. */
+    bool isHeldByNamed(const sent_commit &commit, const std::optional<target_id> &told) const;
     /** Whether asking @p target may prove the commit. */
     bool isOfUse(const target_id &target, const target_pool &pool, const sent_commit &commit) const;
     /** A witness that is known to hold the commit, without asking. */
@@ -102,7 +96,6 @@
     const target_pools &m_targets;
     const commit_witnesses &m_witnesses;
     std::vector<held_commit> m_held;
-    std::map<target_id, seen_status> m_statuses; ///< The last one of each target.
     std::set<target_id> m_askedInRound;
     std::set<target_id> m_unanswered;
     std::optional<told_commit> m_lastTold; ///< The highest one.
--- a/src/libcrocusdealfront/primarykeeper.cpp
+++ b/src/libcrocusdealfront/primarykeeper.cpp
@@ -71,7 +71,7 @@
     };
     m_pauseWatch = std::make_shared<pause_watch>(m_context, m_group, m_orders, [weak = weak_from_this()] {
         const auto self = weak.lock();
-        return self && self->m_attempt;
+        return self && (self->m_attempt || self->isClaiming() || self->isFenceRecent());
     });
     recordLostLogs();
     if (m_group->primary()) {
@@ -234,7 +234,12 @@
     m_context.log.info("orders_ended")
         .field("service", m_group->id().str())
         .field("lease", m_orders->describe(systemNow()));
+    m_isResumeDue = true;
     settleOrders();
+}
+
+void primary_keeper::resumeAll()
+{
     for (const auto &[id, pool] : m_group->targets()) {
         if (id != m_group->primary()) {
             resume(id, "order_ended");
@@ -244,7 +249,16 @@
 
 void primary_keeper::endOrdersOfGone()
 {
-    if (m_orders->endOrdersOfGone([this](const target_id &id) { return m_directory.find(id) == nullptr; })) {
+    // One that was never listed here may live: its entry may have lapsed before.
+    for (const auto &[id, known] : m_directory.targets()) {
+        if (known.entry.service == m_group->id()) {
+            m_listedOnce.insert(id);
+        }
+    }
+    const auto isGone = [this](const target_id &id) {
+        return m_listedOnce.contains(id) && m_directory.find(id) == nullptr;
+    };
+    if (m_orders->endOrdersOfGone(isGone)) {
         orderEnded();
     }
 }
@@ -457,7 +471,7 @@
     const auto named = m_orders->openTarget();
     result.isOrderedTargetNamed = named && named != m_group->primary();
     result.isFenceOfUse = m_orders->isFenceOfUse();
-    result.mayBePromoting = m_fencedAt != never && now - m_fencedAt < promotionTime;
+    result.mayBePromoting = isFenceRecent();
     // Another instance that has claimed since may order as well; its orders fence the open one.
     result.mayFence = m_group->primary() && m_orders->mayClaim(now, m_suspectedSince);
     result.isRetryDue = now >= m_retryAt;
@@ -866,11 +880,21 @@
         });
 }
 
+bool primary_keeper::isFenceRecent() const
+{
+    return m_fencedAt != never && systemNow() - m_fencedAt < promotionTime;
+}
+
 void primary_keeper::settleOrders()
 {
-    const bool mayBePromoting = m_fencedAt != never && systemNow() - m_fencedAt < promotionTime;
-    if (!mayBePromoting) {
-        m_orders->settle();
+    if (!isFenceRecent()) {
+        m_orders->settle([self = shared_from_this()](bool isSettled) {
+            // Pauses end only when the store has told that nobody else has claimed.
+            const bool isDue = std::exchange(self->m_isResumeDue, false);
+            if (isSettled && isDue && !self->m_isStopped && !self->m_attempt) {
+                self->resumeAll();
+            }
+        });
         return;
     }
     m_context.deadlines.schedule(m_fencedAt + promotionTime, [self = shared_from_this()] {
--- a/src/libcrocusdealfront/primarykeeper.h
+++ b/src/libcrocusdealfront/primarykeeper.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -94,6 +95,9 @@
     /** An order has ended by what was seen: if it was the last one, the pauses end, and others may rely on the lease.
      */
     void orderEnded();
+    void resumeAll();
+    /** Whether an order that was carried out just before the last fence may still take effect. */
+    bool isFenceRecent() const;
     /** Ends the orders whose targets are gone for good. */
     void endOrdersOfGone();
     /** After a fence: the target of the fenced command at once, the others when it cannot be about to lead any more. */
@@ -159,7 +163,9 @@
     deadline_queue::handle m_fenceCheck = 0;
     deadline_queue::handle m_primaryQuestion = 0;
     time_point m_storeSeenAwayAt = never;
+    std::set<target_id> m_listedOnce; ///< Targets of the service that this instance has ever seen listed.
     bool m_isFenceDue = false;
+    bool m_isResumeDue = false; ///< Of all replicas, once the record is settled.
     bool m_werePausesKept = false; ///< By the attempt that is running, for an order from before it.
     bool m_isHeldBack = false;
     bool m_isRefreshing = false; ///< The list of targets, under a claim.
--- a/src/libcrocusdealfront/promotionorders.cpp
+++ b/src/libcrocusdealfront/promotionorders.cpp
@@ -36,9 +36,9 @@
     if (!record) {
         return;
     }
-    const bool wasHeld = m_lease.fencingToken().has_value();
+    const bool isNewer = !m_lease.currentRevision() || record->revision > *m_lease.currentRevision();
     m_lease.observe(*record, askedAt);
-    if (wasHeld && !m_lease.fencingToken()) {
+    if (isNewer && record->holder != m_self) {
         m_open.handOver();
     }
 }
@@ -129,6 +129,7 @@
 {
     const auto sentAt = systemNow();
     const auto purpose = m_lease.purposeForAdvanceClaim();
+    m_recordedTarget.reset();
     m_store.claimPromotionLease(
         m_service,
         {m_self, purpose, 0, std::nullopt},
@@ -182,12 +183,15 @@
     auto targets = m_open.targets();
     if (m_lease.isForeignPromotionPending()) {
         const auto left = m_lease.targets();
-        if (!left || !targets) {
-            return std::nullopt;
+        if (!left && (!targets || targets->empty())) {
+            targets.reset();
+        } else if (left) {
+            targets = targets.value_or(std::vector<target_id>());
+            targets->insert(targets->end(), left->begin(), left->end());
         }
-        targets->insert(targets->end(), left->begin(), left->end());
     }
-    if (targets && next) {
+    if (next) {
+        targets = targets.value_or(std::vector<target_id>());
         targets->push_back(*next);
     }
     return targets;
@@ -225,7 +229,7 @@
                 done(claim_result::Claimed, update);
                 return;
             case store_failure::Conflict:
-                self->m_lease.observe(recordOf(update), systemNow());
+                self->observe(recordOf(update), systemNow());
                 done(claim_result::TakenByAnother, update);
                 return;
             case store_failure::NotFound:
@@ -239,27 +243,34 @@
         });
 }
 
-void promotion_orders::settle()
+void promotion_orders::settle(std::function<void(bool)> done)
 {
-    if (!m_open.isEmpty() || !m_lease.isOwnPromotionPending()) {
+    if (m_isBusy || !m_open.isEmpty() || m_lease.isForeignPromotionPending()) {
+        done(false);
+        return;
+    }
+    if (!m_lease.isOwnPromotionPending()) {
+        done(true);
         return;
     }
-    m_store.claimPromotionLease(m_service,
-                                {m_self, promotion_lease_purpose::Settled, 0, std::nullopt},
-                                m_lease.fencingToken(),
-                                [self = shared_from_this()](const promotion_lease_update &update) {
-                                    self->m_context.log.info("duty_settled")
-                                        .field("service", self->m_service.str())
-                                        .field("outcome", storeFailureNames.name(update.failure))
-                                        .field("revision", static_cast<std::int64_t>(update.revision));
-                                    if (update.failure == store_failure::None) {
-                                        self->m_lease.settlementAccepted(update.revision);
-                                    } else if (update.failure == store_failure::Conflict) {
-                                        self->m_lease.observe(recordOf(update), systemNow());
-                                    }
-                                    // Without an answer others fence what they must take for open, which changes
-                                    // nothing.
-                                });
+    m_recordedTarget.reset();
+    m_store.claimPromotionLease(
+        m_service,
+        {m_self, promotion_lease_purpose::Settled, 0, std::nullopt},
+        m_lease.fencingToken(),
+        [self = shared_from_this(), done = std::move(done)](const promotion_lease_update &update) {
+            self->m_context.log.info("duty_settled")
+                .field("service", self->m_service.str())
+                .field("outcome", storeFailureNames.name(update.failure))
+                .field("revision", static_cast<std::int64_t>(update.revision));
+            if (update.failure == store_failure::None) {
+                self->m_lease.settlementAccepted(update.revision);
+            } else if (update.failure == store_failure::Conflict) {
+                self->observe(recordOf(update), systemNow());
+            }
+            // Without an answer others fence what they must take for open, which changes nothing.
+            done(update.failure == store_failure::None);
+        });
 }
 
 void promotion_orders::send(const target_id &target, const std::string &why, std::function<void(promotion_answer)> done)
@@ -289,6 +300,8 @@
                                 break;
                             case promotion_answer::Refused:
                                 self->m_open.refused(token);
+                                // Before the token goes: the record names a target that was not ordered.
+                                self->settle([](bool) {});
                                 self->m_lease.tokenRejected(token);
                                 break;
                             case promotion_answer::TurnedAway:
@@ -337,8 +350,8 @@
                             self->m_isBusy = false;
                             if (isFenced) {
                                 self->m_open.fenced();
-                            } else {
-                                self->m_open.leftOpen();
+                            } else if (answer == promotion_answer::Unanswered) {
+                                self->m_open.sent({primary, token, systemNow(), false, false});
                             }
                             self->m_context.log.info("promotion_superseded")
                                 .field("service", self->m_service.str())
--- a/src/libcrocusdealfront/promotionorders.h
+++ b/src/libcrocusdealfront/promotionorders.h
@@ -70,8 +70,8 @@
     void renew(std::optional<std::uint64_t> replaces, const target_id &target, std::function<void(claim_result)> done);
     /** Needs a token. */
     void send(const target_id &target, const std::string &why, std::function<void(promotion_answer)> done);
-    /** Tells the other instances that no order is open, unless one is. */
-    void settle();
+    /** Tells the other instances that no order is open, unless one is; @p done hears whether the record says so now. */
+    void settle(std::function<void(bool)> done);
     /**
      * Fences what is open with a newer order that names the primary in place and so changes nothing, provided that
      * @p isStillPrimary says that it is; @p done is told whether it could. One that was carried out just before without
--- a/src/libcrocusdealfront/promotionrun.cpp
+++ b/src/libcrocusdealfront/promotionrun.cpp
@@ -189,8 +189,7 @@
 {
     // The record has to name the target before the order goes out: whoever takes the lease over has to know it.
     if (m_surroundings.isStoreAway()) {
-        const bool isClaimFresh = !m_orders->isClaimStale(systemNow());
-        if (isClaimFresh || m_surroundings.mayActWithoutStore()) {
+        if (m_surroundings.mayActWithoutStore()) {
             sendOrder(target);
         } else {
             m_attempt.promotionRefused();
@@ -210,11 +209,11 @@
     if (result == claim_result::Claimed) {
         m_token = m_orders->token();
     }
-    const bool mayOrderUnrecorded = result == claim_result::StoreAway && m_orders->token()
-        && (!m_orders->isClaimStale(systemNow()) || m_surroundings.mayActWithoutStore());
-    const bool mayOrder = result == claim_result::Claimed || mayOrderUnrecorded;
+    const bool mayOrder = result == claim_result::Claimed
+        || (result == claim_result::StoreAway && m_orders->token() && m_surroundings.mayActWithoutStore());
     m_attempt.requireLog(m_surroundings.requiredLog());
-    if (mayOrder && !m_attempt.isPromotionSafe()) {
+    const bool isToBeRenewed = result == claim_result::StoreAway && !mayOrder && m_orders->token();
+    if (isToBeRenewed || (mayOrder && !m_attempt.isPromotionSafe())) {
         m_attempt.promotionNotSent(systemNow());
         advance();
         return;
--- a/src/libcrocusdealpolicy/commitwitnesses.cpp
+++ b/src/libcrocusdealpolicy/commitwitnesses.cpp
@@ -95,18 +95,12 @@
 void commit_witnesses::coverTargets(time_point now)
 {
     for (auto &[id, state] : m_targets) {
-        const bool isCovered = state.listedAt <= m_coveredRevision || isNamed(id);
-        if (state.coveredAt == never && isCovered) {
+        if (state.coveredAt == never && state.listedAt <= m_coveredRevision) {
             state.coveredAt = now;
         }
     }
 }
 
-bool commit_witnesses::isNamed(const target_id &target) const
-{
-    return std::find(m_named.begin(), m_named.end(), target) != m_named.end();
-}
-
 const std::vector<target_id> &commit_witnesses::namedTargets() const
 {
     return m_named;
--- a/src/libcrocusdealpolicy/commitwitnesses.h
+++ b/src/libcrocusdealpolicy/commitwitnesses.h
@@ -90,7 +90,6 @@
     };
 
     void coverTargets(time_point now);
-    bool isNamed(const target_id &target) const;
     void recordQuietLease(const std::optional<promotion_lease_record> &record, time_point currentSince, time_point now);
     bool isTrusted(time_point connectedAt, time_point sentAt) const;
 
--- a/src/libcrocusdealpolicy/openorders.cpp
+++ b/src/libcrocusdealpolicy/openorders.cpp
@@ -92,15 +92,14 @@
 {
     std::vector<target_id> targets;
     for (const auto &order : m_orders) {
-        if (!order.target) {
-            return std::nullopt;
-        }
-        const bool isNamed = std::find(targets.begin(), targets.end(), *order.target) != targets.end();
-        if (!isNamed) {
+        const bool isNew = order.target && std::find(targets.begin(), targets.end(), *order.target) == targets.end();
+        if (isNew) {
             targets.push_back(*order.target);
         }
     }
-    return targets;
+    // Known names are never given up for one that is not known.
+    const bool isAnyKnown = !targets.empty() || m_orders.empty();
+    return isAnyKnown ? std::optional(targets) : std::nullopt;
 }
 
 std::string open_orders::describe() const
--- a/src/libcrocusdealpolicy/openorders.h
+++ b/src/libcrocusdealpolicy/openorders.h
@@ -57,7 +57,7 @@
     std::optional<target_id> target() const;
     /** Whether one may be carried out that has not been. */
     bool isFenceOfUse() const;
-    /** The targets of all; nothing if one of them is not known. */
+    /** The targets that are known; nothing if there are commands, and none of their targets is known. */
     std::optional<std::vector<target_id>> targets() const;
     /** For the log. */
     std::string describe() const;
--- a/tests/libcrocusdealpolicy/openorderstest.cpp
+++ b/tests/libcrocusdealpolicy/openorderstest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(orderOfAnotherProcessEndsByAFenceOnly);
     CPPUNIT_TEST(orderThatTheRecordNamesIsOpenForTheNextHolder);
     CPPUNIT_TEST(orderWithoutARecordIsNotHandedOver);
+    CPPUNIT_TEST(unknownOrderHidesNoKnownTarget);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -124,6 +125,15 @@
         CPPUNIT_ASSERT(m_orders.targets() == std::vector<target_id>{m_other});
     }
 
+    /** Guards against LOST: the record gives up the name of a target for an order that nobody knows. */
+    void unknownOrderHidesNoKnownTarget()
+    {
+        m_orders.leftOpen();
+        CPPUNIT_ASSERT(!m_orders.targets());
+        m_orders.sent(order(7));
+        CPPUNIT_ASSERT(m_orders.targets() == std::vector<target_id>{m_target});
+    }
+
 private:
     open_order order(std::uint64_t token) const
     {
