--- a/src/standins/faultrun/faultworld.cpp
+++ b/src/standins/faultrun/faultworld.cpp
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <filesystem>
 #include <sstream>
+#include <stdexcept>
 
 namespace crocusdeal
 {
@@ -28,6 +29,7 @@
 constexpr duration settling{25000}; // After the last fault, so that late calls are carried out before the check.
 constexpr duration closingTime{300};
 constexpr duration heartbeat{1200};
+constexpr duration watchPause{500}; // Between two looks at the daemons.
 constexpr duration restartDelay{300}; // Of a daemon that was killed.
 constexpr duration drainTime{7000};
 constexpr duration armedTime{12000}; // Until the order comes that a crash is to meet.
@@ -157,6 +159,7 @@
         publish(id);
     }
     startInstances();
+    watchInstances();
     m_loop.runUntil(m_loop.now() + warmUp.ms);
     for (std::size_t i = 0; i < m_instances.size(); ++i) {
         addCallers(i);
@@ -195,13 +198,13 @@
         instance one;
         const auto &dataCentre = dataCentres.at(i % dataCentres.size());
         one.name = "front-" + dataCentre + "-" + std::to_string(i + 1);
-        one.callers = review::freeAddress(m_loop);
+        one.callers = review::freeAddress();
         const json settings{{"instance", one.name},
                             {"data_centre", dataCentre},
                             {"caller_address", one.callers},
-                            {"readiness", {{"address", review::freeAddress(m_loop)}, {"path", "/api/ready"}}},
-                            {"metrics_address", review::freeAddress(m_loop)},
-                            {"relay_address", review::freeAddress(m_loop)},
+                            {"readiness", {{"address", review::freeAddress()}, {"path", "/api/ready"}}},
+                            {"metrics_address", review::freeAddress()},
+                            {"relay_address", review::freeAddress()},
                             {"store_address", m_store.address(i)},
                             {"authority_address", m_authority.address()},
                             {"drain_ms", drainTime.ms},
@@ -230,6 +233,24 @@
     ::_exit(127);
 }
 
+void fault_world::watchInstances()
+{
+    if (m_isOver) {
+        return;
+    }
+    for (const auto &one : m_instances) {
+        siginfo_t ended{};
+        // The process is left to be waited for: the destructor ends all by their ids.
+        const bool isKnown = ::waitid(P_PID, one.process, &ended, WEXITED | WNOHANG | WNOWAIT) == 0;
+        if (!isKnown || ended.si_pid != 0) {
+            const auto line = one.name + " has ended by itself, the run checks nothing; see its log";
+            record(line);
+            throw std::runtime_error(line);
+        }
+    }
+    m_loop.after(watchPause.ms, [this] { watchInstances(); });
+}
+
 void fault_world::addCallers(std::size_t which)
 {
     const auto &callers = m_instances.at(which).callers;
--- a/src/standins/faultrun/faultworld.h
+++ b/src/standins/faultrun/faultworld.h
@@ -51,7 +51,7 @@
     fault_world(const fault_world &) = delete;
     fault_world &operator=(const fault_world &) = delete;
 
-    /** Plays the faults under load; @p length is the time of the load. */
+    /** Plays the faults under load; @p length is the time of the load. Throws if a daemon ends by itself. */
     void run(const std::vector<planned_fault> &faults, duration length);
     const record_check &check() const;
     int promotions() const;
@@ -68,6 +68,8 @@
     void record(const std::string &line);
     void startInstances();
     pid_t startProcess(const instance &one) const;
+    /** Throws if a daemon has ended by itself; then looks again in a while. */
+    void watchInstances();
     void addCallers(std::size_t which);
     void handleWrite(std::size_t which, const review::client::result &result, const std::string &item);
     std::set<std::string> primaryLog();
--- a/src/standins/faultrun/main.cpp
+++ b/src/standins/faultrun/main.cpp
@@ -95,12 +95,18 @@
     world.run(faults, options.length);
     std::cout << "seed " << options.world.seed << ": acknowledged " << world.check().acknowledged() << ", promotions "
               << world.promotions() << ", findings " << world.check().findings() << '\n';
-    return world.check().findings() > 0 ? findingsStatus : 0;
+    if (world.check().findings() > 0) {
+        return findingsStatus;
+    }
+    if (world.check().acknowledged() == 0) {
+        throw std::runtime_error("nothing was acknowledged, the run has checked nothing");
+    }
+    return 0;
 }
 
 }
 
-/** Exits with 0 if all rules held, 2 if one was broken, 1 if the run could not be made. */
+/** Exits with 0 if all rules held, 2 if one was broken, 1 if the run could not be made or has checked nothing. */
 int main(int argc, char **argv)
 {
     try {
--- a/tests/process/faultruntest.cpp
+++ b/tests/process/faultruntest.cpp
@@ -4,6 +4,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -12,15 +14,25 @@
 namespace
 {
 
-/** Plays drawn faults on real instances; gives the exit status: 0 if all rules held. */
-int playFaults(std::vector<std::string> arguments)
+std::filesystem::path newDirectory()
 {
     const auto directory = std::filesystem::temp_directory_path() / ("faultrun-test-" + std::to_string(freePort()));
     std::filesystem::create_directory(directory);
-    arguments.insert(arguments.end(),
-                     {"--program", CROCUSDEAL_BINARY_DIR "/platform/crocusdealfront", "--directory", directory});
+    return directory;
+}
+
+/** Plays drawn faults on instances of the program; gives the exit status: 0 if all rules held. */
+int playFaultsOn(const std::string &program, const std::filesystem::path &directory, std::vector<std::string> arguments)
+{
+    arguments.insert(arguments.end(), {"--program", program, "--directory", directory});
     child_process run(CROCUSDEAL_BINARY_DIR "/src/standins/faultrun", arguments);
-    const auto status = run.wait(std::chrono::seconds(120)).value_or(-1);
+    return run.wait(std::chrono::seconds(120)).value_or(-1);
+}
+
+int playFaults(const std::vector<std::string> &arguments)
+{
+    const auto directory = newDirectory();
+    const auto status = playFaultsOn(CROCUSDEAL_BINARY_DIR "/platform/crocusdealfront", directory, arguments);
     if (status == 0) {
         std::filesystem::remove_all(directory); // Else the record stays.
     }
@@ -33,6 +45,7 @@
 {
     CPPUNIT_TEST_SUITE(fault_run_test);
     CPPUNIT_TEST(replicaThatStartsAgainBesideAnOrderLosesNothing);
+    CPPUNIT_TEST(runWhoseDaemonsEndIsNoSuccess);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -53,6 +66,17 @@
                                          "--order-effect-ms",
                                          "3000"}));
     }
+
+    /** Guards against a run that has checked nothing and passes for one in which all rules held. */
+    void runWhoseDaemonsEndIsNoSuccess()
+    {
+        const auto directory = newDirectory();
+        CPPUNIT_ASSERT_EQUAL(1, playFaultsOn("/bin/true", directory, {"--length-ms", "1000"}));
+        std::ifstream record(directory / "record.txt");
+        const std::string lines{std::istreambuf_iterator<char>(record), {}};
+        CPPUNIT_ASSERT(lines.find("has ended by itself") != std::string::npos);
+        std::filesystem::remove_all(directory);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fault_run_test);
