Leave the stand-ins of the review as they are

Cause: reserved the ports of a run in review/standin, which stays as it is by the project's rules. Ruled out: to reserve them in faultrun, as the stand-ins draw their own ports. Before: two runs that start together could draw the same ports and check nothing. After: they still can, but such a run ends with status 1 and says that a daemon has ended by itself (runWhoseDaemonsEndIsNoSuccess). Conclusion: start runs some seconds apart.

--- a/review/standin/loop.h
+++ b/review/standin/loop.h
@@ -81,7 +81,7 @@
 /** Connects to a loopback address; @p done gets nothing if that fails. */
 void connectTo(loop &events, const std::string &address, std::function<void(std::shared_ptr<connection>)> done);
 
-/** A loopback address that no other run draws until this process ends; listeners there set SO_REUSEADDR. */
-std::string freeAddress();
+/** A loopback address with a port on which nobody listens. */
+std::string freeAddress(loop &events);
 
 }
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -276,13 +276,13 @@
 void world::startFront(const std::string &zone)
 {
     const auto number = std::to_string(fronts.size() + 1);
-    const auto callers = freeAddress();
+    const auto callers = freeAddress(events);
     const json settings{{"instance", "front-" + zone + "-" + number},
                         {"data_centre", zone},
                         {"caller_address", callers},
-                        {"readiness", {{"address", freeAddress()}, {"path", "/api/ready"}}},
-                        {"metrics_address", freeAddress()},
-                        {"relay_address", freeAddress()},
+                        {"readiness", {{"address", freeAddress(events)}, {"path", "/api/ready"}}},
+                        {"metrics_address", freeAddress(events)},
+                        {"relay_address", freeAddress(events)},
                         {"store_address", store.address(fronts.size())},
                         {"authority_address", duty.address()},
                         {"drain_ms", 7000},
--- a/src/standins/faultrun/faultworld.cpp
+++ b/src/standins/faultrun/faultworld.cpp
@@ -199,13 +199,13 @@
         instance one;
         const auto &dataCentre = dataCentres.at(i % dataCentres.size());
         one.name = "front-" + dataCentre + "-" + std::to_string(i + 1);
-        one.callers = review::freeAddress();
+        one.callers = review::freeAddress(m_loop);
         const json settings{{"instance", one.name},
                             {"data_centre", dataCentre},
                             {"caller_address", one.callers},
-                            {"readiness", {{"address", review::freeAddress()}, {"path", "/api/ready"}}},
-                            {"metrics_address", review::freeAddress()},
-                            {"relay_address", review::freeAddress()},
+                            {"readiness", {{"address", review::freeAddress(m_loop)}, {"path", "/api/ready"}}},
+                            {"metrics_address", review::freeAddress(m_loop)},
+                            {"relay_address", review::freeAddress(m_loop)},
                             {"store_address", m_store.address(i)},
                             {"authority_address", m_authority.address()},
                             {"drain_ms", drainTime.ms},
