End a fault run whose daemon cannot be started

Cause: faultrun took the -1 of a failed fork for a process, and its end would have sent SIGKILL to every process of the user; found by reading, no run shows it. After: the run ends with an error before the process is listed. Conclusion: only processes that the run has started can be ended by it.

--- a/src/standins/faultrun/faultworld.cpp
+++ b/src/standins/faultrun/faultworld.cpp
@@ -222,6 +222,9 @@
 {
     const auto log = m_options.directory + "/" + one.name + ".log";
     const auto child = ::fork();
+    if (child < 0) {
+        throw std::runtime_error("cannot start " + one.name); // Its number would stand for every process of the user.
+    }
     if (child != 0) {
         return child;
     }
--- a/tests/process/faultruntest.cpp
+++ b/tests/process/faultruntest.cpp
@@ -16,7 +16,7 @@
 
 std::filesystem::path newDirectory()
 {
-    const auto directory = std::filesystem::temp_directory_path() / ("faultrun-test-" + std::to_string(freePort()));
+    auto directory = std::filesystem::temp_directory_path() / ("faultrun-test-" + std::to_string(freePort()));
     std::filesystem::create_directory(directory);
     return directory;
 }
