Promote no drained database while another has yet to answer

Cause: promotion::tryChoose chose as soon as a majority had granted the fence. If the drained databases answered first, one of them became primary, the drain began anew at the next tick, and so on: the group changes its primary each few milliseconds until the one that stays answers before the others, or for ever if it is further away. Callers see writes refused and in doubt meanwhile. Ruled out: lost answers and the retry delay; every attempt in the logs ended as promoted. Now the choice waits for the databases that are not drained, until the fence times out (500 ms), as it does for the chosen one of a planned change. Price: if only drained databases answer, a failover takes that long. This failure was not caused by the load of the machine, which only made the wrong order of answers more frequent.

--- a/src/libcrocusdeal/promotion.cpp
+++ b/src/libcrocusdeal/promotion.cpp
@@ -143,7 +143,7 @@
         }
         return {};
     }
-    if (!timedOut && m_planned && m_unanswered.contains(*m_planned)) {
+    if (!timedOut && awaitsPreferred()) {
         return {};
     }
     const auto upstream = furthest();
@@ -227,6 +227,18 @@
     return {};
 }
 
+// Without the wait, drained databases that always answer first would take turns as primary.
+bool promotion::awaitsPreferred() const
+{
+    if (m_planned && m_unanswered.contains(*m_planned)) {
+        return true;
+    }
+    const auto staysInUse = [this](const target_id &target) { return !m_leaving.contains(target); };
+    const bool isGrantedByOne =
+        std::any_of(m_granted.begin(), m_granted.end(), [&](const auto &granted) { return staysInUse(granted.first); });
+    return !isGrantedByOne && std::any_of(m_unanswered.begin(), m_unanswered.end(), staysInUse);
+}
+
 bool promotion::isAhead(position a, position b) const
 {
     return m_policy.compareEntryTerms ? a > b : a.offset > b.offset;
--- a/src/libcrocusdeal/promotion.h
+++ b/src/libcrocusdeal/promotion.h
@@ -74,7 +74,7 @@
 public:
     /**
      * @param members all databases of the group
-     * @param leaving drained databases, which are promoted only if no other granted the fence
+     * @param leaving drained databases, which are promoted only if no other grants the fence in time
      * @param planned the database to promote; nothing for the furthest one. If it does not grant the fence or does not
      *     catch up in time, another becomes primary, since by then no database accepts writes.
      */
@@ -113,6 +113,8 @@
     promotion_actions promoteChosen(time_point now);
     promotion_actions promoted();
     promotion_actions giveUpAlignment(time_point now);
+    /** Whether the answer of a database is awaited that is to be promoted rather than those that granted. */
+    bool awaitsPreferred() const;
     bool isAhead(position a, position b) const;
     target_id furthest() const;
     target_id choose(const target_id &furthestId) const;
