Tell other instances which targets are ordered

What callers saw: could lose a commit that they had. An instance that the store turns away hears of an open order through another instance, and lease_answer does not carry the targets that the record names. So it told commits that the ordered target lacked. Ruled out: a new version of the protocol, which would cut all relays between old and new instances during a rolling restart; a field at the end of lease_answer, which a new instance could not tell from its absence. So it is a kind of its own, sent before the answer: older instances leave out kinds that they do not know. Before: commitThatATargetNamedToAnotherInstanceLacksIsNotHandedOut fails, the commit is told ("COMPLETE sig-a-r2"). After: it passes, the write is in doubt; front_lease_test 8 passed, test_libcrocusdealfront 19 passed. Conclusion: fixed between instances of this version. An instance of an earlier version still tells no names.

--- a/src/libcrocusdealfront/relaycodec.cpp
+++ b/src/libcrocusdealfront/relaycodec.cpp
@@ -251,6 +251,22 @@
         archive, message.entries, maxLeases, [](Archive &a, promotion_lease_entry &entry) { leaseFields(a, entry); });
 }
 
+template<typename Archive>
+void fields(Archive &archive, lease_targets &message)
+{
+    archive(message.number);
+    std::vector<std::pair<service_id, std::vector<target_id>>> list(message.targets.begin(), message.targets.end());
+    listField<std::uint32_t>(
+        archive, list, maxLeases, [](Archive &a, std::pair<service_id, std::vector<target_id>> &named) {
+            idField(a, named.first);
+            listField<std::uint32_t>(
+                a, named.second, maxTargets, [](Archive &b, target_id &target) { idField(b, target); });
+        });
+    if (Archive::is_loading::value) {
+        message.targets = {list.begin(), list.end()};
+    }
+}
+
 template<typename Archive>
 void fields(Archive &archive, budget_request &message)
 {
--- a/src/libcrocusdealfront/relaylink.cpp
+++ b/src/libcrocusdealfront/relaylink.cpp
@@ -123,7 +123,7 @@
         return;
     }
     const auto number = m_nextNumber++;
-    m_leaseQuestions.emplace(number, std::move(done));
+    m_leaseQuestions.emplace(number, lease_inquiry{std::move(done), {}});
     send(lease_question{number});
 }
 
@@ -133,9 +133,24 @@
     if (found == m_leaseQuestions.end()) {
         return;
     }
-    const auto done = std::move(found->second);
+    const auto question = std::move(found->second);
     m_leaseQuestions.erase(found);
-    done(answer);
+    auto known = answer;
+    for (auto &entry : known.entries) {
+        const auto named = question.targets.find(entry.service);
+        if (named != question.targets.end()) {
+            entry.targets = named->second;
+        }
+    }
+    question.done(known);
+}
+
+void relay_link::handleLeaseTargets(lease_targets &message)
+{
+    const auto found = m_leaseQuestions.find(message.number);
+    if (found != m_leaseQuestions.end()) {
+        found->second.targets = std::move(message.targets);
+    }
 }
 
 void relay_link::askBudget(budget_request message, budget_handler done)
@@ -251,6 +266,8 @@
             rollBack(number);
         }
         finish(number, {relay_end::Answered, std::move(*answer), {}});
+    } else if (auto *named = std::get_if<lease_targets>(&message)) {
+        handleLeaseTargets(*named);
     } else if (const auto *leases = std::get_if<lease_answer>(&message)) {
         handleLeases(*leases);
     } else if (const auto *refused = std::get_if<relay_not_served>(&message)) {
@@ -326,8 +343,8 @@
     while (!m_pending.empty()) {
         finish(m_pending.begin()->first, {relay_end::Lost, {}, reason});
     }
-    for (const auto &[number, done] : std::exchange(m_leaseQuestions, {})) {
-        done(std::nullopt);
+    for (const auto &[number, question] : std::exchange(m_leaseQuestions, {})) {
+        question.done(std::nullopt);
     }
     loseBudgets();
 }
--- a/src/libcrocusdealfront/relaylink.h
+++ b/src/libcrocusdealfront/relaylink.h
@@ -83,10 +83,15 @@
         handler done;
         bool isRepeatable = false;
     };
+    struct lease_inquiry {
+        lease_handler done;
+        std::map<service_id, std::vector<target_id>> targets; ///< As in lease_targets.
+    };
 
     void handleData(std::string &inbound);
     void handleMessage(relay_message &message);
     void handleLeases(const lease_answer &answer);
+    void handleLeaseTargets(lease_targets &message);
     /** When the ping was sent that this pong answers; never if it answers none. */
     time_point takePing(const relay_pong &pong);
     void finish(std::uint64_t number, relay_result result);
@@ -102,7 +107,7 @@
     fleet_member m_peer;
     std::shared_ptr<byte_stream> m_stream;
     std::map<std::uint64_t, pending_work> m_pending;
-    std::map<std::uint64_t, lease_handler> m_leaseQuestions;
+    std::map<std::uint64_t, lease_inquiry> m_leaseQuestions;
     std::map<std::uint64_t, budget_handler> m_budgets; ///< Questions without an answer.
     std::uint64_t m_nextNumber = 1;
     time_point m_openedAt = never;
--- a/src/libcrocusdealfront/relaymessages.h
+++ b/src/libcrocusdealfront/relaymessages.h
@@ -110,6 +110,15 @@
     std::vector<promotion_lease_entry> entries;
 };
 
+/**
+ * The targets of promotion_lease_record, by service; comes before the lease_answer of its number. A kind of its own,
+ * since instances of earlier versions leave it out.
+ */
+struct lease_targets {
+    std::uint64_t number = 0;
+    std::map<service_id, std::vector<target_id>> targets;
+};
+
 /** Asks for a part of the budget of a workspace. */
 struct budget_request {
     std::uint64_t number = 0;
@@ -144,6 +153,7 @@
                                    lease_answer,
                                    budget_request,
                                    budget_grant,
+                                   lease_targets,
                                    relay_unknown>;
 
 }
--- a/src/libcrocusdealfront/relaysession.cpp
+++ b/src/libcrocusdealfront/relaysession.cpp
@@ -4,6 +4,7 @@
 #include "systemclock.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -24,6 +25,17 @@
     return std::none_of(name.begin(), name.end(), [](char c) { return static_cast<unsigned char>(c) <= ' '; });
 }
 
+std::map<service_id, std::vector<target_id>> namedTargets(const promotion_lease_list_update &update)
+{
+    std::map<service_id, std::vector<target_id>> named;
+    for (const auto &entry : update.entries) {
+        if (entry.targets) {
+            named.emplace(entry.service, *entry.targets);
+        }
+    }
+    return named;
+}
+
 }
 
 relay_session::relay_session(front_context &context,
@@ -159,6 +171,7 @@
             answer.isRead = update.failure == store_failure::None;
             answer.revision = update.revision;
             answer.entries = update.entries;
+            self->send(lease_targets{number, namedTargets(update)});
             self->send(answer);
         });
 }
--- a/src/libcrocusdealfront/servedservices.cpp
+++ b/src/libcrocusdealfront/servedservices.cpp
@@ -103,7 +103,7 @@
         auto &record = m_leases[entry.service];
         const bool isSame = entry.revision == record.revision;
         if (entry.revision >= record.revision) {
-            // Another instance does not tell the targets.
+            // An instance of an earlier version does not tell the targets.
             const auto targets = isSame && !entry.targets ? record.targets : entry.targets;
             record = {entry.holder, entry.revision, entry.purpose, entry.openSince, targets};
         }
--- a/tests/libcrocusdealfront/relaycodectest.cpp
+++ b/tests/libcrocusdealfront/relaycodectest.cpp
@@ -199,6 +199,9 @@
         CPPUNIT_ASSERT(leases.entries[0].service == service_id("svc") && leases.entries[0].holder == "holder");
         CPPUNIT_ASSERT(leases.entries[0].revision == 77 && leases.entries[0].openSince == 50U);
         CPPUNIT_ASSERT(leases.entries[0].purpose == promotion_lease_purpose::Settled);
+        const std::map<service_id, std::vector<target_id>> named{{service_id("svc"), {target_id("a"), target_id("b")}},
+                                                                 {service_id("other"), {}}};
+        CPPUNIT_ASSERT(throughTheWire(lease_targets{2, named}).targets == named);
         const auto request = throughTheWire(budget_request{4, workspace_id("w"), 2.5, true});
         CPPUNIT_ASSERT(request.workspace == workspace_id("w") && request.isFromHolder);
         CPPUNIT_ASSERT_EQUAL(2.5, request.wanted);
--- a/tests/platform/frontleasetest.cpp
+++ b/tests/platform/frontleasetest.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(silentStoreHoldsNoCommitsBack);
     CPPUNIT_TEST(nothingIsProvedWhileNobodyReachesTheStore);
     CPPUNIT_TEST(answerThatShowsAnOpenOrderProvesNothing);
+    CPPUNIT_TEST(commitThatATargetNamedToAnotherInstanceLacksIsNotHandedOut);
     CPPUNIT_TEST(questionsThatWaitShareOneLaterReading);
     CPPUNIT_TEST(silentStoreIsToldAsAFailure);
     CPPUNIT_TEST_SUITE_END();
@@ -121,6 +122,25 @@
         assertContains("ERROR INDOUBT", fleet.ask(*client, "WRITE 2 y"));
     }
 
+    /** Guards against LOST: only another instance hears of the open order, whose target does not receive. */
+    void commitThatATargetNamedToAnotherInstanceLacksIsNotHandedOut()
+    {
+        relay_world fleet(2, manyConnections);
+        fleet.world.addDatabase("d");
+        const auto client = beginWriting(fleet, "front-1");
+        fleet.storeOf("front-1").isAway = true;
+        fleet.world.runFor(1500_ms);
+        fleet.world.store.claimPromotionLease(
+            service_id("svc"),
+            {"other", promotion_lease_purpose::Promotion, 0, std::vector<target_id>{target_id("c")}},
+            fleet.world.store.leases.at("svc").revision,
+            [](const promotion_lease_update &) {});
+        fleet.world.group.at("c").faults.isDeaf = true;
+        startAgain(fleet.world.group.at("d")); // A new connection makes the instance ask.
+        fleet.world.runFor(800_ms);
+        assertContains("ERROR INDOUBT", fleet.ask(*client, "WRITE 2 y"));
+    }
+
     /** Guards against LOST by an answer from before the question, and against a reading for each question. */
     void questionsThatWaitShareOneLaterReading()
     {
