End the pauses after a fence only with the store's word

What callers saw: could lose a commit that they had. After the fence of an order without a name, an instance resumed the replicas that it had seen paused 2 s later, whatever had happened meanwhile. If another instance had claimed and paused them for an order of its own, a commit was proved by a replica that this order had not asked. In the same way settle() gave success without asking the store if the known record was settled already. Now both ways end the pauses only after the store has taken a write of this instance (settleAndConfirm). If that fails the replicas stay paused until pause_watch ends it, by a claim too. Left: an attempt that ends as not safe, or finds the primary, still resumes what it has paused without asking the store; asking would leave all replicas paused while the store is away. Before: fenceDoesNotEndThePauseOfANewerHolder fails (paused at 9 expected, 0 seen). After: it passes. Conclusion: fixed for the fence and for the end of the last order.

--- a/src/libcrocusdealfront/primarykeeper.cpp
+++ b/src/libcrocusdealfront/primarykeeper.cpp
@@ -202,14 +202,11 @@
     if (m_lastOrdered) {
         resume(*m_lastOrdered, "fence");
     }
-    m_context.deadlines.scheduleAfter(promotionTime, [self = shared_from_this(), paused = m_sightings.pausedTargets()] {
-        self->settleOrders();
-        if (self->m_isStopped || self->m_attempt) {
-            return; // The attempt ends the pauses that it finds.
-        }
-        for (const auto &id : paused) {
-            self->resume(id, "fence");
+    m_context.deadlines.scheduleAfter(promotionTime, [self = shared_from_this()] {
+        if (!self->m_isStopped && !self->m_attempt) { // An attempt ends the pauses that it finds.
+            self->m_isResumeDue = true;
         }
+        self->settleOrders();
     });
 }
 
@@ -887,11 +884,13 @@
 
 void primary_keeper::settleOrders()
 {
+    if (!isFenceRecent() && !std::exchange(m_isResumeDue, false)) {
+        m_orders->settle([](bool) {});
+        return;
+    }
     if (!isFenceRecent()) {
-        m_orders->settle([self = shared_from_this()](bool isSettled) {
-            // Pauses end only when the store has told that nobody else has claimed.
-            const bool isDue = std::exchange(self->m_isResumeDue, false);
-            if (isSettled && isDue && !self->m_isStopped && !self->m_attempt) {
+        m_orders->settleAndConfirm([self = shared_from_this()](bool isSettled) {
+            if (isSettled && !self->m_isStopped && !self->m_attempt) {
                 self->resumeAll();
             }
         });
--- a/src/libcrocusdealfront/promotionorders.cpp
+++ b/src/libcrocusdealfront/promotionorders.cpp
@@ -243,16 +243,35 @@
         });
 }
 
+bool promotion_orders::maySettle() const
+{
+    return !m_isBusy && m_open.isEmpty() && !m_lease.isForeignPromotionPending();
+}
+
 void promotion_orders::settle(std::function<void(bool)> done)
 {
-    if (m_isBusy || !m_open.isEmpty() || m_lease.isForeignPromotionPending()) {
-        done(false);
+    if (maySettle() && m_lease.isOwnPromotionPending()) {
+        writeSettled(std::move(done));
         return;
     }
-    if (!m_lease.isOwnPromotionPending()) {
-        done(true);
+    done(maySettle());
+}
+
+void promotion_orders::settleAndConfirm(std::function<void(bool)> done)
+{
+    if (!maySettle() || m_lease.isOwnPromotionPending()) {
+        settle(std::move(done));
         return;
     }
+    if (!m_lease.mayClaim(systemNow(), never)) {
+        done(false); // Another instance holds it, and ends the pauses in time.
+        return;
+    }
+    claimQuiet(std::move(done));
+}
+
+void promotion_orders::writeSettled(std::function<void(bool)> done)
+{
     m_recordedTarget.reset();
     m_store.claimPromotionLease(
         m_service,
--- a/src/libcrocusdealfront/promotionorders.h
+++ b/src/libcrocusdealfront/promotionorders.h
@@ -72,6 +72,9 @@
     void send(const target_id &target, const std::string &why, std::function<void(promotion_answer)> done);
     /** Tells the other instances that no order is open, unless one is; @p done hears whether the record says so now. */
     void settle(std::function<void(bool)> done);
+    /** As settle(), for what needs the store's word that nobody else has claimed, also if the record says so already.
+     */
+    void settleAndConfirm(std::function<void(bool)> done);
     /**
      * Fences what is open with a newer order that names the primary in place and so changes nothing, provided that
      * @p isStillPrimary says that it is; @p done is told whether it could. One that was carried out just before without
@@ -86,6 +89,8 @@
     void claimForOrder(std::optional<std::uint64_t> replaces,
                        const std::optional<target_id> &target,
                        std::function<void(claim_result, const promotion_lease_update &)> done);
+    bool maySettle() const;
+    void writeSettled(std::function<void(bool)> done);
     void logClaim(const char *reason, const promotion_lease_update &update) const;
     void sendFence(const target_id &primary, std::function<void(bool)> done);
 
--- a/src/libcrocusdealpolicy/primaryfailuredetector.cpp
+++ b/src/libcrocusdealpolicy/primaryfailuredetector.cpp
@@ -124,17 +124,6 @@
     return newest;
 }
 
-std::vector<target_id> primary_failure_detector::pausedTargets() const
-{
-    std::vector<target_id> found;
-    for (const auto &[id, state] : m_targets) {
-        if (state.report && state.report->isPaused()) {
-            found.push_back(id);
-        }
-    }
-    return found;
-}
-
 bool primary_failure_detector::isSurveyComplete() const
 {
     return std::all_of(
--- a/src/libcrocusdealpolicy/primaryfailuredetector.h
+++ b/src/libcrocusdealpolicy/primaryfailuredetector.h
@@ -51,8 +51,6 @@
     bool isPrimaryChangeInProgress(time_point now) const;
     /** The newest term that a target has reported; 0 without a report. */
     std::uint64_t newestTerm() const;
-    /** The targets that do not replicate until they are resumed. */
-    std::vector<target_id> pausedTargets() const;
     /** Whether each target has answered, or failed to answer, since replies were last discarded. */
     bool isSurveyComplete() const;
     /**
--- a/tests/platform/frontfailovertest.cpp
+++ b/tests/platform/frontfailovertest.cpp
@@ -83,6 +83,7 @@
     CPPUNIT_TEST(changeOfAnotherInstanceGoesFirst);
     CPPUNIT_TEST(pauseLeftBehindIsEnded);
     CPPUNIT_TEST(pauseIsNotEndedByOldKnowledgeOfTheLease);
+    CPPUNIT_TEST(fenceDoesNotEndThePauseOfANewerHolder);
     CPPUNIT_TEST(refusedTokenIsNotUsedAgain);
     CPPUNIT_TEST(writesAreRefusedEarlyWithoutAPrimary);
     CPPUNIT_TEST(instanceThatReachesNothingTurnsUnready);
@@ -710,6 +711,25 @@
         }
     }
 
+    /** Guards against LOST: another instance has claimed and paused since the fence, which this one has not heard. */
+    void fenceDoesNotEndThePauseOfANewerHolder()
+    {
+        front_world world;
+        const auto client = beginBeforeAnOrder(world);
+        world.group.at("b").pausedAt = 2;
+        leaveOrderOpen(world, "c", 20000_ms);
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.store.orders.empty(); }, 11000_ms));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), world.store.orders.back().target);
+        world.store.isAway = true;
+        auto &lease = world.store.leases.at("svc");
+        lease.holder = "other";
+        lease.purpose = promotion_lease_purpose::Promotion;
+        lease.revision += 100;
+        world.group.at("b").pausedAt = 9;
+        world.runFor(4000_ms);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, world.group.at("b").pausedAt);
+    }
+
     /** Guards against calling again with a fencing token that was refused. */
     void refusedTokenIsNotUsedAgain()
     {
