Hold the ports of test instances from their draw to the end

Cause: the tests of processes drew a port, tried it and let it go. A spare instance starts up to half a minute after its ports were drawn. The parts of test_process begin 97 ports apart for each process id between them and draw more than that, and faultrun draws from 12000 to 27000, which overlaps the 20000 to 32000 of the tests. So another test could listen at the port by then. Ruled out: outgoing connections, whose ports begin at 32768; the product, which binds what its settings say. Now held_port takes the port alone and keeps its socket, so that no other test draws it; it then allows the program to listen beside it. Left: faultrun's own addresses are not held; two runs that start with neighbouring process ids may meet, and fail with status 1. UDP ports are tried and not held.

--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -4,9 +4,6 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -35,35 +32,6 @@
 constexpr const char *secondServiceName = "records";
 constexpr std::streamoff maxPrintedLog = 6000;
 
-bool canBind(int type, std::uint16_t port)
-{
-    const int descriptor = socket(AF_INET, type | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const bool ok = bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
-    close(descriptor);
-    return ok;
-}
-
-/** Free for TCP and UDP, and below the range that outgoing connections take their ports from. */
-std::uint16_t listeningPort()
-{
-    constexpr int first = 20'000;
-    constexpr int count = 12'000;
-    constexpr int spread = 97;
-    static int next = (getpid() * spread) % count;
-    for (int tries = 0; tries < count; ++tries) {
-        next = (next + 1) % count;
-        const auto port = static_cast<std::uint16_t>(first + next);
-        if (canBind(SOCK_STREAM, port) && canBind(SOCK_DGRAM, port)) {
-            return port;
-        }
-    }
-    throw std::runtime_error("no free port");
-}
-
 std::string loopback(std::uint16_t port)
 {
     return "127.0.0.1:" + std::to_string(port);
@@ -157,17 +125,23 @@
     std::filesystem::remove_all(m_directory, ignored);
 }
 
+std::uint16_t cluster::newPort()
+{
+    m_ports.emplace_back();
+    return m_ports.back().number();
+}
+
 void cluster::choosePorts()
 {
     m_instances.resize(static_cast<std::size_t>(m_options.instances)
                        + static_cast<std::size_t>(m_options.spareInstances));
     for (auto &entry : m_instances) {
-        entry.callerPort = listeningPort();
-        entry.controlPort = listeningPort();
+        entry.callerPort = newPort();
+        entry.controlPort = newPort();
         entry.advertisedPort = entry.controlPort;
-        entry.adminPort = listeningPort();
+        entry.adminPort = newPort();
         if (m_options.relays) {
-            entry.advertisedPort = listeningPort();
+            entry.advertisedPort = newPort();
             entry.relay = std::make_unique<control_relay>(entry.advertisedPort, entry.controlPort);
         }
     }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -2,6 +2,7 @@
 
 #include "controlrelay.h"
 #include "databasegroup.h"
+#include "heldport.h"
 #include "pgclient.h"
 #include "processrunner.h"
 
@@ -118,6 +119,8 @@
     void startPlatform();
     void startDatabases();
     void choosePorts();
+    /** Kept for as long as the cluster lives. */
+    std::uint16_t newPort();
     void makeCertificate() const;
     void writeSettings(std::size_t index) const;
     std::string settingsFile(std::size_t index) const;
@@ -130,6 +133,7 @@
     std::unique_ptr<child_process> m_platform;
     std::string m_platformAddress;
     std::vector<std::unique_ptr<database_process>> m_databases;
+    std::vector<held_port> m_ports;
     std::vector<instance_entry> m_instances;
 };
 
