Correct the brief of open_orders and look names up in one place

Cause: the brief said that a target that does not live any more as what it was ends its orders; only its departure for good does. Whether a target is named was looked up in commit_proof. Before and after: same behaviour, no test concerns it. Conclusion: wording only.

--- a/src/libcrocusdealfront/commitproof.cpp
+++ b/src/libcrocusdealfront/commitproof.cpp
@@ -215,9 +215,8 @@
     const auto now = systemNow();
     const auto rank = [&](const target_id &id, const target_pool &pool) {
         const bool isUsable = !pool.isFailing(now) && !pool.isSilent(now);
-        const auto &named = m_witnesses.namedTargets();
-        const bool isNamed = std::find(named.begin(), named.end(), id) != named.end();
-        return std::tuple(isNamed, isUsable, !pool.entry().isDraining, id == m_lastHolder, pool.connections() > 0);
+        return std::tuple(
+            m_witnesses.isNamed(id), isUsable, !pool.entry().isDraining, id == m_lastHolder, pool.connections() > 0);
     };
     for (const auto &target : m_targets) {
         const auto &id = target.first;
--- a/src/libcrocusdealpolicy/commitwitnesses.cpp
+++ b/src/libcrocusdealpolicy/commitwitnesses.cpp
@@ -106,6 +106,11 @@
     return m_named;
 }
 
+bool commit_witnesses::isNamed(const target_id &target) const
+{
+    return std::find(m_named.begin(), m_named.end(), target) != m_named.end();
+}
+
 void commit_witnesses::recordUnrecordedCommand(time_point now)
 {
     if (m_unrecordedCommandAt == never || now - m_unrecordedCommandAt >= longestUnrecordedCommand) {
--- a/src/libcrocusdealpolicy/commitwitnesses.h
+++ b/src/libcrocusdealpolicy/commitwitnesses.h
@@ -70,6 +70,7 @@
      * so a commit survives only if all of them hold it, but for the primary that has acknowledged it.
      */
     const std::vector<target_id> &namedTargets() const;
+    bool isNamed(const target_id &target) const;
     /** What is known of a target as a witness, with revisions and ages, for the log. */
     std::string describe(const target_id &target, time_point now) const;
     /** Whether a newer answer about the lease can make more targets witnesses. */
--- a/src/libcrocusdealpolicy/openorders.h
+++ b/src/libcrocusdealpolicy/openorders.h
@@ -25,7 +25,7 @@
  * The promotion commands for one service that may still take effect.
  *
  * An accepted command is carried out, but its target leads later, and no time bounds how much later. So a command ends
- * only by what was seen: it was refused, its target leads, or its target does not live any more as what it was.
+ * only by what was seen: it was refused, its target leads, or its target is gone for good.
  */
 class open_orders
 {
