Let no departing replica prove a commit

What callers saw: could lose a commit that they had, if a replica left while the primary was cut off or crashed. Cause: an orderer takes a draining target whose entry is gone for departed, with its log, once it has not reached it for 2 s (departureTime), asks the primary how far its log goes, and needs no more than that answer from then on. Other instances counted the same target as a witness for as long as they knew it, up to 30 s after its entry had gone. If one of them reached it and the orderer did not, a commit that only this replica and the primary held was told after the primary's answer, and the next promotion did without it. Ruled out: a longer wait of the orderer, which is another guess at the same event; to leave out every target without an entry, as entries also lapse while the store is away. Now a draining target is no witness any more once its entry has gone. That is heard by the same watch by which the orderer hears it, and comes before the 2 s. Before: commitThatOnlyADepartingReplicaHoldsIsNotHandedOut fails, the commit is told. Left: an instance whose list is older than the orderer's by more than 2 s; the same for an entry that lapses and is taken for gone after 30 s. The whole order of events, with two instances and a cut of one of them, has no test; the loss itself was not reproduced. Conclusion: fixed as far as both hear of the entry.

--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -131,7 +131,11 @@
     std::vector<listed_target> listed;
     for (const auto &[id, pool] : m_targets) {
         const auto *known = m_directory.find(id);
-        listed.push_back({id, known->entry.incarnation, known->listedAt});
+        const bool isDeparting = known->drainingSince && known->removedAt;
+        // Another instance that does not reach a departing target promotes without its log.
+        if (!isDeparting) {
+            listed.push_back({id, known->entry.incarnation, known->listedAt});
+        }
     }
     m_witnesses.setTargets(listed, systemNow());
     m_proofs->check();
--- a/tests/platform/frontcommittest.cpp
+++ b/tests/platform/frontcommittest.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(commitOfATransactionIsHeldBackAsWell);
     CPPUNIT_TEST(replicaListedDuringAChangeProvesNothingUntilItIsOver);
     CPPUNIT_TEST(commitThatAnOrderedTargetLacksIsNotHandedOut);
+    CPPUNIT_TEST(commitThatOnlyADepartingReplicaHoldsIsNotHandedOut);
     CPPUNIT_TEST(replicaListedWithoutAChangeProvesCommits);
     CPPUNIT_TEST(replicaThatStartsAgainUnlistedProvesNothing);
     CPPUNIT_TEST(replicaConnectedToAgainProvesCommitsWithoutAChange);
@@ -125,6 +126,22 @@
         settleChangeOfAnother(world);
     }
 
+    /** Guards against LOST: an orderer that does not reach the replica takes it, and its log, for gone. */
+    void commitThatOnlyADepartingReplicaHoldsIsNotHandedOut()
+    {
+        front_world world;
+        const auto client = beginWriting(world);
+        world.publishEntry("b", true);
+        world.runFor(100_ms);
+        world.store.removeTarget("b");
+        world.runFor(300_ms);
+        world.group.at("c").faults.isDeaf = true;
+        assertContains("ERROR INDOUBT", world.ask(*client, "WRITE 2 y"));
+        world.group.at("c").faults.isDeaf = false;
+        world.group.at("c").received = world.group.at("a").received;
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 3 z"));
+    }
+
     /** Guards against writes without an answer after a release that has replaced every replica. */
     void replicaListedWithoutAChangeProvesCommits()
     {
