Let a replica without an entry prove commits for 3 s at most

What callers saw: could lose a commit that they had, while a replica was cut off from the store and still received from the primary. An instance that starts reads a list without that replica, and an instance that knew it drops it after 30 s; both then ask the primary how far its log goes, and order without the replica. Other instances counted it as a witness for as long as they knew it, so a commit that only it and the primary held was told after the primary's answer. Ruled out: to leave it out at once, since after an outage of the store entries are missing until the targets have written them again, and all commits would be in doubt for so long. Now target_directory::isKnownToOrderers decides for both this and the departing replica: a missing entry counts for 3 s, that of a draining target not at all. What callers pay: where all replicas that receive have lost their entries for longer, writes are in doubt. Left: the 3 s stand for the knowledge of an orderer that starts just then; an instance with an old list. The loss itself, with two instances, was not reproduced. Conclusion: narrowed from 30 s to 3 s.

--- a/src/libcrocusdealfront/servedservices.cpp
+++ b/src/libcrocusdealfront/servedservices.cpp
@@ -299,11 +299,13 @@
 {
     std::vector<target_id> gone;
     for (const auto &[service, group] : m_groups) {
+        bool isAnyMissing = false;
         for (const auto &[id, pool] : group->targets()) {
             const auto *known = m_directory.find(id);
             if (known == nullptr || !known->removedAt) {
                 continue;
             }
+            isAnyMissing = true;
             if (m_keepers.at(service)->isKnownGone(id)) {
                 gone.push_back(id);
                 continue;
@@ -313,6 +315,9 @@
                 askIn(known->entry.dataCentre);
             }
         }
+        if (isAnyMissing) {
+            group->refreshWitnesses();
+        }
     }
     for (const auto &id : gone) {
         m_context.log.info("target_gone").field("target", id.str());
--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -128,16 +128,15 @@
 
 void service_group::refreshWitnesses()
 {
+    const auto now = systemNow();
     std::vector<listed_target> listed;
     for (const auto &[id, pool] : m_targets) {
         const auto *known = m_directory.find(id);
-        const bool isDeparting = known->drainingSince && known->removedAt;
-        // Another instance that does not reach a departing target promotes without its log.
-        if (!isDeparting) {
+        if (target_directory::isKnownToOrderers(*known, now)) {
             listed.push_back({id, known->entry.incarnation, known->listedAt});
         }
     }
-    m_witnesses.setTargets(listed, systemNow());
+    m_witnesses.setTargets(listed, now);
     m_proofs->check();
 }
 
--- a/src/libcrocusdealfront/servicegroup.h
+++ b/src/libcrocusdealfront/servicegroup.h
@@ -165,9 +165,10 @@
     void writeEnded(time_point sentAt, bool isAcknowledged);
     time_point oldestOpenWrite() const;
     time_point lastWriteAckedAt() const;
+    /** Takes over which targets can prove commits; also due while the entry of one is missing. */
+    void refreshWitnesses();
 
 private:
-    void refreshWitnesses();
     /** Statements of the workspace that wait; of all where connections belong to none. */
     std::size_t waitingOf(const workspace_id &workspace) const;
     /** Connections that are being opened, and that such statements may use. */
--- a/src/libcrocusdealpolicy/targetdirectory.cpp
+++ b/src/libcrocusdealpolicy/targetdirectory.cpp
@@ -15,6 +15,8 @@
 // An instance that starts, or was partitioned, learns of changes late. The drain time does not bind it for
 // stable_window_ms.
 constexpr duration lateUpdateGrace{2500};
+// After the store was away, targets write their entries again within this time.
+constexpr duration entryReturnTime{3000};
 
 }
 
@@ -116,4 +118,11 @@
     return isPrimary && now < target.newWorkUntil;
 }
 
+// One whose entry is missing is not known to an instance that starts now. A draining one that an instance does not
+// reach is taken for departed.
+bool target_directory::isKnownToOrderers(const known_target &target, time_point now)
+{
+    return !target.removedAt || (!target.drainingSince && now - *target.removedAt < entryReturnTime);
+}
+
 }
--- a/tests/platform/frontcommittest.cpp
+++ b/tests/platform/frontcommittest.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(replicaListedDuringAChangeProvesNothingUntilItIsOver);
     CPPUNIT_TEST(commitThatAnOrderedTargetLacksIsNotHandedOut);
     CPPUNIT_TEST(commitThatOnlyADepartingReplicaHoldsIsNotHandedOut);
+    CPPUNIT_TEST(commitThatOnlyAReplicaWithoutEntryHoldsIsNotHandedOut);
     CPPUNIT_TEST(replicaListedWithoutAChangeProvesCommits);
     CPPUNIT_TEST(replicaThatStartsAgainUnlistedProvesNothing);
     CPPUNIT_TEST(replicaConnectedToAgainProvesCommitsWithoutAChange);
@@ -142,6 +143,23 @@
         assertContains("COMPLETE sig", world.ask(*client, "WRITE 3 z"));
     }
 
+    /** Guards against LOST: an orderer that starts now, or has dropped the missing entry, does without the replica. */
+    void commitThatOnlyAReplicaWithoutEntryHoldsIsNotHandedOut()
+    {
+        front_world world;
+        const auto client = beginWriting(world);
+        world.group.at("c").faults.isDeaf = true;
+        world.store.removeTarget("b");
+        world.runFor(300_ms);
+        assertContains("COMPLETE sig",
+                       world.ask(*client, "WRITE 2 y")); // It may come back after an outage of the store.
+        world.runFor(4000_ms);
+        assertContains("ERROR INDOUBT", world.ask(*client, "WRITE 3 z"));
+        world.publishEntry("b", false);
+        world.runFor(300_ms);
+        assertContains("COMPLETE sig", world.ask(*client, "WRITE 4 z"));
+    }
+
     /** Guards against writes without an answer after a release that has replaced every replica. */
     void replicaListedWithoutAChangeProvesCommits()
     {
