Let an ordered target without an entry hold no commits back

What callers saw: writes in doubt, for up to 30 s, though every target that could lead received them. Now commit_witnesses tells the two apart: isWitness for what proves a commit alone, isKeeper for a named target. isKnownToOrderers, which promised too much, is called mayProveCommits.

--- a/src/libcrocusdealfront/commitproof.cpp
+++ b/src/libcrocusdealfront/commitproof.cpp
@@ -76,7 +76,9 @@
 {
     // Without a connection the question opens one, over which the next round can be answered.
     const auto connectedAt = pool.controlConnectedSince();
-    return target != commit.primary && (connectedAt == never || isWitness(target, connectedAt, commit));
+    const bool isAnswerOfUse = connectedAt == never || isWitness(target, connectedAt, commit)
+        || (m_witnesses.isNamed(target) && m_witnesses.isKeeper(target, connectedAt, commit.sentAt));
+    return target != commit.primary && isAnswerOfUse;
 }
 
 bool commit_proof::isHeldBy(const target_id &target, const sent_commit &commit) const
@@ -87,11 +89,19 @@
     });
 }
 
+bool commit_proof::isKeptBy(const target_id &target, const sent_commit &commit) const
+{
+    const auto pool = m_targets.find(target);
+    return pool != m_targets.end() && pool->second->hasShown(commit.at, [&](time_point connectedAt) {
+        return m_witnesses.isKeeper(target, connectedAt, commit.sentAt);
+    });
+}
+
 bool commit_proof::isHeldByNamed(const sent_commit &commit, const std::optional<target_id> &told) const
 {
     const auto &named = m_witnesses.namedTargets();
     return std::all_of(named.begin(), named.end(), [&](const target_id &target) {
-        return target == commit.primary || target == told || isHeldBy(target, commit);
+        return target == commit.primary || target == told || isKeptBy(target, commit);
     });
 }
 
--- a/src/libcrocusdealfront/commitproof.h
+++ b/src/libcrocusdealfront/commitproof.h
@@ -73,6 +73,8 @@
     bool isWitness(const target_id &target, time_point connectedAt, const sent_commit &commit) const;
     /** Whether any answer of @p target over a connection that is still open tells that it holds the commit. */
     bool isHeldBy(const target_id &target, const sent_commit &commit) const;
+    /** As isHeldBy(), for a target that an open order names; see commit_witnesses::isKeeper(). */
+    bool isKeptBy(const target_id &target, const sent_commit &commit) const;
     /** Whether every target that an open order names holds the commit; @p told has just told so by its status. */
     bool isHeldByNamed(const sent_commit &commit, const std::optional<target_id> &told) const;
     /** Whether asking @p target may prove the commit. */
--- a/src/libcrocusdealfront/servicegroup.cpp
+++ b/src/libcrocusdealfront/servicegroup.cpp
@@ -132,9 +132,11 @@
     std::vector<listed_target> listed;
     for (const auto &[id, pool] : m_targets) {
         const auto *known = m_directory.find(id);
-        if (target_directory::isKnownToOrderers(*known, now)) {
-            listed.push_back({id, known->entry.incarnation, known->listedAt});
+        if (known == nullptr) {
+            continue; // refreshTargets() is about to leave it out.
         }
+        const bool mayProveCommits = target_directory::mayProveCommits(*known, now);
+        listed.push_back({id, known->entry.incarnation, known->listedAt, mayProveCommits});
     }
     m_witnesses.setTargets(listed, now);
     m_proofs->check();
--- a/src/libcrocusdealpolicy/commitwitnesses.cpp
+++ b/src/libcrocusdealpolicy/commitwitnesses.cpp
@@ -28,12 +28,13 @@
         const bool isSame = known != m_targets.end() && known->second.incarnation == target.incarnation
             && known->second.listedAt == target.listedAt;
         if (isSame) {
-            present.emplace(target.id, known->second);
+            present.emplace(target.id, known->second).first->second.mayProveCommits = target.mayProveCommits;
             continue;
         }
         witness_state added;
         added.incarnation = target.incarnation;
         added.listedAt = target.listedAt;
+        added.mayProveCommits = target.mayProveCommits;
         added.isNewSinceCommand = m_unrecordedCommandAt != never;
         present.emplace(target.id, added);
     }
@@ -122,6 +123,12 @@
 }
 
 bool commit_witnesses::isWitness(const target_id &target, time_point connectedAt, time_point sentAt) const
+{
+    const auto found = m_targets.find(target);
+    return found != m_targets.end() && found->second.mayProveCommits && isKeeper(target, connectedAt, sentAt);
+}
+
+bool commit_witnesses::isKeeper(const target_id &target, time_point connectedAt, time_point sentAt) const
 {
     const auto found = m_targets.find(target);
     if (found == m_targets.end() || found->second.coveredAt == never || sentAt < found->second.coveredAt) {
@@ -151,6 +158,7 @@
         "incarnation " + std::to_string(state.incarnation) + " listed at " + std::to_string(state.listedAt);
     text += ", lease known at " + std::to_string(m_leaseRevision);
     text += ", covered up to " + std::to_string(m_coveredRevision);
+    text += state.mayProveCommits ? "" : ", entry missing";
     text += state.coveredAt == never ? ", not covered"
                                      : ", covered " + std::to_string((now - state.coveredAt).ms) + " ms ago";
     for (const auto &named : m_named) {
--- a/src/libcrocusdealpolicy/commitwitnesses.h
+++ b/src/libcrocusdealpolicy/commitwitnesses.h
@@ -19,6 +19,7 @@
     target_id id;
     std::uint64_t incarnation = 0;
     std::uint64_t listedAt = 0; ///< A revision of the store from which on it is listed in this incarnation.
+    bool mayProveCommits = true; ///< Else other instances may order without it.
 };
 
 /**
@@ -60,6 +61,8 @@
      * The target has told so over a connection that has been open since @p connectedAt.
      */
     bool isWitness(const target_id &target, time_point connectedAt, time_point sentAt) const;
+    /** As isWitness(), for a target that an open command names: whether it still holds the commit if it leads. */
+    bool isKeeper(const target_id &target, time_point connectedAt, time_point sentAt) const;
     /**
      * Whether a current answer about the lease can make answers count over a connection that is open since then; not
      * while a command is known to be open.
@@ -80,6 +83,7 @@
     struct witness_state {
         std::uint64_t incarnation = 0;
         std::uint64_t listedAt = 0;
+        bool mayProveCommits = true;
         time_point coveredAt = never; ///< Since when no command that overlooks it can be open; never if one can.
         bool isNewSinceCommand = false; ///< Listed since recordUnrecordedCommand().
     };
--- a/src/libcrocusdealpolicy/targetdirectory.cpp
+++ b/src/libcrocusdealpolicy/targetdirectory.cpp
@@ -119,9 +119,9 @@
     return isPrimary && now < target.newWorkUntil;
 }
 
-// One whose entry is missing is not known to an instance that starts now. A draining one that an instance does not
-// reach is taken for departed.
-bool target_directory::isKnownToOrderers(const known_target &target, time_point now)
+// One whose entry is missing is not known to an instance that starts now; the time only allows for entries that return.
+// A draining one that an instance does not reach is taken for departed.
+bool target_directory::mayProveCommits(const known_target &target, time_point now)
 {
     return !target.removedAt || (!target.drainingSince && now - *target.removedAt < entryReturnTime);
 }
--- a/src/libcrocusdealpolicy/targetdirectory.h
+++ b/src/libcrocusdealpolicy/targetdirectory.h
@@ -51,8 +51,8 @@
 
     /** Whether @p target may receive statements that start new work. */
     bool acceptsNewWork(const known_target &target, bool isPrimary, time_point now) const;
-    /** Whether each instance that orders a promotion knows the target, so that what it holds can prove a commit. */
-    static bool isKnownToOrderers(const known_target &target, time_point now);
+    /** Whether what the target holds can prove a commit: others that order a promotion take it into account. */
+    static bool mayProveCommits(const known_target &target, time_point now);
 
 private:
     time_point newWorkUntil(const directory_update_time &at) const;
--- a/tests/libcrocusdealpolicy/targetdirectorytest.cpp
+++ b/tests/libcrocusdealpolicy/targetdirectorytest.cpp
@@ -16,7 +16,7 @@
     CPPUNIT_TEST(targetWithExpiredEntryServesBriefly);
     CPPUNIT_TEST(targetWithExpiredEntryIsKeptForPromotions);
     CPPUNIT_TEST(restartedTargetIsNotDraining);
-    CPPUNIT_TEST(targetWithoutEntryIsNotKnownToOrderers);
+    CPPUNIT_TEST(targetWithoutEntryProvesNoCommits);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -92,18 +92,18 @@
     }
 
     /** Guards against lost commits: some instances do not know, or have dropped, what proves a commit to others. */
-    void targetWithoutEntryIsNotKnownToOrderers()
+    void targetWithoutEntryProvesNoCommits()
     {
         target_directory directory(7000_ms);
         directory.put(entry(false), at(0));
-        CPPUNIT_ASSERT(target_directory::isKnownToOrderers(known(directory), {90000}));
+        CPPUNIT_ASSERT(target_directory::mayProveCommits(known(directory), {90000}));
         directory.markRemoved(target_id("t"), at(1000));
-        CPPUNIT_ASSERT(target_directory::isKnownToOrderers(known(directory), {2000}));
-        CPPUNIT_ASSERT(!target_directory::isKnownToOrderers(known(directory), {6000}));
+        CPPUNIT_ASSERT(target_directory::mayProveCommits(known(directory), {2000}));
+        CPPUNIT_ASSERT(!target_directory::mayProveCommits(known(directory), {6000}));
         directory.put(entry(true), at(7000));
-        CPPUNIT_ASSERT(target_directory::isKnownToOrderers(known(directory), {7000}));
+        CPPUNIT_ASSERT(target_directory::mayProveCommits(known(directory), {7000}));
         directory.markRemoved(target_id("t"), at(8000));
-        CPPUNIT_ASSERT(!target_directory::isKnownToOrderers(known(directory), {8000}));
+        CPPUNIT_ASSERT(!target_directory::mayProveCommits(known(directory), {8000}));
     }
 
 private:
