Ask the store again for the end of pauses, and mind late answers

What callers saw: writes without an answer for seconds after a fence, since one call of the store had failed; could lose a commit that they had, where a process was suspended between the settlement and its answer. Cause: since the pauses after a fence hang on one answer of the store; a failed one left them to pause_watch. The answer to a settlement counted however late it came, unlike that to a claim: by then another instance may have claimed, paused and ordered. Now a failed confirmation is repeated each second while this instance holds the lease and no order is open; a settlement that is confirmed after more than a second ends no pause. Before: pausesEndOnceTheStoreIsBackAfterAFence fails. After: it passes, and so do the five cases of fences, settlements and names that were run beside it. The late answer has no test. Conclusion: fixed; if the store stays away the replicas stay paused, as before this commit.

--- a/src/libcrocusdealfront/primarykeeper.cpp
+++ b/src/libcrocusdealfront/primarykeeper.cpp
@@ -889,11 +889,7 @@
         return;
     }
     if (!isFenceRecent()) {
-        m_orders->settleAndConfirm([self = shared_from_this()](bool isSettled) {
-            if (isSettled && !self->m_isStopped && !self->m_attempt) {
-                self->resumeAll();
-            }
-        });
+        m_orders->settleAndConfirm([self = shared_from_this()](bool isSettled) { self->handleSettled(isSettled); });
         return;
     }
     m_context.deadlines.schedule(m_fencedAt + promotionTime, [self = shared_from_this()] {
@@ -903,6 +899,27 @@
     });
 }
 
+void primary_keeper::handleSettled(bool isSettled)
+{
+    if (m_isStopped || m_attempt) {
+        return; // An attempt ends the pauses that it finds.
+    }
+    if (isSettled) {
+        resumeAll();
+        return;
+    }
+    // An order that is open again, or another holder, ends the pauses in its own time.
+    if (!m_orders->isHeldHere() || m_orders->isOrderOpen()) {
+        return;
+    }
+    m_isResumeDue = true;
+    m_context.deadlines.scheduleAfter(unsafeRetryTime, [self = shared_from_this()] {
+        if (self->m_isResumeDue && !self->m_isStopped && !self->m_attempt) {
+            self->settleOrders();
+        }
+    });
+}
+
 void primary_keeper::finishAttempt(const promotion_attempt &attempt)
 {
     m_attempt.reset();
--- a/src/libcrocusdealfront/primarykeeper.h
+++ b/src/libcrocusdealfront/primarykeeper.h
@@ -139,6 +139,8 @@
     void finishAttempt(const promotion_attempt &attempt);
     /** Tells the other instances that no order is open, unless one may take effect yet. */
     void settleOrders();
+    /** The store has taken, or not, the record that ends the pauses. */
+    void handleSettled(bool isSettled);
     /** With the primary in place, so that what is open is not carried out behind its back. */
     void fenceOpenOrder(const target_id &primary);
 
--- a/src/libcrocusdealfront/promotionorders.cpp
+++ b/src/libcrocusdealfront/promotionorders.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+constexpr duration longestConfirmation{1000}; // Shorter than the time after which another instance may claim.
+
 promotion_lease_record recordOf(const promotion_lease_update &update)
 {
     return {update.holder, update.revision, update.purpose, update.openSince, update.targets};
@@ -272,12 +274,13 @@
 
 void promotion_orders::writeSettled(std::function<void(bool)> done)
 {
+    const auto sentAt = systemNow();
     m_recordedTarget.reset();
     m_store.claimPromotionLease(
         m_service,
         {m_self, promotion_lease_purpose::Settled, 0, std::nullopt},
         m_lease.fencingToken(),
-        [self = shared_from_this(), done = std::move(done)](const promotion_lease_update &update) {
+        [self = shared_from_this(), sentAt, done = std::move(done)](const promotion_lease_update &update) {
             self->m_context.log.info("duty_settled")
                 .field("service", self->m_service.str())
                 .field("outcome", storeFailureNames.name(update.failure))
@@ -287,8 +290,9 @@
             } else if (update.failure == store_failure::Conflict) {
                 self->observe(recordOf(update), systemNow());
             }
-            // Without an answer others fence what they must take for open, which changes nothing.
-            done(update.failure == store_failure::None);
+            // Without an answer others fence what they must take for open, which changes nothing. A machine that was
+            // suspended meanwhile knows nothing of the present.
+            done(update.failure == store_failure::None && systemNow() - sentAt < longestConfirmation);
         });
 }
 
--- a/tests/platform/frontfailovertest.cpp
+++ b/tests/platform/frontfailovertest.cpp
@@ -85,6 +85,7 @@
     CPPUNIT_TEST(pauseLeftBehindIsEnded);
     CPPUNIT_TEST(pauseIsNotEndedByOldKnowledgeOfTheLease);
     CPPUNIT_TEST(fenceDoesNotEndThePauseOfANewerHolder);
+    CPPUNIT_TEST(pausesEndOnceTheStoreIsBackAfterAFence);
     CPPUNIT_TEST(refusedTokenIsNotUsedAgain);
     CPPUNIT_TEST(writesAreRefusedEarlyWithoutAPrimary);
     CPPUNIT_TEST(instanceThatReachesNothingTurnsUnready);
@@ -760,6 +761,21 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, world.group.at("b").pausedAt);
     }
 
+    /** Guards against writes without an answer for long after a fence, since the store did not answer once. */
+    void pausesEndOnceTheStoreIsBackAfterAFence()
+    {
+        front_world world;
+        const auto client = beginBeforeAnOrder(world);
+        world.group.at("b").pausedAt = 2;
+        leaveOrderOpen(world, "c", 20000_ms);
+        CPPUNIT_ASSERT(world.runUntil([&] { return !world.store.orders.empty(); }, 11000_ms));
+        world.store.isAway = true;
+        world.runFor(3000_ms);
+        CPPUNIT_ASSERT(world.group.at("b").pausedAt != 0);
+        world.store.isAway = false;
+        CPPUNIT_ASSERT(world.runUntil([&] { return world.group.at("b").pausedAt == 0; }, 2000_ms));
+    }
+
     /** Guards against calling again with a fencing token that was refused. */
     void refusedTokenIsNotUsedAgain()
     {
