Show the loss by an instance that the store turns away

What callers see: a commit that they had is missing at the promoted target. The order of events is that of commitHeldByAReplicaThatTheOrdererNeverListedIsNotLost, but the instance that tells the commit is cut off from the store and so does not hear that the entry of the replica has gone. Ruled out for now: to tell no commit while the store is away, which leaves every write in doubt in each outage of the store.

--- a/tests/platform/frontfailovertest.cpp
+++ b/tests/platform/frontfailovertest.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(newerHolderIsNotDisplacedToFenceALateOrder);
     CPPUNIT_TEST(drainingPrimaryIsReplacedWithoutARefusal);
     CPPUNIT_TEST(commitHeldByAReplicaThatTheOrdererNeverListedIsNotLost);
+    CPPUNIT_TEST(commitOfAnInstanceThatTheStoreTurnsAwayIsNotLost);
     CPPUNIT_TEST(missingReplicaHoldsThePromotionBack);
     CPPUNIT_TEST(primaryBackUnderAnotherIdIsNotDeposed);
     CPPUNIT_TEST(attemptEndsWhenAnotherInstanceTakesTheDuty);
@@ -474,6 +475,40 @@
         CPPUNIT_ASSERT(!hasCommit(other, "2 y")); // So it must not have been told.
     }
 
+    /** Guards against LOST: the same where the instance that tells the commit does not hear that the entry has gone. */
+    void commitOfAnInstanceThatTheStoreTurnsAwayIsNotLost()
+    {
+        relay_world fleet(1, 12);
+        const auto before = fleet.connect("front-1", "fresh");
+        CPPUNIT_ASSERT(fleet.world.runUntil([&] { return !fleet.world.store.leases.empty(); }, 10000_ms));
+        fleet.world.runFor(300_ms);
+        fleet.storeOf("front-1").isAway = true;
+        fleet.world.runFor(300_ms);
+        fleet.world.store.removeTarget("b");
+        for (int i = 0; i < 3; ++i) {
+            assertContains("COMPLETE sig", fleet.ask(*before, "WRITE 1 x"));
+            fleet.world.runFor(1500_ms);
+        }
+        fleet.start("front-2");
+        fleet.awaitReady();
+        const auto after = fleet.connect("front-2", "fresh");
+        assertContains("COMPLETE sig", fleet.ask(*after, "READ 1"));
+        assertContains("COMPLETE sig", fleet.ask(*before, "WRITE 1 x"));
+        fleet.world.runFor(1000_ms);
+        fleet.world.group.at("c").faults.isDeaf = true;
+        const bool isTold = contains(fleet.ask(*before, "WRITE 2 y"), "COMPLETE sig");
+        fleet.kill("front-1");
+        fleet.world.group.at("a").crash();
+        const auto &other = fleet.world.group.at("c");
+        CPPUNIT_ASSERT(fleet.world.runUntil(
+            [&] {
+                fleet.ask(*after, "WRITE 3 z");
+                return other.isPrimary;
+            },
+            5000_ms));
+        CPPUNIT_ASSERT(!isTold || hasCommit(other, "2 y"));
+    }
+
     /** Guards against LOST: the replica that is out of reach may hold what the other lacks. */
     void missingReplicaHoldsThePromotionBack()
     {
