Play the loss of an entry in faultrun

A fault kind and its tests; no product source changes. While the entry is lost, nothing of the rig writes it. The kind is one of those that trouble the primary, so plans that draw from all kinds differ from before. Ruled out: that the crash, the cut and the kills lose commits by themselves. Left: the 3 s after the loss of an entry are not struck.

--- a/src/standins/faultrun/faultplan.cpp
+++ b/src/standins/faultrun/faultplan.cpp
@@ -16,7 +16,7 @@
 constexpr duration shortestFault{300};
 constexpr duration longestFault{6000};
 constexpr int mostSideFaults = 3;
-constexpr int primaryFaultCount = 4; // The first kinds of fault_kind.
+constexpr int primaryFaultCount = 5; // The first kinds of fault_kind.
 
 class fault_source
 {
--- a/src/standins/faultrun/faultplan.h
+++ b/src/standins/faultrun/faultplan.h
@@ -17,6 +17,7 @@
     PrimaryCrash, ///< It comes back with its log.
     PrimaryDark, ///< It neither answers nor feeds its replicas.
     PrimaryRelease, ///< It drains, ends, and another target takes over its log.
+    EntryLost, ///< It crashes while the entry of a replica that receives is missing, and an instance has not seen it.
     ReplicaCrash, ///< It starts again with an empty log.
     ReplicaJoin, ///< A new one receives from its start on, and is listed later.
     ReplicaRelease, ///< As PrimaryRelease.
@@ -34,6 +35,7 @@
                                                                  "primary-crash",
                                                                  "primary-dark",
                                                                  "primary-release",
+                                                                 "entry-lost",
                                                                  "replica-crash",
                                                                  "replica-join",
                                                                  "replica-release",
@@ -45,7 +47,7 @@
                                                                  "instance-kill",
                                                                  "store-away",
                                                                  "replica-crash-at-order");
-inline constexpr int faultKindCount = 15;
+inline constexpr int faultKindCount = 16;
 
 struct planned_fault {
     fault_kind kind = fault_kind::PrimaryCut;
--- a/src/standins/faultrun/faultworld.cpp
+++ b/src/standins/faultrun/faultworld.cpp
@@ -36,6 +36,12 @@
 constexpr duration crashAfterOrder{100};
 constexpr duration shortCrash{200};
 constexpr duration longestRestart{2500}; // Of a target; longer than it takes until its entry is removed.
+constexpr duration shortestEntryLoss{7000};
+constexpr duration longestEntryLoss{9000};
+constexpr duration killAfterEntry{1000}; // From the loss of the entry until an instance starts again.
+constexpr duration crashAfterEntry{5000}; // By then the instance has heard from the primary how far its log goes.
+constexpr duration unheardTime{300}; // Before the crash; shorter than it takes to suspect the primary.
+constexpr duration shortestEntryCrash{3000}; // Of the primary, so that it is replaced.
 constexpr duration readerPause{50};
 constexpr int writersEach = 3;
 constexpr std::int64_t firstBorn = 1'790'000'000'000;
@@ -331,6 +337,9 @@
             strikePrimary(fault, *primary);
         }
         return;
+    case fault_kind::EntryLost:
+        loseEntry(fault);
+        return;
     case fault_kind::ReplicaCrash:
     case fault_kind::ReplicaRelease:
     case fault_kind::ReplicaDeaf:
@@ -438,28 +447,87 @@
 {
     record(target + " is dark for " + std::to_string(length.ms) + " ms");
     const auto one = m_databases.databases.at(target);
-    std::vector<std::shared_ptr<review::database>> deafened;
-    for (const auto &[id, other] : m_databases.databases) {
-        if (other != one && !other->isDeaf) {
-            other->isDeaf = true;
-            deafened.push_back(other);
-        }
-    }
+    const auto deafened = deafenAllBut({target});
     for (std::size_t path = 0; path < m_instances.size(); ++path) {
         one->setCut(path, true);
     }
     const auto heal = [this, one, deafened] {
-        for (const auto &other : deafened) {
-            other->isDeaf = false;
-        }
         for (std::size_t path = 0; path < m_instances.size(); ++path) {
             one->setCut(path, false);
         }
-        m_databases.transferAll();
+        endDeafness(deafened);
     };
     m_loop.after(length.ms, heal);
 }
 
+std::vector<std::shared_ptr<review::database>> fault_world::deafenAllBut(const std::set<std::string> &targets)
+{
+    std::vector<std::shared_ptr<review::database>> deafened;
+    for (const auto &[id, one] : m_databases.databases) {
+        if (!targets.contains(id) && !one->isDeaf) {
+            one->isDeaf = true;
+            deafened.push_back(one);
+        }
+    }
+    return deafened;
+}
+
+void fault_world::endDeafness(const std::vector<std::shared_ptr<review::database>> &deafened)
+{
+    for (const auto &one : deafened) {
+        one->isDeaf = false;
+    }
+    m_databases.transferAll();
+}
+
+void fault_world::loseEntry(const planned_fault &fault)
+{
+    const auto replicas = listedReplicas();
+    if (replicas.size() < 2 || !m_lostEntry.empty()) {
+        return;
+    }
+    const auto &replica = replicas.at(fault.choice % replicas.size());
+    const auto survivor = fault.choice / replicas.size() % m_instances.size();
+    const auto length = std::min(shortestEntryLoss + duration{fault.length.ms / 2}, longestEntryLoss);
+    record("the entry of " + replica + ", which receives, is lost for " + std::to_string(length.ms) + " ms");
+    m_lostEntry = replica;
+    m_store.remove("servers", replica);
+    m_loop.after(killAfterEntry.ms, [this, survivor] { killInstance(survivor); });
+    m_loop.after((crashAfterEntry - unheardTime).ms,
+                 [this, replica, survivor, fault] { crashUnheard(replica, survivor, fault); });
+    m_loop.after(length.ms, [this, replica] {
+        m_lostEntry.clear();
+        publishLater(replica, {});
+    });
+}
+
+void fault_world::crashUnheard(const std::string &replica, std::size_t survivor, const planned_fault &fault)
+{
+    const auto primary = primaryId();
+    if (!primary || *primary == replica) {
+        return;
+    }
+    record("only " + replica + " receives, and " + *primary + " is cut off from " + m_instances.at(survivor).name
+           + " for " + std::to_string(unheardTime.ms) + " ms");
+    const auto one = m_databases.databases.at(*primary);
+    const auto deafened = deafenAllBut({*primary, replica});
+    one->setCut(survivor, true);
+    m_loop.after(unheardTime.ms, [this, one, deafened, survivor, fault] {
+        if (one->isRunning()) {
+            auto longer = fault;
+            longer.length = std::max(fault.length, shortestEntryCrash);
+            crash(one->id(), longer);
+        }
+        for (std::size_t i = 0; i < m_instances.size(); ++i) {
+            if (i != survivor) {
+                killInstance(i);
+            }
+        }
+        one->setCut(survivor, false);
+        endDeafness(deafened);
+    });
+}
+
 void fault_world::crash(const std::string &target, const planned_fault &fault)
 {
     const auto one = m_databases.databases.at(target);
@@ -642,6 +710,9 @@
 
 void fault_world::publish(const std::string &target)
 {
+    if (target == m_lostEntry) {
+        return;
+    }
     const auto &one = m_databases.at(target);
     const auto dataCentre = dataCentres.at(std::hash<std::string>()(target) % dataCentres.size());
     m_store.put("servers",
@@ -663,7 +734,7 @@
     m_loop.after(delay.ms, [this, target] {
         const auto found = m_databases.databases.find(target);
         if (found != m_databases.databases.end() && found->second->isRunning()) {
-            record(target + " is listed");
+            record(target + (target == m_lostEntry ? " cannot write its entry" : " is listed"));
             publish(target);
         }
     });
@@ -693,6 +764,13 @@
     return replicas;
 }
 
+std::vector<std::string> fault_world::listedReplicas()
+{
+    auto replicas = runningReplicas();
+    std::erase_if(replicas, [this](const auto &id) { return m_store.specOf("servers", id).is_null(); });
+    return replicas;
+}
+
 std::optional<std::string> fault_world::primaryId()
 {
     const auto *primary = m_databases.primary();
--- a/src/standins/faultrun/faultworld.h
+++ b/src/standins/faultrun/faultworld.h
@@ -82,6 +82,13 @@
     /** Cuts the target off from some instances, but not from all. */
     void cutFromSome(const std::string &target, const planned_fault &fault);
     void darken(const std::string &target, duration length);
+    /** Returns those that receive nothing from now on. */
+    std::vector<std::shared_ptr<review::database>> deafenAllBut(const std::set<std::string> &targets);
+    void endDeafness(const std::vector<std::shared_ptr<review::database>> &deafened);
+    /** The entry of a replica goes and comes back; in between an instance starts again, and the primary crashes. */
+    void loseEntry(const planned_fault &fault);
+    /** The primary crashes with all instances but one, which has not heard of what only the replica holds. */
+    void crashUnheard(const std::string &replica, std::size_t survivor, const planned_fault &fault);
     void crash(const std::string &target, const planned_fault &fault);
     /** Starts a target that has crashed; under another id if @p isRenamed, and no order names it. */
     void startAgain(const std::shared_ptr<review::database> &one, bool isRenamed);
@@ -104,6 +111,7 @@
     /** Removes the entry unless the target has started again. */
     void expire(const std::string &target);
     std::vector<std::string> runningReplicas();
+    std::vector<std::string> listedReplicas();
     std::optional<std::string> primaryId();
     std::string newTargetId();
     duration drawn(duration most);
@@ -120,6 +128,7 @@
     std::vector<std::shared_ptr<review::client>> m_callers;
     std::map<std::string, std::uint64_t> m_requiredByRead; ///< By the name of the caller that reads.
     std::set<std::string> m_draining;
+    std::string m_lostEntry; ///< Of a target that cannot write its entry; else empty.
     std::map<std::string, std::int64_t> m_orderedUntil; ///< Until when the target of an order keeps its name.
     std::map<std::pair<std::string, std::uint64_t>, std::string> m_tokenHolders; ///< By service and token.
     std::int64_t m_lateUntil = 0;
--- a/tests/faultrun/faultplantest.cpp
+++ b/tests/faultrun/faultplantest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(seedGivesTheSamePlanAgain);
     CPPUNIT_TEST(onlyAllowedFaultsAreDrawn);
     CPPUNIT_TEST(faultsMeetTroubleOfThePrimary);
+    CPPUNIT_TEST(entryLostIsTroubleOfItsOwn);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -47,6 +48,16 @@
             }));
         }
     }
+
+    /** Guards against a fault that is cut short by the next one of its kind. */
+    void entryLostIsTroubleOfItsOwn()
+    {
+        const auto faults = drawFaults(5, 120000_ms, {fault_kind::EntryLost});
+        CPPUNIT_ASSERT(faults.size() > 1);
+        for (std::size_t i = 1; i < faults.size(); ++i) {
+            CPPUNIT_ASSERT(faults.at(i).at - faults.at(i - 1).at >= 9000_ms);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fault_plan_test);
--- a/tests/process/faultruntest.cpp
+++ b/tests/process/faultruntest.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(replicaThatStartsAgainBesideAnOrderLosesNothing);
     CPPUNIT_TEST(runWhoseDaemonsEndIsNoSuccess);
     CPPUNIT_TEST(replicaRenamedWhileItDrainsEndsNoRun);
+    CPPUNIT_TEST(commitThatOnlyAReplicaWithoutEntryHoldsIsNotLost);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -94,6 +95,12 @@
                                          "--fault",
                                          "replica-crash"}));
     }
+
+    /** Guards against LOST: an instance that never listed a replica orders without it, another one trusted it. */
+    void commitThatOnlyAReplicaWithoutEntryHoldsIsNotLost()
+    {
+        CPPUNIT_ASSERT_EQUAL(0, playFaults({"--seed", "1", "--length-ms", "5000", "--fault", "entry-lost"}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fault_run_test);
