Let a front whose start has failed be closed

Cause: start() returns at the first listener that it cannot open, before the reader of the store and the others are made; close() took all of them for made.

Ruled out: a pointer that is reset later; nothing resets these members. The program itself does not call close() after a failed start, so callers saw nothing.

Before: closesAfterAStartThatFailed (a foreign listener holds the callers' port) crashes. After: it passes, and start() tells that the address is in use.

Conclusion: a failed start is told as such.

--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -495,17 +495,26 @@
 {
     std::error_code ignored; // Nothing depends on how a listener closes.
     m_acceptor.close(ignored);
-    m_readiness->close();
+    // Some parts do not exist if start() has failed.
+    if (m_readiness) {
+        m_readiness->close();
+    }
     if (m_metrics) {
         m_metrics->close();
     }
-    m_feed->stop();
-    m_leases->stop();
-    m_budget->stop();
+    if (m_feed) {
+        m_feed->stop();
+        m_leases->stop();
+    }
+    if (m_budget) {
+        m_budget->stop();
+    }
     if (m_relays) {
-        m_fleet->stop();
         m_relays->close();
     }
+    if (m_fleet) {
+        m_fleet->stop();
+    }
     const std::vector<std::shared_ptr<front_session>> sessions(m_sessions.begin(), m_sessions.end());
     for (const auto &session : sessions) {
         session->close();
--- a/tests/platform/fronttest.cpp
+++ b/tests/platform/fronttest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(refusesUnknownDatabases);
     CPPUNIT_TEST(removedRouteIsRefusedFromTheNextStatement);
     CPPUNIT_TEST(olderConfigurationIsNotPutIntoForce);
+    CPPUNIT_TEST(closesAfterAStartThatFailed);
     CPPUNIT_TEST(stormOfConfigurationsIsReadTogether);
     CPPUNIT_TEST(readsItsOwnWriteFromAReplicaThatLags);
     CPPUNIT_TEST(freshReadsRunWhereTheLeadIsProved);
@@ -103,6 +104,18 @@
         assertContains("COMPLETE sig", world.ask(*client, "READ 1"));
     }
 
+    /** Guards against a crash in place of the reason why an instance has not started. */
+    void closesAfterAStartThatFailed()
+    {
+        front_world world;
+        const auto &address = world.settings.callerAddress;
+        const asio::ip::tcp::acceptor other(
+            world.io, asio::ip::tcp::endpoint(asio::ip::make_address(address.host), address.port));
+        world.node = std::make_shared<front>(world.context, world.settings, world.store, world.store);
+        assertContains("in use", world.node->start());
+        world.node->close();
+    }
+
     /** Guards against STALE on read_your_writes: the replicas lack the session's own commit. */
     void readsItsOwnWriteFromAReplicaThatLags()
     {
