Hold the ports of the tests of the platform

Until the front listened at it, the system could give the same port to any outgoing connection of the test programs that run beside. A database that listens again after a crash had the same gap.

Ruled out: two test programs that draw the same port to listen at; the system gives each its own, but does not keep it for either.

Conclusion: freePort() of the tests of the platform is gone. No check has changed.

--- a/tests/platform/budgetfleettest.cpp
+++ b/tests/platform/budgetfleettest.cpp
@@ -48,7 +48,7 @@
     {
         int number = 1;
         for (const auto &dataCentre : dataCentres) {
-            const host_port address{"127.0.0.1", freePort(world.io)};
+            const auto address = world.holdAddress();
             start({instance_id("i" + std::to_string(number)), data_centre_id(dataCentre), address, 1});
             ++number;
         }
--- a/tests/platform/frontfailovertest.cpp
+++ b/tests/platform/frontfailovertest.cpp
@@ -98,9 +98,8 @@
     void promotionWithoutTheStoreWaitsForEveryInstance()
     {
         front_world world;
-        world.settings.relayAddress = host_port{"127.0.0.1", freePort(world.io)};
-        const fleet_member silentMember{
-            instance_id("front-2"), data_centre_id("here"), {"127.0.0.1", freePort(world.io)}, 7};
+        world.settings.relayAddress = world.holdAddress();
+        const fleet_member silentMember{instance_id("front-2"), data_centre_id("here"), world.holdAddress(), 7};
         world.store.members.emplace(silentMember.id, silentMember);
         world.start();
         CPPUNIT_ASSERT(world.runUntil([&] { return !world.store.leases.empty(); }, 10000_ms));
--- a/tests/platform/frontworld.cpp
+++ b/tests/platform/frontworld.cpp
@@ -71,12 +71,6 @@
     m_stream->close();
 }
 
-std::uint16_t freePort(asio::io_context &io)
-{
-    asio::ip::tcp::acceptor acceptor(io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return acceptor.local_endpoint().port();
-}
-
 front_world::front_world()
     : io(1)
     , deadlines(io)
@@ -107,8 +101,8 @@
     }
     settings.instance = instance_id("front-1");
     settings.dataCentre = data_centre_id("here");
-    settings.callerAddress = {"127.0.0.1", freePort(io)};
-    settings.readinessAddress = {"127.0.0.1", freePort(io)};
+    settings.callerAddress = holdAddress();
+    settings.readinessAddress = holdAddress();
     settings.readinessPath = "/ready";
 }
 
@@ -149,6 +143,11 @@
     store.putTarget(entry);
 }
 
+host_port front_world::holdAddress()
+{
+    return {"127.0.0.1", m_ports.emplace_back().number()};
+}
+
 void front_world::start()
 {
     store.setConfiguration(configuration);
--- a/tests/platform/frontworld.h
+++ b/tests/platform/frontworld.h
@@ -2,14 +2,15 @@
 
 #include "eventlog.h"
 #include "front.h"
+#include "heldport.h"
 #include "linecodec.h"
 #include "linedatabase.h"
 #include "memorystore.h"
 
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace crocusdeal::test
 {
@@ -39,9 +40,6 @@
     std::shared_ptr<bool> m_isClosed = std::make_shared<bool>(false);
 };
 
-/** A port of the loopback address on which nobody listens. */
-std::uint16_t freePort(asio::io_context &io);
-
 /** One front with a service of three databases "a" (primary), "b" and "c", all in one process and on loopback. */
 class front_world
 {
@@ -64,6 +62,8 @@
     std::string ask(line_client &client, const std::string &text);
     /** The number of leading databases that the front has found is complete. */
     bool isReady();
+    /** An address at which nobody else listens for as long as this world lasts. */
+    host_port holdAddress();
 
     routing_configuration configuration;
     std::map<std::string, std::string> dataCentres; ///< Of databases that are not "here".
@@ -80,6 +80,7 @@
     std::shared_ptr<front> node;
 
 private:
+    std::vector<held_port> m_ports;
     int m_nextId = 1;
 };
 
--- a/tests/platform/linedatabase.cpp
+++ b/tests/platform/linedatabase.cpp
@@ -32,8 +32,7 @@
 void line_database::listen()
 {
     m_acceptor = std::make_unique<asio::ip::tcp::acceptor>(
-        m_group.io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), m_port));
-    m_port = m_acceptor->local_endpoint().port();
+        m_group.io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), m_port.number()));
     acceptNext();
 }
 
@@ -54,7 +53,7 @@
 
 host_port line_database::address() const
 {
-    return {"127.0.0.1", m_port};
+    return {"127.0.0.1", m_port.number()};
 }
 
 bool line_database::isRunning() const
--- a/tests/platform/linedatabase.h
+++ b/tests/platform/linedatabase.h
@@ -2,6 +2,7 @@
 
 #include "bytestream.h"
 #include "deadlinequeue.h"
+#include "heldport.h"
 #include "position.h"
 
 #include <asio/io_context.hpp>
@@ -80,7 +81,7 @@
     line_database_group &m_group;
     std::string m_id;
     std::unique_ptr<asio::ip::tcp::acceptor> m_acceptor;
-    std::uint16_t m_port = 0;
+    held_port m_port;
     std::vector<std::weak_ptr<session>> m_sessions;
 };
 
--- a/tests/platform/relayworld.cpp
+++ b/tests/platform/relayworld.cpp
@@ -25,9 +25,9 @@
 {
     auto settings = world.settings;
     settings.instance = instance_id(front);
-    settings.callerAddress.port = freePort(world.io);
-    settings.readinessAddress.port = freePort(world.io);
-    settings.relayAddress = host_port{"127.0.0.1", freePort(world.io)};
+    settings.callerAddress = world.holdAddress();
+    settings.readinessAddress = world.holdAddress();
+    settings.relayAddress = world.holdAddress();
     auto &view = stores[front];
     view = std::make_unique<store_view>(world.store, world.deadlines);
     const auto node = std::make_shared<crocusdeal::front>(world.context, settings, *view, world.store);
