Hear of the targets through another instance while the store is away

What callers could see: LOST. An instance that the store turns away does not hear that the entry of a replica has gone, and went on to hand out commits that only this replica had.

Cause: the rule for missing entries (mayProveCommits) rests on the list of targets, and nothing bounds the age of the list while the own store does not answer. The leases are asked of another instance in that time, the targets were not.

Ruled out: to count time since the last answer of the store. It would put all writes in doubt in an outage of the whole store, in which no entry changes and no order is sent unless every instance agrees.

Only an instance whose own view is current answers with entries. An answer older than what is known is left out, by the revision of the store.

Before: entryThatGoesWhileTheStoreIsAwayProvesNothingMore fails (COMPLETE where nobody who orders knows the replica). After: it passes, with the other cases of front_lease_test; targetsStayInForceWhileNobodyReachesTheStore holds the other side.

--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -83,6 +83,7 @@
     m_feed->onLeases = [this](const promotion_lease_list_update &update, store_reading reading, time_point askedAt) {
         m_services.applyLeases(update, reading, askedAt);
     };
+    beginReadingTargets();
     m_services.refreshTargets = [this](std::function<void(bool)> done) { m_feed->refreshTargets(std::move(done)); };
     beginReadingLeases();
     m_services.isStoreAway = [this] { return m_feed->isStoreAway(); };
@@ -136,6 +137,11 @@
         m_services.recordLoads(from, loads);
     };
     surroundings.readLeases = [this](lease_reader::update_handler done) { m_leases->read(std::move(done)); };
+    surroundings.listTargets = [this](const std::vector<service_id> &services) {
+        auto answer = m_services.listedTargets(services);
+        answer.isCurrent = m_feed->areTargetsCurrent(systemNow());
+        return answer;
+    };
     surroundings.recentStall = [this] { return recentStall(systemNow()); };
     surroundings.run = [this](const statement_order &order, const session_values &values, outcome_handler done) {
         return runHere(order, values, std::move(done));
@@ -186,6 +192,21 @@
     m_services.refreshLeases = [this](std::function<void()> done) { m_leases->refresh(std::move(done)); };
 }
 
+void front::beginReadingTargets()
+{
+    if (!m_relays) {
+        return;
+    }
+    m_targets = std::make_shared<target_reader>(m_context);
+    m_targets->isStoreAway = [this] { return m_feed->isStoreAway(); };
+    m_targets->links = [this] { return m_relays->storeLinks(); };
+    m_targets->services = [this] { return m_services.services(); };
+    m_targets->onPeerAnswer =
+        [this](const std::vector<service_id> &services, const target_answer &answer, time_point changedAfter) {
+            m_services.applyPeerTargets(services, answer, changedAfter);
+        };
+}
+
 void front::addSession(asio::ip::tcp::socket socket)
 {
     session_surroundings surroundings;
@@ -335,6 +356,9 @@
     watchIsolation(now);
     closeUnconfirmedSessions(now);
     m_services.pump(now);
+    if (m_targets) {
+        m_targets->tick(now);
+    }
     if (now - m_leftOutToldAt >= leftOutInterval) {
         m_leftOutToldAt = now;
         updateMetrics();
@@ -506,6 +530,9 @@
         m_feed->stop();
         m_leases->stop();
     }
+    if (m_targets) {
+        m_targets->stop();
+    }
     if (m_budget) {
         m_budget->stop();
     }
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -13,6 +13,7 @@
 #include "relayhub.h"
 #include "servedservices.h"
 #include "storefeed.h"
+#include "targetreader.h"
 
 #include <functional>
 #include <memory>
@@ -43,6 +44,7 @@
     std::string listenForCallers();
     std::string listenForInstances();
     void beginReadingLeases();
+    void beginReadingTargets();
     void addSession(asio::ip::tcp::socket socket);
     /** Runs a statement of a caller, here or at an instance that serves its service. */
     std::shared_ptr<running_statement> run(const statement_order &order,
@@ -81,6 +83,7 @@
     std::shared_ptr<http_server> m_metrics;
     std::shared_ptr<store_feed> m_feed;
     std::shared_ptr<lease_reader> m_leases;
+    std::shared_ptr<target_reader> m_targets; ///< Null if this instance is the only one.
     std::shared_ptr<relay_hub> m_relays; ///< Null if this instance serves its callers alone.
     std::shared_ptr<fleet_feed> m_fleet;
     std::shared_ptr<instance_survey> m_survey; ///< Null if this instance is the only one.
--- a/src/libcrocusdealfront/relaycodec.cpp
+++ b/src/libcrocusdealfront/relaycodec.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t maxValues = 10'000;
 constexpr std::size_t maxLoads = 64; // In one message.
 constexpr std::size_t maxLeases = 100'000;
+constexpr std::size_t maxServices = 10'000;
+constexpr std::size_t maxEntries = 100'000; // Of all services.
 constexpr unsigned bitsPerByte = 8;
 
 template<typename Archive>
@@ -267,6 +269,39 @@
     }
 }
 
+template<typename Archive>
+void fields(Archive &archive, target_question &message)
+{
+    archive(message.number);
+    listField<std::uint32_t>(
+        archive, message.services, maxServices, [](Archive &a, service_id &service) { idField(a, service); });
+}
+
+template<typename Archive>
+void entryFields(Archive &archive, target_entry &entry)
+{
+    idField(archive, entry.id);
+    idField(archive, entry.service);
+    textPart(archive, entry.address.host);
+    archive(entry.address.port);
+    idField(archive, entry.dataCentre);
+    archive(entry.slots);
+    flagField(archive, entry.isDraining);
+    flagField(archive, entry.claimsPrimary);
+    flagField(archive, entry.isWarmingUp);
+    archive(entry.incarnation, entry.revision);
+}
+
+template<typename Archive>
+void fields(Archive &archive, target_answer &message)
+{
+    archive(message.number);
+    flagField(archive, message.isCurrent);
+    archive(message.revision);
+    listField<std::uint32_t>(
+        archive, message.entries, maxEntries, [](Archive &a, target_entry &entry) { entryFields(a, entry); });
+}
+
 template<typename Archive>
 void fields(Archive &archive, budget_request &message)
 {
--- a/src/libcrocusdealfront/relaylink.cpp
+++ b/src/libcrocusdealfront/relaylink.cpp
@@ -153,6 +153,27 @@
     }
 }
 
+void relay_link::askTargets(const std::vector<service_id> &services, target_handler done)
+{
+    if (m_isEnded) {
+        return;
+    }
+    const auto number = m_nextNumber++;
+    m_targetQuestions.emplace(number, std::move(done));
+    send(target_question{number, services});
+}
+
+void relay_link::handleTargets(const target_answer &answer)
+{
+    const auto found = m_targetQuestions.find(answer.number);
+    if (found == m_targetQuestions.end()) {
+        return;
+    }
+    const auto done = std::move(found->second);
+    m_targetQuestions.erase(found);
+    done(answer);
+}
+
 void relay_link::askBudget(budget_request message, budget_handler done)
 {
     const auto number = m_nextNumber++;
@@ -270,6 +291,8 @@
         handleLeaseTargets(*named);
     } else if (const auto *leases = std::get_if<lease_answer>(&message)) {
         handleLeases(*leases);
+    } else if (const auto *targets = std::get_if<target_answer>(&message)) {
+        handleTargets(*targets);
     } else if (const auto *refused = std::get_if<relay_not_served>(&message)) {
         finish(refused->number, {relay_end::NotServed, {}, "not served there"});
     } else if (const auto *grant = std::get_if<budget_grant>(&message)) {
@@ -343,6 +366,7 @@
     while (!m_pending.empty()) {
         finish(m_pending.begin()->first, {relay_end::Lost, {}, reason});
     }
+    m_targetQuestions.clear();
     for (const auto &[number, question] : std::exchange(m_leaseQuestions, {})) {
         question.done(std::nullopt);
     }
--- a/src/libcrocusdealfront/relaylink.h
+++ b/src/libcrocusdealfront/relaylink.h
@@ -36,6 +36,7 @@
 public:
     using handler = std::function<void(relay_result)>;
     using lease_handler = std::function<void(const std::optional<lease_answer> &)>;
+    using target_handler = std::function<void(const target_answer &)>;
     using budget_handler = std::function<void(const std::optional<budget_grant> &)>;
 
     relay_link(front_context &context, fleet_member self, fleet_member peer);
@@ -66,6 +67,8 @@
     void rollBack(std::uint64_t transaction);
     /** Asks for the promotion leases; no answer if the link ends before one has come. */
     void askLeases(lease_handler done);
+    /** Asks for the targets of the services; @p done is dropped if the link ends before an answer has come. */
+    void askTargets(const std::vector<service_id> &services, target_handler done);
     /** Asks for a part of a budget; nothing if the link is lost or silent before the answer. */
     void askBudget(budget_request message, budget_handler done);
     /** A link that is only kept for questions of budgets is pinged seldom while none is open. */
@@ -92,6 +95,7 @@
     void handleMessage(relay_message &message);
     void handleLeases(const lease_answer &answer);
     void handleLeaseTargets(lease_targets &message);
+    void handleTargets(const target_answer &answer);
     /** When the ping was sent that this pong answers; never if it answers none. */
     time_point takePing(const relay_pong &pong);
     void finish(std::uint64_t number, relay_result result);
@@ -108,6 +112,7 @@
     std::shared_ptr<byte_stream> m_stream;
     std::map<std::uint64_t, pending_work> m_pending;
     std::map<std::uint64_t, lease_inquiry> m_leaseQuestions;
+    std::map<std::uint64_t, target_handler> m_targetQuestions;
     std::map<std::uint64_t, budget_handler> m_budgets; ///< Questions without an answer.
     std::uint64_t m_nextNumber = 1;
     time_point m_openedAt = never;
--- a/src/libcrocusdealfront/relaymessages.h
+++ b/src/libcrocusdealfront/relaymessages.h
@@ -5,6 +5,7 @@
 #include "reportedconfiguration.h"
 #include "reportedload.h"
 #include "statementorder.h"
+#include "targetentry.h"
 
 #include <cstdint>
 #include <map>
@@ -119,6 +120,19 @@
     std::map<service_id, std::vector<target_id>> targets;
 };
 
+/** Asks which targets of the services the store lists, on behalf of an instance that the store does not answer. */
+struct target_question {
+    std::uint64_t number = 0;
+    std::vector<service_id> services;
+};
+
+struct target_answer {
+    std::uint64_t number = 0;
+    bool isCurrent = false; ///< Else the store has not answered the other instance lately either.
+    std::uint64_t revision = 0; ///< Of the store.
+    std::vector<target_entry> entries; ///< All of these services.
+};
+
 /** Asks for a part of the budget of a workspace. */
 struct budget_request {
     std::uint64_t number = 0;
@@ -154,6 +168,8 @@
                                    budget_request,
                                    budget_grant,
                                    lease_targets,
+                                   target_question,
+                                   target_answer,
                                    relay_unknown>;
 
 }
--- a/src/libcrocusdealfront/relaysession.cpp
+++ b/src/libcrocusdealfront/relaysession.cpp
@@ -147,6 +147,8 @@
         handleQuestion(*question);
     } else if (const auto *leases = std::get_if<lease_question>(&message)) {
         handleLeaseQuestion(*leases);
+    } else if (const auto *targets = std::get_if<target_question>(&message)) {
+        handleTargetQuestion(*targets);
     } else if (const auto *request = std::get_if<budget_request>(&message)) {
         handleBudgetRequest(*request);
     } else {
@@ -176,6 +178,13 @@
         });
 }
 
+void relay_session::handleTargetQuestion(const target_question &question)
+{
+    auto answer = m_surroundings.listTargets(question.services);
+    answer.number = question.number;
+    send(answer);
+}
+
 void relay_session::handleBudgetRequest(const budget_request &request)
 {
     m_surroundings.grantBudget(request,
--- a/src/libcrocusdealfront/relaysession.h
+++ b/src/libcrocusdealfront/relaysession.h
@@ -30,6 +30,8 @@
     std::function<void(const instance_id &, const std::vector<reported_load> &)> heardLoads;
     /** Reads the promotion leases from the store after this call, with an answer that is not allowed to be old. */
     std::function<void(std::function<void(const promotion_lease_list_update &)>)> readLeases;
+    /** The targets of the services as this instance knows them from the store. */
+    std::function<target_answer(const std::vector<service_id> &)> listTargets;
     /** How long this process had not run until just now; what was received may be older by so much. */
     std::function<duration()> recentStall;
     /** Runs a statement at targets of this instance; null if the service is not known here. */
@@ -78,6 +80,7 @@
     void handleAbandon(std::uint64_t number);
     void handleQuestion(const service_question &question);
     void handleLeaseQuestion(const lease_question &question);
+    void handleTargetQuestion(const target_question &question);
     void handleBudgetRequest(const budget_request &request);
     void endTransaction(std::uint64_t number);
     /** What a pong tells; @p number is that of the ping, or 0. */
--- a/src/libcrocusdealfront/servedservices.cpp
+++ b/src/libcrocusdealfront/servedservices.cpp
@@ -3,6 +3,7 @@
 #include "systemclock.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace crocusdeal
@@ -58,6 +59,7 @@
 void served_services::applyTargets(const target_update &update, time_point changedAfter)
 {
     const directory_update_time at{systemNow(), changedAfter, update.revision};
+    m_targetsRevision = std::max(m_targetsRevision, update.revision);
     if (update.isComplete) {
         m_directory.replaceAll(update.entries, at);
         m_areTargetsKnown = true;
@@ -74,6 +76,55 @@
     }
 }
 
+void served_services::applyPeerTargets(const std::vector<service_id> &services,
+                                       const target_answer &answer,
+                                       time_point changedAfter)
+{
+    if (answer.revision < m_targetsRevision) {
+        return; // More is known here.
+    }
+    const std::set<service_id> asked(services.begin(), services.end());
+    std::set<target_id> listed;
+    target_update update;
+    update.revision = answer.revision;
+    for (const auto &entry : answer.entries) {
+        const auto *known = m_directory.find(entry.id);
+        const bool isChanged = known == nullptr || known->removedAt || known->entry != entry;
+        listed.insert(entry.id);
+        if (isChanged && asked.contains(entry.service)) {
+            update.entries.push_back(entry);
+        }
+    }
+    for (const auto &[id, known] : m_directory.targets()) {
+        if (!known.removedAt && asked.contains(known.entry.service) && !listed.contains(id)) {
+            update.removed.push_back(id);
+        }
+    }
+    applyTargets(update, changedAfter);
+}
+
+target_answer served_services::listedTargets(const std::vector<service_id> &services) const
+{
+    const std::set<service_id> asked(services.begin(), services.end());
+    target_answer answer;
+    answer.revision = m_targetsRevision;
+    for (const auto &[id, known] : m_directory.targets()) {
+        if (!known.removedAt && asked.contains(known.entry.service)) {
+            answer.entries.push_back(known.entry);
+        }
+    }
+    return answer;
+}
+
+std::vector<service_id> served_services::services() const
+{
+    std::vector<service_id> services;
+    for (const auto &[service, group] : m_groups) {
+        services.push_back(service);
+    }
+    return services;
+}
+
 void served_services::recordEntry(const target_entry &entry,
                                   const target_update &update,
                                   const directory_update_time &at)
--- a/src/libcrocusdealfront/servedservices.h
+++ b/src/libcrocusdealfront/servedservices.h
@@ -4,10 +4,12 @@
 #include "isolation.h"
 #include "metadatastore.h"
 #include "primarykeeper.h"
+#include "relaymessages.h"
 #include "servicegroup.h"
 #include "targetdirectory.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -49,6 +51,14 @@
     void refreshPolicies();
     /** @p changedAfter is when the store last answered without this update. */
     void applyTargets(const target_update &update, time_point changedAfter);
+    /** Takes over what another instance knows of the targets of @p services, while the store is away. */
+    void applyPeerTargets(const std::vector<service_id> &services,
+                          const target_answer &answer,
+                          time_point changedAfter);
+    /** The targets of @p services that are listed, for another instance. */
+    target_answer listedTargets(const std::vector<service_id> &services) const;
+    /** The services that are served here. */
+    std::vector<service_id> services() const;
     void applyLeases(const promotion_lease_list_update &update, store_reading reading, time_point askedAt);
     bool areTargetsKnown() const;
 
@@ -104,6 +114,7 @@
     promotion_authority &m_authority;
     std::shared_ptr<const routing_configuration> m_configuration;
     target_directory m_directory;
+    std::uint64_t m_targetsRevision = 0; ///< Of the store, when they were heard last.
     bool m_areTargetsKnown = false;
     bool m_areLeasesKnown = false;
     std::map<service_id, promotion_lease_record> m_leases;
--- a/src/libcrocusdealfront/storefeed.cpp
+++ b/src/libcrocusdealfront/storefeed.cpp
@@ -60,6 +60,11 @@
     return m_hasProbeFailed;
 }
 
+bool store_feed::areTargetsCurrent(time_point now) const
+{
+    return !isStoreAway() && m_targetsCurrentAt != never && now - m_targetsCurrentAt <= targetWait + retryTime * 2;
+}
+
 void store_feed::later(step next)
 {
     m_context.deadlines.scheduleAfter(retryTime, [self = shared_from_this(), next] {
--- a/src/libcrocusdealfront/storefeed.h
+++ b/src/libcrocusdealfront/storefeed.h
@@ -41,6 +41,8 @@
     time_point configurationHeardAt() const;
     /** Whether the store has failed a probe after other calls, and answered nothing since. */
     bool isStoreAway() const;
+    /** Whether the targets are known as they were a moment ago. */
+    bool areTargetsCurrent(time_point now) const;
 
 private:
     void readConfiguration();
--- a/tests/libcrocusdealfront/relaycodectest.cpp
+++ b/tests/libcrocusdealfront/relaycodectest.cpp
@@ -78,6 +78,7 @@
     CPPUNIT_TEST(skipsKindsOfNewerVersions);
     CPPUNIT_TEST(carriesEvidenceAndHints);
     CPPUNIT_TEST(carriesLeasesAndBudgets);
+    CPPUNIT_TEST(carriesTheEntriesOfTargets);
     CPPUNIT_TEST(survivesChangedBytes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -210,6 +211,30 @@
         CPPUNIT_ASSERT_EQUAL(1.5, grant.granted);
     }
 
+    /** Guards against targets that are taken for others, or for listed, by an instance that the store turns away. */
+    void carriesTheEntriesOfTargets()
+    {
+        const std::vector<service_id> services{service_id("svc"), service_id("other")};
+        CPPUNIT_ASSERT(throughTheWire(target_question{3, services}).services == services);
+        target_entry entry;
+        entry.id = target_id("a");
+        entry.service = service_id("svc");
+        entry.address = {"127.0.0.1", 5432};
+        entry.dataCentre = data_centre_id("here");
+        entry.slots = 4;
+        entry.isDraining = true;
+        entry.incarnation = 17;
+        entry.revision = 71;
+        auto primary = entry;
+        primary.isDraining = false;
+        primary.claimsPrimary = true;
+        primary.isWarmingUp = true;
+        const auto answer = throughTheWire(target_answer{3, true, 72, {entry, primary}});
+        CPPUNIT_ASSERT(answer.isCurrent && answer.revision == 72);
+        const std::vector<target_entry> expected{entry, primary};
+        CPPUNIT_ASSERT(answer.entries == expected);
+    }
+
     /** Guards against a message that ends the process, or asks for memory that it does not fill. */
     void survivesChangedBytes()
     {
--- a/tests/platform/frontleasetest.cpp
+++ b/tests/platform/frontleasetest.cpp
@@ -20,6 +20,8 @@
 
 constexpr int manyConnections = 12; // Each front holds connections of its own.
 constexpr int fewConnections = 5; // One front serves for the others.
+constexpr duration missingEntryTime{
+    6000}; // Until a target whose entry has gone proves nothing, with the way to hear it.
 
 /** A caller of the front that has written once, while no order is open and the store answers. */
 std::unique_ptr<line_client> beginWriting(relay_world &fleet, const std::string &front)
@@ -51,6 +53,8 @@
     CPPUNIT_TEST(nothingIsProvedWhileNobodyReachesTheStore);
     CPPUNIT_TEST(answerThatShowsAnOpenOrderProvesNothing);
     CPPUNIT_TEST(commitThatATargetNamedToAnotherInstanceLacksIsNotHandedOut);
+    CPPUNIT_TEST(entryThatGoesWhileTheStoreIsAwayProvesNothingMore);
+    CPPUNIT_TEST(targetsStayInForceWhileNobodyReachesTheStore);
     CPPUNIT_TEST(questionsThatWaitShareOneLaterReading);
     CPPUNIT_TEST(silentStoreIsToldAsAFailure);
     CPPUNIT_TEST_SUITE_END();
@@ -144,6 +148,37 @@
         assertContains("COMPLETE sig", fleet.ask(*client, "WRITE 3 z"));
     }
 
+    /** Guards against LOST: only another instance hears that the entry of the one replica that receives has gone. */
+    void entryThatGoesWhileTheStoreIsAwayProvesNothingMore()
+    {
+        relay_world fleet(2, manyConnections);
+        const auto client = beginWriting(fleet, "front-1");
+        fleet.storeOf("front-1").isAway = true;
+        fleet.world.runFor(1500_ms);
+        fleet.world.store.removeTarget("b");
+        fleet.world.runFor(missingEntryTime);
+        fleet.world.group.at("c").faults.isDeaf = true;
+        assertContains("ERROR INDOUBT", fleet.ask(*client, "WRITE 2 y"));
+        fleet.world.publishEntry("b", false);
+        fleet.world.runFor(2000_ms);
+        assertContains("COMPLETE sig", fleet.ask(*client, "WRITE 3 z"));
+    }
+
+    /** Guards against writes in doubt for as long as the store is away from all. */
+    void targetsStayInForceWhileNobodyReachesTheStore()
+    {
+        relay_world fleet(2, manyConnections);
+        const auto client = beginWriting(fleet, "front-1");
+        for (const auto &[name, view] : fleet.stores) {
+            view->isAway = true;
+        }
+        fleet.world.runFor(1500_ms);
+        fleet.world.store.removeTarget("b");
+        fleet.world.runFor(missingEntryTime);
+        fleet.world.group.at("c").faults.isDeaf = true;
+        assertContains("COMPLETE sig", fleet.ask(*client, "WRITE 2 y"));
+    }
+
     /** Guards against LOST by an answer from before the question, and against a reading for each question. */
     void questionsThatWaitShareOneLaterReading()
     {
