Claim the lease for another instance in one place of the tests

Ruled out: a change of what is claimed; the revision that is replaced is the one that is there, as each case wrote by hand.

Before: 12 calls of claimPromotionLease() in the cases.

Conclusion: no check has changed.

--- a/tests/platform/frontcommittest.cpp
+++ b/tests/platform/frontcommittest.cpp
@@ -15,22 +15,14 @@
 /** Another instance has claimed the lease, and paused the replicas that it knows. */
 void beginChangeOfAnother(front_world &world)
 {
-    const auto found = world.store.leases.find("svc");
-    world.store.claimPromotionLease(service_id("svc"),
-                                    {"other", promotion_lease_purpose::Promotion},
-                                    found == world.store.leases.end() ? std::nullopt
-                                                                      : std::optional(found->second.revision),
-                                    [](const promotion_lease_update &) {});
+    world.store.claimForAnother({"other", promotion_lease_purpose::Promotion});
     world.group.at("b").pausedAt = 5;
     world.group.at("c").pausedAt = 5;
 }
 
 void settleChangeOfAnother(front_world &world)
 {
-    world.store.claimPromotionLease(service_id("svc"),
-                                    {"other", promotion_lease_purpose::Settled},
-                                    world.store.leases.at("svc").revision,
-                                    [](const promotion_lease_update &) {});
+    world.store.claimForAnother({"other", promotion_lease_purpose::Settled});
 }
 
 /** Starts the world and gives a caller that has written once, while no order is open. */
@@ -115,11 +107,8 @@
     {
         front_world world;
         const auto client = beginWriting(world);
-        world.store.claimPromotionLease(
-            service_id("svc"),
-            {"other", promotion_lease_purpose::Promotion, 0, std::vector<target_id>{target_id("c")}},
-            world.store.leases.at("svc").revision,
-            [](const promotion_lease_update &) {});
+        world.store.claimForAnother(
+            {"other", promotion_lease_purpose::Promotion, 0, std::vector<target_id>{target_id("c")}});
         world.runFor(200_ms);
         world.group.at("c").faults.isDeaf = true;
         assertContains("ERROR INDOUBT", world.ask(*client, "WRITE 2 y"));
@@ -169,10 +158,7 @@
         const auto client = beginWriting(world);
         world.store.removeTarget("b");
         world.runFor(1500_ms);
-        world.store.claimPromotionLease(service_id("svc"),
-                                        {"other", promotion_lease_purpose::Promotion, 0, std::vector<target_id>{}},
-                                        world.store.leases.at("svc").revision,
-                                        [](const promotion_lease_update &) {});
+        world.store.claimForAnother({"other", promotion_lease_purpose::Promotion, 0, std::vector<target_id>{}});
         world.group.at("c").pausedAt = 5;
         world.runFor(100_ms);
         world.publishEntry("b", false);
@@ -188,11 +174,8 @@
     {
         front_world world;
         const auto client = beginWriting(world);
-        world.store.claimPromotionLease(
-            service_id("svc"),
-            {"other", promotion_lease_purpose::Promotion, 0, std::vector<target_id>{target_id("b")}},
-            world.store.leases.at("svc").revision,
-            [](const promotion_lease_update &) {});
+        world.store.claimForAnother(
+            {"other", promotion_lease_purpose::Promotion, 0, std::vector<target_id>{target_id("b")}});
         world.store.removeTarget("b");
         world.runFor(4000_ms);
         assertContains("COMPLETE sig", world.ask(*client, "WRITE 2 y"));
--- a/tests/platform/frontfailovertest.cpp
+++ b/tests/platform/frontfailovertest.cpp
@@ -20,10 +20,7 @@
 /** Another instance has ordered the target and died; the order is carried out after @p delay. */
 void leaveOrderOpen(front_world &world, const std::string &target, duration delay)
 {
-    world.store.claimPromotionLease(service_id("svc"),
-                                    {"dead", promotion_lease_purpose::Promotion},
-                                    std::nullopt,
-                                    [](const promotion_lease_update &) {});
+    world.store.claimForAnother({"dead", promotion_lease_purpose::Promotion});
     const auto token = world.store.leases.at("svc").revision;
     world.store.loseOrders = true;
     world.store.orderDelay = delay;
@@ -370,11 +367,8 @@
         world.group.at("b").pausedAt = 2;
         world.group.at("c").faults.isDeaf = true;
         world.store.promotionTime = 14000_ms;
-        world.store.claimPromotionLease(
-            service_id("svc"),
-            {"dead", promotion_lease_purpose::Promotion, 0, std::vector<target_id>{target_id("c")}},
-            std::nullopt,
-            [](const promotion_lease_update &) {});
+        world.store.claimForAnother(
+            {"dead", promotion_lease_purpose::Promotion, 0, std::vector<target_id>{target_id("c")}});
         world.store.promote(service_id("svc"),
                             target_id("c"),
                             "dead",
@@ -390,11 +384,8 @@
         front_world world;
         const auto client = beginBeforeAnOrder(world);
         world.group.at("b").pausedAt = 2;
-        world.store.claimPromotionLease(
-            service_id("svc"),
-            {"dead", promotion_lease_purpose::Promotion, 0, std::vector<target_id>{target_id("a")}},
-            std::nullopt,
-            [](const promotion_lease_update &) {});
+        world.store.claimForAnother(
+            {"dead", promotion_lease_purpose::Promotion, 0, std::vector<target_id>{target_id("a")}});
         CPPUNIT_ASSERT(world.runUntil([&] { return isSettled(world); }, 11000_ms));
         CPPUNIT_ASSERT(world.runUntil([&] { return world.group.at("b").pausedAt == 0; }, 3000_ms));
         CPPUNIT_ASSERT(world.group.at("a").isPrimary);
@@ -412,10 +403,7 @@
         world.ask(*client, "WRITE 1 x");
         CPPUNIT_ASSERT(world.runUntil([&] { return world.store.leases.contains("svc"); }));
         world.runFor(1000_ms);
-        world.store.claimPromotionLease(service_id("svc"),
-                                        {"other", promotion_lease_purpose::Promotion},
-                                        world.store.leases.at("svc").revision,
-                                        [](const promotion_lease_update &) {});
+        world.store.claimForAnother({"other", promotion_lease_purpose::Promotion});
         world.store.loseOrders = false;
         world.group.at("a").listen();
         world.runFor(4500_ms);
@@ -722,10 +710,7 @@
     void changeOfAnotherInstanceGoesFirst()
     {
         front_world world;
-        world.store.claimPromotionLease(service_id("svc"),
-                                        {"other", promotion_lease_purpose::Standby},
-                                        std::nullopt,
-                                        [](const promotion_lease_update &) {});
+        world.store.claimForAnother({"other", promotion_lease_purpose::Standby});
         world.start();
         const auto client = world.connect("fresh");
         assertContains("COMPLETE sig", world.ask(*client, "WRITE 1 x"));
--- a/tests/platform/frontleasetest.cpp
+++ b/tests/platform/frontleasetest.cpp
@@ -115,12 +115,7 @@
         const auto client = beginWriting(fleet, "front-1");
         fleet.storeOf("front-1").isAway = true;
         fleet.world.runFor(1500_ms);
-        auto &leases = fleet.world.store.leases;
-        const auto revision = leases.at("svc").revision;
-        fleet.world.store.claimPromotionLease(service_id("svc"),
-                                              {"other", promotion_lease_purpose::Promotion},
-                                              revision,
-                                              [](const promotion_lease_update &) {});
+        fleet.world.store.claimForAnother({"other", promotion_lease_purpose::Promotion});
         fleet.world.group.at("b").pausedAt = 5;
         renewConnections(fleet);
         assertContains("ERROR INDOUBT", fleet.ask(*client, "WRITE 2 y"));
@@ -134,11 +129,8 @@
         const auto client = beginWriting(fleet, "front-1");
         fleet.storeOf("front-1").isAway = true;
         fleet.world.runFor(1500_ms);
-        fleet.world.store.claimPromotionLease(
-            service_id("svc"),
-            {"other", promotion_lease_purpose::Promotion, 0, std::vector<target_id>{target_id("c")}},
-            fleet.world.store.leases.at("svc").revision,
-            [](const promotion_lease_update &) {});
+        fleet.world.store.claimForAnother(
+            {"other", promotion_lease_purpose::Promotion, 0, std::vector<target_id>{target_id("c")}});
         fleet.world.group.at("c").faults.isDeaf = true;
         startAgain(fleet.world.group.at("d")); // A new connection makes the instance ask.
         fleet.world.runFor(800_ms);
--- a/tests/platform/memorystore.cpp
+++ b/tests/platform/memorystore.cpp
@@ -154,6 +154,13 @@
     answer(std::move(done), std::move(update));
 }
 
+void memory_store::claimForAnother(const promotion_lease_claim &claim)
+{
+    const auto found = leases.find("svc");
+    const auto replaces = found == leases.end() ? std::nullopt : std::optional(found->second.revision);
+    claimPromotionLease(service_id("svc"), claim, replaces, [](const promotion_lease_update &) {});
+}
+
 void memory_store::announceMember(const fleet_member &member,
                                   std::function<void(store_failure, std::uint64_t revision)> done)
 {
--- a/tests/platform/memorystore.h
+++ b/tests/platform/memorystore.h
@@ -20,6 +20,8 @@
     void setConfiguration(const routing_configuration &configuration);
     void putTarget(const target_entry &entry);
     void removeTarget(const std::string &id);
+    /** Puts the claim of another instance on the lease of "svc", over whatever is there. */
+    void claimForAnother(const promotion_lease_claim &claim);
 
     bool isAway = false; ///< Turns every call away.
     bool isWatchSilent = false; ///< Current watches of the configuration hear nothing and do not end.
