Log each request that a shutdown cuts

The log of a stopped instance told only how many sessions it had, so that three hypotheses looked alike: work begun shortly before the end; work begun early that a target holds too long; answers that were not flushed. Before: no line. After: request_cut with id, read_ms_after_stop, under_way_ms.

--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -555,6 +555,9 @@
     if (!done) {
         return;
     }
+    for (const auto &session : m_sessions) {
+        session->reportCut(m_shutdownAt);
+    }
     m_context.log.info("stopped").field("why", why).field("sessions", static_cast<std::int64_t>(m_sessions.size()));
     m_context.log.flush();
     done();
--- a/src/libcrocusdealfront/frontsession.cpp
+++ b/src/libcrocusdealfront/frontsession.cpp
@@ -81,6 +81,19 @@
     closed("closed");
 }
 
+void front_session::reportCut(time_point leavingSince) const
+{
+    if (!m_isBusy) {
+        return;
+    }
+    m_context.log.warn("request_cut")
+        .field("id", m_requestId)
+        .field("database", m_database)
+        .field("read_ms_after_stop", (m_arrivedAt - leavingSince).ms)
+        .field("under_way_ms", (systemNow() - m_arrivedAt).ms)
+        .field("in_transaction", isInTransaction() ? 1 : 0);
+}
+
 void front_session::handleData(std::string &inbound)
 {
     std::size_t taken = 0;
@@ -239,6 +252,7 @@
 void front_session::handleRequest(const caller_request &request)
 {
     m_context.deadlines.cancel(m_idleLimit);
+    m_requestId = request.id;
     if (std::exchange(m_wasAborted, false)) {
         m_state = transaction_state::Failed;
         const bool isEnd = request.what.kind == statement_kind::Commit || request.what.kind == statement_kind::Rollback;
--- a/src/libcrocusdealfront/frontsession.h
+++ b/src/libcrocusdealfront/frontsession.h
@@ -60,6 +60,8 @@
      */
     void leave(bool endsTransactions);
     void close();
+    /** Logs the request that is under way, if there is one, as the process ends without an answer to it. */
+    void reportCut(time_point leavingSince) const;
     /** Ends what the caller's key does not allow any more under the configuration in force. */
     void reviewAccess();
     /** Rolls back the open transaction; its next statement is told so. */
@@ -133,6 +135,7 @@
     bool m_hasWritten = false;
     bool m_wasAborted = false; ///< By the product; the caller has not been told.
     time_point m_arrivedAt = never; ///< Of the statement that is running.
+    std::string m_requestId; ///< Of the request that was read last.
     deadline_queue::handle m_idleLimit = 0;
     std::shared_ptr<running_statement> m_run;
     std::optional<workspace_id> m_charged; ///< Whose budget the operation that is beginning was taken from.
