Begin nothing at a stop that may not be answered by its end

Cause: the end was a time (grace less 300 ms) where an event is needed, the answer to the last statement that was begun. Nothing asked whether what begins can be over by then. Ruled out: work begun early, answers not flushed (request_cut: 13 cut, read 5,553 to 5,697 ms after SIGTERM, 3 to 147 ms under way). New sessions that could begin nothing are refused at their start-up, and the listener closes once no route allows a statement. Also: a relayed statement that was never handed over ends as not run, not in doubt.

--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -27,7 +27,6 @@
 constexpr duration balancerTime{2200}; // The balancer probes once a second and acts on two misses.
 constexpr duration shortestShutdown{2200};
 constexpr duration quietTime{250}; // The last answers are on their way, and new sessions may be.
-constexpr duration endMargin{300};
 constexpr duration longestFleetWait{1000};
 constexpr duration stallMargin{150};
 constexpr std::size_t fewestJudgedServices = 3;
@@ -223,6 +222,7 @@
     surroundings.admit = [budget = m_budget](const workspace_id &workspace, admission_handler done) {
         budget->admit(workspace, std::move(done));
     };
+    surroundings.leaving = [this] { return m_shutdown ? &*m_shutdown : nullptr; };
     surroundings.refund = [budget = m_budget](const workspace_id &workspace, time_point lapsesAt) {
         budget->refund(workspace, lapsesAt);
     };
@@ -481,6 +481,7 @@
         return;
     }
     m_shutdownAt = systemNow();
+    m_shutdown.emplace(m_shutdownAt, m_settings.gracePeriod);
     m_whenShutDown = std::move(done);
     m_context.log.info("shutting_down").field("sessions", static_cast<std::int64_t>(m_sessions.size()));
     m_services.stopKeepers();
@@ -490,14 +491,17 @@
     }
     const auto self = shared_from_this();
     m_context.deadlines.scheduleAfter(idleCloseDelay, [self] { self->endSessions(); });
-    m_context.deadlines.scheduleAfter(m_settings.gracePeriod - endMargin,
-                                      [self] { self->finishShutdown("grace is over"); });
+    m_context.deadlines.schedule(m_shutdown->answersDueAt(), [self] { self->expireWork(); });
+    m_context.deadlines.schedule(m_shutdown->processEndsAt(), [self] { self->finishShutdown("grace is over"); });
 }
 
 void front::endSessions()
 {
     const auto now = systemNow();
-    const bool endsTransactions = now - m_shutdownAt >= m_settings.gracePeriod / 2;
+    const bool endsTransactions = m_shutdown->endsTransactions(now);
+    if (!mayBeginAnything(now)) {
+        stopListening();
+    }
     const std::vector<std::shared_ptr<front_session>> sessions(m_sessions.begin(), m_sessions.end());
     for (const auto &session : sessions) {
         session->leave(endsTransactions);
@@ -515,6 +519,38 @@
     m_context.deadlines.scheduleAfter(again, [self = shared_from_this()] { self->endSessions(); });
 }
 
+bool front::mayBeginAnything(time_point now) const
+{
+    return m_configuration
+        && std::any_of(m_configuration->routes.begin(), m_configuration->routes.end(), [&](const auto &route) {
+               return m_shutdown->mayBeginStatement(now, route.second.statementTimeout);
+           });
+}
+
+void front::stopListening()
+{
+    if (!m_acceptor.is_open()) {
+        return;
+    }
+    std::error_code ignored; // Nothing depends on how a listener closes.
+    m_acceptor.close(ignored);
+    m_context.log.info("listener_closed")
+        .field("ms_after_stop", (systemNow() - m_shutdownAt).ms)
+        .field("sessions", static_cast<std::int64_t>(m_sessions.size()));
+}
+
+void front::expireWork()
+{
+    stopListening();
+    const std::vector<std::shared_ptr<front_session>> sessions(m_sessions.begin(), m_sessions.end());
+    for (const auto &session : sessions) {
+        session->expire();
+    }
+    if (m_relays) {
+        m_relays->expire();
+    }
+}
+
 void front::close()
 {
     std::error_code ignored; // Nothing depends on how a listener closes.
--- a/src/libcrocusdealfront/front.h
+++ b/src/libcrocusdealfront/front.h
@@ -12,6 +12,7 @@
 #include "operationbudget.h"
 #include "relayhub.h"
 #include "servedservices.h"
+#include "shutdownplan.h"
 #include "storefeed.h"
 #include "targetreader.h"
 
@@ -70,6 +71,12 @@
     void watchIsolationSoon();
     /** Ends the sessions of callers, each as soon as nothing of it is cut; again and again until the process ends. */
     void endSessions();
+    /** Whether a statement of any route may begin while the instance is leaving. */
+    bool mayBeginAnything(time_point now) const;
+    /** Sends new callers elsewhere once nothing can be begun for them. */
+    void stopListening();
+    /** Answers all that is under way, as the process ends soon. */
+    void expireWork();
     void finishShutdown(const char *why);
     http_response answerReadiness(const std::string &path) const;
     http_response answerMetrics(const std::string &path) const;
@@ -95,6 +102,7 @@
     std::set<std::shared_ptr<front_session>> m_sessions;
     std::function<void()> m_whenShutDown;
     time_point m_shutdownAt = never;
+    std::optional<shutdown_plan> m_shutdown; ///< While it is leaving.
     time_point m_lastSessionEndedAt = never;
     time_point m_startedAt = never;
     time_point m_leftOutToldAt = never;
--- a/src/libcrocusdealfront/frontsession.cpp
+++ b/src/libcrocusdealfront/frontsession.cpp
@@ -81,6 +81,24 @@
     closed("closed");
 }
 
+void front_session::expire()
+{
+    if (!m_isBusy || m_isEnded) {
+        return;
+    }
+    const auto run = m_run;
+    const auto transaction = m_transaction;
+    if (run) {
+        run->expire();
+    } else if (transaction) {
+        transaction->expire();
+    } else {
+        ++m_admissions; // Its answer has not come.
+        m_state = m_state == transaction_state::Open ? transaction_state::Failed : m_state;
+        answerLeaving();
+    }
+}
+
 void front_session::reportCut(time_point leavingSince) const
 {
     if (!m_isBusy) {
@@ -165,6 +183,10 @@
         refuseSession(error_code::AuthenticationFailed, accessRefusalNames.name(*access->refusal));
         return;
     }
+    if (!mayBegin(configuration->routes.at(startup.database), false)) {
+        refuseSession(error_code::Busy, "shutting_down");
+        return;
+    }
     m_context.metrics.sessionOpened();
     m_isStarted = true;
     m_surroundings.prepare(configuration->routes.at(startup.database).service);
@@ -336,6 +358,10 @@
         answerError(error_code::UnknownDatabase, m_database);
         return;
     }
+    if (!mayBegin(*route, true)) {
+        answerLeaving();
+        return;
+    }
     m_transactionWorkspace = currentAccess()->workspace;
     m_transactionRoute = std::move(route);
     m_state = transaction_state::Open;
@@ -408,6 +434,10 @@
         refuseFirst(request, error_code::UnknownDatabase, "no_route");
         return;
     }
+    if (!mayBegin(*route, isInTransaction)) {
+        refuseLeaving(request);
+        return;
+    }
     statement_order order;
     order.request = request;
     order.kind = kind;
@@ -438,22 +468,29 @@
         return;
     }
     const auto workspace = order.access.workspace;
-    m_surroundings.admit(workspace, [self = shared_from_this(), order = std::move(order)](const admission &result) {
-        if (self->m_isEnded && result.isAdmitted) {
-            self->m_surroundings.refund(order.access.workspace, result.lapsesAt);
-            return;
-        }
-        if (self->m_isEnded) {
-            return;
-        }
-        if (!result.isAdmitted) {
-            self->refuseOverLimit(order, result);
-            return;
-        }
-        self->m_charged = order.access.workspace;
-        self->m_chargeLapsesAt = result.lapsesAt;
-        self->runAdmitted(order);
-    });
+    const auto number = ++m_admissions;
+    m_surroundings.admit(workspace,
+                         [self = shared_from_this(), number, order = std::move(order)](const admission &result) {
+                             self->takeAdmission(number, order, result);
+                         });
+}
+
+void front_session::takeAdmission(int number, const statement_order &order, const admission &result)
+{
+    const bool isLate = m_isEnded || number != m_admissions;
+    if (isLate && result.isAdmitted) {
+        m_surroundings.refund(order.access.workspace, result.lapsesAt);
+    }
+    if (isLate) {
+        return;
+    }
+    if (!result.isAdmitted) {
+        refuseOverLimit(order, result);
+        return;
+    }
+    m_charged = order.access.workspace;
+    m_chargeLapsesAt = result.lapsesAt;
+    runAdmitted(order);
 }
 
 void front_session::runAdmitted(const statement_order &order)
@@ -488,6 +525,36 @@
     answerError(error_code::Busy, std::string(text) + ", come back in " + std::to_string(result.retryAfter.ms) + " ms");
 }
 
+bool front_session::mayBegin(const database_route &route, bool isInTransaction) const
+{
+    const auto *leaving = m_surroundings.leaving();
+    if (leaving == nullptr) {
+        return true;
+    }
+    const auto now = systemNow();
+    const bool hasTime = leaving->mayBeginStatement(now, route.statementTimeout);
+    return hasTime && (!isInTransaction || leaving->mayBeginTransaction(now));
+}
+
+void front_session::refuseLeaving(const caller_request &request)
+{
+    const bool isEnd = request.what.kind == statement_kind::Commit;
+    if (m_state == transaction_state::Open) {
+        m_state = isEnd ? transaction_state::Idle : transaction_state::Failed;
+    }
+    m_context.log.info("statement_refused")
+        .field("id", request.id)
+        .field("database", m_database)
+        .field("reason", "shutting_down");
+    answerLeaving();
+}
+
+void front_session::answerLeaving()
+{
+    m_context.metrics.statementRefused("shutting_down");
+    answerError(error_code::Busy, "the instance is shutting down, connect again");
+}
+
 void front_session::refundCharge()
 {
     if (const auto workspace = std::exchange(m_charged, std::nullopt)) {
--- a/src/libcrocusdealfront/frontsession.h
+++ b/src/libcrocusdealfront/frontsession.h
@@ -3,6 +3,7 @@
 #include "budgetdemand.h"
 #include "bytestream.h"
 #include "servicegroup.h"
+#include "shutdownplan.h"
 #include "statementorder.h"
 
 #include <functional>
@@ -29,6 +30,8 @@
     std::function<void(const workspace_id &, admission_handler)> admit;
     /** An admitted operation was not run; its budget lapses at the given time. */
     std::function<void(const workspace_id &, time_point)> refund;
+    /** What may still begin while the instance is leaving; null while it stays. */
+    std::function<const shutdown_plan *()> leaving;
 };
 
 /**
@@ -60,6 +63,8 @@
      */
     void leave(bool endsTransactions);
     void close();
+    /** Answers the request that is under way now, as far as its outcome is known. */
+    void expire();
     /** Logs the request that is under way, if there is one, as the process ends without an answer to it. */
     void reportCut(time_point leavingSince) const;
     /** Ends what the caller's key does not allow any more under the configuration in force. */
@@ -89,11 +94,17 @@
     void runFirst(const caller_request &request, effect kind, std::optional<prepared_shape> prepared);
     /** Runs the first statement of an operation, once its workspace may begin one. */
     void admitAndRun(statement_order order);
+    /** @p number tells which question it answers. */
+    void takeAdmission(int number, const statement_order &order, const admission &result);
     void runAdmitted(const statement_order &order);
     void refuseOverLimit(const statement_order &order, const admission &result);
+    /** Whether the instance stays long enough to answer a statement on this route that begins now. */
+    bool mayBegin(const database_route &route, bool isInTransaction) const;
+    void refuseLeaving(const caller_request &request);
+    /** Tells that nothing was begun since the instance leaves. */
+    void answerLeaving();
     /** Gives the budget of an operation back that was not begun at a target. */
     void refundCharge();
-    void sendInTransaction(const caller_request &request, std::optional<prepared_shape> prepared);
     /** Answers what cannot be run at all. */
     void refuseFirst(const caller_request &request, error_code code, std::string_view reason);
     void finishRun(const caller_request &request, const statement_outcome &outcome);
@@ -138,6 +149,7 @@
     std::string m_requestId; ///< Of the request that was read last.
     deadline_queue::handle m_idleLimit = 0;
     std::shared_ptr<running_statement> m_run;
+    int m_admissions = 0; ///< An answer to an earlier one counts no more.
     std::optional<workspace_id> m_charged; ///< Whose budget the operation that is beginning was taken from.
     time_point m_chargeLapsesAt = never;
     bool m_isOutcomeDue = false; ///< Of m_run; an outcome may come before the run is known.
--- a/src/libcrocusdealfront/localtransaction.cpp
+++ b/src/libcrocusdealfront/localtransaction.cpp
@@ -198,8 +198,7 @@
 {
     m_limit = m_context.deadlines.schedule(m_arrivedAt + m_limitTime, [self = shared_from_this()] {
         self->m_limit = 0;
-        self->m_group->cancelProof(std::exchange(self->m_proof, 0));
-        self->failInDoubt("the commit is not known to survive a change of the primary");
+        self->giveUpProof();
     });
     m_proof = m_group->proveCommit({primary, *reply.at, m_sentAt}, [self = shared_from_this(), reply](bool isKept) {
         self->m_proof = 0;
@@ -215,6 +214,12 @@
     });
 }
 
+void local_transaction::giveUpProof()
+{
+    m_group->cancelProof(std::exchange(m_proof, 0));
+    failInDoubt("the commit is not known to survive a change of the primary");
+}
+
 void local_transaction::failInDoubt(const char *reason)
 {
     m_context.log.warn("commit_in_doubt")
@@ -241,6 +246,17 @@
     fail(isInDoubt ? error_code::InDoubt : error_code::Aborted, "the statement timed out");
 }
 
+void local_transaction::expire()
+{
+    const auto self = shared_from_this();
+    m_context.deadlines.cancel(m_limit);
+    if (m_proof != 0) {
+        giveUpProof();
+    } else if (m_done) {
+        hitLimit();
+    }
+}
+
 void local_transaction::end()
 {
     const auto self = shared_from_this();
--- a/src/libcrocusdealfront/localtransaction.h
+++ b/src/libcrocusdealfront/localtransaction.h
@@ -24,6 +24,7 @@
              const session_values &values,
              duration limit,
              outcome_handler done) override;
+    void expire() override;
     void end() override;
 
 private:
@@ -38,6 +39,8 @@
     void finishCommit(const target_reply &reply);
     /** Answers once the commit is known to survive a change of the primary. */
     void answerWhenKept(const target_id &primary, const target_reply &reply);
+    /** Gives up waiting for the proof that the commit survives. */
+    void giveUpProof();
     void failInDoubt(const char *reason);
     void hitLimit();
     void release(bool isReusable);
--- a/src/libcrocusdealfront/relayedstatement.cpp
+++ b/src/libcrocusdealfront/relayedstatement.cpp
@@ -59,6 +59,16 @@
     finish({});
 }
 
+void relayed_statement::expire()
+{
+    const auto self = shared_from_this();
+    if (m_here) {
+        m_here->expire();
+    } else if (!m_isEnded) {
+        hitLimit();
+    }
+}
+
 void relayed_statement::tryNext()
 {
     const auto link = m_tried.size() < maxRelays ? m_choice.next(m_order.route.service, m_tried) : nullptr;
@@ -190,9 +200,10 @@
     if (m_link) {
         m_link->abandon(m_number);
     }
+    const bool mayHaveRun = m_link || m_isBegun;
     const bool isWrite = m_order.kind == effect::Write && !m_order.opens;
-    const auto code = isWrite ? error_code::InDoubt : error_code::Aborted;
-    fail(code, "the statement timed out");
+    const auto codeOfRun = isWrite ? error_code::InDoubt : error_code::Aborted;
+    fail(mayHaveRun ? codeOfRun : error_code::Busy, "the statement timed out");
 }
 
 void relayed_statement::fail(error_code code, std::string text)
--- a/src/libcrocusdealfront/relayedstatement.h
+++ b/src/libcrocusdealfront/relayedstatement.h
@@ -38,6 +38,7 @@
 
     void start();
     void abandon() override;
+    void expire() override;
 
 private:
     bool keepsNothing() const;
--- a/src/libcrocusdealfront/relayedtransaction.cpp
+++ b/src/libcrocusdealfront/relayedtransaction.cpp
@@ -40,9 +40,7 @@
     m_done = std::move(done);
     m_limit = m_context.deadlines.scheduleAfter(limit + answerMargin, [self = shared_from_this()] {
         self->m_limit = 0;
-        ++self->m_generation;
-        self->m_link->abandon(self->m_number);
-        self->lose("the statement timed out");
+        self->hitLimit();
     });
     relay_step message;
     message.transaction = m_opened;
@@ -97,6 +95,22 @@
     answer(std::move(outcome));
 }
 
+void relayed_transaction::hitLimit()
+{
+    ++m_generation;
+    m_link->abandon(m_number);
+    lose("the statement timed out");
+}
+
+void relayed_transaction::expire()
+{
+    const auto self = shared_from_this();
+    m_context.deadlines.cancel(m_limit);
+    if (m_done) {
+        hitLimit();
+    }
+}
+
 void relayed_transaction::end()
 {
     ++m_generation;
--- a/src/libcrocusdealfront/relayedtransaction.h
+++ b/src/libcrocusdealfront/relayedtransaction.h
@@ -25,11 +25,13 @@
              const session_values &values,
              duration limit,
              outcome_handler done) override;
+    void expire() override;
     void end() override;
 
 private:
     void handleResult(int generation, relay_result result);
     /** The outcome is not known: only a commit of writes may have kept something. */
+    void hitLimit();
     void lose(const char *reason);
     void answer(statement_outcome outcome);
 
--- a/src/libcrocusdealfront/relayhub.cpp
+++ b/src/libcrocusdealfront/relayhub.cpp
@@ -405,6 +405,14 @@
     }
 }
 
+void relay_hub::expire()
+{
+    const auto sessions = m_sessions;
+    for (const auto &session : sessions) {
+        session->expire();
+    }
+}
+
 bool relay_hub::hasWork() const
 {
     return std::any_of(m_sessions.begin(), m_sessions.end(), [](const auto &session) { return session->hasWork(); });
--- a/src/libcrocusdealfront/relayhub.h
+++ b/src/libcrocusdealfront/relayhub.h
@@ -64,6 +64,8 @@
     /** Tells the other instances at once whether this one leaves or reaches too few targets. */
     void announceState();
     void endTransactions();
+    /** Answers what runs here for other instances now, as far as its outcome is known. */
+    void expire();
     /** Whether statements of other instances run here. */
     bool hasWork() const;
     void close();
--- a/src/libcrocusdealfront/relaysession.cpp
+++ b/src/libcrocusdealfront/relaysession.cpp
@@ -103,6 +103,25 @@
     }
 }
 
+void relay_session::expire()
+{
+    const auto self = shared_from_this();
+    const auto running = m_running;
+    for (const auto &[number, run] : running) {
+        if (run) {
+            run->expire();
+        }
+    }
+    const auto steps = m_steps;
+    for (const auto &[number, opened] : steps) {
+        const auto found = m_transactions.find(opened);
+        if (found != m_transactions.end()) {
+            const auto transaction = found->second;
+            transaction->expire();
+        }
+    }
+}
+
 bool relay_session::isStepRunning(std::uint64_t transaction) const
 {
     return std::any_of(m_steps.begin(), m_steps.end(), [&](const auto &step) { return step.second == transaction; });
--- a/src/libcrocusdealfront/relaysession.h
+++ b/src/libcrocusdealfront/relaysession.h
@@ -63,6 +63,8 @@
     void announceState();
     /** Rolls back the transactions that are open; their next statements are told so. */
     void endTransactions();
+    /** Answers what is under way now, as far as its outcome is known. */
+    void expire();
 
 private:
     void handleData(std::string &inbound);
--- a/src/libcrocusdealfront/statementorder.h
+++ b/src/libcrocusdealfront/statementorder.h
@@ -56,6 +56,8 @@
 
     /** The caller has gone: gives up waiting; what is sent runs to its end. */
     virtual void abandon() = 0;
+    /** Its time is over before its limit: gives the outcome now, as far as it is known. */
+    virtual void expire() = 0;
 };
 
 /** A transaction that is open at a target. */
@@ -75,6 +77,8 @@
                      const session_values &values,
                      duration limit,
                      outcome_handler done) = 0;
+    /** Gives the outcome of the statement that is running now, as far as it is known. */
+    virtual void expire() = 0;
     /** Rolls back and gives up what is running; a commit that was sent runs to its end. */
     virtual void end() = 0;
 };
--- a/src/libcrocusdealfront/statementrun.cpp
+++ b/src/libcrocusdealfront/statementrun.cpp
@@ -116,6 +116,14 @@
     }
 }
 
+void statement_run::expire()
+{
+    const auto self = shared_from_this();
+    if (m_done) {
+        hitLimit();
+    }
+}
+
 void statement_run::acquire()
 {
     const auto &route = m_order.route;
@@ -494,7 +502,7 @@
 
 void statement_run::hitLimit()
 {
-    m_limit = 0;
+    m_context.deadlines.cancel(m_limit);
     const bool mayHaveRun = m_isSent && (m_grant || m_proof != 0);
     m_context.log.warn("statement_timed_out")
         .field("id", m_order.request.id)
--- a/src/libcrocusdealfront/statementrun.h
+++ b/src/libcrocusdealfront/statementrun.h
@@ -42,6 +42,7 @@
 
     void start();
     void abandon() override;
+    void expire() override;
 
 private:
     void acquire();
