Log how a report of draining is counted

The log did not tell by what the time for new work was counted, so that two hypotheses looked alike: the report is taken for younger than it is, or statements are sent after the time that was counted. After: target_leaving with revision, reported_at_most_ms_ago, new_work_ms.

--- a/src/libcrocusdealfront/servedservices.cpp
+++ b/src/libcrocusdealfront/servedservices.cpp
@@ -131,7 +131,11 @@
 {
     const auto *known = m_directory.find(entry.id);
     const bool isChanged = known == nullptr || known->entry != entry || known->removedAt;
+    const bool wasLeaving = known != nullptr && known->drainingSince;
     m_directory.put(entry, at);
+    if (entry.isDraining && !wasLeaving) {
+        recordLeaving(entry, at);
+    }
     if (!isChanged && !update.isComplete) {
         return;
     }
@@ -144,6 +148,17 @@
         .field("revision", static_cast<std::int64_t>(update.revision));
 }
 
+void served_services::recordLeaving(const target_entry &entry, const directory_update_time &at) const
+{
+    const auto *known = m_directory.find(entry.id);
+    m_context.log.info("target_leaving")
+        .field("target", entry.id.str())
+        .field("service", entry.service.str())
+        .field("revision", static_cast<std::int64_t>(entry.revision))
+        .field("reported_at_most_ms_ago", at.changedAfter == never ? -1 : (at.receivedAt - at.changedAfter).ms)
+        .field("new_work_ms", (known->newWorkUntil - at.receivedAt).ms);
+}
+
 void served_services::applyLeases(const promotion_lease_list_update &update, store_reading reading, time_point askedAt)
 {
     m_areLeasesKnown = true;
