Count a report of draining from a question that proves its age

Cause: targets were watched with answers that may be old, and the time for new work counted from when the answer before had come, which says nothing of the seconds before it. Ruled out: statements sent after the counted time (target_leaving: reported_at_most_ms_ago=51 new_work_ms=5449 for a report of 2.99 s before). Why it works: the watch reads what is there now, and an answer counts from when it was asked for. Watches wait a quarter of the time for new work, so half of it is left. Also: what another instance tells of targets may be older by two watches (by reading, not shown by a run).

--- a/src/libcrocusdealfront/front.cpp
+++ b/src/libcrocusdealfront/front.cpp
@@ -67,7 +67,8 @@
     const fleet_member self{m_settings.instance, m_settings.dataCentre, {}, 0};
     m_budget = std::make_shared<operation_budget>(
         m_context, m_store, budget_surroundings{self, m_settings.rateLimitBound, m_relays});
-    m_feed = std::make_shared<store_feed>(m_context, m_store, m_settings.configurationApplyTimeout);
+    m_feed =
+        std::make_shared<store_feed>(m_context, m_store, m_settings.configurationApplyTimeout, m_settings.drainTime);
     m_feed->onConfiguration = [this](const routing_configuration &configuration) { applyConfiguration(configuration); };
     m_feed->onConfigurationCurrent = [this](std::uint64_t version, time_point at) {
         m_access.recordReading(version, at);
@@ -202,7 +203,9 @@
     m_targets->services = [this] { return m_services.services(); };
     m_targets->onPeerAnswer =
         [this](const std::vector<service_id> &services, const target_answer &answer, time_point changedAfter) {
-            m_services.applyPeerTargets(services, answer, changedAfter);
+            // What the other instance knew when it answered may have been true only so long before.
+            const auto age = longestTargetAge(m_settings.drainTime);
+            m_services.applyPeerTargets(services, answer, changedAfter == never ? never : changedAfter - age);
         };
 }
 
--- a/src/libcrocusdealfront/metadatastore.h
+++ b/src/libcrocusdealfront/metadatastore.h
@@ -138,8 +138,11 @@
                                     store_reading reading,
                                     std::function<void(configuration_update)> done) = 0;
     virtual void listTargets(std::function<void(target_update)> done) = 0;
-    /** May tell of a change seconds late. */
-    virtual void watchTargets(std::uint64_t revision, duration wait, std::function<void(target_update)> done) = 0;
+    /** Waits up to @p wait for changes after @p revision. */
+    virtual void watchTargets(std::uint64_t revision,
+                              duration wait,
+                              store_reading reading,
+                              std::function<void(target_update)> done) = 0;
     virtual void listPromotionLeases(std::function<void(promotion_lease_list_update)> done) = 0;
     /** May tell of a change seconds late; a claim finds out in any case. */
     virtual void watchPromotionLeases(std::uint64_t revision,
--- a/src/libcrocusdealfront/storefeed.cpp
+++ b/src/libcrocusdealfront/storefeed.cpp
@@ -15,9 +15,6 @@
 constexpr duration retryTime{250};
 constexpr duration longestRetry{500}; // The configuration has to be in force soon after the store is back.
 constexpr duration longestConfigurationWait{25000}; // The check beside it finds out soon if this watch has gone silent.
-constexpr duration targetWait{2000};
-constexpr duration promptAnswer{
-    300}; // A later answer was held up, and says nothing of the time since it was asked for.
 constexpr duration targetListAge{60000}; // The watch may be old, so a current list follows now and then.
 constexpr duration leaseWait{25000}; // Records change seldom, and a claim finds out in any case.
 constexpr duration shortestWait{500};
@@ -27,11 +24,12 @@
 
 }
 
-store_feed::store_feed(front_context &context, metadata_store &store, duration configurationApply)
+store_feed::store_feed(front_context &context, metadata_store &store, duration configurationApply, duration drainTime)
     : m_context(context)
     , m_store(store)
     // A watch that has gone silent is noticed when its time is over, which leaves as much again to read afresh.
     , m_checkWait(std::max(shortestWait, configurationApply / 2))
+    , m_drainTime(drainTime)
     // Changes that follow at once are read together: each answer carries the configuration as a whole.
     , m_changePause(std::min(longestChangePause, configurationApply / changePauseShare))
     , m_probeDelay(retryTime)
@@ -62,7 +60,7 @@
 
 bool store_feed::areTargetsCurrent(time_point now) const
 {
-    return !isStoreAway() && m_targetsCurrentAt != never && now - m_targetsCurrentAt <= targetWait + retryTime * 2;
+    return !isStoreAway() && m_targetsCurrentAt != never && now - m_targetsCurrentAt <= longestTargetAge(m_drainTime);
 }
 
 void store_feed::later(step next)
@@ -272,19 +270,21 @@
 void store_feed::listTargets()
 {
     m_store.listTargets([self = shared_from_this(), askedAt = systemNow()](const target_update &update) {
-        self->handleTargets(update, askedAt, {});
+        self->handleTargets(update, askedAt);
     });
 }
 
 void store_feed::watchTargets()
 {
-    m_store.watchTargets(
-        m_targetRevision, targetWait, [self = shared_from_this(), askedAt = systemNow()](const target_update &update) {
-            self->handleTargets(update, askedAt, targetWait);
-        });
+    m_store.watchTargets(m_targetRevision,
+                         targetWatchWait(m_drainTime),
+                         store_reading::Current,
+                         [self = shared_from_this(), askedAt = systemNow()](const target_update &update) {
+                             self->handleTargets(update, askedAt);
+                         });
 }
 
-void store_feed::handleTargets(const target_update &update, time_point askedAt, duration wait)
+void store_feed::handleTargets(const target_update &update, time_point askedAt)
 {
     if (m_isStopped) {
         return;
@@ -305,7 +305,8 @@
         m_targetsListedAt = now;
     }
     onTargets(update, m_targetsCurrentAt);
-    m_targetsCurrentAt = now - askedAt <= wait + promptAnswer ? now : askedAt;
+    // The answer was true at some time since then, and says nothing of the time after that.
+    m_targetsCurrentAt = askedAt;
     if (now - m_targetsListedAt > targetListAge) {
         listTargets();
         return;
--- a/src/libcrocusdealfront/storefeed.h
+++ b/src/libcrocusdealfront/storefeed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "metadatastore.h"
+#include "targetdirectory.h"
 #include "targetpool.h"
 
 #include <functional>
@@ -17,14 +18,15 @@
 class store_feed : public std::enable_shared_from_this<store_feed>
 {
 public:
-    store_feed(front_context &context, metadata_store &store, duration configurationApply);
+    /** @p configurationApply and @p drainTime are those of front_settings. */
+    store_feed(front_context &context, metadata_store &store, duration configurationApply, duration drainTime);
 
     std::function<void(routing_configuration)> onConfiguration;
     /** A current answer says that this version was the newest at @p at. */
     std::function<void(std::uint64_t version, time_point at)> onConfigurationCurrent;
     /** How long a watch of the configuration may wait; nothing if it may take its time. */
     std::function<std::optional<duration>()> configurationWait;
-    /** With the time of the last answer that would have told of a change before. */
+    /** With the time at which the last answer that would have told of a change before was asked for. */
     std::function<void(const target_update &, time_point changedAfter)> onTargets;
 
     std::function<void(const promotion_lease_list_update &, store_reading reading, time_point askedAt)> onLeases;
@@ -41,7 +43,7 @@
     time_point configurationHeardAt() const;
     /** Whether the store has failed a probe after other calls, and answered nothing since. */
     bool isStoreAway() const;
-    /** Whether the targets are known as they were a moment ago. */
+    /** Whether the targets are known as they were longestTargetAge() ago, or later. */
     bool areTargetsCurrent(time_point now) const;
 
 private:
@@ -59,7 +61,7 @@
     void handleConfigurationCheck(const configuration_update &update);
     void listTargets();
     void watchTargets();
-    void handleTargets(const target_update &update, time_point askedAt, duration wait);
+    void handleTargets(const target_update &update, time_point askedAt);
     void listPromotionLeases();
     void watchPromotionLeases();
     void handleLeases(const promotion_lease_list_update &update, store_reading reading, time_point askedAt);
@@ -76,6 +78,7 @@
     front_context &m_context;
     metadata_store &m_store;
     duration m_checkWait;
+    duration m_drainTime;
     duration m_changePause;
     std::uint64_t m_checkRevision = 0;
     time_point m_targetsListedAt = never;
--- a/src/libcrocusdealpolicy/targetdirectory.cpp
+++ b/src/libcrocusdealpolicy/targetdirectory.cpp
@@ -17,9 +17,25 @@
 constexpr duration lateUpdateGrace{2500};
 // After the store was away, targets write their entries again within this time.
 constexpr duration entryReturnTime{3000};
+constexpr duration shortestWatchWait{250};
+constexpr int watchesInDrainTime = 4;
+constexpr duration watchRetryTime{250};
 
 }
 
+// A report comes with the answer to one watch, and the one before tells only that it was made after that was asked for:
+// so half of the time for new work is left in the worst case, in which a successor is found.
+duration targetWatchWait(duration drainTime)
+{
+    return std::max(shortestWatchWait, (drainTime - drainMargin) / watchesInDrainTime);
+}
+
+// Until the second of two watches is answered, the targets are known as they were when the first was asked for.
+duration longestTargetAge(duration drainTime)
+{
+    return (targetWatchWait(drainTime) + watchRetryTime) * 2;
+}
+
 target_directory::target_directory(duration drainTime)
     : m_drainTime(drainTime)
 {
@@ -47,7 +63,9 @@
 
 time_point target_directory::newWorkUntil(const directory_update_time &at) const
 {
-    return std::max(at.changedAfter + (m_drainTime - drainMargin), at.receivedAt + lateUpdateGrace);
+    const auto until = at.changedAfter + (m_drainTime - drainMargin);
+    const bool isHeardInTime = at.receivedAt - at.changedAfter <= longestTargetAge(m_drainTime);
+    return isHeardInTime ? until : std::max(until, at.receivedAt + lateUpdateGrace);
 }
 
 void target_directory::markRemoved(const target_id &id, const directory_update_time &at)
--- a/src/libcrocusdealpolicy/targetdirectory.h
+++ b/src/libcrocusdealpolicy/targetdirectory.h
@@ -23,10 +23,17 @@
 /** When an update from the metadata store was received, and the earliest time at which the change may have happened. */
 struct directory_update_time {
     time_point receivedAt = never;
-    time_point changedAfter = never; ///< Time of the last earlier answer that would have shown the change.
+    /** When the last answer that would have shown the change, but did not, was asked for; it was true after that. */
+    time_point changedAfter = never;
     std::uint64_t revision = 0; ///< Of the store, at least.
 };
 
+/** For how long the store may be asked to wait for a change of a target that serves for @p drainTime after its report.
+ */
+duration targetWatchWait(duration drainTime);
+/** How long ago the targets were as they are known, at most, while each watch is answered. */
+duration longestTargetAge(duration drainTime);
+
 /** The targets of all services, as their entries in the metadata store describe them. */
 class target_directory
 {
--- a/tests/platform/memorystore.cpp
+++ b/tests/platform/memorystore.cpp
@@ -1,5 +1,7 @@
 #include "memorystore.h"
 
+#include "systemclock.h"
+
 #include <asio/post.hpp>
 
 #include <utility>
@@ -39,6 +41,7 @@
 void memory_store::putTarget(const target_entry &entry)
 {
     m_targetRevision = ++m_revision;
+    m_targetChangedAt = systemNow();
     auto &stored = m_targets[entry.id.str()] = entry;
     stored.revision = m_targetRevision;
 }
@@ -47,6 +50,7 @@
 {
     m_targets.erase(id);
     m_targetRevision = ++m_revision;
+    m_targetChangedAt = systemNow();
 }
 
 void memory_store::endConfigurationWatches()
@@ -96,15 +100,19 @@
     answer(std::move(done), std::move(update));
 }
 
-void memory_store::watchTargets(std::uint64_t revision, duration, std::function<void(target_update)> done)
+void memory_store::watchTargets(std::uint64_t revision,
+                                duration,
+                                store_reading reading,
+                                std::function<void(target_update)> done)
 {
-    m_deadlines.scheduleAfter(pollTime, [this, revision, done = std::move(done)] {
-        if (m_targetRevision > revision) {
+    m_deadlines.scheduleAfter(pollTime, [this, revision, reading, done = std::move(done)] {
+        const bool isHidden = reading == store_reading::MayBeOld && systemNow() - m_targetChangedAt < staleAge;
+        if (m_targetRevision > revision && !isHidden) {
             listTargets(done);
             return;
         }
         target_update update;
-        update.revision = m_revision;
+        update.revision = isHidden ? revision : m_revision;
         answer(done, std::move(update));
     });
 }
--- a/tests/platform/memorystore.h
+++ b/tests/platform/memorystore.h
@@ -24,6 +24,7 @@
     void claimForAnother(const promotion_lease_claim &claim);
 
     bool isAway = false; ///< Turns every call away.
+    duration staleAge{0}; ///< Watches of targets that may be old tell of a change so much later.
     bool isWatchSilent = false; ///< Current watches of the configuration hear nothing and do not end.
     std::map<std::string, int> calls; ///< By name, answered or not.
     bool loseOrders = false; ///< Orders are carried out and not answered.
@@ -45,7 +46,10 @@
                             store_reading reading,
                             std::function<void(configuration_update)> done) override;
     void listTargets(std::function<void(target_update)> done) override;
-    void watchTargets(std::uint64_t revision, duration wait, std::function<void(target_update)> done) override;
+    void watchTargets(std::uint64_t revision,
+                      duration wait,
+                      store_reading reading,
+                      std::function<void(target_update)> done) override;
     void listPromotionLeases(std::function<void(promotion_lease_list_update)> done) override;
     void watchPromotionLeases(std::uint64_t revision,
                               duration wait,
@@ -84,6 +88,7 @@
     std::uint64_t m_configurationRevision = 0;
     std::map<std::string, target_entry> m_targets;
     std::uint64_t m_targetRevision = 0;
+    time_point m_targetChangedAt = never;
     std::uint64_t m_highestToken = 0;
 };
 
--- a/tests/platform/objectstoretest.cpp
+++ b/tests/platform/objectstoretest.cpp
@@ -262,7 +262,8 @@
         canned_server server(m_io, {body});
         platform::object_store store(m_io, m_deadlines, server.address());
         std::optional<target_update> update;
-        store.watchTargets(530, duration{1000}, [&](target_update got) { update = std::move(got); });
+        store.watchTargets(
+            530, duration{1000}, store_reading::Current, [&](target_update got) { update = std::move(got); });
         CPPUNIT_ASSERT(runUntil(m_io, [&] { return update.has_value(); }));
         return *update;
     }
--- a/tests/platform/storeview.cpp
+++ b/tests/platform/storeview.cpp
@@ -61,9 +61,12 @@
     m_store.listTargets(judged(std::move(done)));
 }
 
-void store_view::watchTargets(std::uint64_t revision, duration wait, std::function<void(target_update)> done)
+void store_view::watchTargets(std::uint64_t revision,
+                              duration wait,
+                              store_reading reading,
+                              std::function<void(target_update)> done)
 {
-    m_store.watchTargets(revision, wait, judged(std::move(done)));
+    m_store.watchTargets(revision, wait, reading, judged(std::move(done)));
 }
 
 void store_view::listPromotionLeases(std::function<void(promotion_lease_list_update)> done)
--- a/tests/platform/storeview.h
+++ b/tests/platform/storeview.h
@@ -27,7 +27,10 @@
                             store_reading reading,
                             std::function<void(configuration_update)> done) override;
     void listTargets(std::function<void(target_update)> done) override;
-    void watchTargets(std::uint64_t revision, duration wait, std::function<void(target_update)> done) override;
+    void watchTargets(std::uint64_t revision,
+                      duration wait,
+                      store_reading reading,
+                      std::function<void(target_update)> done) override;
     void listPromotionLeases(std::function<void(promotion_lease_list_update)> done) override;
     void watchPromotionLeases(std::uint64_t revision,
                               duration wait,
