Check the targets at intervals, in place of a current watch

Cause: the watch of targets with current answers pays a whole call for each change of an entry and each wait. Why it works: only readings of what is there now count, each from its question. A report is heard with the next check at the latest, so half of the time for new work is left. What the watch tells of a state before a check is left out.

--- a/src/libcrocusdealfront/metadatastore.h
+++ b/src/libcrocusdealfront/metadatastore.h
@@ -138,7 +138,9 @@
                                     store_reading reading,
                                     std::function<void(configuration_update)> done) = 0;
     virtual void listTargets(std::function<void(target_update)> done) = 0;
-    /** Waits up to @p wait for changes after @p revision. */
+    /** Ends the watch of the targets that may be old and is under way, without an answer. */
+    virtual void endTargetWatch() = 0;
+    /** Waits up to @p wait for changes after @p revision. There may be one watch of each reading at a time. */
     virtual void watchTargets(std::uint64_t revision,
                               duration wait,
                               store_reading reading,
--- a/src/libcrocusdealfront/storefeed.cpp
+++ b/src/libcrocusdealfront/storefeed.cpp
@@ -15,6 +15,7 @@
 constexpr duration retryTime{250};
 constexpr duration longestRetry{500}; // The configuration has to be in force soon after the store is back.
 constexpr duration longestConfigurationWait{25000}; // The check beside it finds out soon if this watch has gone silent.
+constexpr duration longestTargetWait{10000}; // The check beside it finds out soon if this watch has gone silent.
 constexpr duration targetListAge{60000}; // The watch may be old, so a current list follows now and then.
 constexpr duration leaseWait{25000}; // Records change seldom, and a claim finds out in any case.
 constexpr duration shortestWait{500};
@@ -40,6 +41,7 @@
 {
     readConfiguration();
     listTargets();
+    checkTargetsAt(systemNow() + targetCheckInterval(m_drainTime));
     listPromotionLeases();
 }
 
@@ -269,22 +271,31 @@
 
 void store_feed::listTargets()
 {
-    m_store.listTargets([self = shared_from_this(), askedAt = systemNow()](const target_update &update) {
-        self->handleTargets(update, askedAt);
-    });
+    m_areTargetsWatched = false;
+    m_store.endTargetWatch();
+    m_store.listTargets(
+        [self = shared_from_this(), read = ++m_targetReads, askedAt = systemNow()](const target_update &update) {
+            if (read == self->m_targetReads) {
+                self->handleTargets(update, store_reading::Current, askedAt);
+            }
+        });
 }
 
 void store_feed::watchTargets()
 {
-    m_store.watchTargets(m_targetRevision,
-                         targetWatchWait(m_drainTime),
-                         store_reading::Current,
-                         [self = shared_from_this(), askedAt = systemNow()](const target_update &update) {
-                             self->handleTargets(update, askedAt);
-                         });
+    m_areTargetsWatched = true;
+    m_store.watchTargets(
+        m_targetRevision,
+        longestTargetWait,
+        store_reading::MayBeOld,
+        [self = shared_from_this(), read = ++m_targetReads, askedAt = systemNow()](const target_update &update) {
+            if (read == self->m_targetReads) {
+                self->handleTargets(update, store_reading::MayBeOld, askedAt);
+            }
+        });
 }
 
-void store_feed::handleTargets(const target_update &update, time_point askedAt)
+void store_feed::handleTargets(const target_update &update, store_reading reading, time_point askedAt)
 {
     if (m_isStopped) {
         return;
@@ -295,23 +306,110 @@
     }
     recordStore("targets", update.failure == store_failure::None, update.detail);
     if (update.failure != store_failure::None) {
+        m_areTargetsWatched = false;
         waitForStore(&store_feed::listTargets);
         return;
     }
+    takeTargets(update, reading, askedAt);
+    if (systemNow() - m_targetsListedAt > targetListAge) {
+        listTargets();
+        return;
+    }
+    watchTargets();
+}
+
+void store_feed::takeTargets(const target_update &update, store_reading reading, time_point askedAt)
+{
     recordIgnored(update);
-    m_targetRevision = update.revision;
-    const auto now = systemNow();
     if (update.isComplete) {
-        m_targetsListedAt = now;
+        m_targetsListedAt = systemNow();
+        m_targetRevision = update.revision;
+    }
+    if (reading == store_reading::MayBeOld) {
+        m_targetRevision = update.revision;
+        onTargets(withoutKnown(update), m_targetsCurrentAt);
+        std::erase_if(m_checked, [&](const auto &known) { return known.second <= update.revision; });
+        return;
     }
+    recordChecked(update);
     onTargets(update, m_targetsCurrentAt);
     // The answer was true at some time since then, and says nothing of the time after that.
     m_targetsCurrentAt = askedAt;
-    if (now - m_targetsListedAt > targetListAge) {
-        listTargets();
+}
+
+void store_feed::recordChecked(const target_update &update)
+{
+    m_checkedRevision = update.revision;
+    if (update.isComplete) {
+        for (auto &[id, revision] : m_checked) {
+            revision = update.revision;
+        }
+    }
+    for (const auto &entry : update.entries) {
+        m_checked[entry.id] = entry.revision;
+    }
+    for (const auto &id : update.removed) {
+        m_checked[id] = update.revision;
+    }
+}
+
+target_update store_feed::withoutKnown(target_update update) const
+{
+    if (update.isComplete) {
+        return update;
+    }
+    const auto isKnownSince = [this](const target_id &id, std::uint64_t revision) {
+        const auto known = m_checked.find(id);
+        return known != m_checked.end() && known->second > revision;
+    };
+    std::erase_if(update.entries, [&](const target_entry &entry) { return isKnownSince(entry.id, entry.revision); });
+    std::erase_if(update.removed, [&](const target_id &id) { return isKnownSince(id, update.revision); });
+    return update;
+}
+
+void store_feed::checkTargetsAt(time_point at)
+{
+    m_context.deadlines.schedule(at, [self = shared_from_this()] {
+        if (!self->m_isStopped) {
+            self->checkTargets();
+        }
+    });
+}
+
+void store_feed::checkTargets()
+{
+    const auto now = systemNow();
+    const auto due = m_targetsCurrentAt + targetCheckInterval(m_drainTime);
+    if (!m_areTargetsWatched || now < due) {
+        checkTargetsAt(std::max(due, now + retryTime));
         return;
     }
-    watchTargets();
+    m_store.watchTargets(m_checkedRevision,
+                         {},
+                         store_reading::Current,
+                         [self = shared_from_this(), askedAt = now](const target_update &update) {
+                             if (!self->m_isStopped) {
+                                 self->handleTargetCheck(update, askedAt);
+                                 self->checkTargetsAt(systemNow() + retryTime);
+                             }
+                         });
+}
+
+void store_feed::handleTargetCheck(const target_update &update, time_point askedAt)
+{
+    if (update.failure != store_failure::None) {
+        // The watch finds out if the store is away.
+        m_context.log.info("target_check_failed").field("detail", update.detail);
+        return;
+    }
+    if (!m_areTargetsWatched) {
+        return; // The list that is under way tells more.
+    }
+    if (update.revision < m_checkedRevision) {
+        listTargets(); // The store has gone back.
+        return;
+    }
+    takeTargets(update, store_reading::Current, askedAt);
 }
 
 void store_feed::recordIgnored(const target_update &update)
@@ -342,14 +440,15 @@
 
 void store_feed::refreshTargets(std::function<void(bool)> done)
 {
-    m_store.listTargets([self = shared_from_this(), done = std::move(done)](const target_update &update) {
-        const bool isRead = update.failure == store_failure::None;
-        // The watch may have told of later changes already.
-        if (isRead && update.revision >= self->m_targetRevision) {
-            self->onTargets(update, self->m_targetsCurrentAt);
-        }
-        done(isRead);
-    });
+    m_store.listTargets(
+        [self = shared_from_this(), askedAt = systemNow(), done = std::move(done)](const target_update &update) {
+            const bool isRead = update.failure == store_failure::None;
+            // The watch or a check may have told of later changes already.
+            if (isRead && update.revision >= std::max(self->m_targetRevision, self->m_checkedRevision)) {
+                self->takeTargets(update, store_reading::Current, askedAt);
+            }
+            done(isRead);
+        });
 }
 
 void store_feed::listPromotionLeases()
--- a/src/libcrocusdealfront/storefeed.h
+++ b/src/libcrocusdealfront/storefeed.h
@@ -61,7 +61,16 @@
     void handleConfigurationCheck(const configuration_update &update);
     void listTargets();
     void watchTargets();
-    void handleTargets(const target_update &update, time_point askedAt);
+    void handleTargets(const target_update &update, store_reading reading, time_point askedAt);
+    /** Takes over what the store says, and since when it has been so at least. */
+    void takeTargets(const target_update &update, store_reading reading, time_point askedAt);
+    /** The watch may be old, so that the targets are read as they are now every so often. */
+    void checkTargets();
+    void checkTargetsAt(time_point at);
+    void recordChecked(const target_update &update);
+    /** Leaves out of an answer that may be old what is known from a later state. */
+    target_update withoutKnown(target_update update) const;
+    void handleTargetCheck(const target_update &update, time_point askedAt);
     void listPromotionLeases();
     void watchPromotionLeases();
     void handleLeases(const promotion_lease_list_update &update, store_reading reading, time_point askedAt);
@@ -83,6 +92,8 @@
     std::uint64_t m_checkRevision = 0;
     time_point m_targetsListedAt = never;
     time_point m_targetsCurrentAt = never; ///< The targets are known as they were then, at least.
+    int m_targetReads = 0; ///< Only the answer to the last list or watch counts.
+    bool m_areTargetsWatched = false; ///< Else they are listed, or the store is waited for.
     int m_configurationReads = 0; ///< Answers to watches from before the last read are ignored.
     std::vector<step> m_waitingSteps; ///< Each once.
     duration m_probeDelay;
@@ -92,7 +103,9 @@
     std::optional<std::uint64_t> m_configurationVersion; ///< In the store at that revision; nothing if unreadable.
     bool m_isConfigurationWatched = false; ///< Else it is read, or the store is waited for.
     bool m_isConfirming = false; ///< The watch under way answers at once.
-    std::uint64_t m_targetRevision = 0;
+    std::uint64_t m_targetRevision = 0; ///< From which the watch goes on; it may lie behind the checked one.
+    std::uint64_t m_checkedRevision = 0;
+    std::map<target_id, std::uint64_t> m_checked; ///< Revisions that the watch has yet to reach.
     std::uint64_t m_leaseRevision = 0;
     time_point m_configurationHeardAt = never;
     bool m_isStoreReachable = true;
--- a/src/libcrocusdealpolicy/targetdirectory.cpp
+++ b/src/libcrocusdealpolicy/targetdirectory.cpp
@@ -17,23 +17,22 @@
 constexpr duration lateUpdateGrace{2500};
 // After the store was away, targets write their entries again within this time.
 constexpr duration entryReturnTime{3000};
-constexpr duration shortestWatchWait{250};
-constexpr int watchesInDrainTime = 4;
-constexpr duration watchRetryTime{250};
+constexpr duration shortestCheckInterval{500};
+constexpr int checksInDrainTime = 2;
+constexpr duration lateCheckTime{500};
 
 }
 
-// A report comes with the answer to one watch, and the one before tells only that it was made after that was asked for:
-// so half of the time for new work is left in the worst case, in which a successor is found.
-duration targetWatchWait(duration drainTime)
+// A report was made after the last check before it was asked for, and is heard with the next one at the latest: so half
+// of the time for new work is left, in which a successor is found.
+duration targetCheckInterval(duration drainTime)
 {
-    return std::max(shortestWatchWait, (drainTime - drainMargin) / watchesInDrainTime);
+    return std::max(shortestCheckInterval, (drainTime - drainMargin) / checksInDrainTime);
 }
 
-// Until the second of two watches is answered, the targets are known as they were when the first was asked for.
 duration longestTargetAge(duration drainTime)
 {
-    return (targetWatchWait(drainTime) + watchRetryTime) * 2;
+    return targetCheckInterval(drainTime) + lateCheckTime;
 }
 
 target_directory::target_directory(duration drainTime)
--- a/src/libcrocusdealpolicy/targetdirectory.h
+++ b/src/libcrocusdealpolicy/targetdirectory.h
@@ -28,10 +28,9 @@
     std::uint64_t revision = 0; ///< Of the store, at least.
 };
 
-/** For how long the store may be asked to wait for a change of a target that serves for @p drainTime after its report.
- */
-duration targetWatchWait(duration drainTime);
-/** How long ago the targets were as they are known, at most, while each watch is answered. */
+/** How often the targets have to be read as they are now, if they serve for @p drainTime after they report to leave. */
+duration targetCheckInterval(duration drainTime);
+/** How long ago the targets were as they are known, at most, while each check is answered. */
 duration longestTargetAge(duration drainTime);
 
 /** The targets of all services, as their entries in the metadata store describe them. */
--- a/tests/libcrocusdealpolicy/targetdirectorytest.cpp
+++ b/tests/libcrocusdealpolicy/targetdirectorytest.cpp
@@ -12,7 +12,7 @@
     CPPUNIT_TEST(drainingReplicaGetsNothingNew);
     CPPUNIT_TEST(drainingPrimaryServesUntilShortlyBeforeTheDrainTimeEnds);
     CPPUNIT_TEST(drainingPrimaryServesBrieflyAfterALateReport);
-    CPPUNIT_TEST(watchesLeaveHalfOfTheTimeForNewWork);
+    CPPUNIT_TEST(checksLeaveHalfOfTheTimeForNewWork);
     CPPUNIT_TEST(expiredEntryDoesNotExtendTheDrainTime);
     CPPUNIT_TEST(targetWithExpiredEntryServesBriefly);
     CPPUNIT_TEST(targetWithExpiredEntryIsKeptForPromotions);
@@ -51,12 +51,11 @@
     }
 
     /** Guards against an outage at a planned change, and against new work that is counted from late news. */
-    void watchesLeaveHalfOfTheTimeForNewWork()
+    void checksLeaveHalfOfTheTimeForNewWork()
     {
         for (const auto drainTime : {3000_ms, 7000_ms, 10000_ms}) {
-            const auto wait = targetWatchWait(drainTime);
             target_directory directory(drainTime);
-            const auto heard = time_point{0} + wait * 2;
+            const auto heard = time_point{0} + targetCheckInterval(drainTime);
             directory.put(entry(true), {heard, {0}});
             const auto asLongAgain = heard + (heard - time_point{0}) - 1_ms;
             CPPUNIT_ASSERT(directory.acceptsNewWork(known(directory), true, asLongAgain));
--- a/tests/platform/memorystore.cpp
+++ b/tests/platform/memorystore.cpp
@@ -100,6 +100,11 @@
     answer(std::move(done), std::move(update));
 }
 
+void memory_store::endTargetWatch()
+{
+    // As with those of the configuration.
+}
+
 void memory_store::watchTargets(std::uint64_t revision,
                                 duration,
                                 store_reading reading,
--- a/tests/platform/storeview.cpp
+++ b/tests/platform/storeview.cpp
@@ -61,6 +61,11 @@
     m_store.listTargets(judged(std::move(done)));
 }
 
+void store_view::endTargetWatch()
+{
+    m_store.endTargetWatch();
+}
+
 void store_view::watchTargets(std::uint64_t revision,
                               duration wait,
                               store_reading reading,
--- a/tests/platform/storeview.h
+++ b/tests/platform/storeview.h
@@ -27,6 +27,7 @@
                             store_reading reading,
                             std::function<void(configuration_update)> done) override;
     void listTargets(std::function<void(target_update)> done) override;
+    void endTargetWatch() override;
     void watchTargets(std::uint64_t revision,
                       duration wait,
                       store_reading reading,
