Let actions of the deadline queue cancel others as they end

The product ends by _Exit() and was not concerned. Cause: cancelAll() cleared its map in place; an action that is the last to hold a front ends it, and its parts cancel in the map that is being cleared. Before: deadline_queue_test::ownersThatEndWithTheirActionsMayCancelOthers crashes. Why it works: the actions are taken out of the queue before they are destroyed.

--- a/src/libcrocusdealfront/deadlinequeue.cpp
+++ b/src/libcrocusdealfront/deadlinequeue.cpp
@@ -42,9 +42,10 @@
 
 void deadline_queue::cancelAll()
 {
-    m_actions.clear();
-    m_timeByHandle.clear();
     m_timer.cancel();
+    m_timeByHandle.clear();
+    // What an action was the last to hold may cancel others in its destructor.
+    const auto ended = std::exchange(m_actions, {});
 }
 
 void deadline_queue::arm()
