Accept fractions of seconds in the settings

Cause: grace_s and rate_limit.window_s were read as whole numbers; the platform's figures may be fractions. Before: front_settings_test::secondsMayBeFractions failed. After: it passes. Why it works: seconds are numbers, counted in whole milliseconds. Settings in milliseconds stay whole numbers.

--- a/src/libcrocusdealfront/frontsettings.cpp
+++ b/src/libcrocusdealfront/frontsettings.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 namespace crocusdeal
 {
 
@@ -13,11 +15,18 @@
 using presence = object_reader::presence;
 
 constexpr integer_range millisecondRange{100, 600000};
-constexpr integer_range secondRange{1, 600};
-constexpr std::int64_t msPerSecond = 1000;
+constexpr number_range secondRange{1, 600};
+constexpr double msPerSecond = 1000;
 constexpr number_range overageRange{0, 10};
 constexpr number_range slackRange{0, 1e6};
 
+/** A time in seconds, perhaps a fraction of one; counted in whole milliseconds. */
+std::optional<duration> readSeconds(object_reader &reader, const std::string &key)
+{
+    const auto seconds = reader.number(key, presence::Optional, secondRange);
+    return seconds ? std::optional(duration{std::llround(*seconds * msPerSecond)}) : std::nullopt;
+}
+
 void readReadiness(object_reader &top, front_settings &settings, problem_list &problems)
 {
     const auto *value = top.object("readiness", presence::Required);
@@ -41,8 +50,7 @@
     }
     object_reader reader(*value, "rate_limit", problems);
     auto &bound = settings.rateLimitBound;
-    const auto window = reader.integer("window_s", presence::Optional, secondRange);
-    bound.window = window ? duration{*window * msPerSecond} : bound.window;
+    bound.window = readSeconds(reader, "window_s").value_or(bound.window);
     bound.overage = reader.number("overage", presence::Optional, overageRange).value_or(bound.overage);
     bound.slack = reader.number("slack", presence::Optional, slackRange).value_or(bound.slack);
     reader.finish();
@@ -62,8 +70,7 @@
     settings.relayAddress = top.address("relay_address", presence::Optional);
     const auto drain = top.integer("drain_ms", presence::Optional, millisecondRange);
     settings.drainTime = duration{drain.value_or(settings.drainTime.ms)};
-    const auto grace = top.integer("grace_s", presence::Optional, secondRange);
-    settings.gracePeriod = duration{grace ? *grace * msPerSecond : settings.gracePeriod.ms};
+    settings.gracePeriod = readSeconds(top, "grace_s").value_or(settings.gracePeriod);
     const auto apply = top.integer("configuration_apply_ms", presence::Optional, millisecondRange);
     settings.configurationApplyTimeout = duration{apply.value_or(settings.configurationApplyTimeout.ms)};
     const auto heartbeat = top.integer("target_heartbeat_ms", presence::Optional, millisecondRange);
--- a/tests/libcrocusdealfront/frontsettingstest.cpp
+++ b/tests/libcrocusdealfront/frontsettingstest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(documentedExampleIsValid);
     CPPUNIT_TEST(problemsNameFileKeyAndExpectedValue);
     CPPUNIT_TEST(reportsAllProblemsAtOnce);
+    CPPUNIT_TEST(secondsMayBeFractions);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -54,6 +55,24 @@
         const auto result = parseFrontSettings(R"({"instanse": "a"})", "f.json");
         CPPUNIT_ASSERT(result.problems.size() >= 6);
     }
+
+    /** Guards against a daemon that does not start, as the platform fills in figures that are fractions. */
+    void secondsMayBeFractions()
+    {
+        const auto result = parseFrontSettings(R"({"instance": "a", "data_centre": "b", "caller_address": "1.2.3.4:4",
+            "readiness": {"address": "1.2.3.4:5", "path": "/ready"}, "store_address": "1.2.3.4:6",
+            "authority_address": "1.2.3.4:7", "grace_s": 6.5, "rate_limit": {"window_s": 2.5}})",
+                                               "f.json");
+        CPPUNIT_ASSERT_MESSAGE(result.problems.empty() ? "" : toString(result.problems.front()), result.value);
+        CPPUNIT_ASSERT(result.value->gracePeriod == duration{6500});
+        CPPUNIT_ASSERT(result.value->rateLimitBound.window == duration{2500});
+        const auto tooShort = parseFrontSettings(R"({"grace_s": 0.5})", "f.json");
+        std::string all;
+        for (const auto &problem : tooShort.problems) {
+            all += toString(problem) + "\n";
+        }
+        CPPUNIT_ASSERT_MESSAGE(all, all.find("f.json: grace_s: ") != std::string::npos);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(front_settings_test);
