List the targets when a check fails or finds no history

A check that the store answered with "history gone" was asked again each 250 ms from the same revision, with whole calls, and proved nothing until the next list, up to 60 s later; one that failed left it to the watch, which waits up to 10 s. Before: front_drain_test::checkWithoutHistoryReadsTheList failed, no list. After: it passes. Why it works: a check now ends as a watch does: history gone or a store that went back, list; no answer, probe and list.

--- a/src/libcrocusdealfront/storefeed.cpp
+++ b/src/libcrocusdealfront/storefeed.cpp
@@ -306,8 +306,7 @@
     }
     recordStore("targets", update.failure == store_failure::None, update.detail);
     if (update.failure != store_failure::None) {
-        m_areTargetsWatched = false;
-        waitForStore(&store_feed::listTargets);
+        loseTargets();
         return;
     }
     takeTargets(update, reading, askedAt);
@@ -397,21 +396,30 @@
 
 void store_feed::handleTargetCheck(const target_update &update, time_point askedAt)
 {
-    if (update.failure != store_failure::None) {
-        // The watch finds out if the store is away.
-        m_context.log.info("target_check_failed").field("detail", update.detail);
-        return;
-    }
     if (!m_areTargetsWatched) {
         return; // The list that is under way tells more.
     }
-    if (update.revision < m_checkedRevision) {
-        listTargets(); // The store has gone back.
+    const bool hasGoneBack = update.failure == store_failure::None && update.revision < m_checkedRevision;
+    if (update.failure == store_failure::HistoryGone || hasGoneBack) {
+        listTargets();
+        return;
+    }
+    recordStore("targets", update.failure == store_failure::None, update.detail);
+    if (update.failure != store_failure::None) {
+        loseTargets();
         return;
     }
     takeTargets(update, store_reading::Current, askedAt);
 }
 
+void store_feed::loseTargets()
+{
+    m_areTargetsWatched = false;
+    ++m_targetReads;
+    m_store.endTargetWatch();
+    waitForStore(&store_feed::listTargets);
+}
+
 void store_feed::recordIgnored(const target_update &update)
 {
     if (update.isComplete) {
--- a/src/libcrocusdealfront/storefeed.h
+++ b/src/libcrocusdealfront/storefeed.h
@@ -71,6 +71,8 @@
     /** Leaves out of an answer that may be old what is known from a later state. */
     target_update withoutKnown(target_update update) const;
     void handleTargetCheck(const target_update &update, time_point askedAt);
+    /** The store did not answer about the targets; they are listed once it is back. */
+    void loseTargets();
     void listPromotionLeases();
     void watchPromotionLeases();
     void handleLeases(const promotion_lease_list_update &update, store_reading reading, time_point askedAt);
--- a/tests/platform/frontdraintest.cpp
+++ b/tests/platform/frontdraintest.cpp
@@ -13,6 +13,7 @@
 {
     CPPUNIT_TEST_SUITE(front_drain_test);
     CPPUNIT_TEST(leavingPrimaryGetsNothingNewAfterItsTime);
+    CPPUNIT_TEST(checkWithoutHistoryReadsTheList);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -40,6 +41,20 @@
         // Guards against an outage while the successor is chosen.
         CPPUNIT_ASSERT(last >= world.settings.drainTime / 4);
     }
+
+    /** Guards against evidence that grows old, and calls in vain, once the store has forgotten its history. */
+    void checkWithoutHistoryReadsTheList()
+    {
+        front_world world;
+        world.settings.drainTime = 4000_ms;
+        world.start();
+        world.store.forgetHistory();
+        const auto listed = world.store.calls["list"];
+        const auto checked = world.store.calls["target check"];
+        world.runFor(5000_ms);
+        CPPUNIT_ASSERT(world.store.calls["list"] > listed);
+        CPPUNIT_ASSERT(world.store.calls["target check"] - checked <= 5);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(front_drain_test);
--- a/tests/platform/memorystore.cpp
+++ b/tests/platform/memorystore.cpp
@@ -53,6 +53,11 @@
     m_targetChangedAt = systemNow();
 }
 
+void memory_store::forgetHistory()
+{
+    historyFrom = ++m_revision;
+}
+
 void memory_store::endConfigurationWatches()
 {
     // A watch of this store that is never answered holds nothing.
@@ -118,6 +123,9 @@
         }
         target_update update;
         update.revision = isHidden ? revision : m_revision;
+        if (reading == store_reading::Current && revision < historyFrom) {
+            update.failure = store_failure::HistoryGone;
+        }
         answer(done, std::move(update));
     });
 }
--- a/tests/platform/memorystore.h
+++ b/tests/platform/memorystore.h
@@ -20,10 +20,13 @@
     void setConfiguration(const routing_configuration &configuration);
     void putTarget(const target_entry &entry);
     void removeTarget(const std::string &id);
+    /** Forgets the history of all that was changed until now. */
+    void forgetHistory();
     /** Puts the claim of another instance on the lease of "svc", over whatever is there. */
     void claimForAnother(const promotion_lease_claim &claim);
 
     bool isAway = false; ///< Turns every call away.
+    std::uint64_t historyFrom = 0; ///< Current watches of targets from before this revision have no history.
     duration staleAge{0}; ///< Watches of targets that may be old tell of a change so much later.
     bool isWatchSilent = false; ///< Current watches of the configuration hear nothing and do not end.
     std::map<std::string, int> calls; ///< By name, answered or not.
