Keep the link to a leaving instance while it is in use

Callers saw: transactions that a leaving instance holds for callers of others are rolled back 1.4 to 1.8 s after its SIGTERM, in place of half of the grace, and writes under way there are in doubt. Cause: the leaving instance withdraws its entry, and the others close their links to it as not needed, with work on them. Ruled out: the leaving instance itself; relay_ended reason="not needed" pending=9 comes from the others, 1,774 ms after shutting_down. Before: front_relay_test::transactionAtALeavingInstanceHasItsTime failed, the commit had not kept the write. After: it passes. Why it works: a link counts its open transactions, and one that is in use is not closed for want of a member or a plan.

--- a/src/libcrocusdealfront/relayedtransaction.cpp
+++ b/src/libcrocusdealfront/relayedtransaction.cpp
@@ -25,6 +25,12 @@
     , m_database(std::move(database))
     , m_hasWritten(hasWritten)
 {
+    m_link->transactionOpened();
+}
+
+relayed_transaction::~relayed_transaction()
+{
+    m_link->transactionEnded();
 }
 
 void relayed_transaction::run(const caller_request &request,
--- a/src/libcrocusdealfront/relayedtransaction.h
+++ b/src/libcrocusdealfront/relayedtransaction.h
@@ -20,6 +20,10 @@
                         std::string database,
                         bool hasWritten);
 
+    ~relayed_transaction() override;
+    relayed_transaction(const relayed_transaction &) = delete;
+    relayed_transaction &operator=(const relayed_transaction &) = delete;
+
     void run(const caller_request &request,
              const std::optional<prepared_shape> &prepared,
              const session_values &values,
@@ -30,8 +34,8 @@
 
 private:
     void handleResult(int generation, relay_result result);
-    /** The outcome is not known: only a commit of writes may have kept something. */
     void hitLimit();
+    /** The outcome is not known: only a commit of writes may have kept something. */
     void lose(const char *reason);
     void answer(statement_outcome outcome);
 
--- a/src/libcrocusdealfront/relayhub.cpp
+++ b/src/libcrocusdealfront/relayhub.cpp
@@ -280,12 +280,15 @@
     for (const auto &[id, link] : links) {
         const auto *member = memberOf(id);
         // Another incarnation at the same address has ended the link itself.
-        const bool isReplaced = member == nullptr || member->relayAddress != link->peer().relayAddress;
+        const bool isMoved = member != nullptr && member->relayAddress != link->peer().relayAddress;
         link->setPingedSeldom(!relayed.contains(id));
-        if (!link->isEnded() && (isReplaced || !wanted.contains(id))) {
+        // An instance that leaves is no member any more, and finishes what it has begun.
+        const bool isUnneeded = !wanted.contains(id) && !link->isInUse();
+        if (!link->isEnded() && (isMoved || isUnneeded)) {
             link->close("not needed");
         }
-        if (isReplaced || (link->isEnded() && now - link->endedAt() >= retry)) {
+        const bool isGone = member == nullptr && link->isEnded();
+        if (isMoved || isGone || (link->isEnded() && now - link->endedAt() >= retry)) {
             m_links.erase(id);
         }
     }
--- a/src/libcrocusdealfront/relaylink.cpp
+++ b/src/libcrocusdealfront/relaylink.cpp
@@ -67,6 +67,21 @@
     return m_isEnded;
 }
 
+bool relay_link::isInUse() const
+{
+    return !m_pending.empty() || m_openTransactions > 0;
+}
+
+void relay_link::transactionOpened()
+{
+    ++m_openTransactions;
+}
+
+void relay_link::transactionEnded()
+{
+    --m_openTransactions;
+}
+
 bool relay_link::isPeerIsolated() const
 {
     return m_isIsolated;
--- a/src/libcrocusdealfront/relaylink.h
+++ b/src/libcrocusdealfront/relaylink.h
@@ -54,6 +54,11 @@
     /** Whether it answers questions; one that leaves does. */
     bool isAnswering() const;
     bool isEnded() const;
+    /** Whether work is under way on it, or a transaction is open. */
+    bool isInUse() const;
+    /** A transaction is open at the other instance; closing the link rolls it back. */
+    void transactionOpened();
+    void transactionEnded();
     bool isPeerIsolated() const;
     /** Whether the other instance has said that the store does not answer it. */
     bool isPeerStoreAway() const;
@@ -111,6 +116,7 @@
     fleet_member m_peer;
     std::shared_ptr<byte_stream> m_stream;
     std::map<std::uint64_t, pending_work> m_pending;
+    int m_openTransactions = 0;
     std::map<std::uint64_t, lease_inquiry> m_leaseQuestions;
     std::map<std::uint64_t, target_handler> m_targetQuestions;
     std::map<std::uint64_t, budget_handler> m_budgets; ///< Questions without an answer.
--- a/tests/platform/frontrelaytest.cpp
+++ b/tests/platform/frontrelaytest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(transactionAtAKilledInstanceIsAborted);
     CPPUNIT_TEST(commitAtAKilledInstanceIsInDoubt);
     CPPUNIT_TEST(leavingInstanceFinishesWhatItServes);
+    CPPUNIT_TEST(transactionAtALeavingInstanceHasItsTime);
     CPPUNIT_TEST(callerThatLeavesLeavesNothingOpen);
     CPPUNIT_TEST(silentInstanceIsLeftForReads);
     CPPUNIT_TEST(strangersAndMalformedMessagesAreCutOff);
@@ -216,6 +217,19 @@
         assertContains("DATAROW six", fleet.ask(*other, "READ 6"));
     }
 
+    /** Guards against a link that is closed as not needed, since the leaving instance is no member, with work on it. */
+    void transactionAtALeavingInstanceHasItsTime()
+    {
+        relay_world fleet(3, 4);
+        const auto client = fleet.connect(fleet.relays().front(), "fresh");
+        fleet.ask(*client, "BEGIN");
+        assertContains("READY T", fleet.ask(*client, "WRITE 4 four"));
+        fleet.fronts.at(fleet.serving())->shutdown([] {});
+        fleet.world.runFor(2500_ms);
+        assertContains("READY I", fleet.ask(*client, "COMMIT"));
+        assertContains("DATAROW four", fleet.ask(*client, "READ 4"));
+    }
+
     /** Guards against PINNED: a transaction that stays open at a target after its caller has left another instance. */
     void callerThatLeavesLeavesNothingOpen()
     {
