Leave relayed work that keeps nothing to another instance at a stop

At the end of its grace a serving instance answered relayed reads and first statements of transactions with ABORTED or TIMEOUT, and queued writes with BUSY; before, the lost link had the other instance run reads again. Before: front_relay_test::workThatALeavingInstanceCannotEndIsServedByAnother failed, "ERROR ABORTED the statement timed out". After: it passes: the opener is served by another instance, so are writes that were not sent; sent ones are INDOUBT. Conclusion: only an outcome that nobody else can improve is answered; the rest is not served, or lost with the link.

--- a/src/libcrocusdealfront/relaysession.cpp
+++ b/src/libcrocusdealfront/relaysession.cpp
@@ -106,6 +106,7 @@
 void relay_session::expire()
 {
     const auto self = shared_from_this();
+    m_isExpiring = true;
     const auto running = m_running;
     for (const auto &[number, run] : running) {
         if (run) {
@@ -333,6 +334,10 @@
 void relay_session::answerRun(std::uint64_t number, const statement_outcome &outcome)
 {
     m_running.erase(number);
+    if (m_isExpiring && outcome.error && *outcome.error != error_code::InDoubt) {
+        answerExpired(number, *outcome.error);
+        return;
+    }
     if (outcome.transaction && m_isEnded) {
         outcome.transaction->end();
         return;
@@ -343,6 +348,14 @@
     answer(number, outcome);
 }
 
+void relay_session::answerExpired(std::uint64_t number, error_code code)
+{
+    if (hasNotRun(code)) {
+        send(relay_not_served{number});
+    }
+    // What may have run and keeps nothing is served by another instance once the link has ended.
+}
+
 void relay_session::handleStep(const relay_step &message)
 {
     const auto found = m_transactions.find(message.transaction);
--- a/src/libcrocusdealfront/relaysession.h
+++ b/src/libcrocusdealfront/relaysession.h
@@ -89,6 +89,8 @@
     relay_pong stateOf(std::uint64_t number) const;
     bool isStepRunning(std::uint64_t transaction) const;
     void answerRun(std::uint64_t number, const statement_outcome &outcome);
+    /** The process ends without the outcome: the other instance goes on with what is safe to run again. */
+    void answerExpired(std::uint64_t number, error_code code);
     void answerStep(std::uint64_t number, std::uint64_t transaction, const statement_outcome &outcome);
     void answer(std::uint64_t number, const statement_outcome &outcome);
     void refuse(std::uint64_t number, error_code code, std::string text);
@@ -104,6 +106,7 @@
     std::map<std::uint64_t, std::shared_ptr<running_statement>> m_running;
     std::map<std::uint64_t, std::shared_ptr<open_transaction>> m_transactions; ///< By the run that opened them.
     std::map<std::uint64_t, std::uint64_t> m_steps; ///< That run, with their transactions.
+    bool m_isExpiring = false; ///< The process ends soon.
     bool m_isEnded = false;
 };
 
--- a/tests/platform/frontrelaytest.cpp
+++ b/tests/platform/frontrelaytest.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(commitAtAKilledInstanceIsInDoubt);
     CPPUNIT_TEST(leavingInstanceFinishesWhatItServes);
     CPPUNIT_TEST(transactionAtALeavingInstanceHasItsTime);
+    CPPUNIT_TEST(workThatALeavingInstanceCannotEndIsServedByAnother);
     CPPUNIT_TEST(callerThatLeavesLeavesNothingOpen);
     CPPUNIT_TEST(silentInstanceIsLeftForReads);
     CPPUNIT_TEST(strangersAndMalformedMessagesAreCutOff);
@@ -230,6 +231,50 @@
         assertContains("DATAROW four", fleet.ask(*client, "READ 4"));
     }
 
+    /** Guards against failures at a planned stop, where nothing is kept or was sent and another instance could serve.
+     */
+    void workThatALeavingInstanceCannotEndIsServedByAnother()
+    {
+        relay_world fleet(3, 4);
+        allowLongStatements(fleet);
+        const auto relay = fleet.relays().front();
+        const auto opener = fleet.connect(relay, "fresh");
+        fleet.ask(*opener, "BEGIN");
+        std::vector<std::unique_ptr<line_client>> writers;
+        writers.reserve(8);
+        for (int i = 0; i < 8; ++i) {
+            writers.push_back(fleet.connect(relay, "fresh"));
+        }
+        for (auto &[id, database] : fleet.world.group.databases) {
+            database->faults.answerDelay = 20000_ms;
+        }
+        opener->send("QUERY o READ 1");
+        fleet.world.runFor(50_ms);
+        for (std::size_t i = 0; i < writers.size(); ++i) {
+            writers[i]->send("QUERY w" + std::to_string(i) + " WRITE " + std::to_string(i) + " x");
+        }
+        fleet.world.runFor(50_ms);
+        const auto sent = fleet.world.group.at("a").statements;
+        bool isStopped = false;
+        fleet.fronts.at(fleet.serving())->shutdown([&] { isStopped = true; });
+        fleet.world.runFor(fleet.world.settings.gracePeriod - 500_ms);
+        for (auto &[id, database] : fleet.world.group.databases) {
+            database->faults.answerDelay = {};
+        }
+        CPPUNIT_ASSERT(fleet.world.runUntil([&] { return isStopped; }, 2000_ms));
+        fleet.kill(fleet.serving()); // As its process ends.
+        CPPUNIT_ASSERT(fleet.world.runUntil([&] { return opener->hasAnswer(); }, 2000_ms));
+        assertContains("READY T", opener->takeAnswer());
+        int servedElsewhere = 0;
+        for (std::size_t i = 0; i < writers.size(); ++i) {
+            CPPUNIT_ASSERT(fleet.world.runUntil([&] { return writers[i]->hasAnswer(); }, 2000_ms));
+            const bool wasSent = std::find(sent.begin(), sent.end(), "WRITE " + std::to_string(i) + " x") != sent.end();
+            assertContains(wasSent ? "ERROR INDOUBT" : "COMPLETE sig", writers[i]->takeAnswer());
+            servedElsewhere += wasSent ? 0 : 1;
+        }
+        CPPUNIT_ASSERT(servedElsewhere > 0);
+    }
+
     /** Guards against PINNED: a transaction that stays open at a target after its caller has left another instance. */
     void callerThatLeavesLeavesNothingOpen()
     {
@@ -338,6 +383,19 @@
         CPPUNIT_ASSERT(found != loads.end() && found->incarnation != 0 && found->answerMs > 0);
         CPPUNIT_ASSERT(loads.size() <= 8 && !found->isFull && !found->behindAt);
     }
+
+private:
+    /** All routes allow more time for a statement than the grace. */
+    static void allowLongStatements(relay_world &fleet)
+    {
+        auto &configuration = fleet.world.configuration;
+        for (auto &[name, route] : configuration.routes) {
+            route.statementTimeout = duration{30000};
+        }
+        ++configuration.version;
+        fleet.world.store.setConfiguration(configuration);
+        fleet.world.runFor(duration{800});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(front_relay_test);
