Take up the next request after a late refusal

Callers saw: of two requests sent at once, the second gets no answer if the first one waits for its budget and is refused. Cause: refuseOverLimit() and runAdmitted() clear the mark of a running request before the answer, which takes up buffered input only if one was running. Ruled out: the first answer itself, which came. Before: front_session_test::lateRefusalHoldsUpNoOtherRequest failed, no second answer within 1 s. Why it works: the mark is cleared by the answer alone.

--- a/src/libcrocusdealfront/frontsession.cpp
+++ b/src/libcrocusdealfront/frontsession.cpp
@@ -504,7 +504,6 @@
         });
     if (!run) {
         refundCharge();
-        m_isBusy = false;
         refuseFirst(request, error_code::Busy, "no_targets_known");
     } else if (m_isOutcomeDue) {
         m_run = std::move(run);
@@ -513,7 +512,6 @@
 
 void front_session::refuseOverLimit(const statement_order &order, const admission &result)
 {
-    m_isBusy = false;
     m_state = m_state == transaction_state::Open ? transaction_state::Failed : m_state;
     m_context.log.info(result.isOverLimit ? "operation_over_limit" : "operation_without_budget")
         .field("id", order.request.id)
