Log a report of draining that a full list brings

Cause: recordEntry() asked whether the target was known to leave after replaceAll() had recorded it, so that target_leaving was left out for lists. Log only; no test reads log lines of this part. Before: no line for a list (by reading). After: the line depends on whether this update began the leaving; front_drain_test passes.

--- a/src/libcrocusdealfront/servedservices.cpp
+++ b/src/libcrocusdealfront/servedservices.cpp
@@ -131,11 +131,8 @@
 {
     const auto *known = m_directory.find(entry.id);
     const bool isChanged = known == nullptr || known->entry != entry || known->removedAt;
-    const bool wasLeaving = known != nullptr && known->drainingSince;
     m_directory.put(entry, at);
-    if (entry.isDraining && !wasLeaving) {
-        recordLeaving(entry, at);
-    }
+    recordIfLeaving(entry, at);
     if (!isChanged && !update.isComplete) {
         return;
     }
@@ -148,9 +145,12 @@
         .field("revision", static_cast<std::int64_t>(update.revision));
 }
 
-void served_services::recordLeaving(const target_entry &entry, const directory_update_time &at) const
+void served_services::recordIfLeaving(const target_entry &entry, const directory_update_time &at) const
 {
     const auto *known = m_directory.find(entry.id);
+    if (known->drainingSince != at.receivedAt) {
+        return; // It stays, or was known to leave before.
+    }
     m_context.log.info("target_leaving")
         .field("target", entry.id.str())
         .field("service", entry.service.str())
--- a/src/libcrocusdealfront/servedservices.h
+++ b/src/libcrocusdealfront/servedservices.h
@@ -101,8 +101,8 @@
     std::shared_ptr<service_group> beginToServe(const service_id &service, const service_policy &policy);
     std::shared_ptr<primary_keeper> makeKeeper(const std::shared_ptr<service_group> &group);
     void recordEntry(const target_entry &entry, const target_update &update, const directory_update_time &at);
-    /** Logs for how long the target may get new work as the primary, and by what that was counted. */
-    void recordLeaving(const target_entry &entry, const directory_update_time &at) const;
+    /** Logs for how long a target may get new work as the primary that began to leave with this update. */
+    void recordIfLeaving(const target_entry &entry, const directory_update_time &at) const;
     void reportLease(const service_id &service, primary_keeper &keeper) const;
     void reportWitnesses(const service_id &service, service_group &group) const;
     void refreshGroups();
