End a transaction whose commit is refused at a stop

Callers saw: a COMMIT that waits for the budget of its workspace at the end of a stop is refused and leaves the session in a failed transaction. Cause: the state after a refusal was written again in expire(), without the case of a commit. Ruled out: refuseAccess() and refuseLeaving(), which had it; all three share failTransaction() now. Before: front_session_test::commitThatWaitsForItsBudgetEndsItsTransaction failed, READY E. After: it passes.

--- a/src/libcrocusdealfront/frontsession.cpp
+++ b/src/libcrocusdealfront/frontsession.cpp
@@ -94,8 +94,7 @@
         transaction->expire();
     } else {
         ++m_admissions; // Its answer has not come.
-        m_state = m_state == transaction_state::Open ? transaction_state::Failed : m_state;
-        answerLeaving();
+        refuseLeaving();
     }
 }
 
@@ -259,10 +258,7 @@
 void front_session::refuseAccess(const caller_request &request, error_code code, std::string_view reason)
 {
     endTransaction();
-    const bool isEnd = request.what.kind == statement_kind::Commit;
-    if (m_state == transaction_state::Open) {
-        m_state = isEnd ? transaction_state::Idle : transaction_state::Failed;
-    }
+    failTransaction();
     m_context.metrics.statementRefused(reason);
     m_context.log.info("statement_refused")
         .field("id", request.id)
@@ -275,6 +271,7 @@
 {
     m_context.deadlines.cancel(m_idleLimit);
     m_requestId = request.id;
+    m_requestKind = request.what.kind;
     if (std::exchange(m_wasAborted, false)) {
         m_state = transaction_state::Failed;
         const bool isEnd = request.what.kind == statement_kind::Commit || request.what.kind == statement_kind::Rollback;
@@ -359,7 +356,7 @@
         return;
     }
     if (!mayBegin(*route, true)) {
-        answerLeaving();
+        refuseLeaving();
         return;
     }
     m_transactionWorkspace = currentAccess()->workspace;
@@ -435,7 +432,7 @@
         return;
     }
     if (!mayBegin(*route, isInTransaction)) {
-        refuseLeaving(request);
+        refuseLeaving();
         return;
     }
     statement_order order;
@@ -534,21 +531,20 @@
     return hasTime && (!isInTransaction || leaving->mayBeginTransaction(now));
 }
 
-void front_session::refuseLeaving(const caller_request &request)
+void front_session::failTransaction()
 {
-    const bool isEnd = request.what.kind == statement_kind::Commit;
     if (m_state == transaction_state::Open) {
-        m_state = isEnd ? transaction_state::Idle : transaction_state::Failed;
+        m_state = m_requestKind == statement_kind::Commit ? transaction_state::Idle : transaction_state::Failed;
     }
-    m_context.log.info("statement_refused")
-        .field("id", request.id)
-        .field("database", m_database)
-        .field("reason", "shutting_down");
-    answerLeaving();
 }
 
-void front_session::answerLeaving()
+void front_session::refuseLeaving()
 {
+    failTransaction();
+    m_context.log.info("statement_refused")
+        .field("id", m_requestId)
+        .field("database", m_database)
+        .field("reason", "shutting_down");
     m_context.metrics.statementRefused("shutting_down");
     answerError(error_code::Busy, "the instance is shutting down, connect again");
 }
--- a/src/libcrocusdealfront/frontsession.h
+++ b/src/libcrocusdealfront/frontsession.h
@@ -100,9 +100,10 @@
     void refuseOverLimit(const statement_order &order, const admission &result);
     /** Whether the instance stays long enough to answer a statement on this route that begins now. */
     bool mayBegin(const database_route &route, bool isInTransaction) const;
-    void refuseLeaving(const caller_request &request);
+    /** An open transaction has failed with the request that was read last; a commit has ended it. */
+    void failTransaction();
     /** Tells that nothing was begun since the instance leaves. */
-    void answerLeaving();
+    void refuseLeaving();
     /** Gives the budget of an operation back that was not begun at a target. */
     void refundCharge();
     /** Answers what cannot be run at all. */
@@ -147,6 +148,7 @@
     bool m_wasAborted = false; ///< By the product; the caller has not been told.
     time_point m_arrivedAt = never; ///< Of the statement that is running.
     std::string m_requestId; ///< Of the request that was read last.
+    statement_kind m_requestKind = statement_kind::Begin; ///< Of the same.
     deadline_queue::handle m_idleLimit = 0;
     std::shared_ptr<running_statement> m_run;
     int m_admissions = 0; ///< An answer to an earlier one counts no more.
--- a/tests/platform/frontsessiontest.cpp
+++ b/tests/platform/frontsessiontest.cpp
@@ -83,6 +83,7 @@
 {
     CPPUNIT_TEST_SUITE(front_session_test);
     CPPUNIT_TEST(requestThatWaitsForItsBudgetIsAnsweredAtTheEnd);
+    CPPUNIT_TEST(commitThatWaitsForItsBudgetEndsItsTransaction);
     CPPUNIT_TEST(lateRefusalHoldsUpNoOtherRequest);
     CPPUNIT_TEST_SUITE_END();
 
@@ -104,6 +105,18 @@
         CPPUNIT_ASSERT(!one.caller->hasAnswer());
     }
 
+    /** Guards against a session that is left in a failed transaction after its commit was refused. */
+    void commitThatWaitsForItsBudgetEndsItsTransaction()
+    {
+        limited_session one;
+        one.world.ask(*one.caller, "BEGIN");
+        one.caller->send("QUERY q1 COMMIT");
+        CPPUNIT_ASSERT(one.world.runUntil([&] { return one.waiting.size() == 1; }));
+        one.session->expire();
+        CPPUNIT_ASSERT(one.world.runUntil([&] { return one.caller->hasAnswer(); }));
+        assertContains("READY I", one.caller->takeAnswer());
+    }
+
     /** Guards against a caller that waits: its next request was read while the first one waited for its budget. */
     void lateRefusalHoldsUpNoOtherRequest()
     {
